--- /dev/null
+++ b/Loomreach/Core/GlibHandle.h
@@ -0,0 +1,92 @@
+// Owning handles for GLib objects, and a timer bound to its owner's life.
+
+#pragma once
+
+#include <Loomreach/Loomreach.h>
+
+#include <gio/gio.h>
+
+namespace Loomreach
+{
+
+/// Drops a reference to a GObject.
+struct ObjectUnref
+{
+	void operator()(void *inObject) const { g_object_unref(inObject); }
+};
+
+/// An owned reference to a GObject.
+template <class T>
+using ObjectPtr = std::unique_ptr<T, ObjectUnref>;
+
+/// A second reference to an object that somebody else owns.
+template <class T>
+ObjectPtr<T> Share(T *inObject)
+{
+	return ObjectPtr<T>(static_cast<T *>(g_object_ref(inObject)));
+}
+
+/// An owned GError.
+struct ErrorPtr
+{
+	ErrorPtr() = default;
+	~ErrorPtr() { g_clear_error(&this->error); }
+	ErrorPtr(const ErrorPtr &) = delete;
+	ErrorPtr &operator=(const ErrorPtr &) = delete;
+
+	GError **Out() { return &this->error; }
+	bool Is(GQuark inDomain, int inCode) const { return g_error_matches(this->error, inDomain, inCode) != FALSE; }
+	std::string Text() const { return this->error == nullptr ? std::string() : this->error->message; }
+
+	GError *error = nullptr;
+};
+
+/// A timer on the main context that ends with its owner.
+class Timer
+{
+public:
+	Timer() = default;
+	~Timer() { this->Stop(); }
+	Timer(const Timer &) = delete;
+	Timer &operator=(const Timer &) = delete;
+
+	/// Calls back every `inMillis`, replacing what ran before.
+	void Every(Millis inMillis, std::function<void()> inCall) { this->Start(inMillis, std::move(inCall), true); }
+	/// Calls back once after `inMillis`, replacing what ran before.
+	void Once(Millis inMillis, std::function<void()> inCall) { this->Start(inMillis, std::move(inCall), false); }
+	/// Ends it.
+	void Stop()
+	{
+		if (this->source != 0)
+			g_source_remove(this->source);
+		this->source = 0;
+	}
+	/// Whether it will call back.
+	bool IsRunning() const { return this->source != 0; }
+
+private:
+	void Start(Millis inMillis, std::function<void()> inCall, bool inRepeats)
+	{
+		this->Stop();
+		this->call = std::move(inCall);
+		this->repeats = inRepeats;
+		this->source = g_timeout_add(static_cast<guint>(std::max<Millis>(inMillis, 0)), &Timer::OnFire, this);
+	}
+
+	static gboolean OnFire(gpointer inSelf)
+	{
+		Timer *self = static_cast<Timer *>(inSelf);
+		const std::function<void()> call = self->call;
+		if (!self->repeats)
+			self->source = 0;
+		const bool goes_on = self->repeats;
+		call();
+		return goes_on ? G_SOURCE_CONTINUE : G_SOURCE_REMOVE;
+	}
+
+	guint source = 0;
+	std::function<void()> call;
+	bool repeats = false;
+};
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Fleet/HostKeeper.cpp
@@ -0,0 +1,159 @@
+// Steps of single hosts from observations.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Fleet/HostKeeper.h>
+
+namespace Loomreach
+{
+
+static StepHost MakeStep(const Host &inHost, EHostStep inStep, std::string inWhy)
+{
+	return {inHost.spec.name, inStep, inHost.generation, inHost.wave, std::move(inWhy), 0};
+}
+
+bool HostKeeper::IsSilent(const HostObservation &inSeen, Millis inFor) const
+{
+	const Millis since = inSeen.last_answer.value_or(inSeen.first_polled);
+	return this->now - since >= inFor;
+}
+
+bool HostKeeper::IsLeaving(const Host &inHost, const HostObservation &inSeen) const
+{
+	auto listed = this->seen.listed.find(inHost.spec.name);
+	return inSeen.leaving || (listed != this->seen.listed.end() && listed->second.leaving);
+}
+
+std::optional<StepHost> HostKeeper::HealthStep(const Host &inHost, const HostObservation &inSeen) const
+{
+	if (inHost.phase == EHostPhase::Out)
+		return std::nullopt;
+	auto listed = this->seen.listed.find(inHost.spec.name);
+	const bool gone_from_list = this->seen.list_is_fresh && listed == this->seen.listed.end();
+	if (this->IsSilent(inSeen, this->bounds.failed_after))
+	{
+		if (inHost.health != EHostHealth::Failed)
+			return MakeStep(inHost, EHostStep::Failed, "no answer");
+		if (gone_from_list && inHost.replicas.empty() && this->IsSilent(inSeen, this->bounds.remove_after))
+			return MakeStep(inHost, EHostStep::Remove, "silent and no longer on the host list");
+		return std::nullopt;
+	}
+	if (this->IsLeaving(inHost, inSeen))
+	{
+		if (inHost.phase != EHostPhase::Active)
+			return std::nullopt;
+		if (inHost.IsAvailable() && this->state.HasRoomInBudget(inHost.pool))
+		{
+			StepHost step = MakeStep(inHost, EHostStep::Drain, "the platform takes it away");
+			step.wave = cPlatformDrain;
+			return step;
+		}
+		// The platform takes it whatever the budget says: that is a failure to be recorded, not an act of ours
+		if (inHost.health == EHostHealth::Healthy)
+			return MakeStep(inHost, EHostStep::Failed, "the platform takes it away");
+		return std::nullopt;
+	}
+	const bool answers = inSeen.last_answer.has_value() && !this->IsSilent(inSeen, this->bounds.failed_after / 2);
+	if (answers && inHost.health != EHostHealth::Healthy)
+		return MakeStep(inHost, EHostStep::Healthy, "answers");
+	return std::nullopt;
+}
+
+std::optional<StepHost> HostKeeper::DrainStep(const Host &inHost, const HostObservation &inSeen, bool inAcknowledged) const
+{
+	auto wave = this->state.waves.find(inHost.wave);
+	const bool in_wave = wave != this->state.waves.end();
+	const bool cancelled = in_wave && wave->second.state == EWaveState::Cancelled;
+	const bool paused = in_wave && wave->second.state == EWaveState::Paused;
+	switch (inHost.phase)
+	{
+	case EHostPhase::Draining:
+	{
+		if (cancelled)
+			return MakeStep(inHost, EHostStep::Undrain, "wave cancelled");
+		const bool quiet = inSeen.quiet_since != 0 && this->now - inSeen.quiet_since >= this->bounds.quiet_for;
+		// A host that is silent may still be at work behind a cut, so only its own word counts
+		if (inHost.replicas.empty() && inAcknowledged && quiet)
+			return MakeStep(inHost, EHostStep::Drained, "nothing in flight");
+		return std::nullopt;
+	}
+	case EHostPhase::Drained:
+		if (cancelled)
+			return MakeStep(inHost, EHostStep::Undrain, "wave cancelled");
+		// An operator's own drain stays until the operator moves the host or takes the drain back
+		if (in_wave && !paused)
+		{
+			StepHost step = MakeStep(inHost, EHostStep::Out, "wave");
+			step.boot = inSeen.boot;
+			return step;
+		}
+		if (inHost.wave == cPlatformDrain && !this->IsLeaving(inHost, inSeen) && !this->IsSilent(inSeen, this->bounds.failed_after / 2))
+			return MakeStep(inHost, EHostStep::Undrain, "the platform no longer takes it away");
+		return std::nullopt;
+	case EHostPhase::Out:
+	{
+		const bool answers = inSeen.last_answer.has_value() && !this->IsSilent(inSeen, this->bounds.failed_after / 2);
+		const bool rebooted = answers && inSeen.boot != inHost.out_boot;
+		if (rebooted)
+			return MakeStep(inHost, EHostStep::Returned, "booted anew");
+		return std::nullopt;
+	}
+	case EHostPhase::Active: return std::nullopt;
+	}
+	return std::nullopt;
+}
+
+std::optional<StepHost> HostKeeper::NextStep(const Host &inHost, const HostObservation &inSeen, bool inAcknowledged) const
+{
+	if (std::optional<StepHost> step = this->HealthStep(inHost, inSeen); step.has_value())
+		return step;
+	if (std::optional<StepHost> step = this->DrainStep(inHost, inSeen, inAcknowledged); step.has_value())
+		return step;
+	const bool suspicious = !inHost.quarantined && inHost.failed_jobs.size() >= cQuarantineJobs;
+	if (suspicious && this->state.HasRoomInBudget(inHost.pool))
+		return MakeStep(inHost, EHostStep::Quarantine, std::to_string(inHost.failed_jobs.size()) + " different jobs failed on it");
+	return std::nullopt;
+}
+
+void HostKeeper::ReportTasks(const Host &inHost, const HostObservation &inSeen, std::vector<ProposalBody> &outProposals) const
+{
+	for (const TaskReport &task : inSeen.tasks)
+	{
+		if (task.state == ETaskState::Running)
+			continue;
+		auto placement = this->state.placements.find(task.replica);
+		const bool is_present =
+			placement != this->state.placements.end() && placement->second.host == inHost.spec.name && placement->second.generation == task.generation;
+		// The end of an older generation's task is no end of the replica
+		if (!is_present)
+			continue;
+		const EStopReason reason = task.state == ETaskState::Finished ? EStopReason::Finished : EStopReason::JobFailed;
+		outProposals.emplace_back(StopReplica{task.replica, task.generation, reason});
+	}
+}
+
+std::vector<ProposalBody> HostKeeper::Decide(const Host &inHost, bool inAcknowledged) const
+{
+	std::vector<ProposalBody> proposals;
+	auto observed = this->seen.hosts.find(inHost.spec.name);
+	if (observed == this->seen.hosts.end())
+		return proposals;
+	this->ReportTasks(inHost, observed->second, proposals);
+	if (std::optional<StepHost> step = this->NextStep(inHost, observed->second, inAcknowledged); step.has_value())
+		proposals.emplace_back(std::move(*step));
+	return proposals;
+}
+
+std::vector<ProposalBody> HostKeeper::AddListed() const
+{
+	std::vector<ProposalBody> proposals;
+	for (const auto &[name, listed] : this->seen.listed)
+	{
+		const bool is_new = this->state.hosts.count(name) == 0 && !listed.leaving;
+		if (is_new && this->state.pools.count(listed.pool) != 0)
+			proposals.emplace_back(AddHost{listed.spec, listed.pool});
+	}
+	return proposals;
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Member/PeerTracker.cpp
@@ -0,0 +1,116 @@
+// Liveness by heartbeats, and the choice of stewards.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Hash.h>
+#include <Loomreach/Member/PeerTracker.h>
+
+namespace Loomreach
+{
+
+static constexpr size_t cMaxIncarnations = 8192;
+
+bool PeerTracker::Hear(Digest inDigest, Millis inNow)
+{
+	auto known = this->sequences.find(inDigest.incarnation);
+	if (known != this->sequences.end() && inDigest.sequence <= known->second)
+		return FailFalse(EError::Replayed, "sequence " + std::to_string(inDigest.sequence) + " was heard before");
+	auto peer = this->peers.find(inDigest.name);
+	// An incarnation that was followed by another of the same name is over; its datagrams are late or replayed
+	const bool is_new_incarnation = known == this->sequences.end();
+	if (!is_new_incarnation && peer != this->peers.end() && peer->second.digest.incarnation != inDigest.incarnation)
+		return FailFalse(EError::Replayed, "an earlier incarnation of " + inDigest.name);
+	if (is_new_incarnation)
+	{
+		this->sequence_order.push_back(inDigest.incarnation);
+		if (this->sequence_order.size() > cMaxIncarnations)
+		{
+			this->sequences.erase(this->sequence_order.front());
+			this->sequence_order.pop_front();
+		}
+	}
+	this->sequences[inDigest.incarnation] = inDigest.sequence;
+	std::string name = inDigest.name;
+	this->peers[std::move(name)] = {std::move(inDigest), inNow};
+	return true;
+}
+
+const Peer *PeerTracker::Find(const std::string &inName) const
+{
+	auto found = this->peers.find(inName);
+	return found == this->peers.end() ? nullptr : &found->second;
+}
+
+bool PeerTracker::IsLive(const std::string &inName, Millis inNow) const
+{
+	const Peer *peer = this->Find(inName);
+	return peer != nullptr && inNow - peer->heard < this->suspect_after;
+}
+
+std::optional<Millis> PeerTracker::LastHeard(const std::string &inName) const
+{
+	const Peer *peer = this->Find(inName);
+	return peer == nullptr ? std::nullopt : std::optional(peer->heard);
+}
+
+std::optional<Millis> PeerTracker::ZoneLastHeard(const std::string &inZone) const
+{
+	std::optional<Millis> heard;
+	for (const auto &[name, peer] : this->peers)
+		if (peer.digest.availability_zone == inZone && (!heard.has_value() || peer.heard > *heard))
+			heard = peer.heard;
+	return heard;
+}
+
+bool PeerTracker::ZoneReachesPlatform(Millis inNow) const
+{
+	for (const auto &[name, peer] : this->peers)
+		if (peer.digest.availability_zone == this->zone && peer.digest.reaches_platform && inNow - peer.heard < this->suspect_after)
+			return true;
+	return false;
+}
+
+StewardPicker::StewardPicker(const View &inView, const PeerTracker &inTracker, const std::string &inSelf, bool inSelfReachesPlatform, bool inSelfStopping,
+							 Millis inNow)
+	: self(inSelf)
+{
+	auto own = inView.members.find(inSelf);
+	if (own == inView.members.end())
+		return;
+	this->self_zone = own->second.availability_zone;
+	this->counts = inSelfReachesPlatform && !inSelfStopping;
+	std::set<std::string> eligible;
+	std::set<std::string> heard;
+	heard.insert(this->self_zone);
+	for (const auto &[name, member] : inView.members)
+	{
+		const bool is_self = name == inSelf;
+		const Peer *peer = inTracker.Find(name);
+		const bool live = is_self || inTracker.IsLive(name, inNow);
+		this->silent_zones.insert(member.availability_zone);
+		if (!live)
+			continue;
+		heard.insert(member.availability_zone);
+		const bool reaches = is_self ? this->counts : peer->digest.reaches_platform && !peer->digest.stopping;
+		if (reaches || (!is_self && peer->digest.zone_reaches_platform))
+			eligible.insert(member.availability_zone);
+		if (reaches && member.availability_zone == this->self_zone)
+			this->zone_members.push_back(name);
+	}
+	for (const std::string &zone : heard)
+		this->silent_zones.erase(zone);
+	this->zones.assign(eligible.begin(), eligible.end());
+}
+
+bool StewardPicker::IsMineIn(std::string_view inKey, const std::string &inZone) const
+{
+	if (!this->counts)
+		return false;
+	const bool zone_serves = std::find(this->zones.begin(), this->zones.end(), inZone) != this->zones.end();
+	const std::string_view zone = zone_serves ? std::string_view(inZone) : RendezvousOwner(inKey, this->zones);
+	return zone == this->self_zone && RendezvousOwner(inKey, this->zone_members) == this->self;
+}
+
+bool StewardPicker::IsMine(std::string_view inKey) const { return this->IsMineIn(inKey, std::string(RendezvousOwner(inKey, this->zones))); }
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Member/ViewPlanner.cpp
@@ -0,0 +1,66 @@
+// Joining and removal of members.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Hash.h>
+#include <Loomreach/Member/ViewPlanner.h>
+
+namespace Loomreach
+{
+
+/// Whether a member has been silent for so long that it should leave the view.
+static bool IsGone(const ViewInputs &inInputs, const Member &inMember)
+{
+	const Peer *peer = inInputs.tracker.Find(inMember.name);
+	// A new incarnation under the same name proves the old one gone
+	if (peer != nullptr && peer->digest.incarnation != inMember.incarnation)
+		return true;
+	const bool same_zone = inMember.availability_zone == inInputs.self.availability_zone;
+	// Members of other zones beat to only some of us, so there the whole zone must be silent
+	const std::optional<Millis> heard =
+		same_zone ? inInputs.tracker.LastHeard(inMember.name) : inInputs.tracker.ZoneLastHeard(inMember.availability_zone);
+	const Millis since = std::max(heard.value_or(inInputs.started), inInputs.started);
+	return inInputs.now - since >= inInputs.remove_after;
+}
+
+/// Whether some claim range would lose its last holder.
+static bool LosesRange(const FleetState &inState, const std::vector<Member> &inMembers)
+{
+	for (const std::set<std::string> &holders : inState.claim_holders)
+	{
+		const bool survives = std::any_of(inMembers.begin(), inMembers.end(), [&](const Member &inMember) {
+			if (holders.count(inMember.name) == 0)
+				return false;
+			return inState.view.members.find(inMember.name)->second.incarnation == inMember.incarnation;
+		});
+		if (!survives)
+			return true;
+	}
+	return false;
+}
+
+std::optional<ChangeView> PlanView(const ViewInputs &inInputs)
+{
+	const View &view = inInputs.state.view;
+	auto own = view.members.find(inInputs.self.name);
+	const bool joins = own == view.members.end() || !(own->second == inInputs.self);
+	std::vector<Member> members;
+	bool removes = false;
+	for (const auto &[name, member] : view.members)
+	{
+		if (name == inInputs.self.name)
+			continue;
+		if (IsGone(inInputs, member))
+			removes = true;
+		else
+			members.push_back(member);
+	}
+	if (!joins && !removes)
+		return std::nullopt;
+	members.push_back(inInputs.self);
+	ChangeView change{view.number, std::move(members), false};
+	change.reset = LosesRange(inInputs.state, change.members);
+	return change;
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -0,0 +1,105 @@
+// HTTP calls by libsoup with a timeout for the whole call.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Platform/HttpClient.h>
+
+namespace Loomreach
+{
+
+static constexpr int cMaxConnections = 256;
+static constexpr int cMaxConnectionsPerHost = 16;
+
+/// One call under way.
+struct HttpClient::Pending
+{
+	std::shared_ptr<bool> alive;
+	Callback done;
+	ObjectPtr<SoupMessage> message;
+	ObjectPtr<GCancellable> cancellable;
+	guint timeout = 0;
+};
+
+HttpClient::HttpClient()
+	: session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", cMaxConnectionsPerHost, nullptr)),
+	  alive(std::make_shared<bool>(true))
+{
+}
+
+HttpClient::~HttpClient()
+{
+	*this->alive = false;
+	soup_session_abort(this->session.get());
+}
+
+gboolean HttpClient::OnTimeout(gpointer inPending)
+{
+	Pending *pending = static_cast<Pending *>(inPending);
+	pending->timeout = 0;
+	g_cancellable_cancel(pending->cancellable.get());
+	return G_SOURCE_REMOVE;
+}
+
+void HttpClient::OnSent(GObject *inSession, GAsyncResult *inResult, gpointer inPending)
+{
+	const std::unique_ptr<Pending> pending(static_cast<Pending *>(inPending));
+	if (pending->timeout != 0)
+		g_source_remove(pending->timeout);
+	ErrorPtr error;
+	GBytes *bytes = soup_session_send_and_read_finish(SOUP_SESSION(inSession), inResult, error.Out());
+	HttpResult result;
+	if (bytes != nullptr)
+	{
+		gsize length = 0;
+		const void *data = g_bytes_get_data(bytes, &length);
+		result.body.assign(static_cast<const char *>(data), data == nullptr ? 0 : length);
+		result.status = soup_message_get_status(pending->message.get());
+		g_bytes_unref(bytes);
+	}
+	else
+	{
+		result.refused = error.Is(G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+		result.error = error.Text();
+	}
+	if (*pending->alive)
+		pending->done(std::move(result));
+}
+
+void HttpClient::Start(const HttpCall &inCall, Callback inDone)
+{
+	const std::string url = "http://" + inCall.to.Text() + inCall.path;
+	SoupMessage *message = soup_message_new(inCall.method.c_str(), url.c_str());
+	if (message == nullptr)
+	{
+		HttpResult result;
+		result.error = "not a URL: " + url;
+		inDone(std::move(result));
+		return;
+	}
+	auto pending = std::make_unique<Pending>();
+	pending->alive = this->alive;
+	pending->done = std::move(inDone);
+	pending->message.reset(message);
+	pending->cancellable.reset(g_cancellable_new());
+	if (!inCall.body.empty())
+	{
+		GBytes *bytes = g_bytes_new(inCall.body.data(), inCall.body.size());
+		soup_message_set_request_body_from_bytes(message, inCall.content_type.c_str(), bytes);
+		g_bytes_unref(bytes);
+	}
+	for (const auto &[name, value] : inCall.headers)
+		soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(), value.c_str());
+	Pending *raw = pending.release();
+	raw->timeout = g_timeout_add(static_cast<guint>(inCall.timeout_ms), &HttpClient::OnTimeout, raw);
+	soup_session_send_and_read_async(this->session.get(), message, G_PRIORITY_DEFAULT, raw->cancellable.get(), &HttpClient::OnSent, raw);
+}
+
+std::string UrlEscape(std::string_view inText)
+{
+	gchar *escaped = g_uri_escape_bytes(reinterpret_cast<const guint8 *>(inText.data()), inText.size(), nullptr);
+	std::string text = escaped;
+	g_free(escaped);
+	return text;
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Platform/HttpClient.h
@@ -0,0 +1,62 @@
+// Small HTTP calls to the platform, to workers' agents and, in the command-line tool, to an entry host: whole body in, whole body out.
+
+#pragma once
+
+#include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Settings/DaemonConfig.h>
+
+#include <libsoup/soup.h>
+
+namespace Loomreach
+{
+
+/// How a call ended.
+struct HttpResult
+{
+	uint32 status = 0; ///< 0: no whole answer came.
+	std::string body;
+	bool refused = false; ///< The connection was refused: the call certainly had no effect.
+	std::string error;    ///< With status 0: why.
+
+	bool IsOk() const { return this->status >= 200 && this->status < 300; }
+};
+
+/// One call.
+struct HttpCall
+{
+	std::string method = "GET";
+	Address to;
+	std::string path; ///< With its query.
+	std::string body;
+	std::string content_type = "application/json";
+	std::vector<std::pair<std::string, std::string>> headers;
+	Millis timeout_ms = 3000;
+};
+
+/// Makes calls on the main context. Calls that are under way when it is destroyed never call back.
+class HttpClient
+{
+public:
+	using Callback = std::function<void(HttpResult)>;
+
+	HttpClient();
+	~HttpClient();
+	HttpClient(const HttpClient &) = delete;
+	HttpClient &operator=(const HttpClient &) = delete;
+
+	/// Starts a call; `inDone` is called once.
+	void Start(const HttpCall &inCall, Callback inDone);
+
+private:
+	struct Pending;
+	static void OnSent(GObject *inSession, GAsyncResult *inResult, gpointer inPending);
+	static gboolean OnTimeout(gpointer inPending);
+
+	ObjectPtr<SoupSession> session;
+	std::shared_ptr<bool> alive;
+};
+
+/// Text made safe for one part of a URL's path or query.
+std::string UrlEscape(std::string_view inText);
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Request/ClaimTable.cpp
@@ -0,0 +1,106 @@
+// Granting, handing over and expiring claims.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Request/ClaimTable.h>
+
+namespace Loomreach
+{
+
+void ClaimTable::Update(const FleetState &inState)
+{
+	LOOM_INVARIANT(inState.view.number >= this->view, "a member never goes back to an older view");
+	const bool new_view = inState.view.number != this->view;
+	this->view = inState.view.number;
+	for (uint32 range = 0; range < cClaimRanges; ++range)
+	{
+		if (new_view)
+			this->groups[range] = ClaimGroupOf(inState.view, range);
+		const bool held = this->holders[range].count(this->self) != 0;
+		this->holders[range] = inState.claim_holders[range];
+		const bool holds = this->holders[range].count(this->self) != 0;
+		// What this member no longer holds is incomplete from now on; what it took in under an older view is too
+		if (!holds && (held || new_view))
+		{
+			this->size -= this->claims[range].size();
+			this->claims[range].clear();
+		}
+	}
+}
+
+void ClaimTable::Expire(Millis inNow)
+{
+	while (!this->order.empty() && inNow - this->order.front().first > cKeepMs)
+	{
+		const auto &[range, id] = this->order.front().second;
+		auto found = this->claims[range].find(id);
+		if (found != this->claims[range].end() && found->second.since == this->order.front().first)
+		{
+			this->claims[range].erase(found);
+			--this->size;
+		}
+		this->order.pop_front();
+	}
+}
+
+EClaim ClaimTable::Answer(const std::string &inId, uint32 inRange, uint64 inOwner, uint64 inView, bool inLeaseHolds, Millis inNow, uint64 &outHolder)
+{
+	this->Expire(inNow);
+	if (inView != this->view)
+		return inView < this->view ? EClaim::OldView : EClaim::NotReady;
+	const std::vector<std::string> &group = this->groups[inRange];
+	const bool guards = std::find(group.begin(), group.end(), this->self) != group.end();
+	if (!guards || this->holders[inRange].count(this->self) == 0 || !inLeaseHolds)
+		return EClaim::NotReady;
+	auto found = this->claims[inRange].find(inId);
+	if (found != this->claims[inRange].end())
+	{
+		outHolder = found->second.owner;
+		return found->second.owner == inOwner ? EClaim::Granted : EClaim::Taken;
+	}
+	// A full table refuses; it never forgets a claim early
+	if (this->size >= cMaxClaims)
+		return EClaim::NotReady;
+	this->claims[inRange].emplace(inId, Kept{inOwner, inNow});
+	this->order.emplace_back(inNow, std::pair(inRange, inId));
+	++this->size;
+	outHolder = inOwner;
+	return EClaim::Granted;
+}
+
+std::optional<std::vector<Claim>> ClaimTable::HandOver(uint32 inRange, uint64 inView) const
+{
+	if (inRange >= cClaimRanges || this->view < inView || this->holders[inRange].count(this->self) == 0)
+		return Fail(EError::ViewRejected, "this member does not hold the range at that view");
+	std::vector<Claim> all;
+	for (const auto &[id, kept] : this->claims[inRange])
+		all.push_back({id, kept.owner});
+	return all;
+}
+
+void ClaimTable::TakeIn(uint32 inRange, const std::vector<Claim> &inClaims, Millis inNow)
+{
+	for (const Claim &claim : inClaims)
+	{
+		if (!this->claims[inRange].emplace(claim.id, Kept{claim.owner, inNow}).second)
+			continue;
+		this->order.emplace_back(inNow, std::pair(inRange, claim.id));
+		++this->size;
+	}
+}
+
+std::vector<std::pair<uint32, std::string>> ClaimTable::Missing() const
+{
+	std::vector<std::pair<uint32, std::string>> missing;
+	for (uint32 range = 0; range < cClaimRanges; ++range)
+	{
+		const std::vector<std::string> &group = this->groups[range];
+		const bool guards = std::find(group.begin(), group.end(), this->self) != group.end();
+		if (guards && this->holders[range].count(this->self) == 0 && !this->holders[range].empty())
+			missing.emplace_back(range, *this->holders[range].begin());
+	}
+	return missing;
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Request/IdWindow.cpp
@@ -0,0 +1,106 @@
+// Bounded memory of request ids.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Request/IdWindow.h>
+
+#include <charconv>
+
+namespace Loomreach
+{
+
+static constexpr std::string_view cIssuedPrefix = "issued:";
+
+std::string IdWindow::IssuedKey(uint64 inSequence) { return std::string(cIssuedPrefix) + std::to_string(inSequence); }
+
+IdVerdict IdWindow::Begin(Record &ioRecord)
+{
+	if (ioRecord.answer.has_value())
+		return {EIdUse::Answered, &*ioRecord.answer};
+	if (ioRecord.begun)
+		return {EIdUse::Begun, nullptr};
+	ioRecord.begun = true;
+	return {EIdUse::MayRun, nullptr};
+}
+
+IdVerdict IdWindow::BeginIssued(uint64 inSequence)
+{
+	if (inSequence == 0 || inSequence > this->last_issued || inSequence <= this->floor)
+		return {EIdUse::Forgotten, nullptr};
+	const IdVerdict verdict = this->Begin(this->issued[inSequence]);
+	if (this->issued.size() > cMaxIds)
+		this->ForgetOldest();
+	return verdict;
+}
+
+void IdWindow::ForgetOldest()
+{
+	auto oldest = this->issued.begin();
+	LOOM_INVARIANT(oldest->first > this->floor, "the window only moves forward");
+	this->floor = oldest->first;
+	if (oldest->second.answer.has_value())
+		this->answer_bytes -= oldest->second.answer->body.size();
+	this->issued.erase(oldest);
+}
+
+IdVerdict IdWindow::BeginOwn(const std::string &inId)
+{
+	auto found = this->own.find(inId);
+	if (found == this->own.end())
+		return {EIdUse::Forgotten, nullptr};
+	return this->Begin(found->second);
+}
+
+bool IdWindow::AddOwn(const std::string &inId)
+{
+	if (this->own.size() >= cMaxIds)
+		return FailFalse(EError::NotAccepted, "the window of callers' own ids is full");
+	this->own.try_emplace(inId);
+	return true;
+}
+
+IdWindow::Record *IdWindow::FindKey(const std::string &inKey)
+{
+	if (!inKey.starts_with(cIssuedPrefix))
+	{
+		auto found = this->own.find(inKey);
+		return found == this->own.end() ? nullptr : &found->second;
+	}
+	uint64 sequence = 0;
+	std::from_chars(inKey.data() + cIssuedPrefix.size(), inKey.data() + inKey.size(), sequence);
+	auto found = this->issued.find(sequence);
+	return found == this->issued.end() ? nullptr : &found->second;
+}
+
+void IdWindow::NotRun(const std::string &inKey)
+{
+	Record *record = this->FindKey(inKey);
+	if (record == nullptr)
+		return;
+	LOOM_INVARIANT(record->begun && !record->answer.has_value(), "only what was taken and has no answer can turn out as not run");
+	record->begun = false;
+}
+
+void IdWindow::Ran(const std::string &inKey, KeptAnswer inAnswer)
+{
+	Record *record = this->FindKey(inKey);
+	if (record == nullptr || inAnswer.body.size() > cMaxOneAnswer)
+		return;
+	LOOM_INVARIANT(record->begun && !record->answer.has_value(), "an id is answered once");
+	this->answer_bytes += inAnswer.body.size();
+	record->answer = std::move(inAnswer);
+	this->answer_order.push_back(inKey);
+	// Answers go before ids do: a repeat of a forgotten answer is "unknown", never run
+	while (this->answer_bytes > cMaxAnswerBytes || this->answer_order.size() > cMaxIds)
+	{
+		Record *oldest = this->FindKey(this->answer_order.front());
+		this->answer_order.pop_front();
+		if (oldest == nullptr || !oldest->answer.has_value())
+			continue;
+		this->answer_bytes -= oldest->answer->body.size();
+		oldest->answer.reset();
+	}
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/State/Codec.h
@@ -0,0 +1,52 @@
+// cereal's portable binary form of one value, to and from a string. Included only by the .cpp files that encode.
+
+#pragma once
+
+#include <Loomreach/Core/Error.h>
+
+#include <cereal/archives/portable_binary.hpp>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <cereal/types/set.hpp>
+#include <cereal/types/string.hpp>
+#include <cereal/types/utility.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+
+#include <exception>
+#include <sstream>
+
+namespace Loomreach
+{
+
+/// Encodes a value.
+template <class T>
+std::string EncodeValue(const T &inValue)
+{
+	std::ostringstream stream;
+	cereal::PortableBinaryOutputArchive archive(stream);
+	archive(inValue);
+	return std::move(stream).str();
+}
+
+/// Decodes a value that fills the bytes exactly. cereal throws on damage; this is the only place that catches it.
+template <class T>
+std::optional<T> DecodeValue(std::string_view inBytes)
+{
+	try
+	{
+		std::istringstream stream{std::string(inBytes)};
+		cereal::PortableBinaryInputArchive archive(stream);
+		T value;
+		archive(value);
+		if (stream.peek() != std::istringstream::traits_type::eof())
+			return Fail(EError::Corrupt, "bytes left over");
+		return value;
+	}
+	catch (const std::exception &error)
+	{
+		return Fail(EError::Corrupt, error.what());
+	}
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreachctl/Main.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
