--- a/Loomreach/Core/Metrics.cpp
+++ b/Loomreach/Core/Metrics.cpp
@@ -32,7 +32,6 @@
 constexpr std::array<FamilyName, static_cast<size_t>(ECounter::Count)> cCounterNames = {{
 	{"loomreach_requests_total", "outcome"},
 	{"loomreach_refusals_total", "reason"},
-	{"loomreach_retries_total", "reason"},
 	{"loomreach_proposals_accepted_total", "kind"},
 	{"loomreach_proposals_rejected_total", "reason"},
 	{"loomreach_peer_rejects_total", "reason"},
--- a/Loomreach/Core/Metrics.h
+++ b/Loomreach/Core/Metrics.h
@@ -12,7 +12,6 @@
 {
 	Requests,        ///< By outcome.
 	Refusals,        ///< By error kind.
-	Retries,         ///< By reason.
 	Proposals,       ///< By kind, accepted ones.
 	Rejections,      ///< By error kind, of own proposals.
 	PeerRejects,     ///< Datagrams and frames that changed nothing, by error kind.
--- /dev/null
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -0,0 +1,378 @@
+// Reading and checking callers' requests.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Clock.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/CallerServer.h>
+#include <Loomreach/Entry/Headers.h>
+
+#include <nlohmann/json.hpp>
+
+#include <charconv>
+#include <cinttypes>
+
+namespace Loomreach
+{
+
+static constexpr std::string_view cServicePrefix = "/v1/services/";
+static constexpr std::string_view cIdPrefix = "lr1-";
+static constexpr uint32 cMaxIdsAtOnce = 1000;
+static constexpr size_t cMaxOwnId = 128;
+static constexpr int64 cMaxDeadlineMs = 86'400'000;
+
+ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inWhat)
+{
+	ObjectPtr<SoupServer> server(soup_server_new("server-header", "loomreach", nullptr));
+	ErrorPtr error;
+	const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(inAddress.ip.c_str(), inAddress.port));
+	if (soup_server_listen(server.get(), where.get(), static_cast<SoupServerListenOptions>(0), error.Out()) == FALSE)
+	{
+		FailFalse(EError::BadConfig, std::string(inWhat) + ": " + inAddress.Text() + ": " + error.Text());
+		return nullptr;
+	}
+	return server;
+}
+
+/// A request's header, or an empty view.
+static std::string_view HeaderOf(SoupServerMessage *inMessage, const char *inName)
+{
+	const char *value = soup_message_headers_get_one(soup_server_message_get_request_headers(inMessage), inName);
+	return value == nullptr ? std::string_view() : std::string_view(value);
+}
+
+/// Reads a whole number that fills the text.
+static std::optional<int64> ParseNumber(std::string_view inText)
+{
+	int64 number = 0;
+	const auto [end, error] = std::from_chars(inText.data(), inText.data() + inText.size(), number);
+	if (error != std::errc() || end != inText.data() + inText.size())
+		return Fail(EError::BadRequest, "expected a whole number");
+	return number;
+}
+
+/// Methods that HTTP itself calls idempotent.
+static bool IsIdempotentMethod(std::string_view inMethod)
+{
+	static constexpr std::array<std::string_view, 6> cMethods = {"GET", "HEAD", "PUT", "DELETE", "OPTIONS", "TRACE"};
+	return std::find(cMethods.begin(), cMethods.end(), inMethod) != cMethods.end();
+}
+
+CallerServer::CallerServer(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, ControlLoop &ioControl, Relay &ioRelay,
+						   IdWindow &ioIds, const PeerCodec &inCodec, Metrics &ioMetrics)
+	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), control(ioControl), relay(ioRelay), ids(ioIds), codec(inCodec), metrics(ioMetrics)
+{
+}
+
+bool CallerServer::Open()
+{
+	this->server = OpenServer(this->config.callers, "callers");
+	if (this->server == nullptr)
+		return false;
+	soup_server_add_early_handler(this->server.get(), nullptr, &CallerServer::OnEarly, this, nullptr);
+	soup_server_add_handler(this->server.get(), "/v1/services", &CallerServer::OnService, this, nullptr);
+	soup_server_add_handler(this->server.get(), "/v1/ids", &CallerServer::OnIds, this, nullptr);
+	soup_server_add_handler(this->server.get(), "/v1/health", &CallerServer::OnHealth, this, nullptr);
+	soup_server_add_handler(this->server.get(), nullptr, &CallerServer::OnOther, this, nullptr);
+	return true;
+}
+
+/// Counts a body's bytes as they come and cuts the connection of one that grows past the limit.
+static void OnBodyPiece(SoupServerMessage *inMessage, GBytes *, gpointer inSelf)
+{
+	const DaemonConfig *config = static_cast<const DaemonConfig *>(inSelf);
+	if (soup_server_message_get_request_body(inMessage)->length <= config->max_request_bytes)
+		return;
+	const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(inMessage));
+	if (stream != nullptr)
+		g_io_stream_close(stream.get(), nullptr, nullptr);
+}
+
+void CallerServer::OnEarly(SoupServer *, SoupServerMessage *inMessage, const char *, GHashTable *, gpointer inSelf)
+{
+	CallerServer *self = static_cast<CallerServer *>(inSelf);
+	SoupMessageHeaders *headers = soup_server_message_get_request_headers(inMessage);
+	const bool has_length = soup_message_headers_get_one(headers, "Content-Length") != nullptr;
+	const bool has_encoding = soup_message_headers_get_one(headers, "Transfer-Encoding") != nullptr;
+	EError error = EError::None;
+	// Two ways to tell a body's length are an attempt to smuggle a second request
+	if (has_length && has_encoding)
+		error = EError::BadRequest;
+	else if (has_length && soup_message_headers_get_content_length(headers) > self->config.max_request_bytes)
+		error = EError::TooLarge;
+	if (error == EError::None)
+	{
+		g_signal_connect(inMessage, "got-chunk", G_CALLBACK(&OnBodyPiece), const_cast<DaemonConfig *>(&self->config));
+		return;
+	}
+	self->metrics.Count(ECounter::Refusals, AnswerOf(error).name);
+	SoupMessageHeaders *answer = soup_server_message_get_response_headers(inMessage);
+	soup_message_headers_replace(answer, cHeaderOutcome, "not-run");
+	soup_message_headers_replace(answer, cHeaderReason, std::string(AnswerOf(error).name).c_str());
+	soup_message_headers_replace(answer, "Connection", "close");
+	const std::string text = std::string(AnswerOf(error).meaning) + "\n";
+	soup_server_message_set_response(inMessage, "text/plain", SOUP_MEMORY_COPY, text.data(), text.size());
+	soup_server_message_set_status(inMessage, AnswerOf(error).http_status, nullptr);
+}
+
+void CallerServer::OnService(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
+{
+	static_cast<CallerServer *>(inSelf)->HandleService(inMessage, inPath);
+}
+
+void CallerServer::Refuse(const std::shared_ptr<Exchange> &inExchange, EError inError, std::string_view inDetail)
+{
+	this->metrics.Count(ECounter::Refusals, AnswerOf(inError).name);
+	inExchange->Refuse(inError, 1, inDetail);
+}
+
+std::optional<std::shared_ptr<Exchange>> CallerServer::ReadRequest(SoupServerMessage *inMessage, const char *inPath)
+{
+	auto exchange = std::make_shared<Exchange>(inMessage, this->config.name);
+	exchange->arrived = NowMillis();
+	exchange->arrived_exact = NowMillisExact();
+	const std::string_view path = inPath;
+	const std::string_view rest = path.size() > cServicePrefix.size() ? path.substr(cServicePrefix.size()) : std::string_view();
+	const size_t slash = rest.find('/');
+	exchange->service = std::string(rest.substr(0, slash));
+	GUri *uri = soup_server_message_get_uri(inMessage);
+	// What the endpoint sees keeps the caller's own escapes, not the decoded path that libsoup hands over
+	const std::string_view raw = g_uri_get_path(uri);
+	const size_t after = raw.find('/', cServicePrefix.size());
+	exchange->path = after == std::string_view::npos ? "/" : std::string(raw.substr(after));
+	if (const char *query = g_uri_get_query(uri); query != nullptr)
+		exchange->path += std::string("?") + query;
+	if (!this->follower.IsReady())
+	{
+		this->Refuse(exchange, EError::NotReady, "no state yet");
+		return std::nullopt;
+	}
+	const FleetState &state = this->follower.State();
+	auto service = state.services.find(exchange->service);
+	if (service == state.services.end())
+	{
+		this->Refuse(exchange, EError::NoSuchService, exchange->service);
+		return std::nullopt;
+	}
+	const JobSpec &job = state.jobs.find(service->second)->second;
+	if (!this->ReadHeaders(*exchange, job, inMessage))
+	{
+		this->Refuse(exchange, EError::BadRequest, LastReason().detail);
+		return std::nullopt;
+	}
+	return exchange;
+}
+
+bool CallerServer::ReadHeaders(Exchange &ioExchange, const JobSpec &inJob, SoupServerMessage *inMessage)
+{
+	RequestSpec &spec = ioExchange.spec;
+	spec.job = inJob.path;
+	spec.priority = inJob.priority;
+	ioExchange.is_long = inJob.long_requests;
+	int64 time_left = inJob.deadline_ms;
+	if (const std::string_view text = HeaderOf(inMessage, cHeaderDeadline); !text.empty())
+	{
+		const std::optional<int64> wanted = ParseNumber(text);
+		if (!wanted.has_value() || *wanted <= 0 || *wanted > cMaxDeadlineMs)
+			return FailFalse(EError::BadRequest, "Loomreach-Deadline-Ms: expected a whole number from 1 to 86400000");
+		// A caller may ask for less time than the service gives; more only where requests last long anyway
+		time_left = inJob.long_requests ? *wanted : std::min(time_left, *wanted);
+	}
+	spec.deadline = ioExchange.arrived + time_left;
+	if (const std::string_view text = HeaderOf(inMessage, cHeaderPriority); !text.empty())
+	{
+		const std::optional<int64> wanted = ParseNumber(text);
+		if (!wanted.has_value() || *wanted < 0)
+			return FailFalse(EError::BadRequest, "Loomreach-Priority: expected a whole number from 0");
+		spec.priority = std::min(spec.priority, *wanted);
+	}
+	spec.repeatable = inJob.repeatable && IsIdempotentMethod(soup_server_message_get_method(inMessage));
+	if (const std::string_view text = HeaderOf(inMessage, cHeaderRepeatable); !text.empty())
+	{
+		if (text != "yes" && text != "no")
+			return FailFalse(EError::BadRequest, "Loomreach-Repeatable: expected yes or no");
+		spec.repeatable = text == "yes";
+	}
+	return true;
+}
+
+void CallerServer::HandleService(SoupServerMessage *inMessage, const char *inPath)
+{
+	const std::optional<std::shared_ptr<Exchange>> exchange = this->ReadRequest(inMessage, inPath);
+	if (!exchange.has_value())
+		return;
+	const std::string id(HeaderOf(inMessage, cHeaderId));
+	const bool forwarded = !HeaderOf(inMessage, cHeaderForwarded).empty();
+	// A request that may be repeated needs no memory of its id
+	if (id.empty() || (*exchange)->spec.repeatable)
+		return this->relay.Submit(*exchange);
+	this->HandleId(*exchange, id, forwarded);
+}
+
+void CallerServer::HandleId(const std::shared_ptr<Exchange> &inExchange, const std::string &inId, bool inForwarded)
+{
+	if (inId.size() > cMaxOwnId)
+		return this->Refuse(inExchange, EError::BadRequest, "Idempotency-Key: at most 128 characters");
+	if (!inId.starts_with(cIdPrefix))
+		return this->HandleOwn(inExchange, inId, inForwarded);
+	const std::optional<IssuedId> issued = this->ParseId(inId);
+	if (!issued.has_value())
+		return this->Refuse(inExchange, EError::BadRequest, "Idempotency-Key: looks like an issued id but was not issued here");
+	this->HandleIssued(inExchange, *issued, inForwarded);
+}
+
+void CallerServer::HandleIssued(const std::shared_ptr<Exchange> &inExchange, const IssuedId &inId, bool inForwarded)
+{
+	if (inId.incarnation != this->incarnation)
+		return this->ForwardTo(inExchange, inId.incarnation, inForwarded);
+	this->UseVerdict(inExchange, IdWindow::IssuedKey(inId.sequence), this->ids.BeginIssued(inId.sequence));
+}
+
+void CallerServer::HandleOwn(const std::shared_ptr<Exchange> &inExchange, const std::string &inId, bool inForwarded)
+{
+	// The same id names different requests at different services
+	const std::string key = "own:" + inExchange->service + "/" + inId;
+	if (this->ids.KnowsOwn(key))
+	{
+		const IdVerdict verdict = this->ids.BeginOwn(key);
+		if (verdict.use != EIdUse::MayRun)
+			return this->UseVerdict(inExchange, key, verdict);
+	}
+	else
+	{
+		if (!this->ids.AddOwn(key))
+			return this->Refuse(inExchange, EError::NotAccepted, LastReason().detail);
+		this->ids.BeginOwn(key);
+	}
+	// Marked as begun while the claim is under way, so that a repeat at this entry host can't overtake it
+	inExchange->id_key = key;
+	this->control.ClaimOwnId(key, [this, inExchange, key, inForwarded](EError inError, uint64 inHolder) {
+		if (inError == EError::None && !inExchange->IsGone())
+			return this->relay.Submit(inExchange);
+		this->ids.NotRun(key);
+		if (inExchange->IsGone())
+			return;
+		if (inError == EError::DuplicateId)
+			return this->ForwardTo(inExchange, inHolder, inForwarded);
+		this->Refuse(inExchange, inError, "the id could not be claimed with every member of its group; ids from POST /v1/ids need no claim");
+	});
+}
+
+void CallerServer::UseVerdict(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, const IdVerdict &inVerdict)
+{
+	switch (inVerdict.use)
+	{
+	case EIdUse::MayRun:
+		inExchange->id_key = inKey;
+		return this->relay.Submit(inExchange);
+	case EIdUse::Answered:
+		this->metrics.Count(ECounter::Requests, "answered-again");
+		return inExchange->Answer(inVerdict.answer->status, inVerdict.answer->content_type, inVerdict.answer->body, EOutcome::Ran, EError::DuplicateId);
+	case EIdUse::Begun: return this->Refuse(inExchange, EError::DuplicateId, "its first run has no answer that is kept, or has not ended");
+	case EIdUse::Forgotten: return this->Refuse(inExchange, EError::IdForgotten, "");
+	}
+}
+
+void CallerServer::ForwardTo(const std::shared_ptr<Exchange> &inExchange, uint64 inIncarnation, bool inForwarded)
+{
+	for (const auto &[name, member] : this->follower.State().view.members)
+	{
+		if (member.incarnation != inIncarnation || inForwarded || inIncarnation == this->incarnation)
+			continue;
+		inExchange->path = g_uri_get_path(soup_server_message_get_uri(inExchange->Message()));
+		if (const char *query = g_uri_get_query(soup_server_message_get_uri(inExchange->Message())); query != nullptr)
+			inExchange->path += std::string("?") + query;
+		inExchange->id_key.clear();
+		return this->relay.Forward(inExchange, member.callers);
+	}
+	this->Refuse(inExchange, EError::IssuerGone, "");
+}
+
+std::string CallerServer::MakeId()
+{
+	char text[64];
+	const int length = std::snprintf(text, sizeof(text), "%016" PRIx64 "-%" PRIx64, this->incarnation, this->ids.Issue());
+	const std::string plain(text, static_cast<size_t>(length));
+	return std::string(cIdPrefix) + plain + "-" + this->codec.Tag(plain);
+}
+
+std::optional<CallerServer::IssuedId> CallerServer::ParseId(const std::string &inId) const
+{
+	const std::string_view rest = std::string_view(inId).substr(cIdPrefix.size());
+	const size_t last = rest.rfind('-');
+	const size_t middle = rest.find('-');
+	if (last == std::string_view::npos || middle == last)
+		return Fail(EError::BadRequest, "not an issued id");
+	const std::string_view plain = rest.substr(0, last);
+	if (this->codec.Tag(plain) != rest.substr(last + 1))
+		return Fail(EError::Forged, "not an issued id");
+	IssuedId id;
+	const auto read = [](std::string_view inText, uint64 &outNumber) {
+		const auto [end, error] = std::from_chars(inText.data(), inText.data() + inText.size(), outNumber, 16);
+		return error == std::errc() && end == inText.data() + inText.size();
+	};
+	if (!read(plain.substr(0, middle), id.incarnation) || !read(plain.substr(middle + 1), id.sequence))
+		return Fail(EError::BadRequest, "not an issued id");
+	return id;
+}
+
+void CallerServer::OnIds(SoupServer *, SoupServerMessage *inMessage, const char *, GHashTable *inQuery, gpointer inSelf)
+{
+	CallerServer *self = static_cast<CallerServer *>(inSelf);
+	if (std::string_view(soup_server_message_get_method(inMessage)) != "POST")
+		return soup_server_message_set_status(inMessage, SOUP_STATUS_METHOD_NOT_ALLOWED, nullptr);
+	const char *count_text = inQuery == nullptr ? nullptr : static_cast<const char *>(g_hash_table_lookup(inQuery, "count"));
+	const std::optional<int64> count = count_text == nullptr ? std::optional<int64>(1) : ParseNumber(count_text);
+	if (!count.has_value() || *count < 1 || *count > cMaxIdsAtOnce)
+	{
+		const std::string text = "count: expected a whole number from 1 to 1000\n";
+		soup_server_message_set_response(inMessage, "text/plain", SOUP_MEMORY_COPY, text.data(), text.size());
+		return soup_server_message_set_status(inMessage, SOUP_STATUS_BAD_REQUEST, nullptr);
+	}
+	nlohmann::json list = nlohmann::json::array();
+	for (int64 i = 0; i < *count; ++i)
+		list.push_back(self->MakeId());
+	const std::string body = nlohmann::json{{"ids", std::move(list)}}.dump() + "\n";
+	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
+	soup_server_message_set_status(inMessage, SOUP_STATUS_OK, nullptr);
+}
+
+bool CallerServer::IsReady(std::string &outWhy) const
+{
+	if (this->control.IsStopping())
+		outWhy = "stopping";
+	else if (!this->follower.IsReady())
+		outWhy = "no state yet";
+	return outWhy.empty();
+}
+
+void CallerServer::OnHealth(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
+{
+	CallerServer *self = static_cast<CallerServer *>(inSelf);
+	const std::string_view path = inPath;
+	std::string why;
+	const bool live = path == "/v1/health/live";
+	const bool good = live || (path == "/v1/health/ready" && self->IsReady(why));
+	const Millis now = NowMillis();
+	const Millis read = self->follower.LastPlatformRead();
+	const nlohmann::json body = {{"ready", good},
+								 {"why", why},
+								 {"next_offset", self->follower.State().next_offset},
+								 {"reaches_platform", self->follower.ReachesPlatform(now)},
+								 {"state_age_ms", read == 0 ? -1 : now - read}};
+	const std::string text = body.dump() + "\n";
+	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
+	const bool known = live || path == "/v1/health/ready";
+	const guint status = known ? (good ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE) : SOUP_STATUS_NOT_FOUND;
+	soup_server_message_set_status(inMessage, status, nullptr);
+}
+
+void CallerServer::OnOther(SoupServer *, SoupServerMessage *inMessage, const char *, GHashTable *, gpointer)
+{
+	const std::string text = "{\"error\":\"not-found\",\"outcome\":\"not-run\"}\n";
+	soup_message_headers_replace(soup_server_message_get_response_headers(inMessage), cHeaderOutcome, "not-run");
+	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
+	soup_server_message_set_status(inMessage, SOUP_STATUS_NOT_FOUND, nullptr);
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/Loomreach/Entry/LogFollower.cpp
@@ -0,0 +1,257 @@
+// Reading, folding and snapshotting the log.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Clock.h>
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/LogFollower.h>
+
+namespace Loomreach
+{
+
+static constexpr uint32 cPageRecords = 500;
+static constexpr Millis cPeerTimeoutMs = 3000;
+static constexpr Millis cRetryMs = 500;
+static constexpr Millis cReachMs = 8000;
+
+void RecordTail::Add(LogOffset inOffset, std::string inBytes)
+{
+	if (!this->records.empty() && this->records.back().offset + 1 != inOffset)
+		this->Clear();
+	this->bytes += inBytes.size();
+	this->records.push_back({inOffset, std::move(inBytes)});
+	while (this->records.size() > cMaxRecords || this->bytes > cMaxBytes)
+	{
+		this->bytes -= this->records.front().bytes.size();
+		this->records.pop_front();
+	}
+}
+
+void RecordTail::Clear()
+{
+	this->records.clear();
+	this->bytes = 0;
+}
+
+std::optional<std::vector<PassedRecord>> RecordTail::From(LogOffset inOffset, LogOffset inNext) const
+{
+	if (inOffset >= inNext)
+		return std::vector<PassedRecord>();
+	if (this->records.empty() || this->records.front().offset > inOffset)
+		return std::nullopt;
+	const auto first = this->records.begin() + static_cast<std::ptrdiff_t>(inOffset - this->records.front().offset);
+	return std::vector<PassedRecord>(first, this->records.end());
+}
+
+LogFollower::LogFollower(PlatformClient &ioPlatform, PeerLink &ioLink, Metrics &ioMetrics, std::vector<Address> inSeeds)
+	: platform(ioPlatform), link(ioLink), metrics(ioMetrics), seeds(std::move(inSeeds))
+{
+}
+
+void LogFollower::Start() { this->ReadSnapshots(0, std::make_shared<SnapshotAssembler>()); }
+
+bool LogFollower::ReachesPlatform(Millis inNow) const { return this->last_platform_read != 0 && inNow - this->last_platform_read < cReachMs; }
+
+void LogFollower::Schedule(Millis inDelay)
+{
+	this->poll_timer.Once(inDelay, [this] { this->Poll(); });
+}
+
+void LogFollower::ReadSnapshots(LogOffset inFrom, std::shared_ptr<SnapshotAssembler> inAssembler)
+{
+	this->platform.Read(cSnapshotStream, inFrom, cPageRecords, [this, inFrom, inAssembler](std::optional<LogPage> inPage) {
+		this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
+		if (!inPage.has_value())
+		{
+			// The platform is down at start: a peer may have the state
+			this->AskSeeds();
+			return this->poll_timer.Once(cRetryMs, [this] { this->ready ? this->Poll() : this->Start(); });
+		}
+		for (const LogRecord &record : inPage->records)
+			if (!inAssembler->Add(record.bytes))
+				LogEvent(ELogLevel::Warning, "snapshot_piece_refused").Field("offset", record.offset).Field("reason", LastReasonText());
+		const LogOffset next = inPage->records.empty() ? inPage->next : inPage->records.back().offset + 1;
+		if (next < inPage->next && next > inFrom)
+			return this->ReadSnapshots(next, inAssembler);
+		this->OnSnapshotsRead(*inAssembler);
+	});
+}
+
+void LogFollower::OnSnapshotsRead(const SnapshotAssembler &inAssembler)
+{
+	this->snapshots_read = true;
+	std::optional<FleetState> newest = inAssembler.Newest();
+	if (newest.has_value())
+		this->Adopt(std::move(*newest), "snapshot");
+	this->Poll();
+}
+
+void LogFollower::Adopt(FleetState inState, std::string_view inSource)
+{
+	// Never a state older than one that was seen
+	if (inState.next_offset <= this->state.next_offset && this->ready)
+		return;
+	LOOM_INVARIANT(inState.settings_version >= this->state.settings_version, "no accepted settings version goes back");
+	this->state = std::move(inState);
+	this->tail.Clear();
+	this->ready = true;
+	this->snapshot_offset = std::max(this->snapshot_offset, this->state.next_offset);
+	this->snapshot_time = NowMillis();
+	this->metrics.Count(ECounter::Snapshots, std::string("adopted-from-") + std::string(inSource));
+	LogEvent(ELogLevel::Info, "state_adopted").Field("source", inSource).Field("offset", this->state.next_offset);
+	this->on_folded({});
+}
+
+void LogFollower::Poll()
+{
+	if (this->reading)
+		return;
+	this->reading = true;
+	const Millis started = NowMillis();
+	this->platform.Read(cRecordStream, this->state.next_offset, cPageRecords, [this, started](std::optional<LogPage> inPage) {
+		this->reading = false;
+		this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
+		this->OnPage(started, std::move(inPage));
+	});
+}
+
+void LogFollower::OnPage(Millis inStarted, std::optional<LogPage> inPage)
+{
+	if (!inPage.has_value())
+	{
+		if (!this->ready)
+			this->AskSeeds();
+		return this->Schedule(cRetryMs);
+	}
+	if (inPage->first > this->state.next_offset)
+	{
+		// Retention has overtaken this reader: only a snapshot, or a peer's state, closes the gap
+		LogEvent(ELogLevel::Warning, "log_gap").Field("first", inPage->first).Field("next_offset", this->state.next_offset);
+		this->AskSeeds();
+		return this->poll_timer.Once(cRetryMs, [this] { this->Start(); });
+	}
+	std::vector<PassedRecord> records;
+	for (LogRecord &record : inPage->records)
+		records.push_back({record.offset, std::move(record.bytes)});
+	const LogOffset end = inPage->next;
+	if (!this->ready)
+		LogEvent(ELogLevel::Info, "state_from_log").Field("records", records.size());
+	this->ready = true;
+	this->FoldRecords(std::move(records), "platform");
+	if (this->state.next_offset >= end)
+		this->last_platform_read = inStarted;
+	this->Schedule(this->state.next_offset < end ? 0 : this->interval);
+}
+
+void LogFollower::FoldRecords(std::vector<PassedRecord> inRecords, std::string_view inSource)
+{
+	const double started = NowMillisExact();
+	std::vector<Verdict> verdicts;
+	uint64 folded = 0;
+	for (PassedRecord &record : inRecords)
+	{
+		if (record.offset < this->state.next_offset)
+			continue;
+		// A gap within a page is not to be folded over
+		if (record.offset > this->state.next_offset)
+			break;
+		const LogPosition version = this->state.settings_version;
+		std::vector<Verdict> some = FoldRecord(this->state, record.offset, record.bytes);
+		LOOM_INVARIANT(this->state.settings_version >= version, "no accepted settings version goes back");
+		verdicts.insert(verdicts.end(), some.begin(), some.end());
+		this->tail.Add(record.offset, std::move(record.bytes));
+		++folded;
+	}
+	if (folded == 0)
+		return;
+	this->metrics.Count(ECounter::RecordsFolded, inSource, folded);
+	this->metrics.Time(ETiming::Fold, NowMillisExact() - started);
+	this->on_folded(verdicts);
+}
+
+void LogFollower::OnPeerAhead(const Address &inPeer, LogOffset inNext)
+{
+	if (this->asking || !this->ready || inNext <= this->state.next_offset)
+		return;
+	this->asking = true;
+	this->link.Ask(inPeer, FetchRecords{this->state.next_offset}, cPeerTimeoutMs, [this, inPeer](std::optional<PeerReply> inReply) {
+		this->asking = false;
+		if (!inReply.has_value())
+			return;
+		if (RecordsReply *reply = std::get_if<RecordsReply>(&*inReply); reply != nullptr)
+			return this->FoldRecords(std::move(reply->records), "peer");
+		// The peer no longer keeps these records; where the platform is out of reach its state will do
+		if (!this->ReachesPlatform(NowMillis()))
+			this->AskStateOf(inPeer);
+	});
+}
+
+void LogFollower::AskStateOf(const Address &inPeer)
+{
+	if (this->asking)
+		return;
+	this->asking = true;
+	this->link.Ask(inPeer, FetchState{}, cPeerTimeoutMs, [this](std::optional<PeerReply> inReply) {
+		this->asking = false;
+		const StateReply *reply = inReply.has_value() ? std::get_if<StateReply>(&*inReply) : nullptr;
+		if (reply == nullptr)
+			return;
+		std::optional<FleetState> peer_state = DecodeState(reply->state);
+		if (peer_state.has_value() && (!this->ready || peer_state->next_offset > this->state.next_offset))
+			this->Adopt(std::move(*peer_state), "peer");
+	});
+}
+
+void LogFollower::AskSeeds()
+{
+	if (this->seeds.empty())
+		return;
+	this->AskStateOf(this->seeds[this->next_seed++ % this->seeds.size()]);
+}
+
+PeerReply LogFollower::AnswerFetch(const FetchRecords &inAsk) const
+{
+	std::optional<std::vector<PassedRecord>> records = this->tail.From(inAsk.from, this->state.next_offset);
+	if (!this->ready || !records.has_value())
+		return RefusedReply{"these records are no longer kept"};
+	return RecordsReply{std::move(*records)};
+}
+
+PeerReply LogFollower::AnswerFetch(const FetchState &) const
+{
+	if (!this->ready)
+		return RefusedReply{"no state yet"};
+	return StateReply{EncodeState(this->state)};
+}
+
+void LogFollower::WriteSnapshot()
+{
+	if (this->writing || !this->ready)
+		return;
+	this->writing = true;
+	auto pieces = std::make_shared<std::vector<std::string>>(CutSnapshot(this->state.next_offset, EncodeState(this->state)));
+	this->AppendPieces(pieces, 0, this->state.next_offset);
+}
+
+void LogFollower::AppendPieces(std::shared_ptr<std::vector<std::string>> inPieces, size_t inIndex, LogOffset inOffset)
+{
+	if (inIndex == inPieces->size())
+	{
+		this->writing = false;
+		this->snapshot_offset = inOffset;
+		this->snapshot_time = NowMillis();
+		this->metrics.Count(ECounter::Snapshots, "written");
+		LogEvent(ELogLevel::Info, "snapshot_written").Field("offset", inOffset).Field("pieces", inPieces->size());
+		return;
+	}
+	this->platform.Append(cSnapshotStream, (*inPieces)[inIndex], [this, inPieces, inIndex, inOffset](std::optional<LogOffset> inDone) {
+		// A lost answer repeats the piece; the assembler takes it once
+		if (inDone.has_value())
+			return this->AppendPieces(inPieces, inIndex + 1, inOffset);
+		this->writing = false;
+		this->metrics.Count(ECounter::Snapshots, "failed");
+	});
+}
+
+} // namespace Loomreach
--- a/Loomreach/Request/EndpointTable.cpp
+++ b/Loomreach/Request/EndpointTable.cpp
@@ -76,6 +76,12 @@
 					   [this](const std::string &inHost) { return this->endpoints.find(inHost)->second.takes_work; });
 }
 
+uint32 EndpointTable::CountOf(const std::string &inJob) const
+{
+	auto hosts = this->by_job.find(inJob);
+	return hosts == this->by_job.end() ? 0 : static_cast<uint32>(hosts->second.size());
+}
+
 Endpoint *EndpointTable::Choose(const std::string &inJob, bool inLong, const std::string &inZone, const std::set<std::string> &inTried, Millis inNow)
 {
 	auto hosts = this->by_job.find(inJob);
--- a/Loomreach/Request/EndpointTable.h
+++ b/Loomreach/Request/EndpointTable.h
@@ -55,6 +55,8 @@
 	Endpoint *Choose(const std::string &inJob, bool inLong, const std::string &inZone, const std::set<std::string> &inTried, Millis inNow);
 	/// Whether any endpoint of the job takes work at all, now or when slots are free.
 	bool HasAny(const std::string &inJob) const;
+	/// How many endpoints carry a job.
+	uint32 CountOf(const std::string &inJob) const;
 	/// Notes the start of an attempt.
 	void Started(Endpoint &ioEndpoint, bool inLong);
 	/// Notes the end of an attempt. The endpoint may meanwhile have left the table.
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -1,1 +1,92 @@
-int main() { return 0; }
+// loomreachd: one entry host. Reads its configuration, starts, and stops as planned on SIGTERM.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Error.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/EntryHost.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+
+#include <gflags/gflags.h>
+#include <glib-unix.h>
+
+DEFINE_string(config, "", "The daemon's configuration file (TOML).");
+DEFINE_bool(check_config, false, "Check the configuration and exit.");
+
+namespace
+{
+
+using namespace Loomreach;
+
+/// The running process.
+struct Program
+{
+	EntryHost *host = nullptr;
+	GMainLoop *loop = nullptr;
+	bool stopping = false;
+};
+
+int PrintError()
+{
+	std::fprintf(stderr, "loomreachd: %s\n", LastReasonText().c_str());
+	return AnswerOf(LastReason().kind).exit_code;
+}
+
+gboolean OnSignal(gpointer inProgram)
+{
+	Program *program = static_cast<Program *>(inProgram);
+	// A second signal forces the stop
+	if (program->stopping)
+	{
+		LogEvent(ELogLevel::Warning, "stop_forced");
+		std::_Exit(1);
+	}
+	program->stopping = true;
+	program->host->Stop([program] { g_main_loop_quit(program->loop); });
+	return G_SOURCE_CONTINUE;
+}
+
+std::optional<DaemonConfig> ReadConfig()
+{
+	if (FLAGS_config.empty())
+		return Fail(EError::BadConfig, "--config=FILE is missing");
+	const std::optional<std::string> text = ReadFile(FLAGS_config);
+	if (!text.has_value())
+		return std::nullopt;
+	gchar *directory = g_path_get_dirname(FLAGS_config.c_str());
+	std::optional<DaemonConfig> config = ParseDaemonConfig(*text, FLAGS_config, directory);
+	g_free(directory);
+	return config;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	gflags::SetUsageMessage("One entry host of loomreach.\n  loomreachd --config=FILE [--check_config]");
+	gflags::SetVersionString("0.1.0");
+	gflags::ParseCommandLineFlags(&argc, &argv, true);
+	std::optional<DaemonConfig> config = ReadConfig();
+	if (!config.has_value())
+		return PrintError();
+	if (FLAGS_check_config)
+	{
+		std::printf("%s: good\n", FLAGS_config.c_str());
+		return 0;
+	}
+	StartLogging(argv[0]);
+	// A caller that goes away must not end the process
+	std::signal(SIGPIPE, SIG_IGN);
+	EntryHost host(std::move(*config));
+	if (!host.Start())
+		return PrintError();
+	Program program{&host, g_main_loop_new(nullptr, FALSE), false};
+	g_unix_signal_add(SIGTERM, &OnSignal, &program);
+	g_unix_signal_add(SIGINT, &OnSignal, &program);
+	g_main_loop_run(program.loop);
+	g_main_loop_unref(program.loop);
+	return 0;
+}
