Soak nine entry hosts' control decisions, and mend the three faults it found

Cause: the fold, planners and membership had only run in the happy path. A seeded soak over fakes (lost answers, outages, retention, zone cuts, pauses, kills one by one and all at once, racing operators, failing workers) showed: 1. Change: a zone that does not hear another says by the log that it lives (ZoneAlive), and a process that was paused listens anew before it removes anybody. Change: adopting a state settles what it already holds; operators get verdict-lost. 3. Change: only a live, later-heard incarnation proves an earlier one gone. Also: two replicas of a job no longer share a host while other hosts are coming up (12 of 50 hosts held two replicas, 12 none, before).

--- a/Loomreach/Core/Error.cpp
+++ b/Loomreach/Core/Error.cpp
@@ -36,6 +36,7 @@
 	{EError::TooLarge, "too-large", 413, EOutcome::NotRun, 2, false, "The request is larger than allowed."},
 	{EError::PlatformDown, "platform-down", 503, EOutcome::NotRun, 10, true, "The platform's log cannot be reached."},
 	{EError::NotAccepted, "not-accepted", 503, EOutcome::NotRun, 10, true, "The change was not taken; the queue towards the log is full."},
+	{EError::VerdictLost, "verdict-lost", 502, EOutcome::Unknown, 9, false, "The change stands in the log; whether it was accepted was not seen here. Read the state."},
 	{EError::BudgetExceeded, "budget-exceeded", 409, EOutcome::NotRun, 7, true, "The pool's availability budget has no room."},
 	{EError::QuotaExceeded, "quota-exceeded", 409, EOutcome::NotRun, 7, false, "The team's quota has no room."},
 	{EError::CapacityExceeded, "capacity-exceeded", 409, EOutcome::NotRun, 7, true, "The host has no room for the replica."},
--- a/Loomreach/Core/Error.h
+++ b/Loomreach/Core/Error.h
@@ -36,6 +36,7 @@
 	TooLarge,
 	PlatformDown,
 	NotAccepted,
+	VerdictLost,
 	BudgetExceeded,
 	QuotaExceeded,
 	CapacityExceeded,
--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -8,7 +8,6 @@
 #include <Loomreach/Entry/ControlLoop.h>
 #include <Loomreach/Fleet/HostKeeper.h>
 #include <Loomreach/Fleet/WavePlanner.h>
-#include <Loomreach/Member/ViewPlanner.h>
 #include <Loomreach/Request/SlotShare.h>
 
 namespace Loomreach
@@ -132,10 +131,11 @@
 		return;
 	// One member in each other zone, so that traffic stays flat; who it is shifts from turn to turn
 	digest.demands.clear();
+	digest.zone_members = this->tracker.ZoneMembers(now);
+	const uint64 turn = this->beats / cFarBeatEvery + HashBytes(this->config.name);
 	for (const auto &[zone, names] : far_zones)
 	{
-		const std::string key = this->config.name + '/' + std::to_string(this->beats / cFarBeatEvery % names.size());
-		const std::string to(RendezvousOwner(key, names));
+		const std::string &to = names[turn % names.size()];
 		digest.sequence = ++this->sequence;
 		this->link.Send(this->follower.State().view.members.find(to)->second.peers, digest);
 	}
@@ -158,6 +158,8 @@
 
 void ControlLoop::OnFolded(const std::vector<Verdict> &inVerdicts)
 {
+	if (inVerdicts.empty())
+		this->proposer.OnAdopted(this->follower.State());
 	this->proposer.OnVerdicts(inVerdicts);
 	const FleetState &state = this->follower.State();
 	const size_t members = std::max<size_t>(1, state.view.members.size());
@@ -169,6 +171,7 @@
 		this->claims_from = NowMillis() + cLeaseMs + cQuietAfterResetMs;
 	}
 	this->claims.Update(state);
+	this->tracker.HearLog(state, NowMillis());
 	this->UpdateRoutes();
 	// Tell the others at once, but gather what comes within a few milliseconds
 	if (!this->news_timer.IsRunning())
@@ -241,7 +244,7 @@
 	this->follower.SetInterval(picker.IsMineIn("log-reader", this->config.availability_zone) ? cReaderIntervalMs : cFollowerIntervalMs);
 	this->UpdateRoutes();
 	if (!this->stopping)
-		this->PlanMembership(now);
+		this->PlanMembership(picker, now);
 	this->TakeOverClaims();
 	// Plans are made on what has been read back, so that one round's proposals are not made twice
 	if (!this->proposer.IsIdle())
@@ -253,14 +256,23 @@
 	this->metrics.Time(ETiming::Plan, NowMillisExact() - began);
 }
 
-void ControlLoop::PlanMembership(Millis inNow)
+void ControlLoop::PlanMembership(const StewardPicker &inPicker, Millis inNow)
 {
+	const Millis listening_since = this->listening.Note(inNow, this->config.suspect_after_ms);
 	if (!this->follower.ReachesPlatform(inNow) || !this->proposer.IsIdle())
 		return;
-	std::optional<ChangeView> change =
-		PlanView({this->follower.State(), this->tracker, this->Self(), inNow, this->started, this->config.remove_after_ms});
+	const FleetState &state = this->follower.State();
+	std::optional<ChangeView> change = PlanView({state, this->tracker, this->Self(), inNow, listening_since, this->config.remove_after_ms,
+											  this->config.suspect_after_ms});
 	if (change.has_value())
-		this->proposer.Propose(std::move(*change));
+		return this->proposer.Propose(std::move(*change));
+	// Cut off from another zone but not from the platform: without a word by the log, each would remove the other
+	const std::string &zone = this->config.availability_zone;
+	const bool due = inNow - this->log_beat_sent >= this->config.suspect_after_ms && inNow - listening_since >= this->config.suspect_after_ms;
+	if (!due || !inPicker.IsMineIn("log-beat", zone) || !NeedsLogBeat(state.view, this->tracker, zone, this->config.suspect_after_ms, inNow))
+		return;
+	this->log_beat_sent = inNow;
+	this->proposer.Propose(ZoneAlive{zone});
 }
 
 void ControlLoop::PlanHosts(const StewardPicker &inPicker, Millis inNow)
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -8,6 +8,7 @@
 #include <Loomreach/Entry/WorkerPoller.h>
 #include <Loomreach/Fleet/PlacementPlanner.h>
 #include <Loomreach/Member/PeerTracker.h>
+#include <Loomreach/Member/ViewPlanner.h>
 #include <Loomreach/Request/ClaimTable.h>
 #include <Loomreach/Request/Dispatcher.h>
 
@@ -57,7 +58,7 @@
 	void Beat(bool inOnlyNews);
 	Digest MakeDigest(Millis inNow) const;
 	void PlanRound();
-	void PlanMembership(Millis inNow);
+	void PlanMembership(const StewardPicker &inPicker, Millis inNow);
 	void PlanHosts(const StewardPicker &inPicker, Millis inNow);
 	void PlanPools(const StewardPicker &inPicker);
 	void PlanSnapshot(const StewardPicker &inPicker, Millis inNow);
@@ -90,6 +91,8 @@
 	bool stopping = false;
 	bool left = false;
 	bool taking_over = false;
+	ListeningSpan listening;
+	Millis log_beat_sent = 0;
 	uint64 seen_resets = 0;
 	Millis claims_from = 0; ///< After a reset, no claims before this time.
 
--- a/Loomreach/Entry/LogFollower.cpp
+++ b/Loomreach/Entry/LogFollower.cpp
@@ -205,9 +205,27 @@
 
 void LogFollower::AskSeeds()
 {
-	if (this->seeds.empty())
+	if (this->seeds_asked != 0)
 		return;
-	this->AskStateOf(this->seeds[this->next_seed++ % this->seeds.size()]);
+	// All of them, and the newest counts: one of them may have been cut off for long
+	this->newest_offered.reset();
+	this->seeds_asked = this->seeds.size();
+	for (const Address &seed : this->seeds)
+		this->link.Ask(seed, FetchState{}, cPeerTimeoutMs, [this](std::optional<PeerReply> inReply) { this->OnSeedState(std::move(inReply)); });
+}
+
+void LogFollower::OnSeedState(std::optional<PeerReply> inReply)
+{
+	--this->seeds_asked;
+	const StateReply *reply = inReply.has_value() ? std::get_if<StateReply>(&*inReply) : nullptr;
+	std::optional<FleetState> offered = reply == nullptr ? std::nullopt : DecodeState(reply->state);
+	if (offered.has_value() && (!this->newest_offered.has_value() || offered->next_offset > this->newest_offered->next_offset))
+		this->newest_offered = std::move(offered);
+	if (this->seeds_asked != 0 || !this->newest_offered.has_value())
+		return;
+	if (!this->ready || this->newest_offered->next_offset > this->state.next_offset)
+		this->Adopt(std::move(*this->newest_offered), "peer");
+	this->newest_offered.reset();
 }
 
 PeerReply LogFollower::AnswerFetch(const FetchRecords &inAsk) const
--- a/Loomreach/Entry/LogFollower.h
+++ b/Loomreach/Entry/LogFollower.h
@@ -73,6 +73,7 @@
 	void Adopt(FleetState inState, std::string_view inSource);
 	void AskStateOf(const Address &inPeer);
 	void AskSeeds();
+	void OnSeedState(std::optional<PeerReply> inReply);
 	void AppendPieces(std::shared_ptr<std::vector<std::string>> inPieces, size_t inIndex, LogOffset inOffset);
 	void Schedule(Millis inDelay);
 
@@ -80,7 +81,8 @@
 	PeerLink &link;
 	Metrics &metrics;
 	std::vector<Address> seeds;
-	size_t next_seed = 0;
+	size_t seeds_asked = 0;                  ///< Seeds that have yet to answer.
+	std::optional<FleetState> newest_offered; ///< Of the seeds that have answered.
 	FleetState state;
 	RecordTail tail;
 	Timer poll_timer;
--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -270,8 +270,7 @@
 	const Millis now = NowMillis();
 	for (const auto &[name, member] : this->follower.State().view.members)
 	{
-		const Peer *peer = this->control.Tracker().Find(name);
-		LogOffset next = peer == nullptr ? 0 : peer->digest.next_offset;
+		LogOffset next = this->control.Tracker().ReadOffset(name);
 		if (name == this->config.name)
 			next = this->follower.State().next_offset;
 		if (next > offset)
--- a/Loomreach/Entry/Proposer.cpp
+++ b/Loomreach/Entry/Proposer.cpp
@@ -62,6 +62,15 @@
 	});
 }
 
+void Proposer::OnAdopted(const FleetState &inState)
+{
+	auto mark = inState.proposers.find(this->incarnation);
+	if (mark == inState.proposers.end())
+		return;
+	for (const DroppedTicket &unread : this->queue.OnAdopted(mark->second.sequence))
+		this->Answer(unread.ticket, {{}, unread.kind, 0, EError::VerdictLost, "the state was taken over from a snapshot"});
+}
+
 void Proposer::OnVerdicts(const std::vector<Verdict> &inVerdicts)
 {
 	for (const Verdict &verdict : inVerdicts)
--- a/Loomreach/Entry/Proposer.h
+++ b/Loomreach/Entry/Proposer.h
@@ -24,6 +24,8 @@
 	void Pump();
 	/// Takes note of verdicts read from the log.
 	void OnVerdicts(const std::vector<Verdict> &inVerdicts);
+	/// Takes note of a state that was adopted whole: verdicts of what it already holds are not to be read any more.
+	void OnAdopted(const FleetState &inState);
 	/// Sets this process's share of the append budget.
 	void SetRate(double inPerSecond) { this->queue.SetRate(inPerSecond); }
 	/// Whether everything proposed has been read back: a good time to plan anew.
--- a/Loomreach/Fleet/PlacementPlanner.cpp
+++ b/Loomreach/Fleet/PlacementPlanner.cpp
@@ -39,6 +39,7 @@
 	case EUnplaced::NoHosts: return "Pool " + job.pool + " has no available host.";
 	case EUnplaced::NoRoom:
 		return "Every host of " + job.pool + " that could hold " + size + " is full with work of priority " + std::to_string(job.priority) + " or higher.";
+	case EUnplaced::AwaitsHosts: return "It waits a moment for hosts of " + job.pool + " that are coming up, rather than share a host with another replica.";
 	case EUnplaced::BackingOff: return "It failed on many hosts and waits before it is tried again.";
 	}
 	return {};
--- a/Loomreach/Fleet/PlacementPlanner.h
+++ b/Loomreach/Fleet/PlacementPlanner.h
@@ -16,6 +16,7 @@
 	QuotaTooSmall,  ///< The team's quota is smaller than one replica.
 	QuotaFull,      ///< The team's quota is taken by its other replicas.
 	NoHosts,        ///< The pool has no available host.
+	AwaitsHosts,    ///< It would share a host with another replica of its job while hosts of the pool are just coming up.
 	BackingOff      ///< It failed on many hosts and waits.
 };
 
@@ -42,6 +43,7 @@
 struct HostScore
 {
 	int64 blamed = 0;       ///< The job failed on it before.
+	int64 host_mates = 0;   ///< Replicas of the same job on the host: they would share its slots.
 	int64 rack_mates = 0;   ///< Replicas of the same job in the rack.
 	int64 zone_mates = 0;   ///< Replicas of the same job in the availability zone.
 	int64 will_leave = 0;   ///< A running wave has yet to take it out: a replica put there moves again.
@@ -83,6 +85,7 @@
 	{
 		const Host *host = nullptr;
 		Resources free;
+		std::map<std::string, int64> planned; ///< Replicas of each job that the plan puts here.
 	};
 	/// A replica to be placed.
 	struct Wanted
@@ -102,6 +105,8 @@
 	std::vector<Wanted> CollectWanted();
 	std::optional<EUnplaced> CheckEver(const JobSpec &inJob) const;
 	bool HasQuota(const Wanted &inWanted) const;
+	bool IsWorthWaiting(const Wanted &inWanted, const Candidate &inCandidate) const;
+	int64 MatesOn(const Candidate &inCandidate, const std::string &inJob) const;
 	Candidate *BestHost(const Wanted &inWanted);
 	Candidate *MakeRoom(const Wanted &inWanted);
 	std::vector<ReplicaKey> Victims(const Candidate &inCandidate, const Wanted &inWanted) const;
@@ -115,7 +120,6 @@
 	std::map<std::string, Mates> mates;
 	std::map<std::string, int64> team_used;
 	std::set<ReplicaKey> stopped;
-	std::set<ReplicaKey> placed_now;
 	PlacementPlan plan;
 };
 
--- a/Loomreach/Fleet/PlacementPlanner.inl
+++ b/Loomreach/Fleet/PlacementPlanner.inl
@@ -19,7 +19,7 @@
 		if (host.pool != this->pool)
 			continue;
 		if (host.IsAvailable())
-			this->candidates.push_back({&host, host.Free()});
+			this->candidates.push_back({&host, host.Free(), {}});
 		// Replicas on hosts that are leaving are no mates: they are about to go
 		for (const ReplicaKey &replica : host.replicas)
 		{
@@ -126,6 +126,17 @@
 	return total + inWanted.job->need.cpu_milli <= quota->second;
 }
 
+template <PlacementPolicy P>
+int64 BasicPlacementPlanner<P>::MatesOn(const Candidate &inCandidate, const std::string &inJob) const
+{
+	int64 mates_on_host = 0;
+	const std::set<ReplicaKey> &replicas = inCandidate.host->replicas;
+	for (auto replica = replicas.lower_bound({inJob, 0}); replica != replicas.end() && replica->job == inJob; ++replica)
+		++mates_on_host;
+	auto planned = inCandidate.planned.find(inJob);
+	return mates_on_host + (planned == inCandidate.planned.end() ? 0 : planned->second);
+}
+
 template <PlacementPolicy P>
 typename BasicPlacementPlanner<P>::Candidate *BasicPlacementPlanner<P>::BestHost(const Wanted &inWanted)
 {
@@ -140,6 +151,7 @@
 		const HostSpec &spec = candidate.host->spec;
 		HostScore score;
 		score.blamed = history != this->state.history.end() && history->second.failed_hosts.count(spec.name) != 0 ? 1 : 0;
+		score.host_mates = this->MatesOn(candidate, inWanted.replica.job);
 		if (auto mates_in_rack = job_mates.racks.find(spec.rack); mates_in_rack != job_mates.racks.end())
 			score.rack_mates = mates_in_rack->second;
 		if (auto mates_in_zone = job_mates.zones.find(spec.availability_zone); mates_in_zone != job_mates.zones.end())
@@ -230,6 +242,7 @@
 	const LogPosition base = inWanted.old == nullptr ? 0 : inWanted.old->generation;
 	this->plan.proposals.emplace_back(PlaceReplica{inWanted.replica, ioCandidate.host->spec.name, base});
 	ioCandidate.free -= inWanted.job->need;
+	++ioCandidate.planned[inWanted.replica.job];
 	this->team_used[inWanted.job->team] += inWanted.job->need.cpu_milli;
 	if (inWanted.old != nullptr)
 		this->team_used[inWanted.old->team] -= inWanted.old->need.cpu_milli;
@@ -240,6 +253,21 @@
 		++this->plan.moved;
 }
 
+template <PlacementPolicy P>
+bool BasicPlacementPlanner<P>::IsWorthWaiting(const Wanted &inWanted, const Candidate &inCandidate) const
+{
+	// A host is seen healthy or failed within seconds, so the wait is short; the first replica of a job never waits
+	if (this->MatesOn(inCandidate, inWanted.replica.job) == 0)
+		return false;
+	for (const auto &[name, host] : this->state.hosts)
+	{
+		const bool comes_up = host.pool == this->pool && host.phase == EHostPhase::Active && host.health == EHostHealth::Unknown && !host.quarantined;
+		if (comes_up && inWanted.job->need.FitIn(host.Free()))
+			return true;
+	}
+	return false;
+}
+
 template <PlacementPolicy P>
 void BasicPlacementPlanner<P>::TryPlace(const Wanted &inWanted)
 {
@@ -254,8 +282,14 @@
 		return;
 	}
 	Candidate *candidate = this->BestHost(inWanted);
-	if (candidate == nullptr)
+	const bool has_room = candidate != nullptr;
+	if (!has_room)
 		candidate = this->MakeRoom(inWanted);
+	if (has_room && this->IsWorthWaiting(inWanted, *candidate))
+	{
+		this->plan.unplaced.push_back({inWanted.replica, EUnplaced::AwaitsHosts});
+		return;
+	}
 	if (candidate != nullptr)
 	{
 		this->Place(inWanted, *candidate);
--- a/Loomreach/Member/PeerMessages.h
+++ b/Loomreach/Member/PeerMessages.h
@@ -22,6 +22,19 @@
 	}
 };
 
+/// How far a member of the sender's availability zone has read, as the sender last heard.
+struct ZoneMember
+{
+	std::string name;
+	LogOffset next_offset = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->name, this->next_offset);
+	}
+};
+
 /// The heartbeat: who lives, how far it has read, and what changes every second.
 struct Digest
 {
@@ -36,13 +49,15 @@
 	bool stopping = false;
 	std::vector<std::string> busy_hosts;    ///< Draining hosts to which it has requests in flight.
 	std::vector<std::string> leaving_hosts; ///< Hosts whose own sign or listing says that they are leaving.
-	std::vector<ServiceDemand> demands;
+	std::vector<ServiceDemand> demands;     ///< To members of the own availability zone only.
+	std::vector<ZoneMember> zone_members;   ///< To members of other availability zones only.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->name, this->incarnation, this->sequence, this->availability_zone, this->peers, this->next_offset, this->reaches_platform,
-				  this->zone_reaches_platform, this->stopping, this->busy_hosts, this->leaving_hosts, this->demands);
+				  this->zone_reaches_platform, this->stopping, this->busy_hosts, this->leaving_hosts, this->demands,
+				  this->zone_members);
 	}
 };
 
--- a/Loomreach/Member/PeerTracker.cpp
+++ b/Loomreach/Member/PeerTracker.cpp
@@ -9,16 +9,19 @@
 {
 
 static constexpr size_t cMaxIncarnations = 8192;
+/// Words by the log are as far apart as a suspicion, so two may be missed before a zone counts as silent.
+static constexpr Millis cLogBeatsToSuspect = 3;
 
 bool PeerTracker::Hear(Digest inDigest, Millis inNow)
 {
 	auto known = this->sequences.find(inDigest.incarnation);
-	if (known != this->sequences.end() && inDigest.sequence <= known->second)
+	if (known != this->sequences.end() && inDigest.sequence <= known->second.sequence)
 		return FailFalse(EError::Replayed, "sequence " + std::to_string(inDigest.sequence) + " was heard before");
 	auto peer = this->peers.find(inDigest.name);
-	// An incarnation that was followed by another of the same name is over; its datagrams are late or replayed
+	// While another incarnation of the same name is heard, datagrams of one that was heard before are late or replayed
 	const bool is_new_incarnation = known == this->sequences.end();
-	if (!is_new_incarnation && peer != this->peers.end() && peer->second.digest.incarnation != inDigest.incarnation)
+	const bool other_lives = peer != this->peers.end() && peer->second.digest.incarnation != inDigest.incarnation && inNow - peer->second.heard < this->suspect_after;
+	if (!is_new_incarnation && other_lives)
 		return FailFalse(EError::Replayed, "an earlier incarnation of " + inDigest.name);
 	if (is_new_incarnation)
 	{
@@ -29,12 +32,34 @@
 			this->sequence_order.pop_front();
 		}
 	}
-	this->sequences[inDigest.incarnation] = inDigest.sequence;
+	this->sequences[inDigest.incarnation] = {inDigest.sequence, inNow};
+	for (const ZoneMember &member : inDigest.zone_members)
+	{
+		LogOffset &offset = this->far_offsets[member.name];
+		offset = std::max(offset, member.next_offset);
+	}
 	std::string name = inDigest.name;
 	this->peers[std::move(name)] = {std::move(inDigest), inNow};
 	return true;
 }
 
+void PeerTracker::HearLog(const FleetState &inState, Millis inNow)
+{
+	for (const auto &[zone_name, position] : inState.zones_alive)
+	{
+		LogBeat &beat = this->log_beats[zone_name];
+		if (position <= beat.position)
+			continue;
+		beat = {position, inNow};
+	}
+}
+
+bool PeerTracker::IsZoneAliveByLog(const std::string &inZone, Millis inNow) const
+{
+	auto beat = this->log_beats.find(inZone);
+	return beat != this->log_beats.end() && inNow - beat->second.heard < cLogBeatsToSuspect * this->suspect_after;
+}
+
 const Peer *PeerTracker::Find(const std::string &inName) const
 {
 	auto found = this->peers.find(inName);
@@ -53,12 +78,37 @@
 	return peer == nullptr ? std::nullopt : std::optional(peer->heard);
 }
 
+LogOffset PeerTracker::ReadOffset(const std::string &inName) const
+{
+	const Peer *peer = this->Find(inName);
+	auto far_offset = this->far_offsets.find(inName);
+	const LogOffset told = far_offset == this->far_offsets.end() ? 0 : far_offset->second;
+	return std::max(told, peer == nullptr ? 0 : peer->digest.next_offset);
+}
+
+std::vector<ZoneMember> PeerTracker::ZoneMembers(Millis inNow) const
+{
+	std::vector<ZoneMember> members;
+	for (const auto &[name, peer] : this->peers)
+		if (peer.digest.availability_zone == this->zone && inNow - peer.heard < this->suspect_after)
+			members.push_back({name, peer.digest.next_offset});
+	return members;
+}
+
+std::optional<Millis> PeerTracker::IncarnationLastHeard(uint64 inIncarnation) const
+{
+	auto mark = this->sequences.find(inIncarnation);
+	return mark == this->sequences.end() ? std::nullopt : std::optional(mark->second.heard);
+}
+
 std::optional<Millis> PeerTracker::ZoneLastHeard(const std::string &inZone) const
 {
 	std::optional<Millis> heard;
 	for (const auto &[name, peer] : this->peers)
 		if (peer.digest.availability_zone == inZone && (!heard.has_value() || peer.heard > *heard))
 			heard = peer.heard;
+	if (auto beat = this->log_beats.find(inZone); beat != this->log_beats.end() && (!heard.has_value() || beat->second.heard > *heard))
+		heard = beat->second.heard;
 	return heard;
 }
 
@@ -88,6 +138,11 @@
 		const Peer *peer = inTracker.Find(name);
 		const bool live = is_self || inTracker.IsLive(name, inNow);
 		this->silent_zones.insert(member.availability_zone);
+		if (inTracker.IsZoneAliveByLog(member.availability_zone, inNow))
+		{
+			heard.insert(member.availability_zone);
+			eligible.insert(member.availability_zone);
+		}
 		if (!live)
 			continue;
 		heard.insert(member.availability_zone);
--- a/Loomreach/Member/PeerTracker.h
+++ b/Loomreach/Member/PeerTracker.h
@@ -23,14 +23,24 @@
 
 	/// Takes a digest. False, with replayed, for one that is not newer than the last of its incarnation.
 	bool Hear(Digest inDigest, Millis inNow);
+	/// Takes note of zones that told by the log that they live.
+	void HearLog(const FleetState &inState, Millis inNow);
+	/// Whether a zone told lately by the log that it lives: it reaches the platform although it may not be heard.
+	bool IsZoneAliveByLog(const std::string &inZone, Millis inNow) const;
 	/// The peer as last heard, or nullptr.
 	const Peer *Find(const std::string &inName) const;
 	/// Whether a peer was heard lately.
 	bool IsLive(const std::string &inName, Millis inNow) const;
 	/// When a peer was last heard, if ever.
 	std::optional<Millis> LastHeard(const std::string &inName) const;
-	/// When any peer of an availability zone was last heard, if ever.
+	/// When a datagram of an incarnation was last heard, if ever.
+	std::optional<Millis> IncarnationLastHeard(uint64 inIncarnation) const;
+	/// When any peer of an availability zone was last heard, by UDP or by the log, if ever.
 	std::optional<Millis> ZoneLastHeard(const std::string &inZone) const;
+	/// How far a member has read, as heard from itself or from a member of its availability zone. 0: never heard.
+	LogOffset ReadOffset(const std::string &inName) const;
+	/// Members of the own availability zone that live, with how far they have read.
+	std::vector<ZoneMember> ZoneMembers(Millis inNow) const;
 	/// All peers as last heard.
 	const std::map<std::string, Peer> &All() const { return this->peers; }
 	/// Whether some live peer of the own availability zone reaches the platform.
@@ -41,7 +51,21 @@
 	std::string zone;
 	Millis suspect_after;
 	std::map<std::string, Peer> peers;
-	std::map<uint64, uint64> sequences; ///< Last sequence of each incarnation ever heard; bounded.
+	/// A zone's last word by the log.
+	struct LogBeat
+	{
+		LogPosition position = 0;
+		Millis heard = 0;
+	};
+	std::map<std::string, LogBeat> log_beats;
+	std::map<std::string, LogOffset> far_offsets; ///< Of members of other zones, as their zone mates tell.
+	/// The last datagram of an incarnation.
+	struct IncarnationMark
+	{
+		uint64 sequence = 0;
+		Millis heard = 0;
+	};
+	std::map<uint64, IncarnationMark> sequences; ///< Of each incarnation heard; bounded.
 	std::deque<uint64> sequence_order;
 };
 
--- a/Loomreach/Member/ViewPlanner.cpp
+++ b/Loomreach/Member/ViewPlanner.cpp
@@ -11,15 +11,18 @@
 /// Whether a member has been silent for so long that it should leave the view.
 static bool IsGone(const ViewInputs &inInputs, const Member &inMember)
 {
+	// A new incarnation that is heard under the same name proves the old one gone, once that is silent. What was heard of an
+	// incarnation before the view's proves nothing: this entry host may have been cut off from the newer one
 	const Peer *peer = inInputs.tracker.Find(inMember.name);
-	// A new incarnation under the same name proves the old one gone
-	if (peer != nullptr && peer->digest.incarnation != inMember.incarnation)
+	const std::optional<Millis> own_last = inInputs.tracker.IncarnationLastHeard(inMember.incarnation);
+	const bool followed = peer != nullptr && peer->digest.incarnation != inMember.incarnation && inInputs.tracker.IsLive(inMember.name, inInputs.now);
+	if (followed && own_last.has_value() && inInputs.now - *own_last >= inInputs.suspect_after)
 		return true;
 	const bool same_zone = inMember.availability_zone == inInputs.self.availability_zone;
 	// Members of other zones beat to only some of us, so there the whole zone must be silent
 	const std::optional<Millis> heard =
 		same_zone ? inInputs.tracker.LastHeard(inMember.name) : inInputs.tracker.ZoneLastHeard(inMember.availability_zone);
-	const Millis since = std::max(heard.value_or(inInputs.started), inInputs.started);
+	const Millis since = std::max(heard.value_or(inInputs.listening_since), inInputs.listening_since);
 	return inInputs.now - since >= inInputs.remove_after;
 }
 
@@ -39,6 +42,19 @@
 	return false;
 }
 
+bool NeedsLogBeat(const View &inView, const PeerTracker &inTracker, const std::string &inOwnZone, Millis inSuspectAfter, Millis inNow)
+{
+	std::map<std::string, bool> heard;
+	for (const auto &[name, member] : inView.members)
+	{
+		const std::optional<Millis> last = inTracker.LastHeard(name);
+		bool &zone_heard = heard[member.availability_zone];
+		zone_heard = zone_heard || (last.has_value() && inNow - *last < inSuspectAfter);
+	}
+	heard.erase(inOwnZone);
+	return std::any_of(heard.begin(), heard.end(), [](const auto &inEntry) { return !inEntry.second; });
+}
+
 std::optional<ChangeView> PlanView(const ViewInputs &inInputs)
 {
 	const View &view = inInputs.state.view;
--- a/Loomreach/State/AppendQueue.cpp
+++ b/Loomreach/State/AppendQueue.cpp
@@ -27,6 +27,7 @@
 	1, // ChangeWave
 	0, // ChangeView
 	0, // TakeOver
+	0, // ZoneAlive
 }};
 
 std::optional<Ticket> AppendQueue::Add(ProposalBody inBody, Millis inNow)
@@ -58,7 +59,7 @@
 		if (is_large && !batch.empty())
 			break;
 		const ProposalId id{this->incarnation, ++this->last_sequence};
-		this->sent.emplace(id.sequence, first->second.ticket);
+		this->sent.emplace(id.sequence, DroppedTicket{first->second.ticket, static_cast<EProposal>(first->second.body.index())});
 		batch.push_back({id, std::move(first->second.body)});
 		this->waiting.erase(first);
 		if (is_large)
@@ -114,11 +115,24 @@
 	auto found = this->sent.find(inSequence);
 	if (found == this->sent.end())
 		return std::nullopt;
-	const Ticket ticket = found->second;
+	const Ticket ticket = found->second.ticket;
 	this->sent.erase(found);
 	return ticket;
 }
 
+std::vector<DroppedTicket> AppendQueue::OnAdopted(uint64 inLastSequence)
+{
+	std::vector<DroppedTicket> unread;
+	while (!this->sent.empty() && this->sent.begin()->first <= inLastSequence)
+	{
+		unread.push_back(this->sent.begin()->second);
+		this->sent.erase(this->sent.begin());
+	}
+	if (this->in_flight.has_value() && !this->is_out && this->in_flight_last <= inLastSequence)
+		this->OnAppended();
+	return unread;
+}
+
 std::vector<DroppedTicket> AppendQueue::DropStale(Millis inNow)
 {
 	std::vector<DroppedTicket> dropped;
--- a/Loomreach/State/AppendQueue.h
+++ b/Loomreach/State/AppendQueue.h
@@ -13,7 +13,7 @@
 /// Names one waiting proposal within its process.
 using Ticket = uint64;
 
-/// A proposal that left the queue without being sent.
+/// A proposal by its ticket and kind.
 struct DroppedTicket
 {
 	Ticket ticket = 0;
@@ -39,6 +39,9 @@
 	void OnFailed(Millis inNow);
 	/// A proposal of this process was read from the log. Returns its ticket, or nothing for one that was already seen.
 	std::optional<Ticket> OnSeen(uint64 inSequence);
+	/// A state was adopted that holds this process's proposals up to a sequence, without reading the records themselves.
+	/// Returns the tickets whose verdicts will never be read.
+	std::vector<DroppedTicket> OnAdopted(uint64 inLastSequence);
 	/// Drops what has waited too long without being sent.
 	std::vector<DroppedTicket> DropStale(Millis inNow);
 	/// Proposals that have not been sent.
@@ -79,7 +82,7 @@
 	bool was_out = false;      ///< The batch was handed out at least once.
 	Millis not_before = 0;
 	uint32 failures = 0;
-	std::map<uint64, Ticket> sent; ///< Sequence to ticket, until seen in the log.
+	std::map<uint64, DroppedTicket> sent; ///< Sequence to ticket and kind, until seen in the log.
 	std::array<uint64, static_cast<size_t>(EProposal::Count)> appends_by_kind{};
 	uint64 repeats = 0;
 };
--- a/Loomreach/State/FleetState.cpp
+++ b/Loomreach/State/FleetState.cpp
@@ -209,13 +209,14 @@
 	std::map<std::string, Wave> waves;
 	View view;
 	std::vector<std::set<std::string>> claim_holders;
+	std::map<std::string, LogPosition> zones_alive;
 	std::map<uint64, ProposerMark> proposers;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->next_offset, this->settings_version, this->nodes, this->hosts, this->placements, this->history, this->waves, this->view,
-				  this->claim_holders, this->proposers);
+				  this->claim_holders, this->zones_alive, this->proposers);
 	}
 };
 
@@ -233,6 +234,7 @@
 		inState.waves,
 		inState.view,
 		std::vector<std::set<std::string>>(inState.claim_holders.begin(), inState.claim_holders.end()),
+		inState.zones_alive,
 		inState.proposers,
 	};
 	return SealEnvelope(EEnvelope::Snapshot, cStateVersion, EncodeValue(image));
@@ -259,6 +261,7 @@
 	state.waves = std::move(image->waves);
 	state.view = std::move(image->view);
 	std::move(image->claim_holders.begin(), image->claim_holders.end(), state.claim_holders.begin());
+	state.zones_alive = std::move(image->zones_alive);
 	state.proposers = std::move(image->proposers);
 	for (const auto &[replica, placement] : state.placements)
 		if (state.hosts.count(placement.host) == 0)
--- a/Loomreach/State/FleetState.h
+++ b/Loomreach/State/FleetState.h
@@ -208,6 +208,7 @@
 	std::map<std::string, Wave> waves;
 	View view;
 	std::array<std::set<std::string>, cClaimRanges> claim_holders; ///< Members that hold all claims of a range.
+	std::map<std::string, LogPosition> zones_alive; ///< Last time that a zone of the view said by the log that it lives.
 	std::map<uint64, ProposerMark> proposers; ///< Incarnation of a proposing process to its last proposal.
 
 	// Derived, rebuilt after decoding and after new settings
--- a/Loomreach/State/Fold.cpp
+++ b/Loomreach/State/Fold.cpp
@@ -28,6 +28,7 @@
 	bool operator()(const ChangeWave &inProposal);
 	bool operator()(const ChangeView &inProposal);
 	bool operator()(const TakeOver &inProposal);
+	bool operator()(const ZoneAlive &inProposal);
 
 private:
 	bool CheckStep(const Host &inHost, const StepHost &inProposal) const;
@@ -446,6 +447,10 @@
 		}
 	}
 	this->state.view = std::move(next);
+	std::erase_if(this->state.zones_alive, [this](const auto &inZone) {
+		return std::none_of(this->state.view.members.begin(), this->state.view.members.end(),
+							[&inZone](const auto &inMember) { return inMember.second.availability_zone == inZone.first; });
+	});
 	this->state.claim_holders = std::move(holders);
 	return true;
 }
@@ -472,6 +477,16 @@
 	return true;
 }
 
+bool ProposalFolder::operator()(const ZoneAlive &inProposal)
+{
+	const bool known = std::any_of(this->state.view.members.begin(), this->state.view.members.end(),
+								   [&](const auto &inEntry) { return inEntry.second.availability_zone == inProposal.availability_zone; });
+	if (!known)
+		return FailFalse(EError::ViewRejected, "the view has no member in " + inProposal.availability_zone);
+	this->state.zones_alive[inProposal.availability_zone] = this->position;
+	return true;
+}
+
 /// Remembers the proposer's last sequence; the oldest proposer is forgotten beyond the bound.
 void RememberProposer(FleetState &ioState, LogPosition inPosition, const ProposalId &inId)
 {
--- a/Loomreach/State/Records.cpp
+++ b/Loomreach/State/Records.cpp
@@ -51,6 +51,7 @@
 	{EProposal::ChangeWave, "change-wave"},
 	{EProposal::ChangeView, "change-view"},
 	{EProposal::TakeOver, "take-over"},
+	{EProposal::ZoneAlive, "zone-alive"},
 }};
 static_assert(std::variant_size_v<ProposalBody> == static_cast<size_t>(EProposal::Count), "one kind for each body");
 
--- a/Loomreach/State/Records.h
+++ b/Loomreach/State/Records.h
@@ -291,8 +291,21 @@
 	}
 };
 
+/// An availability zone that other zones may not hear by UDP tells by the log that it lives and reaches the platform.
+struct ZoneAlive
+{
+	std::string availability_zone;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->availability_zone);
+	}
+};
+
 /// What a proposal asks for.
-using ProposalBody = std::variant<ApplySettings, AddHost, StepHost, MoveHost, PlaceReplica, StopReplica, StartWave, ChangeWave, ChangeView, TakeOver>;
+using ProposalBody =
+	std::variant<ApplySettings, AddHost, StepHost, MoveHost, PlaceReplica, StopReplica, StartWave, ChangeWave, ChangeView, TakeOver, ZoneAlive>;
 
 /// Kinds of proposals in the order of ProposalBody, for counters and for the priority of the append queue.
 enum class EProposal : uint8
@@ -307,6 +320,7 @@
 	ChangeWave,
 	ChangeView,
 	TakeOver,
+	ZoneAlive,
 	Count
 };
 
--- /dev/null
+++ b/SoakTests/SoakNode.cpp
@@ -0,0 +1,181 @@
+// The node's rounds.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/State/ClaimGroups.h>
+#include <SoakTests/SoakNode.h>
+
+namespace Loomreach
+{
+
+static constexpr Millis cSuspectMs = 2000;
+static constexpr Millis cRemoveMs = 8000;
+static constexpr size_t cTail = 200;
+static constexpr LogOffset cSnapshotEvery = 60;
+static constexpr double cAppendsPerSecond = 20.0;
+
+SoakNode::SoakNode(std::string inName, std::string inZone, uint64 inIncarnation)
+	: name(std::move(inName)), zone(std::move(inZone)), incarnation(inIncarnation), tracker(this->name, this->zone, cSuspectMs),
+	  queue(inIncarnation, inIncarnation)
+{
+	this->queue.SetRate(cAppendsPerSecond);
+}
+
+Member SoakNode::Self() const { return {this->name, this->incarnation, "here", this->zone, {"127.0.0.1", 1}, {"127.0.0.1", 2}}; }
+
+StewardPicker SoakNode::Picker(Millis inNow) const { return {this->state.view, this->tracker, this->name, this->reaches_platform, false, inNow}; }
+
+void SoakNode::Fold(LogOffset inOffset, const std::string &inRecord)
+{
+	const LogPosition version = this->state.settings_version;
+	std::vector<Verdict> some = FoldRecord(this->state, inOffset, inRecord);
+	LOOM_INVARIANT(this->state.settings_version >= version, "no accepted settings version goes back");
+	for (const Verdict &verdict : some)
+		if (verdict.id.incarnation == this->incarnation)
+			this->queue.OnSeen(verdict.id.sequence);
+	this->verdicts.insert(this->verdicts.end(), some.begin(), some.end());
+	this->tail.emplace_back(inOffset, inRecord);
+	if (this->tail.size() > cTail)
+		this->tail.pop_front();
+}
+
+void SoakNode::OnAdopted()
+{
+	this->tail.clear();
+	if (auto mark = this->state.proposers.find(this->incarnation); mark != this->state.proposers.end())
+		this->queue.OnAdopted(mark->second.sequence);
+}
+
+void SoakNode::ReadLog(const FakeLog &inLog)
+{
+	this->reaches_platform = !inLog.down && !this->cut;
+	if (!this->reaches_platform)
+		return;
+	if (this->state.next_offset < inLog.records.first)
+	{
+		// Retention has overtaken this reader: only a snapshot closes the gap
+		SnapshotAssembler assembler;
+		for (LogOffset offset = inLog.snapshots.first; offset < inLog.snapshots.Next(); ++offset)
+			assembler.Add(inLog.snapshots.records[offset]);
+		std::optional<FleetState> newest = assembler.Newest();
+		if (!newest.has_value() || newest->next_offset <= this->state.next_offset)
+			return;
+		this->state = std::move(*newest);
+		this->OnAdopted();
+		if (this->state.next_offset < inLog.records.first)
+			return;
+	}
+	for (LogOffset offset = this->state.next_offset; offset < inLog.records.Next(); ++offset)
+		this->Fold(offset, inLog.records.records[offset]);
+	this->ready = true;
+}
+
+void SoakNode::FetchFrom(const SoakNode &inPeer)
+{
+	if (!this->ready || inPeer.tail.empty() || inPeer.tail.front().first > this->state.next_offset)
+		return;
+	for (const auto &[offset, record] : inPeer.tail)
+		if (offset >= this->state.next_offset)
+			this->Fold(offset, record);
+}
+
+void SoakNode::AdoptFrom(const SoakNode &inPeer)
+{
+	if (!inPeer.ready || (this->ready && inPeer.state.next_offset <= this->state.next_offset))
+		return;
+	std::optional<FleetState> copy = DecodeState(EncodeState(inPeer.state));
+	LOOM_INVARIANT(copy.has_value(), "a state that was encoded decodes");
+	this->state = std::move(*copy);
+	this->OnAdopted();
+	this->ready = true;
+}
+
+Digest SoakNode::MakeDigest(Millis inNow)
+{
+	Digest digest;
+	digest.name = this->name;
+	digest.incarnation = this->incarnation;
+	digest.sequence = ++this->sequence;
+	digest.availability_zone = this->zone;
+	digest.next_offset = this->ready ? this->state.next_offset : 0;
+	digest.reaches_platform = this->reaches_platform;
+	digest.zone_reaches_platform = this->reaches_platform || this->tracker.ZoneReachesPlatform(inNow);
+	return digest;
+}
+
+void SoakNode::Plan(Millis inNow)
+{
+	this->queue.DropStale(inNow);
+	const Millis listening_since = this->listening.Note(inNow, cSuspectMs);
+	this->tracker.HearLog(this->state, inNow);
+	if (!this->ready || !this->reaches_platform || this->queue.Waiting() != 0 || this->queue.Unseen() != 0)
+		return;
+	if (std::optional<ChangeView> change = PlanView({this->state, this->tracker, this->Self(), inNow, listening_since, cRemoveMs, cSuspectMs}); change.has_value())
+		this->Propose(std::move(*change), inNow);
+	const bool beat_due = inNow - this->log_beat_sent >= cSuspectMs && inNow - listening_since >= cSuspectMs;
+	if (beat_due && this->Picker(inNow).IsMineIn("log-beat", this->zone) && NeedsLogBeat(this->state.view, this->tracker, this->zone, cSuspectMs, inNow))
+	{
+		this->log_beat_sent = inNow;
+		this->Propose(ZoneAlive{this->zone}, inNow);
+	}
+	// The soak's claims are empty, so a range is taken over as soon as a holder is there
+	TakeOver take{this->state.view.number, this->name, {}};
+	for (uint32 range = 0; range < cClaimRanges; ++range)
+	{
+		const std::vector<std::string> group = ClaimGroupOf(this->state.view, range);
+		if (std::find(group.begin(), group.end(), this->name) != group.end() && this->state.claim_holders[range].count(this->name) == 0)
+			take.ranges.push_back(range);
+	}
+	if (!take.ranges.empty())
+		this->Propose(std::move(take), inNow);
+	const StewardPicker picker = this->Picker(inNow);
+	const HostKeeper keeper(this->state, this->seen, {3000, 100, 20'000}, inNow);
+	if (picker.IsMine("hosts"))
+		for (ProposalBody &body : keeper.AddListed())
+			this->Propose(std::move(body), inNow);
+	for (const auto &[host_name, observation] : this->seen.hosts)
+		if (auto host = this->state.hosts.find(host_name); host != this->state.hosts.end())
+			for (ProposalBody &body : keeper.Decide(host->second, true))
+				this->Propose(std::move(body), inNow);
+	std::set<std::string> unheard;
+	for (const auto &[host_name, host] : this->state.hosts)
+		if (picker.SilentZones().count(host.spec.availability_zone) != 0)
+			unheard.insert(host_name);
+	for (const auto &[path, pool] : this->state.pools)
+	{
+		if (!picker.IsMine("pool:" + path))
+			continue;
+		for (ProposalBody &body : PlacementPlanner(this->state, path).Plan().proposals)
+			this->Propose(std::move(body), inNow);
+		for (ProposalBody &body : WavePlanner(this->state, path, unheard).Plan().proposals)
+			this->Propose(std::move(body), inNow);
+	}
+}
+
+void SoakNode::Append(FakeLog &ioLog, Random &ioRandom, Millis inNow)
+{
+	if (this->cut)
+		return;
+	std::optional<std::string> batch = this->queue.Take(inNow);
+	if (!batch.has_value())
+		return;
+	if (ioLog.Append(ioLog.records, std::move(*batch), ioRandom))
+		this->queue.OnAppended();
+	else
+		this->queue.OnFailed(inNow);
+}
+
+void SoakNode::MaybeSnapshot(FakeLog &ioLog, Random &ioRandom, Millis inNow)
+{
+	const bool due = this->state.next_offset >= this->snapshot_offset + cSnapshotEvery;
+	if (!this->ready || !due || this->cut || !this->Picker(inNow).IsMine("snapshot"))
+		return;
+	for (const std::string &piece : CutSnapshot(this->state.next_offset, EncodeState(this->state)))
+		if (!ioLog.Append(ioLog.snapshots, piece, ioRandom))
+			return;
+	this->snapshot_offset = this->state.next_offset;
+	++this->wrote_snapshots;
+}
+
+} // namespace Loomreach
