--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -17,8 +17,6 @@
 static constexpr Millis cNewsDelayMs = 20;
 static constexpr Millis cListIntervalMs = 2000;
 static constexpr Millis cSnapshotMaxAgeMs = 600'000;
-static constexpr Millis cLeaseMs = 15'000;
-static constexpr Millis cQuietAfterResetMs = 30'000;
 static constexpr Millis cAskTimeoutMs = 1000;
 static constexpr Millis cFollowerIntervalMs = 5000;
 static constexpr Millis cReaderIntervalMs = 500;
@@ -59,7 +57,7 @@
 bool ControlLoop::LeaseHolds(Millis inNow) const
 {
 	const Millis read = this->follower.LastPlatformRead();
-	return read != 0 && inNow - read < cLeaseMs && inNow >= this->claims_from;
+	return read != 0 && inNow - read < this->config.claim_lease_ms && inNow >= this->claims_from;
 }
 
 std::set<std::string> ControlLoop::LeavingHosts() const
@@ -168,7 +166,7 @@
 	if (state.view.resets != this->seen_resets)
 	{
 		this->seen_resets = state.view.resets;
-		this->claims_from = NowMillis() + cLeaseMs + cQuietAfterResetMs;
+		this->claims_from = NowMillis() + this->config.claim_lease_ms + this->config.claim_quiet_ms;
 	}
 	this->claims.Update(state);
 	this->tracker.HearLog(state, NowMillis());
@@ -241,7 +239,7 @@
 	if (!this->follower.IsReady())
 		return;
 	const StewardPicker picker = this->Picker(now);
-	this->follower.SetInterval(picker.IsMineIn("log-reader", this->config.availability_zone) ? cReaderIntervalMs : cFollowerIntervalMs);
+	this->follower.SetInterval(picker.IsMineIn("log-reader", this->config.availability_zone) ? cReaderIntervalMs : std::min(cFollowerIntervalMs, this->config.claim_lease_ms / 3));
 	this->UpdateRoutes();
 	if (!this->stopping)
 		this->PlanMembership(picker, now);
--- a/Loomreach/Settings/DaemonConfig.cpp
+++ b/Loomreach/Settings/DaemonConfig.cpp
@@ -55,6 +55,8 @@
 	IntegerKey{"append_per_s", &DaemonConfig::append_per_s, 1, 100},
 	IntegerKey{"max_request_bytes", &DaemonConfig::max_request_bytes, 1024, 1 << 30},
 	IntegerKey{"connect_timeout_ms", &DaemonConfig::connect_timeout_ms, 10, 60'000},
+	IntegerKey{"claim_lease_ms", &DaemonConfig::claim_lease_ms, 500, 600'000},
+	IntegerKey{"claim_quiet_ms", &DaemonConfig::claim_quiet_ms, 0, 3'600'000},
 };
 
 constexpr std::array cTextKeys = {
--- a/Loomreach/Settings/DaemonConfig.h
+++ b/Loomreach/Settings/DaemonConfig.h
@@ -50,6 +50,8 @@
 	int64 append_per_s = 40;
 	int64 max_request_bytes = 1 << 20;
 	int64 connect_timeout_ms = 1000;
+	int64 claim_lease_ms = 15000;     ///< Callers' own ids are only claimed this long after the platform was last read.
+	int64 claim_quiet_ms = 30000;     ///< After a reset no claims for the lease and this: the longest time in which a caller repeats.
 };
 
 /// Parses the daemon's TOML. Secrets are read from the files that it names, relative to `inDirectory`.
--- a/Scripts/deployment.sh
+++ b/Scripts/deployment.sh
@@ -51,6 +51,8 @@
 		worker_poll_ms = 200
 		worker_lease_ms = 4000
 		worker_failed_after_ms = 1500
+		claim_lease_ms = 3000
+		claim_quiet_ms = 1000
 	CONFIG
 }
 
@@ -81,8 +83,8 @@
 # report_field NAME: a figure of the stand-in's report.
 report_field() { curl -s "http://127.0.0.1:$BASE/standin/report" | sed -n "s/.*\"$1\":\([0-9]*\).*/\1/p"; }
 
-# placed_all: whether every replica wanted of a service is placed and every host is healthy.
-placed_all() { ctl --output=json job list | tr -d ' \n' | grep -o '"kind":"service"[^}]*"placed":[0-9]*,"pool":"[^"]*","priority":[0-9]*' >/dev/null; }
+# placed_all N: whether at least N replicas are placed.
+placed_all() { [ "$(ctl --output=json status | sed -n 's/.*"placements": \([0-9]*\).*/\1/p')" -ge "$1" ]; }
 
 # until_true SECONDS COMMAND...: repeats a command until it succeeds.
 until_true() {
@@ -109,7 +111,7 @@
 	write_config entry-b2 "$3" 3
 	local name
 	for name in "${ENTRIES[@]}"; do start_entry "$name" || return 1; done
-	until_true 20 ctl settings apply "Samples/$1.toml"
+	until_true 20 ctl settings apply "Samples/$1.toml" && until_true 30 placed_all "${PLACED:-40}"
 }
 
 # stop_deployment: ends what was started, by id.
--- /dev/null
+++ b/UnitTests/TestFleet.h
@@ -0,0 +1,71 @@
+// Small fleets for tests: settings, hosts and placements put together through the fold itself.
+
+#pragma once
+
+#include <Loomreach/State/Fold.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach
+{
+
+/// A state that is built by proposals, as everything is.
+class TestFleet
+{
+public:
+	/// Folds a proposal at the next position.
+	Verdict Fold(ProposalBody inBody)
+	{
+		const Proposal proposal{{1, ++this->sequence}, std::move(inBody)};
+		return FoldProposal(this->state, PositionAt(this->state.next_offset++, 0), proposal);
+	}
+
+	/// Folds a proposal that must be accepted.
+	LogPosition Accept(ProposalBody inBody)
+	{
+		const Verdict verdict = this->Fold(std::move(inBody));
+		EXPECT_TRUE(verdict.Accepted()) << AnswerOf(verdict.error).name << ": " << verdict.detail;
+		return verdict.position;
+	}
+
+	/// Folds a proposal that must be rejected for a reason.
+	void Reject(ProposalBody inBody, EError inError)
+	{
+		const std::string before = EncodeState(this->state);
+		FleetState untouched = this->state;
+		const Verdict verdict = this->Fold(std::move(inBody));
+		EXPECT_EQ(AnswerOf(verdict.error).name, AnswerOf(inError).name) << verdict.detail;
+		// A rejected proposal changes nothing but the proposer's mark
+		untouched.proposers = this->state.proposers;
+		untouched.next_offset = this->state.next_offset;
+		EXPECT_EQ(untouched.Hash(), this->state.Hash());
+	}
+
+	/// One pool with one service and one batch job.
+	static std::vector<SettingsNode> OnePool(int64 inMinAvailable, int64 inReplicas, int64 inCpu = 4000)
+	{
+		SettingsNode pool{"/pool", ENodeKind::Pool, {{ESetting::MinAvailablePercent, {inMinAvailable, {}}}}};
+		SettingsNode job{"/pool/job", ENodeKind::Job, {{ESetting::Replicas, {inReplicas, {}}}, {ESetting::CpuMilli, {inCpu, {}}}}};
+		return {pool, job};
+	}
+
+	/// Adds a healthy host of 16 cores and 32 GB.
+	void AddHealthy(const std::string &inName, const std::string &inPool = "/pool", const std::string &inRack = "rack-0", const std::string &inZone = "zone-0")
+	{
+		HostSpec spec{inName, {"127.0.0.1", 9}, "here", inZone, inRack, {16'000, 32'768, 0}, 8, 64};
+		this->Accept(AddHost{spec, inPool});
+		this->Step(inName, EHostStep::Healthy);
+	}
+
+	StepHost MakeStep(const std::string &inHost, EHostStep inStep, const std::string &inWave = {}) const
+	{
+		return {inHost, inStep, this->state.hosts.at(inHost).generation, inWave, "test", 0};
+	}
+
+	void Step(const std::string &inHost, EHostStep inStep, const std::string &inWave = {}) { this->Accept(this->MakeStep(inHost, inStep, inWave)); }
+
+	FleetState state;
+	uint64 sequence = 0;
+};
+
+} // namespace Loomreach
