--- a/Loomreach/Core/Error.cpp
+++ b/Loomreach/Core/Error.cpp
@@ -36,7 +36,8 @@
 	{EError::TooLarge, "too-large", 413, EOutcome::NotRun, 2, false, "The request is larger than allowed."},
 	{EError::PlatformDown, "platform-down", 503, EOutcome::NotRun, 10, true, "The platform's log cannot be reached."},
 	{EError::NotAccepted, "not-accepted", 503, EOutcome::NotRun, 10, true, "The change was not taken; the queue towards the log is full."},
-	{EError::VerdictLost, "verdict-lost", 502, EOutcome::Unknown, 9, false, "The change stands in the log; whether it was accepted was not seen here. Read the state."},
+	{EError::VerdictLost, "verdict-lost", 502, EOutcome::Unknown, 9, false,
+	 "The change stands in the log; whether it was accepted was not seen here. Read the state."},
 	{EError::BudgetExceeded, "budget-exceeded", 409, EOutcome::NotRun, 7, true, "The pool's availability budget has no room."},
 	{EError::QuotaExceeded, "quota-exceeded", 409, EOutcome::NotRun, 7, false, "The team's quota has no room."},
 	{EError::CapacityExceeded, "capacity-exceeded", 409, EOutcome::NotRun, 7, true, "The host has no room for the replica."},
@@ -51,7 +52,8 @@
 	{EError::Corrupt, "corrupt", 400, EOutcome::NotRun, 2, false, "The bytes are cut short or damaged."},
 	{EError::Forged, "forged", 401, EOutcome::NotRun, 5, false, "The message's authentication code is wrong."},
 	{EError::Replayed, "replayed", 409, EOutcome::NotRun, 7, false, "The message was already seen."},
-	{EError::UnknownVersion, "unknown-version", 400, EOutcome::NotRun, 2, false, "The message is of a version that this program does not know."},
+	{EError::UnknownVersion, "unknown-version", 400, EOutcome::NotRun, 2, false,
+	 "The message is of a version that this program does not know."},
 	{EError::Internal, "internal", 500, EOutcome::Unknown, 1, false, "An invariant failed; see the log."},
 }};
 
--- a/Loomreach/Core/Error.h
+++ b/Loomreach/Core/Error.h
@@ -68,11 +68,11 @@
 struct ErrorAnswer
 {
 	EError kind;
-	std::string_view name;  ///< Value of the Loomreach-Reason header, of log fields and of metric labels.
-	uint16 http_status;     ///< Status towards callers and operators.
-	EOutcome outcome;       ///< Value of the Loomreach-Outcome header.
-	uint8 exit_code;        ///< Exit code of the two programs.
-	bool come_back;         ///< Whether the same request may succeed later; a Retry-After goes with it.
+	std::string_view name;    ///< Value of the Loomreach-Reason header, of log fields and of metric labels.
+	uint16 http_status;       ///< Status towards callers and operators.
+	EOutcome outcome;         ///< Value of the Loomreach-Outcome header.
+	uint8 exit_code;          ///< Exit code of the two programs.
+	bool come_back;           ///< Whether the same request may succeed later; a Retry-After goes with it.
 	std::string_view meaning; ///< One sentence for people.
 };
 
--- a/Loomreach/Core/Invariant.cpp
+++ b/Loomreach/Core/Invariant.cpp
@@ -21,7 +21,11 @@
 void OnBrokenInvariant(const char *inCondition, const char *inWhy, const char *inFile, int inLine)
 {
 	++sBroken;
-	LogEvent(ELogLevel::Error, "invariant_broken").Field("condition", inCondition).Field("why", inWhy).Field("file", inFile).Field("line", inLine);
+	LogEvent(ELogLevel::Error, "invariant_broken")
+		.Field("condition", inCondition)
+		.Field("why", inWhy)
+		.Field("file", inFile)
+		.Field("line", inLine);
 	if (sAbort)
 		std::abort();
 }
--- a/Loomreach/Core/LogEvent.h
+++ b/Loomreach/Core/LogEvent.h
@@ -32,8 +32,7 @@
 	LogEvent &Field(std::string_view inKey, const std::string &inValue) { return this->Field(inKey, std::string_view(inValue)); }
 	/// Adds a number.
 	template <class T>
-		requires std::is_arithmetic_v<T>
-	LogEvent &Field(std::string_view inKey, T inValue)
+	requires std::is_arithmetic_v<T> LogEvent &Field(std::string_view inKey, T inValue)
 	{
 		return this->Field(inKey, std::string_view(std::to_string(inValue)));
 	}
--- a/Loomreach/Core/Metrics.h
+++ b/Loomreach/Core/Metrics.h
@@ -10,26 +10,26 @@
 /// Families of counters; each has one label.
 enum class ECounter : uint8
 {
-	Requests,        ///< By outcome.
-	Refusals,        ///< By error kind.
-	Proposals,       ///< By kind, accepted ones.
-	Rejections,      ///< By error kind, of own proposals.
-	PeerRejects,     ///< Datagrams and frames that changed nothing, by error kind.
-	PeerBytes,       ///< Bytes to and from peers, by direction.
-	PlatformCalls,   ///< By result.
-	RecordsFolded,   ///< By source: platform or peer.
-	Snapshots,       ///< By event.
-	Claims,          ///< By result.
+	Requests,      ///< By outcome.
+	Refusals,      ///< By error kind.
+	Proposals,     ///< By kind, accepted ones.
+	Rejections,    ///< By error kind, of own proposals.
+	PeerRejects,   ///< Datagrams and frames that changed nothing, by error kind.
+	PeerBytes,     ///< Bytes to and from peers, by direction.
+	PlatformCalls, ///< By result.
+	RecordsFolded, ///< By source: platform or peer.
+	Snapshots,     ///< By event.
+	Claims,        ///< By result.
 	Count
 };
 
 /// Families of latency histograms, ms.
 enum class ETiming : uint8
 {
-	Request,  ///< From arrival to the last byte.
-	Queue,    ///< From arrival to the first attempt.
-	Plan,     ///< One planning round.
-	Fold,     ///< One batch of records.
+	Request, ///< From arrival to the last byte.
+	Queue,   ///< From arrival to the first attempt.
+	Plan,    ///< One planning round.
+	Fold,    ///< One batch of records.
 	Count
 };
 
--- a/Loomreach/Entry/CallerServer.cpp
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -51,6 +51,13 @@
 	return number;
 }
 
+/// Whether a text is nothing but digits: one plain length, neither signed nor stated twice.
+static bool IsDigits(std::string_view inText)
+{
+	return !inText.empty() &&
+		   std::all_of(inText.begin(), inText.end(), [](char inCharacter) { return inCharacter >= '0' && inCharacter <= '9'; });
+}
+
 /// Methods that HTTP itself calls idempotent.
 static bool IsIdempotentMethod(std::string_view inMethod)
 {
@@ -58,9 +65,10 @@
 	return std::find(cMethods.begin(), cMethods.end(), inMethod) != cMethods.end();
 }
 
-CallerServer::CallerServer(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, ControlLoop &ioControl, Relay &ioRelay,
-						   IdWindow &ioIds, const PeerCodec &inCodec, Metrics &ioMetrics)
-	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), control(ioControl), relay(ioRelay), ids(ioIds), codec(inCodec), metrics(ioMetrics)
+CallerServer::CallerServer(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, ControlLoop &ioControl,
+						   Relay &ioRelay, IdWindow &ioIds, const PeerCodec &inCodec, Metrics &ioMetrics)
+	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), control(ioControl), relay(ioRelay), ids(ioIds), codec(inCodec),
+	  metrics(ioMetrics)
 {
 }
 
@@ -69,7 +77,9 @@
 	this->server = OpenServer(this->config.callers, "callers");
 	if (this->server == nullptr)
 		return false;
-	soup_server_add_early_handler(this->server.get(), nullptr, &CallerServer::OnEarly, this, nullptr);
+	// libsoup asks only the most specific path's early handler
+	for (const char *path : {"/v1/services", "/v1/ids", "/v1/health", static_cast<const char *>(nullptr)})
+		soup_server_add_early_handler(this->server.get(), path, &CallerServer::OnEarly, this, nullptr);
 	soup_server_add_handler(this->server.get(), "/v1/services", &CallerServer::OnService, this, nullptr);
 	soup_server_add_handler(this->server.get(), "/v1/ids", &CallerServer::OnIds, this, nullptr);
 	soup_server_add_handler(this->server.get(), "/v1/health", &CallerServer::OnHealth, this, nullptr);
@@ -92,11 +102,12 @@
 {
 	CallerServer *self = static_cast<CallerServer *>(inSelf);
 	SoupMessageHeaders *headers = soup_server_message_get_request_headers(inMessage);
-	const bool has_length = soup_message_headers_get_one(headers, "Content-Length") != nullptr;
+	const char *lengths = soup_message_headers_get_list(headers, "Content-Length");
+	const bool has_length = lengths != nullptr;
 	const bool has_encoding = soup_message_headers_get_one(headers, "Transfer-Encoding") != nullptr;
 	EError error = EError::None;
-	// Two ways to tell a body's length are an attempt to smuggle a second request
-	if (has_length && has_encoding)
+	// Two ways to tell a body's length, or a strange one, are an attempt to smuggle a second request
+	if (has_length && (has_encoding || !IsDigits(lengths)))
 		error = EError::BadRequest;
 	else if (has_length && soup_message_headers_get_content_length(headers) > self->config.max_request_bytes)
 		error = EError::TooLarge;
@@ -246,28 +257,31 @@
 	}
 	// Marked as begun while the claim is under way, so that a repeat at this entry host can't overtake it
 	inExchange->id_key = key;
-	this->control.ClaimOwnId(key, [this, inExchange, key, inForwarded](EError inError, uint64 inHolder) {
-		if (inError == EError::None && !inExchange->IsGone())
-			return this->relay.Submit(inExchange);
-		this->ids.NotRun(key);
-		if (inExchange->IsGone())
-			return;
-		if (inError == EError::DuplicateId)
-			return this->ForwardTo(inExchange, inHolder, inForwarded);
-		this->Refuse(inExchange, inError, "the id could not be claimed with every member of its group; ids from POST /v1/ids need no claim");
-	});
+	this->control.ClaimOwnId(key,
+							 [this, inExchange, key, inForwarded](EError inError, uint64 inHolder)
+							 {
+								 if (inError == EError::None && !inExchange->IsGone())
+									 return this->relay.Submit(inExchange);
+								 this->ids.NotRun(key);
+								 if (inExchange->IsGone())
+									 return;
+								 if (inError == EError::DuplicateId)
+									 return this->ForwardTo(inExchange, inHolder, inForwarded);
+								 this->Refuse(
+									 inExchange, inError,
+									 "the id could not be claimed with every member of its group; ids from POST /v1/ids need no claim");
+							 });
 }
 
 void CallerServer::UseVerdict(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, const IdVerdict &inVerdict)
 {
 	switch (inVerdict.use)
 	{
-	case EIdUse::MayRun:
-		inExchange->id_key = inKey;
-		return this->relay.Submit(inExchange);
+	case EIdUse::MayRun: inExchange->id_key = inKey; return this->relay.Submit(inExchange);
 	case EIdUse::Answered:
 		this->metrics.Count(ECounter::Requests, "answered-again");
-		return inExchange->Answer(inVerdict.answer->status, inVerdict.answer->content_type, inVerdict.answer->body, EOutcome::Ran, EError::DuplicateId);
+		return inExchange->Answer(inVerdict.answer->status, inVerdict.answer->content_type, inVerdict.answer->body, EOutcome::Ran,
+								  EError::DuplicateId);
 	case EIdUse::Begun: return this->Refuse(inExchange, EError::DuplicateId, "its first run has no answer that is kept, or has not ended");
 	case EIdUse::Forgotten: return this->Refuse(inExchange, EError::IdForgotten, "");
 	}
@@ -307,7 +321,8 @@
 	if (this->codec.Tag(plain) != rest.substr(last + 1))
 		return Fail(EError::Forged, "not an issued id");
 	IssuedId id;
-	const auto read = [](std::string_view inText, uint64 &outNumber) {
+	const auto read = [](std::string_view inText, uint64 &outNumber)
+	{
 		const auto [end, error] = std::from_chars(inText.data(), inText.data() + inText.size(), outNumber, 16);
 		return error == std::errc() && end == inText.data() + inText.size();
 	};
--- a/Loomreach/Entry/CallerServer.h
+++ b/Loomreach/Entry/CallerServer.h
@@ -15,8 +15,8 @@
 class CallerServer
 {
 public:
-	CallerServer(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, ControlLoop &ioControl, Relay &ioRelay, IdWindow &ioIds,
-				 const PeerCodec &inCodec, Metrics &ioMetrics);
+	CallerServer(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, ControlLoop &ioControl, Relay &ioRelay,
+				 IdWindow &ioIds, const PeerCodec &inCodec, Metrics &ioMetrics);
 
 	/// Binds the listener.
 	bool Open();
--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -24,10 +24,11 @@
 static constexpr size_t cMaxHostsInDigest = 16;
 static constexpr double cLeavingSignMs = 10'000;
 
-ControlLoop::ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer, WorkerPoller &ioPoller,
-						 PeerLink &ioLink, Dispatcher &ioDispatcher, Metrics &ioMetrics)
-	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), proposer(ioProposer), poller(ioPoller), link(ioLink), dispatcher(ioDispatcher),
-	  metrics(ioMetrics), tracker(inConfig.name, inConfig.availability_zone, inConfig.suspect_after_ms), claims(inConfig.name)
+ControlLoop::ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer,
+						 WorkerPoller &ioPoller, PeerLink &ioLink, Dispatcher &ioDispatcher, Metrics &ioMetrics)
+	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), proposer(ioProposer), poller(ioPoller), link(ioLink),
+	  dispatcher(ioDispatcher), metrics(ioMetrics), tracker(inConfig.name, inConfig.availability_zone, inConfig.suspect_after_ms),
+	  claims(inConfig.name)
 {
 }
 
@@ -36,17 +37,20 @@
 	this->started = NowMillis();
 	this->beat_timer.Every(this->config.heartbeat_ms, [this] { this->Beat(false); });
 	this->plan_timer.Every(this->config.plan_interval_ms, [this] { this->PlanRound(); });
-	this->poll_timer.Every(this->config.worker_poll_ms, [this] {
-		if (this->follower.IsReady())
-			this->poller.Round(this->follower.State(), this->Picker(NowMillis()), NowMillis());
-	});
+	this->poll_timer.Every(this->config.worker_poll_ms,
+						   [this]
+						   {
+							   if (this->follower.IsReady())
+								   this->poller.Round(this->follower.State(), this->Picker(NowMillis()), NowMillis());
+						   });
 	this->list_timer.Every(cListIntervalMs, [this] { this->poller.ReadHosts(); });
 	this->poller.ReadHosts();
 }
 
 Member ControlLoop::Self() const
 {
-	return {this->config.name, this->incarnation, this->config.region, this->config.availability_zone, this->config.peers, this->config.callers};
+	return {this->config.name,  this->incarnation,   this->config.region, this->config.availability_zone,
+			this->config.peers, this->config.callers};
 }
 
 StewardPicker ControlLoop::Picker(Millis inNow) const
@@ -199,9 +203,9 @@
 	for (auto &[host, endpoint] : this->dispatcher.Endpoints().All())
 	{
 		std::vector<std::string> order = members;
-		std::sort(order.begin(), order.end(), [&host](const std::string &inA, const std::string &inB) {
-			return RendezvousWeight(host, inA) > RendezvousWeight(host, inB);
-		});
+		std::sort(order.begin(), order.end(),
+				  [&host](const std::string &inA, const std::string &inB)
+				  { return RendezvousWeight(host, inA) > RendezvousWeight(host, inB); });
 		std::vector<uint32> demands;
 		ShareInput input;
 		input.slots = endpoint.slots;
@@ -239,7 +243,9 @@
 	if (!this->follower.IsReady())
 		return;
 	const StewardPicker picker = this->Picker(now);
-	this->follower.SetInterval(picker.IsMineIn("log-reader", this->config.availability_zone) ? cReaderIntervalMs : std::min(cFollowerIntervalMs, this->config.claim_lease_ms / 3));
+	this->follower.SetInterval(picker.IsMineIn("log-reader", this->config.availability_zone)
+								   ? cReaderIntervalMs
+								   : std::min(cFollowerIntervalMs, this->config.claim_lease_ms / 3));
 	this->UpdateRoutes();
 	if (!this->stopping)
 		this->PlanMembership(picker, now);
@@ -260,14 +266,16 @@
 	if (!this->follower.ReachesPlatform(inNow) || !this->proposer.IsIdle())
 		return;
 	const FleetState &state = this->follower.State();
-	std::optional<ChangeView> change = PlanView({state, this->tracker, this->Self(), inNow, listening_since, this->config.remove_after_ms,
-											  this->config.suspect_after_ms});
+	std::optional<ChangeView> change =
+		PlanView({state, this->tracker, this->Self(), inNow, listening_since, this->config.remove_after_ms, this->config.suspect_after_ms});
 	if (change.has_value())
 		return this->proposer.Propose(std::move(*change));
 	// Cut off from another zone but not from the platform: without a word by the log, each would remove the other
 	const std::string &zone = this->config.availability_zone;
-	const bool due = inNow - this->log_beat_sent >= this->config.suspect_after_ms && inNow - listening_since >= this->config.suspect_after_ms;
-	if (!due || !inPicker.IsMineIn("log-beat", zone) || !NeedsLogBeat(state.view, this->tracker, zone, this->config.suspect_after_ms, inNow))
+	const bool due =
+		inNow - this->log_beat_sent >= this->config.suspect_after_ms && inNow - listening_since >= this->config.suspect_after_ms;
+	if (!due || !inPicker.IsMineIn("log-beat", zone) ||
+		!NeedsLogBeat(state.view, this->tracker, zone, this->config.suspect_after_ms, inNow))
 		return;
 	this->log_beat_sent = inNow;
 	this->proposer.Propose(ZoneAlive{zone});
@@ -276,7 +284,8 @@
 void ControlLoop::PlanHosts(const StewardPicker &inPicker, Millis inNow)
 {
 	const FleetState &state = this->follower.State();
-	const KeeperBounds bounds{this->config.worker_failed_after_ms, this->config.worker_poll_ms / 2, 10 * this->config.worker_failed_after_ms};
+	const KeeperBounds bounds{this->config.worker_failed_after_ms, this->config.worker_poll_ms / 2,
+							  10 * this->config.worker_failed_after_ms};
 	const HostKeeper keeper(state, this->poller.Seen(), bounds, inNow);
 	if (inPicker.IsMine("hosts"))
 		for (ProposalBody &body : keeper.AddListed())
@@ -367,21 +376,23 @@
 			ask.ranges.push_back(range);
 	this->taking_over = true;
 	const uint64 view = ask.view;
-	this->link.Ask(member->second.peers, std::move(ask), cAskTimeoutMs, [this, view](std::optional<PeerReply> inReply) {
-		this->taking_over = false;
-		const HandOverReply *reply = inReply.has_value() ? std::get_if<HandOverReply>(&*inReply) : nullptr;
-		// A view that has changed meanwhile asks for another take-over
-		if (reply == nullptr || view != this->claims.ViewNumber())
-			return;
-		TakeOver take{view, this->config.name, {}};
-		for (const auto &[range, list] : reply->ranges)
-		{
-			this->claims.TakeIn(range, list, NowMillis());
-			take.ranges.push_back(range);
-		}
-		if (!take.ranges.empty())
-			this->proposer.Propose(std::move(take));
-	});
+	this->link.Ask(member->second.peers, std::move(ask), cAskTimeoutMs,
+				   [this, view](std::optional<PeerReply> inReply)
+				   {
+					   this->taking_over = false;
+					   const HandOverReply *reply = inReply.has_value() ? std::get_if<HandOverReply>(&*inReply) : nullptr;
+					   // A view that has changed meanwhile asks for another take-over
+					   if (reply == nullptr || view != this->claims.ViewNumber())
+						   return;
+					   TakeOver take{view, this->config.name, {}};
+					   for (const auto &[range, list] : reply->ranges)
+					   {
+						   this->claims.TakeIn(range, list, NowMillis());
+						   take.ranges.push_back(range);
+					   }
+					   if (!take.ranges.empty())
+						   this->proposer.Propose(std::move(take));
+				   });
 }
 
 PeerReply ControlLoop::AnswerClaim(const AskClaim &inAsk)
@@ -433,7 +444,8 @@
 		const bool holds = this->LeaseHolds(NowMillis()) && this->follower.State().view.number == inRound->ask.view;
 		return inRound->done(holds ? EError::None : EError::NotReady, 0);
 	}
-	const auto on_reply = [this, inRound](std::optional<PeerReply> inReply) {
+	const auto on_reply = [this, inRound](std::optional<PeerReply> inReply)
+	{
 		const ClaimReply *reply = inReply.has_value() ? std::get_if<ClaimReply>(&*inReply) : nullptr;
 		if (reply == nullptr || (reply->answer != EClaim::Granted && reply->answer != EClaim::Taken))
 		{
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -19,8 +19,8 @@
 class ControlLoop
 {
 public:
-	ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer, WorkerPoller &ioPoller, PeerLink &ioLink,
-				Dispatcher &ioDispatcher, Metrics &ioMetrics);
+	ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer, WorkerPoller &ioPoller,
+				PeerLink &ioLink, Dispatcher &ioDispatcher, Metrics &ioMetrics);
 
 	/// Starts all timers.
 	void Start();
--- a/Loomreach/Entry/EntryHost.cpp
+++ b/Loomreach/Entry/EntryHost.cpp
@@ -27,9 +27,11 @@
 	this->follower.on_folded = [this](const std::vector<Verdict> &inVerdicts) { this->control.OnFolded(inVerdicts); };
 	this->control.on_decisions = [this](std::vector<Decision> inDecisions) { this->relay.Execute(std::move(inDecisions)); };
 	this->link.on_digest = [this](Digest inDigest) { this->control.OnDigest(std::move(inDigest)); };
-	this->link.on_ask = [this](const PeerAsk &inAsk) -> PeerReply {
+	this->link.on_ask = [this](const PeerAsk &inAsk) -> PeerReply
+	{
 		return std::visit(
-			[this](const auto &inQuestion) -> PeerReply {
+			[this](const auto &inQuestion) -> PeerReply
+			{
 				using Question = std::decay_t<decltype(inQuestion)>;
 				if constexpr (std::is_same_v<Question, FetchRecords> || std::is_same_v<Question, FetchState>)
 					return this->follower.AnswerFetch(inQuestion);
@@ -62,10 +64,12 @@
 	this->stopped = std::move(inDone);
 	this->control.BeginStop();
 	this->relay.on_idle = [this] { this->TryFinish(); };
-	this->grace.Once(cStopGraceMs, [this] {
-		this->finishing = true;
-		this->TryFinish();
-	});
+	this->grace.Once(cStopGraceMs,
+					 [this]
+					 {
+						 this->finishing = true;
+						 this->TryFinish();
+					 });
 }
 
 void EntryHost::TryFinish()
@@ -73,10 +77,12 @@
 	if (!this->finishing || this->relay.Open() != 0 || !this->stopped)
 		return;
 	this->finishing = false;
-	this->control.LeaveView([this] {
-		LogEvent(ELogLevel::Info, "stop_done");
-		this->stopped();
-	});
+	this->control.LeaveView(
+		[this]
+		{
+			LogEvent(ELogLevel::Info, "stop_done");
+			this->stopped();
+		});
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/Exchange.cpp
+++ b/Loomreach/Entry/Exchange.cpp
@@ -74,13 +74,15 @@
 void Exchange::Refuse(EError inError, uint32 inRetryAfterS, std::string_view inDetail)
 {
 	const ErrorAnswer &row = AnswerOf(inError);
-	const nlohmann::json body = {{"error", row.name}, {"outcome", OutcomeName(row.outcome)}, {"meaning", row.meaning}, {"detail", inDetail}};
+	const nlohmann::json body = {
+		{"error", row.name}, {"outcome", OutcomeName(row.outcome)}, {"meaning", row.meaning}, {"detail", inDetail}};
 	if (row.come_back)
 	{
 		SoupMessageHeaders *headers = soup_server_message_get_response_headers(this->message.get());
 		soup_message_headers_replace(headers, "Retry-After", std::to_string(std::max<uint32>(1, inRetryAfterS)).c_str());
 	}
-	this->Answer(row.http_status, "application/json", body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n", row.outcome, inError);
+	this->Answer(row.http_status, "application/json", body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
+				 row.outcome, inError);
 }
 
 void Exchange::Answer(uint32 inStatus, std::string_view inContentType, std::string_view inBody, EOutcome inOutcome, EError inReason)
@@ -99,8 +101,9 @@
 void Exchange::CopyHeaders(SoupMessageHeaders *inHeaders)
 {
 	// libsoup writes Date and Server itself
-	static constexpr std::array<std::string_view, 10> cHopByHop = {"connection", "keep-alive", "transfer-encoding", "content-length", "upgrade",
-																	  "trailer",	"te",		  "proxy-authenticate", "date",			  "server"};
+	static constexpr std::array<std::string_view, 10> cHopByHop = {
+		"connection", "keep-alive", "transfer-encoding",  "content-length", "upgrade",
+		"trailer",    "te",         "proxy-authenticate", "date",           "server"};
 	SoupMessageHeaders *to = soup_server_message_get_response_headers(this->message.get());
 	SoupMessageHeadersIter iterator;
 	const char *name = nullptr;
@@ -108,9 +111,9 @@
 	soup_message_headers_iter_init(&iterator, inHeaders);
 	while (soup_message_headers_iter_next(&iterator, &name, &value) != FALSE)
 	{
-		const bool hop_by_hop = std::any_of(cHopByHop.begin(), cHopByHop.end(), [name](std::string_view inName) {
-			return g_ascii_strcasecmp(std::string(inName).c_str(), name) == 0;
-		});
+		const bool hop_by_hop =
+			std::any_of(cHopByHop.begin(), cHopByHop.end(),
+						[name](std::string_view inName) { return g_ascii_strcasecmp(std::string(inName).c_str(), name) == 0; });
 		if (!hop_by_hop)
 			soup_message_headers_append(to, name, value);
 	}
--- a/Loomreach/Entry/Exchange.h
+++ b/Loomreach/Entry/Exchange.h
@@ -23,7 +23,8 @@
 	/// Answers with a row of the error table.
 	void Refuse(EError inError, uint32 inRetryAfterS, std::string_view inDetail);
 	/// Answers with a whole body. `inReason` is None for the first run's own answer.
-	void Answer(uint32 inStatus, std::string_view inContentType, std::string_view inBody, EOutcome inOutcome = EOutcome::Ran, EError inReason = EError::None);
+	void Answer(uint32 inStatus, std::string_view inContentType, std::string_view inBody, EOutcome inOutcome = EOutcome::Ran,
+				EError inReason = EError::None);
 	/// Begins an answer whose body follows in pieces. With `inLength` below 0 it is chunked.
 	void BeginStream(uint32 inStatus, SoupMessageHeaders *inHeaders, int64 inLength);
 	/// Sends one piece; `inWritten` is called when the caller has taken it.
@@ -42,8 +43,8 @@
 	// What the request is; set by the caller server
 	RequestSpec spec;
 	std::string service;
-	std::string path;        ///< Path and query for the endpoint.
-	std::string id_key;      ///< Key in the id window; empty: no id that is kept.
+	std::string path;   ///< Path and query for the endpoint.
+	std::string id_key; ///< Key in the id window; empty: no id that is kept.
 	Millis arrived = 0;
 	double arrived_exact = 0;
 	bool is_long = false;
--- a/Loomreach/Entry/LogFollower.cpp
+++ b/Loomreach/Entry/LogFollower.cpp
@@ -51,7 +51,10 @@
 
 void LogFollower::Start() { this->ReadSnapshots(0, std::make_shared<SnapshotAssembler>()); }
 
-bool LogFollower::ReachesPlatform(Millis inNow) const { return this->last_platform_read != 0 && inNow - this->last_platform_read < cReachMs; }
+bool LogFollower::ReachesPlatform(Millis inNow) const
+{
+	return this->last_platform_read != 0 && inNow - this->last_platform_read < cReachMs;
+}
 
 void LogFollower::Schedule(Millis inDelay)
 {
@@ -60,22 +63,25 @@
 
 void LogFollower::ReadSnapshots(LogOffset inFrom, std::shared_ptr<SnapshotAssembler> inAssembler)
 {
-	this->platform.Read(cSnapshotStream, inFrom, cPageRecords, [this, inFrom, inAssembler](std::optional<LogPage> inPage) {
-		this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
-		if (!inPage.has_value())
+	this->platform.Read(
+		cSnapshotStream, inFrom, cPageRecords,
+		[this, inFrom, inAssembler](std::optional<LogPage> inPage)
 		{
-			// The platform is down at start: a peer may have the state
-			this->AskSeeds();
-			return this->poll_timer.Once(cRetryMs, [this] { this->ready ? this->Poll() : this->Start(); });
-		}
-		for (const LogRecord &record : inPage->records)
-			if (!inAssembler->Add(record.bytes))
-				LogEvent(ELogLevel::Warning, "snapshot_piece_refused").Field("offset", record.offset).Field("reason", LastReasonText());
-		const LogOffset next = inPage->records.empty() ? inPage->next : inPage->records.back().offset + 1;
-		if (next < inPage->next && next > inFrom)
-			return this->ReadSnapshots(next, inAssembler);
-		this->OnSnapshotsRead(*inAssembler);
-	});
+			this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
+			if (!inPage.has_value())
+			{
+				// The platform is down at start: a peer may have the state
+				this->AskSeeds();
+				return this->poll_timer.Once(cRetryMs, [this] { this->ready ? this->Poll() : this->Start(); });
+			}
+			for (const LogRecord &record : inPage->records)
+				if (!inAssembler->Add(record.bytes))
+					LogEvent(ELogLevel::Warning, "snapshot_piece_refused").Field("offset", record.offset).Field("reason", LastReasonText());
+			const LogOffset next = inPage->records.empty() ? inPage->next : inPage->records.back().offset + 1;
+			if (next < inPage->next && next > inFrom)
+				return this->ReadSnapshots(next, inAssembler);
+			this->OnSnapshotsRead(*inAssembler);
+		});
 }
 
 void LogFollower::OnSnapshotsRead(const SnapshotAssembler &inAssembler)
@@ -109,11 +115,13 @@
 		return;
 	this->reading = true;
 	const Millis started = NowMillis();
-	this->platform.Read(cRecordStream, this->state.next_offset, cPageRecords, [this, started](std::optional<LogPage> inPage) {
-		this->reading = false;
-		this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
-		this->OnPage(started, std::move(inPage));
-	});
+	this->platform.Read(cRecordStream, this->state.next_offset, cPageRecords,
+						[this, started](std::optional<LogPage> inPage)
+						{
+							this->reading = false;
+							this->metrics.Count(ECounter::PlatformCalls, inPage.has_value() ? "read-ok" : "read-failed");
+							this->OnPage(started, std::move(inPage));
+						});
 }
 
 void LogFollower::OnPage(Millis inStarted, std::optional<LogPage> inPage)
@@ -175,16 +183,18 @@
 	if (this->asking || !this->ready || inNext <= this->state.next_offset)
 		return;
 	this->asking = true;
-	this->link.Ask(inPeer, FetchRecords{this->state.next_offset}, cPeerTimeoutMs, [this, inPeer](std::optional<PeerReply> inReply) {
-		this->asking = false;
-		if (!inReply.has_value())
-			return;
-		if (RecordsReply *reply = std::get_if<RecordsReply>(&*inReply); reply != nullptr)
-			return this->FoldRecords(std::move(reply->records), "peer");
-		// The peer no longer keeps these records; where the platform is out of reach its state will do
-		if (!this->ReachesPlatform(NowMillis()))
-			this->AskStateOf(inPeer);
-	});
+	this->link.Ask(inPeer, FetchRecords{this->state.next_offset}, cPeerTimeoutMs,
+				   [this, inPeer](std::optional<PeerReply> inReply)
+				   {
+					   this->asking = false;
+					   if (!inReply.has_value())
+						   return;
+					   if (RecordsReply *reply = std::get_if<RecordsReply>(&*inReply); reply != nullptr)
+						   return this->FoldRecords(std::move(reply->records), "peer");
+					   // The peer no longer keeps these records; where the platform is out of reach its state will do
+					   if (!this->ReachesPlatform(NowMillis()))
+						   this->AskStateOf(inPeer);
+				   });
 }
 
 void LogFollower::AskStateOf(const Address &inPeer)
@@ -192,15 +202,17 @@
 	if (this->asking)
 		return;
 	this->asking = true;
-	this->link.Ask(inPeer, FetchState{}, cPeerTimeoutMs, [this](std::optional<PeerReply> inReply) {
-		this->asking = false;
-		const StateReply *reply = inReply.has_value() ? std::get_if<StateReply>(&*inReply) : nullptr;
-		if (reply == nullptr)
-			return;
-		std::optional<FleetState> peer_state = DecodeState(reply->state);
-		if (peer_state.has_value() && (!this->ready || peer_state->next_offset > this->state.next_offset))
-			this->Adopt(std::move(*peer_state), "peer");
-	});
+	this->link.Ask(inPeer, FetchState{}, cPeerTimeoutMs,
+				   [this](std::optional<PeerReply> inReply)
+				   {
+					   this->asking = false;
+					   const StateReply *reply = inReply.has_value() ? std::get_if<StateReply>(&*inReply) : nullptr;
+					   if (reply == nullptr)
+						   return;
+					   std::optional<FleetState> peer_state = DecodeState(reply->state);
+					   if (peer_state.has_value() && (!this->ready || peer_state->next_offset > this->state.next_offset))
+						   this->Adopt(std::move(*peer_state), "peer");
+				   });
 }
 
 void LogFollower::AskSeeds()
@@ -211,7 +223,8 @@
 	this->newest_offered.reset();
 	this->seeds_asked = this->seeds.size();
 	for (const Address &seed : this->seeds)
-		this->link.Ask(seed, FetchState{}, cPeerTimeoutMs, [this](std::optional<PeerReply> inReply) { this->OnSeedState(std::move(inReply)); });
+		this->link.Ask(seed, FetchState{}, cPeerTimeoutMs,
+					   [this](std::optional<PeerReply> inReply) { this->OnSeedState(std::move(inReply)); });
 }
 
 void LogFollower::OnSeedState(std::optional<PeerReply> inReply)
@@ -263,13 +276,15 @@
 		LogEvent(ELogLevel::Info, "snapshot_written").Field("offset", inOffset).Field("pieces", inPieces->size());
 		return;
 	}
-	this->platform.Append(cSnapshotStream, (*inPieces)[inIndex], [this, inPieces, inIndex, inOffset](std::optional<LogOffset> inDone) {
-		// A lost answer repeats the piece; the assembler takes it once
-		if (inDone.has_value())
-			return this->AppendPieces(inPieces, inIndex + 1, inOffset);
-		this->writing = false;
-		this->metrics.Count(ECounter::Snapshots, "failed");
-	});
+	this->platform.Append(cSnapshotStream, (*inPieces)[inIndex],
+						  [this, inPieces, inIndex, inOffset](std::optional<LogOffset> inDone)
+						  {
+							  // A lost answer repeats the piece; the assembler takes it once
+							  if (inDone.has_value())
+								  return this->AppendPieces(inPieces, inIndex + 1, inOffset);
+							  this->writing = false;
+							  this->metrics.Count(ECounter::Snapshots, "failed");
+						  });
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/LogFollower.h
+++ b/Loomreach/Entry/LogFollower.h
@@ -81,7 +81,7 @@
 	PeerLink &link;
 	Metrics &metrics;
 	std::vector<Address> seeds;
-	size_t seeds_asked = 0;                  ///< Seeds that have yet to answer.
+	size_t seeds_asked = 0;                   ///< Seeds that have yet to answer.
 	std::optional<FleetState> newest_offered; ///< Of the seeds that have answered.
 	FleetState state;
 	RecordTail tail;
--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -22,7 +22,8 @@
 
 OperatorServer::OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
 							   Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics)
-	: config(inConfig), follower(ioFollower), control(ioControl), proposer(ioProposer), dispatcher(ioDispatcher), relay(ioRelay), metrics(ioMetrics)
+	: config(inConfig), follower(ioFollower), control(ioControl), proposer(ioProposer), dispatcher(ioDispatcher), relay(ioRelay),
+	  metrics(ioMetrics)
 {
 }
 
@@ -226,7 +227,8 @@
 		return this->ReplyError(inCall.message, LastReason().kind, LastReason().detail);
 	Json changes = Json::array();
 	for (const SettingChange &change : tree->DiffFrom(state.settings))
-		changes.push_back({{"path", change.path}, {"setting", InfoOf(change.setting).name}, {"before", change.before}, {"after", change.after}});
+		changes.push_back(
+			{{"path", change.path}, {"setting", InfoOf(change.setting).name}, {"before", change.before}, {"after", change.after}});
 	if (inCall.Get("dry_run") == "yes")
 		return this->Reply(inCall.message, {{"version", state.settings_version}, {"changes", std::move(changes)}});
 	const std::string base = inCall.Get("base_version");
@@ -288,7 +290,8 @@
 		return this->Propose(inCall, MoveHost{inHost.spec.name, inHost.pool, inCall.Get("to"), inHost.generation});
 	for (const EHostStep step : {EHostStep::Drain, EHostStep::Undrain, EHostStep::Unquarantine, EHostStep::Remove})
 		if (NameOfStep(step) == what)
-			return this->Propose(inCall, StepHost{inHost.spec.name, step, inHost.generation, step == EHostStep::Drain ? "" : inHost.wave, "operator", 0});
+			return this->Propose(
+				inCall, StepHost{inHost.spec.name, step, inHost.generation, step == EHostStep::Drain ? "" : inHost.wave, "operator", 0});
 	this->ReplyError(inCall.message, EError::NotFound, what);
 }
 
@@ -305,28 +308,34 @@
 	const auto message = std::shared_ptr<SoupServerMessage>(static_cast<SoupServerMessage *>(g_object_ref(inCall.message)), ObjectUnref());
 	const LogPosition version_before = this->follower.State().settings_version;
 	const SettingsTree settings_before = this->follower.State().settings;
-	this->proposer.Propose(std::move(inBody), [this, message, version_before, settings_before](const Verdict &inVerdict) {
-		if (inVerdict.Accepted())
-		{
-			this->Reply(message.get(), {{"accepted", true}, {"position", inVerdict.position}, {"kind", NameOfProposal(inVerdict.kind)}});
-		}
-		else
-		{
-			const ErrorAnswer &row = AnswerOf(inVerdict.error);
-			Json body = {{"error", row.name}, {"meaning", row.meaning}, {"detail", inVerdict.detail}};
-			const FleetState &state = this->follower.State();
-			if (inVerdict.error == EError::Conflict && state.settings_version != version_before)
-			{
-				body["version"] = state.settings_version;
-				for (const SettingChange &change : state.settings.DiffFrom(settings_before))
-					body["changed"].push_back(
-						{{"path", change.path}, {"setting", InfoOf(change.setting).name}, {"before", change.before}, {"after", change.after}});
-			}
-			this->Reply(message.get(), body);
-			soup_server_message_set_status(message.get(), row.http_status, nullptr);
-		}
-		soup_server_message_unpause(message.get());
-	});
+	this->proposer.Propose(std::move(inBody),
+						   [this, message, version_before, settings_before](const Verdict &inVerdict)
+						   {
+							   if (inVerdict.Accepted())
+							   {
+								   this->Reply(
+									   message.get(),
+									   {{"accepted", true}, {"position", inVerdict.position}, {"kind", NameOfProposal(inVerdict.kind)}});
+							   }
+							   else
+							   {
+								   const ErrorAnswer &row = AnswerOf(inVerdict.error);
+								   Json body = {{"error", row.name}, {"meaning", row.meaning}, {"detail", inVerdict.detail}};
+								   const FleetState &state = this->follower.State();
+								   if (inVerdict.error == EError::Conflict && state.settings_version != version_before)
+								   {
+									   body["version"] = state.settings_version;
+									   for (const SettingChange &change : state.settings.DiffFrom(settings_before))
+										   body["changed"].push_back({{"path", change.path},
+																	  {"setting", InfoOf(change.setting).name},
+																	  {"before", change.before},
+																	  {"after", change.after}});
+								   }
+								   this->Reply(message.get(), body);
+								   soup_server_message_set_status(message.get(), row.http_status, nullptr);
+							   }
+							   soup_server_message_unpause(message.get());
+						   });
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/OperatorServer.h
+++ b/Loomreach/Entry/OperatorServer.h
@@ -13,8 +13,8 @@
 class OperatorServer
 {
 public:
-	OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer, Dispatcher &ioDispatcher,
-				   Relay &ioRelay, Metrics &ioMetrics);
+	OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
+				   Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics);
 
 	/// Binds the listener.
 	bool Open();
--- a/Loomreach/Entry/PeerLink.cpp
+++ b/Loomreach/Entry/PeerLink.cpp
@@ -30,7 +30,8 @@
 	static void Start(std::unique_ptr<FrameReader> inReader)
 	{
 		FrameReader *raw = inReader.release();
-		g_input_stream_read_all_async(raw->stream.get(), raw->length.data(), cLengthBytes, G_PRIORITY_DEFAULT, raw->cancellable.get(), &OnLength, raw);
+		g_input_stream_read_all_async(raw->stream.get(), raw->length.data(), cLengthBytes, G_PRIORITY_DEFAULT, raw->cancellable.get(),
+									  &OnLength, raw);
 	}
 
 	static void OnLength(GObject *inStream, GAsyncResult *inResult, gpointer inReader)
@@ -45,14 +46,16 @@
 			return reader->done(std::nullopt);
 		reader->bytes.resize(wanted);
 		FrameReader *raw = reader.release();
-		g_input_stream_read_all_async(raw->stream.get(), raw->bytes.data(), wanted, G_PRIORITY_DEFAULT, raw->cancellable.get(), &OnBytes, raw);
+		g_input_stream_read_all_async(raw->stream.get(), raw->bytes.data(), wanted, G_PRIORITY_DEFAULT, raw->cancellable.get(), &OnBytes,
+									  raw);
 	}
 
 	static void OnBytes(GObject *inStream, GAsyncResult *inResult, gpointer inReader)
 	{
 		const std::unique_ptr<FrameReader> reader(static_cast<FrameReader *>(inReader));
 		gsize got = 0;
-		const bool good = g_input_stream_read_all_finish(G_INPUT_STREAM(inStream), inResult, &got, nullptr) != FALSE && got == reader->bytes.size();
+		const bool good =
+			g_input_stream_read_all_finish(G_INPUT_STREAM(inStream), inResult, &got, nullptr) != FALSE && got == reader->bytes.size();
 		reader->done(good ? std::optional(std::move(reader->bytes)) : std::nullopt);
 	}
 };
@@ -73,8 +76,8 @@
 		framed += inWriter->bytes;
 		inWriter->bytes = std::move(framed);
 		FrameWriter *raw = inWriter.release();
-		g_output_stream_write_all_async(raw->stream.get(), raw->bytes.data(), raw->bytes.size(), G_PRIORITY_DEFAULT, raw->cancellable.get(), &OnWritten,
-										raw);
+		g_output_stream_write_all_async(raw->stream.get(), raw->bytes.data(), raw->bytes.size(), G_PRIORITY_DEFAULT, raw->cancellable.get(),
+										&OnWritten, raw);
 	}
 
 	static void OnWritten(GObject *inStream, GAsyncResult *inResult, gpointer inWriter)
@@ -192,7 +195,8 @@
 		auto writer = std::make_unique<FrameWriter>();
 		writer->stream = Share(g_io_stream_get_output_stream(G_IO_STREAM(this->connection.get())));
 		writer->bytes = this->link->codec.SealReply({frame->nonce, this->link->on_ask(frame->ask)});
-		writer->done = [self = this->shared_from_this()](bool) { g_io_stream_close(G_IO_STREAM(self->connection.get()), nullptr, nullptr); };
+		writer->done = [self = this->shared_from_this()](bool)
+		{ g_io_stream_close(G_IO_STREAM(self->connection.get()), nullptr, nullptr); };
 		this->link->metrics.Count(ECounter::PeerBytes, "tcp-out", writer->bytes.size());
 		FrameWriter::Start(std::move(writer));
 	}
@@ -231,8 +235,8 @@
 	g_source_set_callback(this->udp_source, G_SOURCE_FUNC(&PeerLink::OnDatagram), this, nullptr);
 	g_source_attach(this->udp_source, nullptr);
 	this->tcp.reset(g_socket_service_new());
-	const bool listens = g_socket_listener_add_address(G_SOCKET_LISTENER(this->tcp.get()), where.get(), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-													   nullptr, nullptr, error.Out()) != FALSE;
+	const bool listens = g_socket_listener_add_address(G_SOCKET_LISTENER(this->tcp.get()), where.get(), G_SOCKET_TYPE_STREAM,
+													   G_SOCKET_PROTOCOL_TCP, nullptr, nullptr, error.Out()) != FALSE;
 	if (!listens)
 		return FailFalse(EError::BadConfig, "peers: " + this->address.Text() + ": " + error.Text());
 	g_signal_connect(this->tcp.get(), "incoming", G_CALLBACK(&PeerLink::OnIncoming), this);
@@ -243,7 +247,9 @@
 void PeerLink::Reject()
 {
 	this->metrics.Count(ECounter::PeerRejects, AnswerOf(LastReason().kind).name);
-	LogEvent(ELogLevel::Warning, "peer_message_refused").Field("reason", AnswerOf(LastReason().kind).name).Field("detail", LastReason().detail);
+	LogEvent(ELogLevel::Warning, "peer_message_refused")
+		.Field("reason", AnswerOf(LastReason().kind).name)
+		.Field("detail", LastReason().detail);
 }
 
 gboolean PeerLink::OnDatagram(GSocket *inSocket, GIOCondition, gpointer inSelf)
@@ -309,8 +315,8 @@
 	question->timeout = g_timeout_add(static_cast<guint>(inTimeout), &Question::OnTimeout, question.get());
 	this->metrics.Count(ECounter::PeerBytes, "tcp-out", question->sealed.size());
 	const ObjectPtr<GSocketAddress> where = SocketAddress(inTo);
-	g_socket_client_connect_async(question->client.get(), G_SOCKET_CONNECTABLE(where.get()), question->cancellable.get(), &Question::OnConnected,
-								  new std::shared_ptr<Question>(question));
+	g_socket_client_connect_async(question->client.get(), G_SOCKET_CONNECTABLE(where.get()), question->cancellable.get(),
+								  &Question::OnConnected, new std::shared_ptr<Question>(question));
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/Proposer.cpp
+++ b/Loomreach/Entry/Proposer.cpp
@@ -51,15 +51,17 @@
 	std::optional<std::string> batch = this->queue.Take(now);
 	if (!batch.has_value())
 		return;
-	this->platform.Append(cRecordStream, std::move(*batch), [this](std::optional<LogOffset> inOffset) {
-		this->metrics.Count(ECounter::PlatformCalls, inOffset.has_value() ? "append-ok" : "append-failed");
-		if (inOffset.has_value())
-			this->queue.OnAppended();
-		else
-			this->queue.OnFailed(NowMillis());
-		this->follower.Poll();
-		this->Pump();
-	});
+	this->platform.Append(cRecordStream, std::move(*batch),
+						  [this](std::optional<LogOffset> inOffset)
+						  {
+							  this->metrics.Count(ECounter::PlatformCalls, inOffset.has_value() ? "append-ok" : "append-failed");
+							  if (inOffset.has_value())
+								  this->queue.OnAppended();
+							  else
+								  this->queue.OnFailed(NowMillis());
+							  this->follower.Poll();
+							  this->Pump();
+						  });
 }
 
 void Proposer::OnAdopted(const FleetState &inState)
--- a/Loomreach/Entry/Relay.cpp
+++ b/Loomreach/Entry/Relay.cpp
@@ -45,17 +45,21 @@
 		this->CopyRequest(from);
 		this->cancellable.reset(g_cancellable_new());
 		const Millis left = this->exchange->spec.deadline - NowMillis();
-		this->deadline.Once(left, [self = this->weak_from_this()] {
-			if (const std::shared_ptr<Attempt> attempt = self.lock())
-				attempt->Expire();
-		});
-		this->connecting.Once(std::min(left, this->relay->connect_timeout), [self = this->weak_from_this()] {
-			if (const std::shared_ptr<Attempt> attempt = self.lock())
-				attempt->GiveUpConnecting();
-		});
+		this->deadline.Once(left,
+							[self = this->weak_from_this()]
+							{
+								if (const std::shared_ptr<Attempt> attempt = self.lock())
+									attempt->Expire();
+							});
+		this->connecting.Once(std::min(left, this->relay->connect_timeout),
+							  [self = this->weak_from_this()]
+							  {
+								  if (const std::shared_ptr<Attempt> attempt = self.lock())
+									  attempt->GiveUpConnecting();
+							  });
 		g_signal_connect(this->message.get(), "starting", G_CALLBACK(&Attempt::OnStarting), this);
-		soup_session_send_async(this->relay->session.get(), this->message.get(), G_PRIORITY_DEFAULT, this->cancellable.get(), &Attempt::OnHead,
-								new std::shared_ptr<Attempt>(this->shared_from_this()));
+		soup_session_send_async(this->relay->session.get(), this->message.get(), G_PRIORITY_DEFAULT, this->cancellable.get(),
+								&Attempt::OnHead, new std::shared_ptr<Attempt>(this->shared_from_this()));
 	}
 
 	void Expire()
@@ -82,8 +86,8 @@
 
 	void CopyRequest(SoupServerMessage *inFrom)
 	{
-		static constexpr std::array<std::string_view, 9> cNotCopied = {"host", "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te",
-																		"expect", "loomreach-service"};
+		static constexpr std::array<std::string_view, 9> cNotCopied = {
+			"host", "connection", "keep-alive", "transfer-encoding", "content-length", "upgrade", "te", "expect", "loomreach-service"};
 		SoupMessageHeaders *to = soup_message_get_request_headers(this->message.get());
 		SoupMessageHeadersIter iterator;
 		const char *name = nullptr;
@@ -95,7 +99,8 @@
 			if (std::find(cNotCopied.begin(), cNotCopied.end(), std::string_view(lower.get())) == cNotCopied.end())
 				soup_message_headers_append(to, name, value);
 		}
-		soup_message_headers_replace(to, this->is_forward ? cHeaderForwarded : cHeaderService, this->is_forward ? "yes" : this->exchange->service.c_str());
+		soup_message_headers_replace(to, this->is_forward ? cHeaderForwarded : cHeaderService,
+									 this->is_forward ? "yes" : this->exchange->service.c_str());
 		SoupMessageBody *body = soup_server_message_get_request_body(inFrom);
 		if (body->length > 0)
 		{
@@ -103,7 +108,8 @@
 			soup_message_set_request_body_from_bytes(this->message.get(), nullptr, bytes);
 			g_bytes_unref(bytes);
 		}
-		// libsoup itself sends a request again when a reused connection turns out closed; one that may not be repeated gets a new connection
+		// libsoup itself sends a request again when a reused connection turns out closed; one that may not be repeated gets a new
+		// connection
 		const bool repeatable = this->exchange->spec.repeatable && !this->is_forward;
 		soup_message_add_flags(this->message.get(), repeatable ? SOUP_MESSAGE_IDEMPOTENT : SOUP_MESSAGE_NEW_CONNECTION);
 		soup_message_add_flags(this->message.get(), SOUP_MESSAGE_NO_REDIRECT);
@@ -185,7 +191,8 @@
 		this->streaming = true;
 		SoupMessageHeaders *headers = soup_message_get_response_headers(this->message.get());
 		const bool has_length = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
-		this->exchange->BeginStream(soup_message_get_status(this->message.get()), headers, has_length ? soup_message_headers_get_content_length(headers) : -1);
+		this->exchange->BeginStream(soup_message_get_status(this->message.get()), headers,
+									has_length ? soup_message_headers_get_content_length(headers) : -1);
 		GBytes *bytes = g_bytes_new(this->buffer.data(), this->buffer.size());
 		this->buffer.clear();
 		this->SendPiece(bytes);
@@ -245,8 +252,8 @@
 
 Relay::Relay(Dispatcher &ioDispatcher, IdWindow &ioIds, Metrics &ioMetrics, Millis inConnectTimeout)
 	: dispatcher(ioDispatcher), ids(ioIds), metrics(ioMetrics), connect_timeout(inConnectTimeout),
-	  session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", cMaxConnectionsPerHost, "idle-timeout", cIdleTimeoutS,
-											"timeout", 0U, nullptr))
+	  session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", cMaxConnectionsPerHost, "idle-timeout",
+											cIdleTimeoutS, "timeout", 0U, nullptr))
 {
 	soup_session_remove_feature_by_type(this->session.get(), SOUP_TYPE_CONTENT_DECODER);
 }
--- a/Loomreach/Entry/StateReport.cpp
+++ b/Loomreach/Entry/StateReport.cpp
@@ -37,7 +37,8 @@
 		auto counts = inState.pool_counts.find(path);
 		const PoolCounts hosts = counts == inState.pool_counts.end() ? PoolCounts() : counts->second;
 		const Buffer buffer = ReckonBuffer(inState, pool, {});
-		const std::string promise = pool.buffer_percent >= 0 ? "the share that the settings state" : "the loss of its largest rack during a wave";
+		const std::string promise =
+			pool.buffer_percent >= 0 ? "the share that the settings state" : "the loss of its largest rack during a wave";
 		auto held = inHeldBy.find(path);
 		rows.push_back({{"path", path},
 						{"hosts", hosts.hosts},
@@ -60,8 +61,10 @@
 	for (const auto &[path, job] : inState.jobs)
 	{
 		Json replicas = Json::array();
-		for (auto placement = inState.placements.lower_bound({path, 0}); placement != inState.placements.end() && placement->first.job == path; ++placement)
-			replicas.push_back({{"index", placement->first.index}, {"host", placement->second.host}, {"generation", placement->second.generation}});
+		for (auto placement = inState.placements.lower_bound({path, 0});
+			 placement != inState.placements.end() && placement->first.job == path; ++placement)
+			replicas.push_back(
+				{{"index", placement->first.index}, {"host", placement->second.host}, {"generation", placement->second.generation}});
 		auto history = inState.history.find(path);
 		rows.push_back({{"path", path},
 						{"kind", job.is_service ? "service" : "batch"},
@@ -87,7 +90,8 @@
 		if (entry.replica.job == inJob)
 			sentences.push_back({{"replica", entry.replica.index}, {"why", ExplainUnplaced(inState, entry)}});
 	size_t placed = 0;
-	for (auto placement = inState.placements.lower_bound({inJob, 0}); placement != inState.placements.end() && placement->first.job == inJob; ++placement)
+	for (auto placement = inState.placements.lower_bound({inJob, 0});
+		 placement != inState.placements.end() && placement->first.job == inJob; ++placement)
 		++placed;
 	const std::string summary = std::to_string(placed) + " of " + std::to_string(job->second.replicas) + " replicas are placed.";
 	return {{"path", inJob}, {"why", summary}, {"replicas", std::move(sentences)}};
@@ -131,7 +135,8 @@
 	if (inHost.health == EHostHealth::Failed)
 		return "It does not answer. It may be at work behind a cut, so it is not taken out.";
 	if (inHost.IsAvailable() && !inState.HasRoomInBudget(inHost.pool))
-		return "It cannot leave: " + inHost.pool + " must keep " + std::to_string(inState.RequiredAvailable(inHost.pool)) + " hosts available.";
+		return "It cannot leave: " + inHost.pool + " must keep " + std::to_string(inState.RequiredAvailable(inHost.pool)) +
+			   " hosts available.";
 	return "It may leave.";
 }
 
--- a/Loomreach/Entry/WorkerPoller.cpp
+++ b/Loomreach/Entry/WorkerPoller.cpp
@@ -82,12 +82,14 @@
 
 void WorkerPoller::ReadHosts()
 {
-	this->platform.ReadHosts([this](std::optional<std::map<std::string, ListedHost>> inHosts) {
-		if (!inHosts.has_value())
-			return;
-		this->seen.listed = std::move(*inHosts);
-		this->list_read = NowMillis();
-	});
+	this->platform.ReadHosts(
+		[this](std::optional<std::map<std::string, ListedHost>> inHosts)
+		{
+			if (!inHosts.has_value())
+				return;
+			this->seen.listed = std::move(*inHosts);
+			this->list_read = NowMillis();
+		});
 }
 
 } // namespace Loomreach
--- a/Loomreach/Fleet/HostKeeper.cpp
+++ b/Loomreach/Fleet/HostKeeper.cpp
@@ -122,8 +122,8 @@
 		if (task.state == ETaskState::Running)
 			continue;
 		auto placement = this->state.placements.find(task.replica);
-		const bool is_present =
-			placement != this->state.placements.end() && placement->second.host == inHost.spec.name && placement->second.generation == task.generation;
+		const bool is_present = placement != this->state.placements.end() && placement->second.host == inHost.spec.name &&
+								placement->second.generation == task.generation;
 		// The end of an older generation's task is no end of the replica
 		if (!is_present)
 			continue;
--- a/Loomreach/Fleet/HostKeeper.h
+++ b/Loomreach/Fleet/HostKeeper.h
@@ -28,7 +28,8 @@
 	{
 	}
 
-	/// Proposals for one host. `inAcknowledged`: every member that routes to it has taken note of its drain and has nothing in flight to it.
+	/// Proposals for one host. `inAcknowledged`: every member that routes to it has taken note of its drain and has nothing in flight to
+	/// it.
 	std::vector<ProposalBody> Decide(const Host &inHost, bool inAcknowledged) const;
 	/// Hosts on the list that are not known yet.
 	std::vector<ProposalBody> AddListed() const;
--- a/Loomreach/Fleet/Observations.h
+++ b/Loomreach/Fleet/Observations.h
@@ -41,7 +41,7 @@
 	uint64 boot = 0;                   ///< Changes with each reboot.
 	bool leaving = false;              ///< Its own sign that it takes no new work.
 	uint32 in_flight = 0;              ///< Requests and tasks that it has not ended.
-	Millis quiet_since = 0;            ///< Since when it has answered, begin-nothing orders in force, that nothing is in flight; 0: not quiet.
+	Millis quiet_since = 0; ///< Since when it has answered, begin-nothing orders in force, that nothing is in flight; 0: not quiet.
 	std::vector<TaskReport> tasks;
 };
 
--- a/Loomreach/Fleet/PlacementPlanner.cpp
+++ b/Loomreach/Fleet/PlacementPlanner.cpp
@@ -7,7 +7,8 @@
 namespace Loomreach
 {
 
-HostScore WeightedPlacement::Adjust(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree, HostScore inScore)
+HostScore WeightedPlacement::Adjust(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree,
+									HostScore inScore)
 {
 	for (const auto &[name, wave] : inState.waves)
 	{
@@ -29,8 +30,8 @@
 	if (found == inState.jobs.end())
 		return "The settings declare no such job.";
 	const JobSpec &job = found->second;
-	const std::string size = std::to_string(job.need.cpu_milli) + " thousandths of a core, " + std::to_string(job.need.memory_mb) + " MB and " +
-							 std::to_string(job.need.accelerators) + " accelerators";
+	const std::string size = std::to_string(job.need.cpu_milli) + " thousandths of a core, " + std::to_string(job.need.memory_mb) +
+							 " MB and " + std::to_string(job.need.accelerators) + " accelerators";
 	switch (inUnplaced.why)
 	{
 	case EUnplaced::NeverFits: return "It can never run: no host of " + job.pool + " has " + size + ", even empty.";
@@ -38,8 +39,10 @@
 	case EUnplaced::QuotaFull: return "Team " + job.team + "'s quota is taken by its other replicas.";
 	case EUnplaced::NoHosts: return "Pool " + job.pool + " has no available host.";
 	case EUnplaced::NoRoom:
-		return "Every host of " + job.pool + " that could hold " + size + " is full with work of priority " + std::to_string(job.priority) + " or higher.";
-	case EUnplaced::AwaitsHosts: return "It waits a moment for hosts of " + job.pool + " that are coming up, rather than share a host with another replica.";
+		return "Every host of " + job.pool + " that could hold " + size + " is full with work of priority " + std::to_string(job.priority) +
+			   " or higher.";
+	case EUnplaced::AwaitsHosts:
+		return "It waits a moment for hosts of " + job.pool + " that are coming up, rather than share a host with another replica.";
 	case EUnplaced::BackingOff: return "It failed on many hosts and waits before it is tried again.";
 	}
 	return {};
--- a/Loomreach/Fleet/PlacementPlanner.h
+++ b/Loomreach/Fleet/PlacementPlanner.h
@@ -11,13 +11,13 @@
 /// Why a replica is not placed.
 enum class EUnplaced : uint8
 {
-	NoRoom,         ///< Every host that could hold it is full with work of its priority or higher.
-	NeverFits,      ///< No host of the pool is large enough, even empty.
-	QuotaTooSmall,  ///< The team's quota is smaller than one replica.
-	QuotaFull,      ///< The team's quota is taken by its other replicas.
-	NoHosts,        ///< The pool has no available host.
-	AwaitsHosts,    ///< It would share a host with another replica of its job while hosts of the pool are just coming up.
-	BackingOff      ///< It failed on many hosts and waits.
+	NoRoom,        ///< Every host that could hold it is full with work of its priority or higher.
+	NeverFits,     ///< No host of the pool is large enough, even empty.
+	QuotaTooSmall, ///< The team's quota is smaller than one replica.
+	QuotaFull,     ///< The team's quota is taken by its other replicas.
+	NoHosts,       ///< The pool has no available host.
+	AwaitsHosts,   ///< It would share a host with another replica of its job while hosts of the pool are just coming up.
+	BackingOff     ///< It failed on many hosts and waits.
 };
 
 /// One replica that is not placed, and why.
@@ -42,26 +42,31 @@
 /// Order in which hosts that could hold a replica are tried; a policy for BasicPlacementPlanner.
 struct HostScore
 {
-	int64 blamed = 0;       ///< The job failed on it before.
-	int64 host_mates = 0;   ///< Replicas of the same job on the host: they would share its slots.
-	int64 rack_mates = 0;   ///< Replicas of the same job in the rack.
-	int64 zone_mates = 0;   ///< Replicas of the same job in the availability zone.
-	int64 will_leave = 0;   ///< A running wave has yet to take it out: a replica put there moves again.
-	int64 idle_cost = 0;    ///< Policy's own: less is better.
+	int64 blamed = 0;     ///< The job failed on it before.
+	int64 host_mates = 0; ///< Replicas of the same job on the host: they would share its slots.
+	int64 rack_mates = 0; ///< Replicas of the same job in the rack.
+	int64 zone_mates = 0; ///< Replicas of the same job in the availability zone.
+	int64 will_leave = 0; ///< A running wave has yet to take it out: a replica put there moves again.
+	int64 idle_cost = 0;  ///< Policy's own: less is better.
 
 	auto operator<=>(const HostScore &) const = default;
 };
 
 /// What varies between placement policies: how a candidate host is scored.
 template <class P>
-concept PlacementPolicy = requires(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree, HostScore inScore) {
-	{ P::Adjust(inState, inPool, inHost, inFree, inScore) } -> std::same_as<HostScore>;
+concept PlacementPolicy = requires(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree,
+								   HostScore inScore)
+{
+	{
+		P::Adjust(inState, inPool, inHost, inFree, inScore)
+		} -> std::same_as<HostScore>;
 };
 
 /// The policy in use: spread first, then away from hosts that a wave will take; the pool's weights choose between packing and levelling.
 struct WeightedPlacement
 {
-	static HostScore Adjust(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree, HostScore inScore);
+	static HostScore Adjust(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree,
+							HostScore inScore);
 };
 
 /// Baseline for measurements: the first host in order of names that has room.
--- a/Loomreach/Fleet/PlacementPlanner.inl
+++ b/Loomreach/Fleet/PlacementPlanner.inl
@@ -176,13 +176,15 @@
 		if (placement.priority < inWanted.job->priority && this->stopped.count(replica) == 0)
 			lower.emplace_back(replica, &placement);
 	}
-	std::sort(lower.begin(), lower.end(), [](const auto &inA, const auto &inB) {
-		if (inA.second->priority != inB.second->priority)
-			return inA.second->priority < inB.second->priority;
-		if (inA.second->need.cpu_milli != inB.second->need.cpu_milli)
-			return inA.second->need.cpu_milli > inB.second->need.cpu_milli;
-		return inA.first < inB.first;
-	});
+	std::sort(lower.begin(), lower.end(),
+			  [](const auto &inA, const auto &inB)
+			  {
+				  if (inA.second->priority != inB.second->priority)
+					  return inA.second->priority < inB.second->priority;
+				  if (inA.second->need.cpu_milli != inB.second->need.cpu_milli)
+					  return inA.second->need.cpu_milli > inB.second->need.cpu_milli;
+				  return inA.first < inB.first;
+			  });
 	Resources room = inCandidate.free;
 	std::vector<ReplicaKey> victims;
 	for (const auto &[replica, placement] : lower)
@@ -261,7 +263,8 @@
 		return false;
 	for (const auto &[name, host] : this->state.hosts)
 	{
-		const bool comes_up = host.pool == this->pool && host.phase == EHostPhase::Active && host.health == EHostHealth::Unknown && !host.quarantined;
+		const bool comes_up =
+			host.pool == this->pool && host.phase == EHostPhase::Active && host.health == EHostHealth::Unknown && !host.quarantined;
 		if (comes_up && inWanted.job->need.FitIn(host.Free()))
 			return true;
 	}
--- a/Loomreach/Fleet/WavePlanner.h
+++ b/Loomreach/Fleet/WavePlanner.h
@@ -19,10 +19,17 @@
 
 /// What varies between policies: how many hosts may leave at once, and whether the spare capacity is reckoned.
 template <class P>
-concept WavePolicy = requires(const FleetState &inState, const PoolSpec &inPool, uint32 inOut) {
-	{ P::MayTake(inState, inPool, inOut) } -> std::same_as<uint32>;
-	{ P::cChecksRoom } -> std::convertible_to<bool>;
-	{ P::cFewestReplicasFirst } -> std::convertible_to<bool>;
+concept WavePolicy = requires(const FleetState &inState, const PoolSpec &inPool, uint32 inOut)
+{
+	{
+		P::MayTake(inState, inPool, inOut)
+		} -> std::same_as<uint32>;
+	{
+		P::cChecksRoom
+		} -> std::convertible_to<bool>;
+	{
+		P::cFewestReplicasFirst
+		} -> std::convertible_to<bool>;
 };
 
 /// The policy in use: as many as the budget and the width allow, the emptiest first, as long as their replicas find room
@@ -53,10 +60,10 @@
 /// Spare capacity of a pool, as `pool show` and the planner reckon it. Processor time in thousandths of a core.
 struct Buffer
 {
-	int64 capacity = 0;   ///< Of available hosts.
-	int64 firm = 0;       ///< Held by replicas that may not be displaced for the buffer (services).
-	int64 soft = 0;       ///< Held by batch replicas, which give way first.
-	int64 wanted = 0;     ///< To be spare: the largest rack's firm load, or the stated share of the capacity.
+	int64 capacity = 0; ///< Of available hosts.
+	int64 firm = 0;     ///< Held by replicas that may not be displaced for the buffer (services).
+	int64 soft = 0;     ///< Held by batch replicas, which give way first.
+	int64 wanted = 0;   ///< To be spare: the largest rack's firm load, or the stated share of the capacity.
 	int64 Spare() const { return this->capacity - this->firm; }
 };
 
--- a/Loomreach/Fleet/WavePlanner.inl
+++ b/Loomreach/Fleet/WavePlanner.inl
@@ -87,7 +87,8 @@
 	{
 		if (missing == 0)
 			return;
-		this->plan.proposals.emplace_back(StepHost{host->spec.name, EHostStep::Undrain, host->generation, host->wave, "failures used up the budget"});
+		this->plan.proposals.emplace_back(
+			StepHost{host->spec.name, EHostStep::Undrain, host->generation, host->wave, "failures used up the budget"});
 		++this->plan.taken_back;
 		--missing;
 	}
@@ -113,10 +114,13 @@
 	if (P::cFewestReplicasFirst)
 	{
 		// Hosts that already count as unavailable leave for nothing; then the emptiest
-		std::stable_sort(pending.begin(), pending.end(), [](const auto &inA, const auto &inB) {
-			const auto key = [](const Host *inHost) { return std::pair(inHost->IsAvailable() ? 1 : 0, inHost->replicas.size()); };
-			return key(inA.first) < key(inB.first);
-		});
+		std::stable_sort(pending.begin(), pending.end(),
+						 [](const auto &inA, const auto &inB)
+						 {
+							 const auto key = [](const Host *inHost)
+							 { return std::pair(inHost->IsAvailable() ? 1 : 0, inHost->replicas.size()); };
+							 return key(inA.first) < key(inB.first);
+						 });
 	}
 	return pending;
 }
--- a/Loomreach/Member/PeerMessages.h
+++ b/Loomreach/Member/PeerMessages.h
@@ -55,8 +55,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->name, this->incarnation, this->sequence, this->availability_zone, this->peers, this->next_offset, this->reaches_platform,
-				  this->zone_reaches_platform, this->stopping, this->busy_hosts, this->leaving_hosts, this->demands,
+		ioArchive(this->name, this->incarnation, this->sequence, this->availability_zone, this->peers, this->next_offset,
+				  this->reaches_platform, this->zone_reaches_platform, this->stopping, this->busy_hosts, this->leaving_hosts, this->demands,
 				  this->zone_members);
 	}
 };
--- a/Loomreach/Member/PeerTracker.cpp
+++ b/Loomreach/Member/PeerTracker.cpp
@@ -20,7 +20,8 @@
 	auto peer = this->peers.find(inDigest.name);
 	// While another incarnation of the same name is heard, datagrams of one that was heard before are late or replayed
 	const bool is_new_incarnation = known == this->sequences.end();
-	const bool other_lives = peer != this->peers.end() && peer->second.digest.incarnation != inDigest.incarnation && inNow - peer->second.heard < this->suspect_after;
+	const bool other_lives = peer != this->peers.end() && peer->second.digest.incarnation != inDigest.incarnation &&
+							 inNow - peer->second.heard < this->suspect_after;
 	if (!is_new_incarnation && other_lives)
 		return FailFalse(EError::Replayed, "an earlier incarnation of " + inDigest.name);
 	if (is_new_incarnation)
@@ -120,8 +121,8 @@
 	return false;
 }
 
-StewardPicker::StewardPicker(const View &inView, const PeerTracker &inTracker, const std::string &inSelf, bool inSelfReachesPlatform, bool inSelfStopping,
-							 Millis inNow)
+StewardPicker::StewardPicker(const View &inView, const PeerTracker &inTracker, const std::string &inSelf, bool inSelfReachesPlatform,
+							 bool inSelfStopping, Millis inNow)
 	: self(inSelf)
 {
 	auto own = inView.members.find(inSelf);
--- a/Loomreach/Member/PeerTracker.h
+++ b/Loomreach/Member/PeerTracker.h
@@ -19,7 +19,10 @@
 class PeerTracker
 {
 public:
-	PeerTracker(std::string inSelf, std::string inZone, Millis inSuspectAfter) : self(std::move(inSelf)), zone(std::move(inZone)), suspect_after(inSuspectAfter) {}
+	PeerTracker(std::string inSelf, std::string inZone, Millis inSuspectAfter)
+		: self(std::move(inSelf)), zone(std::move(inZone)), suspect_after(inSuspectAfter)
+	{
+	}
 
 	/// Takes a digest. False, with replayed, for one that is not newer than the last of its incarnation.
 	bool Hear(Digest inDigest, Millis inNow);
@@ -75,7 +78,8 @@
 {
 public:
 	/// `inSelfStopping`: a planned stop has begun, so this entry host picks itself for nothing.
-	StewardPicker(const View &inView, const PeerTracker &inTracker, const std::string &inSelf, bool inSelfReachesPlatform, bool inSelfStopping, Millis inNow);
+	StewardPicker(const View &inView, const PeerTracker &inTracker, const std::string &inSelf, bool inSelfReachesPlatform,
+				  bool inSelfStopping, Millis inNow);
 	/// Whether this entry host is the steward of a key, over all availability zones.
 	bool IsMine(std::string_view inKey) const;
 	/// Whether this entry host is the steward of a key that belongs to an availability zone; another zone's member when that zone has none.
@@ -86,8 +90,8 @@
 private:
 	std::string self;
 	std::string self_zone;
-	std::vector<std::string> zones;         ///< Zones with a live member that reaches the platform.
-	std::vector<std::string> zone_members;  ///< Live members of the own zone that reach the platform.
+	std::vector<std::string> zones;        ///< Zones with a live member that reaches the platform.
+	std::vector<std::string> zone_members; ///< Live members of the own zone that reach the platform.
 	std::set<std::string> silent_zones;
 	bool counts = false; ///< This entry host is itself a candidate.
 };
--- a/Loomreach/Member/ViewPlanner.cpp
+++ b/Loomreach/Member/ViewPlanner.cpp
@@ -15,7 +15,8 @@
 	// incarnation before the view's proves nothing: this entry host may have been cut off from the newer one
 	const Peer *peer = inInputs.tracker.Find(inMember.name);
 	const std::optional<Millis> own_last = inInputs.tracker.IncarnationLastHeard(inMember.incarnation);
-	const bool followed = peer != nullptr && peer->digest.incarnation != inMember.incarnation && inInputs.tracker.IsLive(inMember.name, inInputs.now);
+	const bool followed =
+		peer != nullptr && peer->digest.incarnation != inMember.incarnation && inInputs.tracker.IsLive(inMember.name, inInputs.now);
 	if (followed && own_last.has_value() && inInputs.now - *own_last >= inInputs.suspect_after)
 		return true;
 	const bool same_zone = inMember.availability_zone == inInputs.self.availability_zone;
@@ -31,11 +32,13 @@
 {
 	for (const std::set<std::string> &holders : inState.claim_holders)
 	{
-		const bool survives = std::any_of(inMembers.begin(), inMembers.end(), [&](const Member &inMember) {
-			if (holders.count(inMember.name) == 0)
-				return false;
-			return inState.view.members.find(inMember.name)->second.incarnation == inMember.incarnation;
-		});
+		const bool survives = std::any_of(inMembers.begin(), inMembers.end(),
+										  [&](const Member &inMember)
+										  {
+											  if (holders.count(inMember.name) == 0)
+												  return false;
+											  return inState.view.members.find(inMember.name)->second.incarnation == inMember.incarnation;
+										  });
 		if (!survives)
 			return true;
 	}
--- a/Loomreach/Platform/PlatformClient.cpp
+++ b/Loomreach/Platform/PlatformClient.cpp
@@ -106,10 +106,12 @@
 	call.body = std::move(inBytes);
 	call.content_type = "application/octet-stream";
 	call.timeout_ms = cAppendTimeoutMs;
-	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult) {
-		const Json body = inResult.IsOk() ? Json::parse(inResult.body, nullptr, false) : Json();
-		done(body.is_object() ? UnsignedOf(body, "offset") : std::nullopt);
-	});
+	this->http.Start(call,
+					 [done = std::move(inDone)](const HttpResult &inResult)
+					 {
+						 const Json body = inResult.IsOk() ? Json::parse(inResult.body, nullptr, false) : Json();
+						 done(body.is_object() ? UnsignedOf(body, "offset") : std::nullopt);
+					 });
 }
 
 void PlatformClient::Read(std::string_view inStream, LogOffset inFrom, uint32 inMax, std::function<void(std::optional<LogPage>)> inDone)
@@ -118,9 +120,8 @@
 	call.to = this->platform;
 	call.path = "/log/" + std::string(inStream) + "?from=" + std::to_string(inFrom) + "&max=" + std::to_string(inMax);
 	call.timeout_ms = cReadTimeoutMs;
-	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult) {
-		done(inResult.IsOk() ? ParseLogPage(inResult.body) : std::nullopt);
-	});
+	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult)
+					 { done(inResult.IsOk() ? ParseLogPage(inResult.body) : std::nullopt); });
 }
 
 void PlatformClient::ReadHosts(std::function<void(std::optional<std::map<std::string, ListedHost>>)> inDone)
@@ -129,9 +130,8 @@
 	call.to = this->platform;
 	call.path = "/hosts";
 	call.timeout_ms = cReadTimeoutMs;
-	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult) {
-		done(inResult.IsOk() ? ParseHostList(inResult.body) : std::nullopt);
-	});
+	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult)
+					 { done(inResult.IsOk() ? ParseHostList(inResult.body) : std::nullopt); });
 }
 
 void PlatformClient::Reboot(const std::string &inHost, uint64 inBoot, std::function<void(bool)> inDone)
--- a/Loomreach/Platform/WorkerClient.cpp
+++ b/Loomreach/Platform/WorkerClient.cpp
@@ -48,8 +48,8 @@
 	status.leaving = body.value("leaving", Json(false)) == Json(true);
 	for (const Json &element : body["tasks"])
 	{
-		const bool whole = element.is_object() && element.value("replica", Json()).is_string() && element.value("state", Json()).is_string() &&
-						   element.value("generation", Json()).is_number_unsigned();
+		const bool whole = element.is_object() && element.value("replica", Json()).is_string() &&
+						   element.value("state", Json()).is_string() && element.value("generation", Json()).is_number_unsigned();
 		std::optional<ReplicaKey> replica = whole ? ParseReplica(element["replica"].get<std::string>()) : std::nullopt;
 		if (!replica.has_value())
 			return Fail(EError::Corrupt, "a task lacks replica, generation or state");
@@ -62,7 +62,8 @@
 	return status;
 }
 
-void WorkerClient::Send(const Address &inWorker, const WorkerOrder &inOrder, Millis inTimeout, std::function<void(std::optional<WorkerStatus>)> inDone)
+void WorkerClient::Send(const Address &inWorker, const WorkerOrder &inOrder, Millis inTimeout,
+						std::function<void(std::optional<WorkerStatus>)> inDone)
 {
 	Json tasks = Json::array();
 	for (const WantedTask &task : inOrder.tasks)
@@ -73,16 +74,16 @@
 						 {"service", task.is_service ? service : std::string()},
 						 {"run_time_s", task.run_time_s}});
 	}
-	const Json order = {{"state_offset", inOrder.state_offset}, {"lease_ms", inOrder.lease_ms}, {"accepts", inOrder.accepts}, {"tasks", std::move(tasks)}};
+	const Json order = {
+		{"state_offset", inOrder.state_offset}, {"lease_ms", inOrder.lease_ms}, {"accepts", inOrder.accepts}, {"tasks", std::move(tasks)}};
 	HttpCall call;
 	call.method = "PUT";
 	call.to = inWorker;
 	call.path = "/agent/order";
 	call.body = order.dump();
 	call.timeout_ms = inTimeout;
-	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult) {
-		done(inResult.IsOk() ? ParseWorkerStatus(inResult.body) : std::nullopt);
-	});
+	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult)
+					 { done(inResult.IsOk() ? ParseWorkerStatus(inResult.body) : std::nullopt); });
 }
 
 } // namespace Loomreach
--- a/Loomreach/Platform/WorkerClient.h
+++ b/Loomreach/Platform/WorkerClient.h
@@ -40,7 +40,8 @@
 class WorkerClient
 {
 public:
-	void Send(const Address &inWorker, const WorkerOrder &inOrder, Millis inTimeout, std::function<void(std::optional<WorkerStatus>)> inDone);
+	void Send(const Address &inWorker, const WorkerOrder &inOrder, Millis inTimeout,
+			  std::function<void(std::optional<WorkerStatus>)> inDone);
 
 private:
 	HttpClient http;
--- a/Loomreach/Request/ClaimTable.cpp
+++ b/Loomreach/Request/ClaimTable.cpp
@@ -44,7 +44,8 @@
 	}
 }
 
-EClaim ClaimTable::Answer(const std::string &inId, uint32 inRange, uint64 inOwner, uint64 inView, bool inLeaseHolds, Millis inNow, uint64 &outHolder)
+EClaim ClaimTable::Answer(const std::string &inId, uint32 inRange, uint64 inOwner, uint64 inView, bool inLeaseHolds, Millis inNow,
+						  uint64 &outHolder)
 {
 	this->Expire(inNow);
 	if (inView != this->view)
--- a/Loomreach/Request/ClaimTable.h
+++ b/Loomreach/Request/ClaimTable.h
@@ -45,8 +45,10 @@
 	/// The view that the table is at.
 	uint64 ViewNumber() const { return this->view; }
 	/// Answers a claim of `inOwner` made under `inView`. With Taken, `outHolder` is the other incarnation.
-	EClaim Answer(const std::string &inId, uint32 inRange, uint64 inOwner, uint64 inView, bool inLeaseHolds, Millis inNow, uint64 &outHolder);
-	/// All claims of a range, for a member that takes over; nothing unless this member holds the range and is at the view asked for or a later one.
+	EClaim Answer(const std::string &inId, uint32 inRange, uint64 inOwner, uint64 inView, bool inLeaseHolds, Millis inNow,
+				  uint64 &outHolder);
+	/// All claims of a range, for a member that takes over; nothing unless this member holds the range and is at the view asked for or a
+	/// later one.
 	std::optional<std::vector<Claim>> HandOver(uint32 inRange, uint64 inView) const;
 	/// Takes over claims that a holder has handed over.
 	void TakeIn(uint32 inRange, const std::vector<Claim> &inClaims, Millis inNow);
--- a/Loomreach/Request/Dispatcher.cpp
+++ b/Loomreach/Request/Dispatcher.cpp
@@ -30,7 +30,8 @@
 
 std::string_view NameOfRetry(ERetry inRetry) { return NameOf(cRetryNames, inRetry); }
 
-void Dispatcher::Update(const FleetState &inState, const std::set<std::string> &inLeaving, Millis inNow, std::vector<Decision> &outDecisions)
+void Dispatcher::Update(const FleetState &inState, const std::set<std::string> &inLeaving, Millis inNow,
+						std::vector<Decision> &outDecisions)
 {
 	this->endpoints.Update(inState, inLeaving);
 	for (const auto &[path, job] : inState.jobs)
@@ -50,11 +51,13 @@
 				orphans.push_back(id);
 	for (RequestId id : orphans)
 		this->Refuse(id, EError::NoSuchService, outDecisions);
-	std::erase_if(this->queues, [&inState](const auto &inEntry) {
-		auto job = inState.jobs.find(inEntry.first);
-		const bool declared = job != inState.jobs.end() && job->second.is_service;
-		return !declared && inEntry.second.waiting.empty() && inEntry.second.in_flight == 0;
-	});
+	std::erase_if(this->queues,
+				  [&inState](const auto &inEntry)
+				  {
+					  auto job = inState.jobs.find(inEntry.first);
+					  const bool declared = job != inState.jobs.end() && job->second.is_service;
+					  return !declared && inEntry.second.waiting.empty() && inEntry.second.in_flight == 0;
+				  });
 	this->StartAll(inNow, outDecisions);
 }
 
--- a/Loomreach/Request/Dispatcher.h
+++ b/Loomreach/Request/Dispatcher.h
@@ -111,9 +111,9 @@
 	{
 		ServicePolicy policy;
 		std::map<std::pair<int64, uint64>, RequestId> waiting;
-		double credit = 0.0;         ///< Starts owed to it by its queue share.
+		double credit = 0.0; ///< Starts owed to it by its queue share.
 		double retry_tokens = 0.0;
-		double starts_per_s = 0.0;   ///< Smoothed rate at which it empties.
+		double starts_per_s = 0.0; ///< Smoothed rate at which it empties.
 		Millis rate_since = 0;
 		uint32 rate_starts = 0;
 		uint32 in_flight = 0;
--- a/Loomreach/Request/EndpointTable.cpp
+++ b/Loomreach/Request/EndpointTable.cpp
@@ -82,7 +82,8 @@
 	return hosts == this->by_job.end() ? 0 : static_cast<uint32>(hosts->second.size());
 }
 
-Endpoint *EndpointTable::Choose(const std::string &inJob, bool inLong, const std::string &inZone, const std::set<std::string> &inTried, Millis inNow)
+Endpoint *EndpointTable::Choose(const std::string &inJob, bool inLong, const std::string &inZone, const std::set<std::string> &inTried,
+								Millis inNow)
 {
 	auto hosts = this->by_job.find(inJob);
 	if (hosts == this->by_job.end())
--- a/Loomreach/Request/EndpointTable.h
+++ b/Loomreach/Request/EndpointTable.h
@@ -11,12 +11,12 @@
 /// How one attempt at an endpoint ended.
 enum class EAttempt : uint8
 {
-	Answered,  ///< A whole answer came.
-	NotBegun,  ///< The endpoint's own word that it did not begin: no slot free, or it is leaving.
-	Refused,   ///< The connection was refused: it cannot have begun.
-	Broke,     ///< The connection or the answer broke off: it may have begun.
-	TimedOut,  ///< No whole answer in time: it may have begun.
-	Abandoned  ///< The caller went away.
+	Answered, ///< A whole answer came.
+	NotBegun, ///< The endpoint's own word that it did not begin: no slot free, or it is leaving.
+	Refused,  ///< The connection was refused: it cannot have begun.
+	Broke,    ///< The connection or the answer broke off: it may have begun.
+	TimedOut, ///< No whole answer in time: it may have begun.
+	Abandoned ///< The caller went away.
 };
 
 /// One worker as an endpoint.
@@ -26,14 +26,14 @@
 	Address address;
 	std::string availability_zone;
 	std::string rack;
-	bool takes_work = false;  ///< Placed, healthy, not leaving by any sign.
-	bool will_leave = false;  ///< A running wave has yet to take it out: the last choice for long requests.
-	bool has_short = false;   ///< Carries a service whose requests are short.
+	bool takes_work = false; ///< Placed, healthy, not leaving by any sign.
+	bool will_leave = false; ///< A running wave has yet to take it out: the last choice for long requests.
+	bool has_short = false;  ///< Carries a service whose requests are short.
 	uint32 slots = 0;
-	uint32 limit = 0;         ///< Slots that this entry host may use.
+	uint32 limit = 0;               ///< Slots that this entry host may use.
 	std::set<std::string> services; ///< Job paths placed on it.
 
-	uint32 in_flight = 0;     ///< Of this entry host.
+	uint32 in_flight = 0; ///< Of this entry host.
 	uint32 long_in_flight = 0;
 	uint32 failures = 0;      ///< In a row.
 	Millis ejected_until = 0; ///< On probation afterwards: one request at a time until one is answered.
--- a/Loomreach/Request/SlotShare.h
+++ b/Loomreach/Request/SlotShare.h
@@ -11,15 +11,19 @@
 /// What a share is worked out from.
 struct ShareInput
 {
-	uint32 slots = 0;                 ///< Slots that the worker offers.
-	uint32 self = 0;                  ///< Index of this entry host among the members.
-	std::span<const uint32> demands;  ///< Requests in flight and waiting of each member, as last reported; in rendezvous order for the worker.
+	uint32 slots = 0; ///< Slots that the worker offers.
+	uint32 self = 0;  ///< Index of this entry host among the members.
+	std::span<const uint32>
+		demands; ///< Requests in flight and waiting of each member, as last reported; in rendezvous order for the worker.
 };
 
 /// A policy for the limit of one entry host at one worker.
 template <class P>
-concept SharePolicy = requires(const ShareInput &inInput) {
-	{ P::Limit(inInput) } -> std::same_as<uint32>;
+concept SharePolicy = requires(const ShareInput &inInput)
+{
+	{
+		P::Limit(inInput)
+		} -> std::same_as<uint32>;
 };
 
 /// An equal share, the remainder by rendezvous order. Never oversubscribes; wastes slots when the load is skewed.
--- a/Loomreach/Settings/DaemonConfig.h
+++ b/Loomreach/Settings/DaemonConfig.h
@@ -29,16 +29,16 @@
 /// What one entry host is told by its file. All times in ms.
 struct DaemonConfig
 {
-	std::string name;               ///< Unique name of this entry host.
-	std::string availability_zone;  ///< Availability zone in which it runs.
-	std::string region;             ///< Region of the availability zone.
-	Address callers;                ///< Listener for callers.
-	Address operators;              ///< Listener for operators.
-	Address peers;                  ///< UDP and TCP address for other entry hosts.
-	Address platform;               ///< The platform's log service and host list.
-	std::string operators_token;    ///< Token that operators must show; empty: none, loopback only.
-	std::string peer_key;           ///< Key that authenticates messages between entry hosts.
-	std::vector<Address> seeds;     ///< Peers to ask when the platform is down at start.
+	std::string name;              ///< Unique name of this entry host.
+	std::string availability_zone; ///< Availability zone in which it runs.
+	std::string region;            ///< Region of the availability zone.
+	Address callers;               ///< Listener for callers.
+	Address operators;             ///< Listener for operators.
+	Address peers;                 ///< UDP and TCP address for other entry hosts.
+	Address platform;              ///< The platform's log service and host list.
+	std::string operators_token;   ///< Token that operators must show; empty: none, loopback only.
+	std::string peer_key;          ///< Key that authenticates messages between entry hosts.
+	std::vector<Address> seeds;    ///< Peers to ask when the platform is down at start.
 	int64 heartbeat_ms = 500;
 	int64 suspect_after_ms = 3000;
 	int64 remove_after_ms = 15000;
@@ -50,8 +50,8 @@
 	int64 append_per_s = 40;
 	int64 max_request_bytes = 1 << 20;
 	int64 connect_timeout_ms = 1000;
-	int64 claim_lease_ms = 15000;     ///< Callers' own ids are only claimed this long after the platform was last read.
-	int64 claim_quiet_ms = 30000;     ///< After a reset no claims for the lease and this: the longest time in which a caller repeats.
+	int64 claim_lease_ms = 15000; ///< Callers' own ids are only claimed this long after the platform was last read.
+	int64 claim_quiet_ms = 30000; ///< After a reset no claims for the lease and this: the longest time in which a caller repeats.
 };
 
 /// Parses the daemon's TOML. Secrets are read from the files that it names, relative to `inDirectory`.
--- a/Loomreach/Settings/SettingsKey.cpp
+++ b/Loomreach/Settings/SettingsKey.cpp
@@ -14,7 +14,8 @@
 using enum ESettingType;
 
 static constexpr std::array<SettingInfo, cSettingCount> cSettings = {{
-	{ESetting::Kind, "kind", Word, 0, 0, 0, "service", "service|batch", "service: replicas answer requests; batch: replicas run to their end"},
+	{ESetting::Kind, "kind", Word, 0, 0, 0, "service", "service|batch",
+	 "service: replicas answer requests; batch: replicas run to their end"},
 	{ESetting::Team, "team", Word, 0, 0, 0, "none", "", "team that pays, for quotas"},
 	{ESetting::Priority, "priority", Integer, 0, 1000, 100, "", "", "greater goes first"},
 	{ESetting::Replicas, "replicas", Integer, 0, 5000, 1, "", "", "replicas wanted of a job"},
@@ -25,16 +26,20 @@
 	{ESetting::DeadlineMs, "deadline_ms", Integer, 1, cDayMs, 5000, "", "", "time in which a request must begin and end, ms"},
 	{ESetting::Repeatable, "repeatable", Boolean, 0, 1, 1, "", "", "whether requests may be repeated when nothing else is said"},
 	{ESetting::QueueLimit, "queue_limit", Integer, 0, 100'000, 128, "", "", "requests that may wait at one entry host"},
-	{ESetting::QueueShare, "queue_share", Integer, 0, 100, 10, "", "", "share of starts that the service keeps when higher priorities fill a worker, percent"},
+	{ESetting::QueueShare, "queue_share", Integer, 0, 100, 10, "", "",
+	 "share of starts that the service keeps when higher priorities fill a worker, percent"},
 	{ESetting::LongRequests, "long_requests", Boolean, 0, 1, 0, "", "", "whether requests last for minutes to hours (holds, call legs)"},
 	{ESetting::RetryBudgetPercent, "retry_budget_percent", Integer, 0, 100, 10, "", "", "retries allowed, percent of fresh requests"},
-	{ESetting::MinAvailablePercent, "min_available_percent", Integer, 0, 100, 80, "", "", "availability budget: hosts of the pool that stay available, percent"},
-	{ESetting::BufferPercent, "buffer_percent", Integer, -1, 100, -1, "", "", "spare capacity held in the pool, percent; -1: its largest rack"},
+	{ESetting::MinAvailablePercent, "min_available_percent", Integer, 0, 100, 80, "", "",
+	 "availability budget: hosts of the pool that stay available, percent"},
+	{ESetting::BufferPercent, "buffer_percent", Integer, -1, 100, -1, "", "",
+	 "spare capacity held in the pool, percent; -1: its largest rack"},
 	{ESetting::WaveWidth, "wave_width", Integer, 1, 5000, 1000, "", "", "hosts of the pool out at once in a wave, at most"},
 	{ESetting::RebootS, "reboot_s", Integer, 0, 86'400, 300, "", "", "time in which a host is back from its maintenance, s"},
 	{ESetting::WeightMoves, "weight_moves", Integer, 0, 1000, 1, "", "", "cost of displacing a replica, against weight_buffer"},
 	{ESetting::WeightBuffer, "weight_buffer", Integer, 0, 1000, 1, "", "", "cost of an idle host, against weight_moves"},
-	{ESetting::QuotaCpuMilli, "quota_cpu_milli", Integer, 0, 1'000'000'000, 0, "", "", "processor time that the team may hold, thousandths of a core; 0: no quota"},
+	{ESetting::QuotaCpuMilli, "quota_cpu_milli", Integer, 0, 1'000'000'000, 0, "", "",
+	 "processor time that the team may hold, thousandths of a core; 0: no quota"},
 }};
 
 static constexpr bool TableIsOrdered()
@@ -98,8 +103,8 @@
 		return true;
 	}
 	if (inValue.number < info.min || inValue.number > info.max)
-		return FailFalse(EError::BadSettings,
-						 "expected a number from " + std::to_string(info.min) + " to " + std::to_string(info.max) + ", got " + std::to_string(inValue.number));
+		return FailFalse(EError::BadSettings, "expected a number from " + std::to_string(info.min) + " to " + std::to_string(info.max) +
+												  ", got " + std::to_string(inValue.number));
 	return true;
 }
 
--- a/Loomreach/Settings/SettingsKey.h
+++ b/Loomreach/Settings/SettingsKey.h
@@ -62,12 +62,12 @@
 	ESetting setting;
 	std::string_view name;
 	ESettingType type;
-	int64 min;                  ///< Smallest integer allowed.
-	int64 max;                  ///< Largest integer allowed.
-	int64 default_number;       ///< Value in force where no node states one.
+	int64 min;            ///< Smallest integer allowed.
+	int64 max;            ///< Largest integer allowed.
+	int64 default_number; ///< Value in force where no node states one.
 	std::string_view default_word;
-	std::string_view choices;   ///< Words allowed, separated by '|'; empty: any name.
-	std::string_view meaning;   ///< One line for people, with the unit.
+	std::string_view choices; ///< Words allowed, separated by '|'; empty: any name.
+	std::string_view meaning; ///< One line for people, with the unit.
 };
 
 /// The row for a setting.
--- a/Loomreach/Settings/SettingsParser.cpp
+++ b/Loomreach/Settings/SettingsParser.cpp
@@ -59,7 +59,8 @@
 
 	bool ReadChildren(const toml::node &inValue, const std::string &inPath, ENodeKind inParent, ENodeKind inChild)
 	{
-		const bool allowed = inParent == ENodeKind::Group ? inChild != ENodeKind::Job : (inParent == ENodeKind::Pool && inChild == ENodeKind::Job);
+		const bool allowed =
+			inParent == ENodeKind::Group ? inChild != ENodeKind::Job : (inParent == ENodeKind::Pool && inChild == ENodeKind::Job);
 		if (!allowed)
 			return this->Wrong(inValue.source(), "groups hold groups and pools, pools hold jobs");
 		const toml::table *table = inValue.as_table();
--- a/Loomreach/State/ClaimGroups.cpp
+++ b/Loomreach/State/ClaimGroups.cpp
@@ -19,9 +19,9 @@
 	std::vector<std::pair<uint64, const Member *>> order;
 	for (const auto &[name, member] : inView.members)
 		order.emplace_back(RendezvousWeight(key, name), &member);
-	std::sort(order.begin(), order.end(), [](const auto &inA, const auto &inB) {
-		return inA.first != inB.first ? inA.first > inB.first : inA.second->name < inB.second->name;
-	});
+	std::sort(order.begin(), order.end(),
+			  [](const auto &inA, const auto &inB)
+			  { return inA.first != inB.first ? inA.first > inB.first : inA.second->name < inB.second->name; });
 	std::vector<std::string> group;
 	std::set<std::string> zones;
 	// First pass: one member a zone; second pass: fill up from zones already used
--- a/Loomreach/State/FleetState.cpp
+++ b/Loomreach/State/FleetState.cpp
@@ -56,7 +56,8 @@
 	job.team = inTree.Word(path, ESetting::Team);
 	job.priority = inTree.Number(path, ESetting::Priority);
 	job.replicas = static_cast<uint32>(inTree.Number(path, ESetting::Replicas));
-	job.need = {inTree.Number(path, ESetting::CpuMilli), inTree.Number(path, ESetting::MemoryMb), inTree.Number(path, ESetting::Accelerators)};
+	job.need = {inTree.Number(path, ESetting::CpuMilli), inTree.Number(path, ESetting::MemoryMb),
+				inTree.Number(path, ESetting::Accelerators)};
 	job.run_time_s = inTree.Number(path, ESetting::RunTimeS);
 	job.deadline_ms = inTree.Number(path, ESetting::DeadlineMs);
 	job.repeatable = inTree.Number(path, ESetting::Repeatable) != 0;
@@ -215,8 +216,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->next_offset, this->settings_version, this->nodes, this->hosts, this->placements, this->history, this->waves, this->view,
-				  this->claim_holders, this->zones_alive, this->proposers);
+		ioArchive(this->next_offset, this->settings_version, this->nodes, this->hosts, this->placements, this->history, this->waves,
+				  this->view, this->claim_holders, this->zones_alive, this->proposers);
 	}
 };
 
--- a/Loomreach/State/FleetState.h
+++ b/Loomreach/State/FleetState.h
@@ -54,10 +54,10 @@
 	EHostPhase phase = EHostPhase::Active;
 	EHostHealth health = EHostHealth::Unknown;
 	bool quarantined = false;
-	LogPosition generation = 0;  ///< Position of its last accepted step; the precondition of the next one.
-	std::string wave;            ///< Wave of the drain under way.
-	uint64 out_boot = 0;         ///< Boot that it showed when it was handed over for its reboot.
-	std::string maintained_in;   ///< Last wave that it came back from.
+	LogPosition generation = 0; ///< Position of its last accepted step; the precondition of the next one.
+	std::string wave;           ///< Wave of the drain under way.
+	uint64 out_boot = 0;        ///< Boot that it showed when it was handed over for its reboot.
+	std::string maintained_in;  ///< Last wave that it came back from.
 	LogPosition maintained_at = 0;
 	std::set<std::string> failed_jobs; ///< Different jobs that failed on it since it was last trusted; at most cMaxBlame.
 
@@ -72,8 +72,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->spec, this->pool, this->phase, this->health, this->quarantined, this->generation, this->wave, this->out_boot, this->maintained_in,
-				  this->maintained_at, this->failed_jobs);
+		ioArchive(this->spec, this->pool, this->phase, this->health, this->quarantined, this->generation, this->wave, this->out_boot,
+				  this->maintained_in, this->maintained_at, this->failed_jobs);
 	}
 };
 
@@ -208,8 +208,8 @@
 	std::map<std::string, Wave> waves;
 	View view;
 	std::array<std::set<std::string>, cClaimRanges> claim_holders; ///< Members that hold all claims of a range.
-	std::map<std::string, LogPosition> zones_alive; ///< Last time that a zone of the view said by the log that it lives.
-	std::map<uint64, ProposerMark> proposers; ///< Incarnation of a proposing process to its last proposal.
+	std::map<std::string, LogPosition> zones_alive;                ///< Last time that a zone of the view said by the log that it lives.
+	std::map<uint64, ProposerMark> proposers;                      ///< Incarnation of a proposing process to its last proposal.
 
 	// Derived, rebuilt after decoding and after new settings
 	std::map<std::string, JobSpec> jobs;
--- a/Loomreach/State/Fold.cpp
+++ b/Loomreach/State/Fold.cpp
@@ -56,7 +56,8 @@
 	{
 		const SettingsNode *node = tree->Find(pool);
 		if (node == nullptr || node->kind != ENodeKind::Pool)
-			return FailFalse(EError::BadSettings, pool + " still holds " + std::to_string(counts.hosts) + " hosts; move or remove them first");
+			return FailFalse(EError::BadSettings,
+							 pool + " still holds " + std::to_string(counts.hosts) + " hosts; move or remove them first");
 	}
 	LOOM_INVARIANT(this->position > this->state.settings_version, "the settings version never goes back");
 	this->state.settings = std::move(*tree);
@@ -103,13 +104,15 @@
 			return FailFalse(EError::WrongPhase, "the wave is not waiting for this host");
 	}
 	if (inHost.IsAvailable() && !this->state.HasRoomInBudget(inHost.pool))
-		return FailFalse(EError::BudgetExceeded, inHost.pool + " needs " + std::to_string(this->state.RequiredAvailable(inHost.pool)) + " hosts available");
+		return FailFalse(EError::BudgetExceeded,
+						 inHost.pool + " needs " + std::to_string(this->state.RequiredAvailable(inHost.pool)) + " hosts available");
 	return true;
 }
 
 bool ProposalFolder::CheckStep(const Host &inHost, const StepHost &inProposal) const
 {
-	const auto require = [&inHost](bool inHolds) {
+	const auto require = [&inHost](bool inHolds)
+	{
 		return inHolds || FailFalse(EError::WrongPhase, inHost.spec.name + " is " + std::string(NameOfPhase(inHost.phase)) + " and " +
 															std::string(NameOfHealth(inHost.health)));
 	};
@@ -141,8 +144,8 @@
 	if (entry == wave->second.hosts.end())
 		return;
 	entry->second = inState;
-	const bool all_done =
-		std::all_of(wave->second.hosts.begin(), wave->second.hosts.end(), [](const auto &inEntry) { return inEntry.second == EWaveHost::Done; });
+	const bool all_done = std::all_of(wave->second.hosts.begin(), wave->second.hosts.end(),
+									  [](const auto &inEntry) { return inEntry.second == EWaveHost::Done; });
 	if (all_done && wave->second.state != EWaveState::Cancelled)
 		wave->second.state = EWaveState::Done;
 }
@@ -247,7 +250,8 @@
 	if (inProposal.generation != host.generation)
 		return FailFalse(EError::StaleGeneration, host.spec.name + " is at " + std::to_string(host.generation));
 	if (host.phase != EHostPhase::Drained)
-		return FailFalse(EError::WrongPhase, host.spec.name + " is " + std::string(NameOfPhase(host.phase)) + "; only a drained host moves");
+		return FailFalse(EError::WrongPhase,
+						 host.spec.name + " is " + std::string(NameOfPhase(host.phase)) + "; only a drained host moves");
 	if (this->state.pools.count(inProposal.to_pool) == 0)
 		return FailFalse(EError::NotFound, "no pool " + inProposal.to_pool);
 	LOOM_INVARIANT(host.replicas.empty(), "a host that moves carries no replica of its old pool");
@@ -276,7 +280,8 @@
 		return FailFalse(EError::CapacityExceeded, inProposal.host + " has no room for " + inProposal.replica.Text());
 	auto quota = this->state.team_quota_cpu.find(inJob.team);
 	if (quota != this->state.team_quota_cpu.end() && team_used + inJob.need.cpu_milli > quota->second)
-		return FailFalse(EError::QuotaExceeded, "team " + inJob.team + " holds " + std::to_string(team_used) + " of " + std::to_string(quota->second));
+		return FailFalse(EError::QuotaExceeded,
+						 "team " + inJob.team + " holds " + std::to_string(team_used) + " of " + std::to_string(quota->second));
 	return true;
 }
 
@@ -386,9 +391,8 @@
 	if (found == this->state.waves.end())
 		return FailFalse(EError::UnknownWave, inProposal.name);
 	Wave &wave = found->second;
-	const auto require = [&wave](bool inHolds) {
-		return inHolds || FailFalse(EError::WrongPhase, wave.name + " is " + std::string(NameOfWaveState(wave.state)));
-	};
+	const auto require = [&wave](bool inHolds)
+	{ return inHolds || FailFalse(EError::WrongPhase, wave.name + " is " + std::string(NameOfWaveState(wave.state))); };
 	switch (inProposal.action)
 	{
 	case EWaveAction::Pause:
@@ -435,7 +439,8 @@
 		lost = lost || holders[range].empty();
 	}
 	if (lost != inProposal.reset)
-		return FailFalse(EError::ViewRejected, lost ? "some claim range would lose its last holder" : "no claim range is lost; a reset is not called for");
+		return FailFalse(EError::ViewRejected,
+						 lost ? "some claim range would lose its last holder" : "no claim range is lost; a reset is not called for");
 	if (lost)
 	{
 		// Every claim is forgotten: all groups start empty, and claims stay refused for the stated time
@@ -447,10 +452,12 @@
 		}
 	}
 	this->state.view = std::move(next);
-	std::erase_if(this->state.zones_alive, [this](const auto &inZone) {
-		return std::none_of(this->state.view.members.begin(), this->state.view.members.end(),
-							[&inZone](const auto &inMember) { return inMember.second.availability_zone == inZone.first; });
-	});
+	std::erase_if(this->state.zones_alive,
+				  [this](const auto &inZone)
+				  {
+					  return std::none_of(this->state.view.members.begin(), this->state.view.members.end(),
+										  [&inZone](const auto &inMember) { return inMember.second.availability_zone == inZone.first; });
+				  });
 	this->state.claim_holders = std::move(holders);
 	return true;
 }
--- a/Loomreach/State/Fold.h
+++ b/Loomreach/State/Fold.h
@@ -24,7 +24,8 @@
 /// Folds one proposal at its position.
 Verdict FoldProposal(FleetState &ioState, LogPosition inPosition, const Proposal &inProposal);
 
-/// Folds the record at the state's next offset. A record that can't be decoded is skipped by everyone alike, with one verdict that says why.
+/// Folds the record at the state's next offset. A record that can't be decoded is skipped by everyone alike, with one verdict that says
+/// why.
 std::vector<Verdict> FoldRecord(FleetState &ioState, LogOffset inOffset, std::string_view inRecord);
 
 } // namespace Loomreach
--- a/Loomreach/State/Records.h
+++ b/Loomreach/State/Records.h
@@ -69,7 +69,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->name, this->address, this->region, this->availability_zone, this->rack, this->capacity, this->slots, this->connections);
+		ioArchive(this->name, this->address, this->region, this->availability_zone, this->rack, this->capacity, this->slots,
+				  this->connections);
 	}
 };
 
@@ -304,8 +305,8 @@
 };
 
 /// What a proposal asks for.
-using ProposalBody =
-	std::variant<ApplySettings, AddHost, StepHost, MoveHost, PlaceReplica, StopReplica, StartWave, ChangeWave, ChangeView, TakeOver, ZoneAlive>;
+using ProposalBody = std::variant<ApplySettings, AddHost, StepHost, MoveHost, PlaceReplica, StopReplica, StartWave, ChangeWave, ChangeView,
+								  TakeOver, ZoneAlive>;
 
 /// Kinds of proposals in the order of ProposalBody, for counters and for the priority of the append queue.
 enum class EProposal : uint8
--- a/Loomreachctl/Commands.cpp
+++ b/Loomreachctl/Commands.cpp
@@ -96,7 +96,8 @@
 static void PrintChanges(const Json &inChanges)
 {
 	for (const Json &change : inChanges)
-		PrintLine("  " + Plain(change["path"]) + "  " + Plain(change["setting"]) + ": " + Plain(change["before"]) + " -> " + Plain(change["after"]));
+		PrintLine("  " + Plain(change["path"]) + "  " + Plain(change["setting"]) + ": " + Plain(change["before"]) + " -> " +
+				  Plain(change["after"]));
 }
 
 static bool SettingsCheck(CommandCall &ioCall)
@@ -130,7 +131,8 @@
 		PrintLine(answer->dump(2));
 		return true;
 	}
-	PrintLine("Against version " + Plain((*answer)["version"]) + ", " + std::to_string((*answer)["changes"].size()) + " values in force would change:");
+	PrintLine("Against version " + Plain((*answer)["version"]) + ", " + std::to_string((*answer)["changes"].size()) +
+			  " values in force would change:");
 	PrintChanges((*answer)["changes"]);
 	return true;
 }
@@ -210,7 +212,8 @@
 
 static bool PoolList(CommandCall &ioCall)
 {
-	return PrintRows(ioCall, ioCall.client.Get("/v1/pools"), {"path", "hosts", "available", "required", "spare_cpu_milli", "buffer_cpu_milli", "held_by"});
+	return PrintRows(ioCall, ioCall.client.Get("/v1/pools"),
+					 {"path", "hosts", "available", "required", "spare_cpu_milli", "buffer_cpu_milli", "held_by"});
 }
 
 static bool PoolShow(CommandCall &ioCall) { return PrintOne(ioCall, RowOf(ioCall.client.Get("/v1/pools"), "path", ioCall.arguments[0])); }
@@ -237,7 +240,8 @@
 
 static bool HostList(CommandCall &ioCall)
 {
-	return PrintRows(ioCall, ioCall.client.Get("/v1/hosts"), {"name", "pool", "availability_zone", "rack", "phase", "health", "replicas", "wave"});
+	return PrintRows(ioCall, ioCall.client.Get("/v1/hosts"),
+					 {"name", "pool", "availability_zone", "rack", "phase", "health", "replicas", "wave"});
 }
 
 static bool HostShow(CommandCall &ioCall) { return PrintOne(ioCall, ioCall.client.Get("/v1/hosts/" + UrlEscape(ioCall.arguments[0]))); }
@@ -279,8 +283,8 @@
 		const std::optional<Json> wave = RowOf(ioCall.client.Get("/v1/waves"), "name", ioCall.arguments[0]);
 		if (!wave.has_value())
 			return false;
-		std::string line = ioCall.arguments[0] + ": " + Plain((*wave)["state"]) + ", " + (*wave)["done"].dump() + " of " + (*wave)["hosts"].dump() +
-						   " hosts done, " + (*wave)["leaving"].dump() + " out or on their way";
+		std::string line = ioCall.arguments[0] + ": " + Plain((*wave)["state"]) + ", " + (*wave)["done"].dump() + " of " +
+						   (*wave)["hosts"].dump() + " hosts done, " + (*wave)["leaving"].dump() + " out or on their way";
 		for (const auto &[pool, why] : (*wave)["held_by"].items())
 			line += "; " + pool + " held by " + Plain(why);
 		if (line != last)
--- a/Loomreachctl/Main.cpp
+++ b/Loomreachctl/Main.cpp
@@ -37,7 +37,8 @@
 		line.resize(std::max<size_t>(line.size(), 28), ' ');
 		text += line + " " + std::string(command.meaning) + "\n";
 	}
-	return text + "Flags: --server --token_file --output=text|json --wait --follow --base_version --author --pool --availability_zone --rack --timeout_ms\n";
+	return text + "Flags: --server --token_file --output=text|json --wait --follow --base_version --author --pool --availability_zone "
+				  "--rack --timeout_ms\n";
 }
 
 int PrintError()
@@ -52,8 +53,9 @@
 {
 	if (FLAGS_output != "text" && FLAGS_output != "json")
 		return FailFalse(EError::BadRequest, "--output: expected text or json");
-	outOptions = {FLAGS_output == "json", FLAGS_wait, FLAGS_follow, isatty(STDOUT_FILENO) != 0, FLAGS_base_version, FLAGS_author, FLAGS_pool,
-				  FLAGS_availability_zone, FLAGS_rack, FLAGS_timeout_ms};
+	outOptions = {
+		FLAGS_output == "json",  FLAGS_wait, FLAGS_follow,    isatty(STDOUT_FILENO) != 0, FLAGS_base_version, FLAGS_author, FLAGS_pool,
+		FLAGS_availability_zone, FLAGS_rack, FLAGS_timeout_ms};
 	return true;
 }
 
@@ -119,7 +121,8 @@
 		return PrintError();
 	if (words.size() < command->min_arguments || words.size() > command->max_arguments)
 	{
-		FailFalse(EError::BadRequest, "usage: " + std::string(command->group) + " " + std::string(command->verb) + " " + std::string(command->arguments));
+		FailFalse(EError::BadRequest,
+				  "usage: " + std::string(command->group) + " " + std::string(command->verb) + " " + std::string(command->arguments));
 		return PrintError();
 	}
 	OperatorClient client(*server, *token);
--- a/Loomreachctl/OperatorClient.cpp
+++ b/Loomreachctl/OperatorClient.cpp
@@ -21,10 +21,12 @@
 		call.headers.emplace_back("Authorization", "Bearer " + this->token);
 	HttpResult answer;
 	bool done = false;
-	this->http.Start(call, [&answer, &done](HttpResult inResult) {
-		answer = std::move(inResult);
-		done = true;
-	});
+	this->http.Start(call,
+					 [&answer, &done](HttpResult inResult)
+					 {
+						 answer = std::move(inResult);
+						 done = true;
+					 });
 	while (!done)
 		g_main_context_iteration(nullptr, TRUE);
 	return answer;
--- a/Scripts/test_processes.sh
+++ b/Scripts/test_processes.sh
@@ -21,6 +21,16 @@
 # service ENTRY SERVICE QUERY [curl flags]: body of an answer.
 service() { local entry=$1 name=$2 query=$3; shift 3; curl -s --max-time 20 "$@" "http://${CALLERS[$entry]}/v1/services/$name/work?$query"; }
 
+# raw_status ENTRY BYTES: status of the answer to bytes that no client library would send.
+raw_status() {
+	local address=${CALLERS[$1]}
+	exec 7<>"/dev/tcp/${address%:*}/${address#*:}" || return 1
+	printf "$2" >&7
+	local line; IFS= read -r -t 5 line <&7
+	exec 7>&- 7<&-
+	echo "$line" | sed -n 's/^HTTP\/1.[01] \([0-9]*\).*/\1/p'
+}
+
 # header NAME FILE: value of an answer's header.
 header() { sed -n "s/^$1: \(.*\)\r$/\1/pI" "$2" | tail -1; }
 
@@ -57,7 +67,11 @@
 bad_requests() {
 	local code
 	code=$(service entry-a1 price-basket "" -o /dev/null -w '%{http_code}' -H 'Loomreach-Deadline-Ms: soon'); [ "$code" = 400 ] || return 1
-	code=$(service entry-a1 price-basket "" -o /dev/null -w '%{http_code}' -H 'Content-Length: 3' -H 'Transfer-Encoding: chunked' -X POST -d abc); [ "$code" = 400 ] || return 1
+	code=$(raw_status entry-a1 'POST /v1/services/price-basket/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n'); [ "$code" = 400 ] || return 1
+	code=$(raw_status entry-a1 'POST /v1/services/price-basket/x HTTP/1.1\r\nHost: x\r\nContent-Length: -3\r\n\r\n'); [ "$code" = 400 ] || return 1
+	code=$(raw_status entry-a1 'POST /v1/services/price-basket/x HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 5\r\n\r\nabcde'); [ "$code" = 400 ] || return 1
+	code=$(raw_status entry-a1 'nonsense\r\n\r\n'); [ "$code" = 400 ] || return 1
+	local body; body=$(head -c 3000000 /dev/zero | service entry-a1 price-basket "" -X POST -T - -H 'Expect:'); [ -z "$body" ] || return 1
 	code=$(head -c 3000000 /dev/zero | service entry-a1 price-basket "" -o /dev/null -w '%{http_code}' -X POST --data-binary @- -H 'Expect:'); [ "$code" = 413 ] || return 1
 	code=$(service entry-a1 no-such "" -o /dev/null -w '%{http_code}'); [ "$code" = 404 ]
 }
@@ -111,7 +125,7 @@
 
 bad_config() {
 	sed 's/heartbeat_ms = .*/heartbeat_ms = 1/' "$DIR/entry-a1.toml" >"$DIR/bad-entry.toml"
-	exits_with 3 "$BUILD/loomreachd" --config="$DIR/bad-entry.toml" --check_config && grep -q 'bad-entry.toml:8:16' "$DIR/out" || return 1
+	exits_with 3 "$BUILD/loomreachd" --config="$DIR/bad-entry.toml" --check_config && grep -q 'bad-entry.toml:9:16' "$DIR/out" || return 1
 	exits_with 3 "$BUILD/loomreachd" --config="$DIR/entry-a1.toml" && grep -qi 'address' "$DIR/out" || return 1
 	exits_with 3 "$BUILD/loomreachd" && exits_with 0 "$BUILD/loomreachd" --config="$DIR/entry-a1.toml" --check_config
 }
--- a/SoakTests/FakePlatform.h
+++ b/SoakTests/FakePlatform.h
@@ -53,7 +53,7 @@
 	bool accepts = true;
 	uint64 boot = 1;
 	uint32 in_flight = 0;
-	uint64 rebooted_at = 0;      ///< Step at which it went down for its reboot; 0: not.
+	uint64 rebooted_at = 0; ///< Step at which it went down for its reboot; 0: not.
 	LogOffset order_offset = 0;
 	std::map<ReplicaKey, TaskReport> tasks;
 };
--- a/SoakTests/Main.cpp
+++ b/SoakTests/Main.cpp
@@ -108,14 +108,26 @@
 		SoakNode &node = *this->nodes[this->random.Below(this->nodes.size())];
 		switch (this->random.Below(11))
 		{
-		case 0: this->tally.outages += this->log.down ? 0 : 1; this->log.down = !this->log.down; break;
+		case 0:
+			this->tally.outages += this->log.down ? 0 : 1;
+			this->log.down = !this->log.down;
+			break;
 		case 1: this->log.lose_percent = static_cast<uint32>(this->random.Below(60)); break;
-		case 2: node.paused = !node.paused; ++this->tally.pauses; break;
-		case 3: node.cut = !node.cut; ++this->tally.cuts; break;
+		case 2:
+			node.paused = !node.paused;
+			++this->tally.pauses;
+			break;
+		case 3:
+			node.cut = !node.cut;
+			++this->tally.cuts;
+			break;
 		case 4: this->CutZone(); break;
 		case 5: this->Kill(this->random.Below(this->nodes.size())); break;
 		case 6: FakeLog::Retain(this->log.records, this->KeepRecords()); break;
-		case 7: this->log.down = false; this->log.lose_percent = 0; break;
+		case 7:
+			this->log.down = false;
+			this->log.lose_percent = 0;
+			break;
 		case 8: this->drop_percent = this->random.Below(50); break;
 		case 9: this->Unpause(); break;
 		case 10: this->KillMany(); break;
@@ -168,7 +180,8 @@
 	std::vector<SettingsNode> RandomSettings()
 	{
 		std::vector<SettingsNode> tree;
-		tree.push_back({"/group", ENodeKind::Group, {{ESetting::MinAvailablePercent, {static_cast<int64>(50 + this->random.Below(40)), {}}}}});
+		tree.push_back(
+			{"/group", ENodeKind::Group, {{ESetting::MinAvailablePercent, {static_cast<int64>(50 + this->random.Below(40)), {}}}}});
 		for (uint64 i = 0; i < cPools; ++i)
 		{
 			tree.push_back({PoolPath(i), ENodeKind::Pool, {}});
@@ -208,7 +221,9 @@
 			break;
 		}
 		case 2:
-			node.Propose(StartWave{"wave-" + std::to_string(this->step), this->random.Chance(60) ? PoolPath(this->random.Below(cPools)) : "", "", ""}, this->now);
+			node.Propose(StartWave{"wave-" + std::to_string(this->step),
+								   this->random.Chance(60) ? PoolPath(this->random.Below(cPools)) : "", "", ""},
+						 this->now);
 			break;
 		case 3:
 			if (!node.state.waves.empty())
@@ -232,7 +247,9 @@
 		if (host.phase == EHostPhase::Drained)
 			ioNode.Propose(MoveHost{found->first, host.pool, PoolPath(this->random.Below(cPools)), host.generation}, this->now);
 		else
-			ioNode.Propose(StepHost{found->first, this->random.Chance(70) ? EHostStep::Drain : EHostStep::Undrain, host.generation, "", "operator", 0}, this->now);
+			ioNode.Propose(
+				StepHost{found->first, this->random.Chance(70) ? EHostStep::Drain : EHostStep::Undrain, host.generation, "", "operator", 0},
+				this->now);
 	}
 
 	/// Workers take requests while they accept, end them, fail, come back from reboots.
@@ -275,7 +292,8 @@
 
 	bool CanTalk(const SoakNode &inA, const SoakNode &inB) const
 	{
-		const auto is_cut = [this](const std::string &inZone) {
+		const auto is_cut = [this](const std::string &inZone)
+		{
 			auto cut = this->zone_cut.find(inZone);
 			return cut != this->zone_cut.end() && cut->second;
 		};
@@ -434,7 +452,8 @@
 		const LogOffset offset = inNode.state.next_offset;
 		if (!inNode.ready || offset == 0 || offset > this->hashes.size() || !this->random.Chance(5))
 			return;
-		LOOM_INVARIANT(inNode.state.Hash() == this->hashes[offset - 1], "two that have read as far have the same state; snapshot and tail equal the full fold");
+		LOOM_INVARIANT(inNode.state.Hash() == this->hashes[offset - 1],
+					   "two that have read as far have the same state; snapshot and tail equal the full fold");
 		++this->tally.compared;
 	}
 
@@ -485,11 +504,14 @@
 
 	void Print() const
 	{
-		std::printf("soak seed=%lu steps=%lu entry_hosts=%lu records=%lu accepted=%lu rejected=%lu repeats_ignored=%lu kills=%lu pauses=%lu cuts=%lu "
-					"outages=%lu reboots=%lu moves=%lu waves=%lu conflicts=%lu compared=%lu settles=%lu resets=%lu adopted_from_peer=%lu broken=%lu\n",
-					FLAGS_seed, FLAGS_steps, FLAGS_entry_hosts, this->log.records.Next(), this->tally.accepted, this->tally.rejected, this->tally.repeats,
-					this->tally.kills, this->tally.pauses, this->tally.cuts, this->tally.outages, this->tally.reboots, this->tally.moves, this->tally.waves,
-					this->tally.conflicts, this->tally.compared, this->tally.settles, this->tally.resets, this->tally.from_peer, BrokenInvariants());
+		std::printf("soak seed=%lu steps=%lu entry_hosts=%lu records=%lu accepted=%lu rejected=%lu repeats_ignored=%lu kills=%lu "
+					"pauses=%lu cuts=%lu "
+					"outages=%lu reboots=%lu moves=%lu waves=%lu conflicts=%lu compared=%lu settles=%lu resets=%lu adopted_from_peer=%lu "
+					"broken=%lu\n",
+					FLAGS_seed, FLAGS_steps, FLAGS_entry_hosts, this->log.records.Next(), this->tally.accepted, this->tally.rejected,
+					this->tally.repeats, this->tally.kills, this->tally.pauses, this->tally.cuts, this->tally.outages, this->tally.reboots,
+					this->tally.moves, this->tally.waves, this->tally.conflicts, this->tally.compared, this->tally.settles,
+					this->tally.resets, this->tally.from_peer, BrokenInvariants());
 	}
 
 	Random random;
--- a/SoakTests/SoakNode.cpp
+++ b/SoakTests/SoakNode.cpp
@@ -24,7 +24,10 @@
 
 Member SoakNode::Self() const { return {this->name, this->incarnation, "here", this->zone, {"127.0.0.1", 1}, {"127.0.0.1", 2}}; }
 
-StewardPicker SoakNode::Picker(Millis inNow) const { return {this->state.view, this->tracker, this->name, this->reaches_platform, false, inNow}; }
+StewardPicker SoakNode::Picker(Millis inNow) const
+{
+	return {this->state.view, this->tracker, this->name, this->reaches_platform, false, inNow};
+}
 
 void SoakNode::Fold(LogOffset inOffset, const std::string &inRecord)
 {
@@ -111,10 +114,13 @@
 	this->tracker.HearLog(this->state, inNow);
 	if (!this->ready || !this->reaches_platform || this->queue.Waiting() != 0 || this->queue.Unseen() != 0)
 		return;
-	if (std::optional<ChangeView> change = PlanView({this->state, this->tracker, this->Self(), inNow, listening_since, cRemoveMs, cSuspectMs}); change.has_value())
+	if (std::optional<ChangeView> change =
+			PlanView({this->state, this->tracker, this->Self(), inNow, listening_since, cRemoveMs, cSuspectMs});
+		change.has_value())
 		this->Propose(std::move(*change), inNow);
 	const bool beat_due = inNow - this->log_beat_sent >= cSuspectMs && inNow - listening_since >= cSuspectMs;
-	if (beat_due && this->Picker(inNow).IsMineIn("log-beat", this->zone) && NeedsLogBeat(this->state.view, this->tracker, this->zone, cSuspectMs, inNow))
+	if (beat_due && this->Picker(inNow).IsMineIn("log-beat", this->zone) &&
+		NeedsLogBeat(this->state.view, this->tracker, this->zone, cSuspectMs, inNow))
 	{
 		this->log_beat_sent = inNow;
 		this->Propose(ZoneAlive{this->zone}, inNow);
--- a/TestSupport/LogStandIn.cpp
+++ b/TestSupport/LogStandIn.cpp
@@ -91,7 +91,8 @@
 		records.push_back({{"offset", offset}, {"data", text}});
 		g_free(text);
 	}
-	AnswerJson(inMessage, SOUP_STATUS_OK, nlohmann::json{{"first", inStream.first}, {"next", next}, {"records", std::move(records)}}.dump());
+	AnswerJson(inMessage, SOUP_STATUS_OK,
+			   nlohmann::json{{"first", inStream.first}, {"next", next}, {"records", std::move(records)}}.dump());
 }
 
 } // namespace Loomreach
--- a/TestSupport/LogStandIn.h
+++ b/TestSupport/LogStandIn.h
@@ -16,8 +16,8 @@
 struct PlatformFaults
 {
 	bool down = false;
-	Millis slow_ms = 0;          ///< Added to each answer.
-	uint32 lose_percent = 0;     ///< Appends whose answer is lost after their effect.
+	Millis slow_ms = 0;           ///< Added to each answer.
+	uint32 lose_percent = 0;      ///< Appends whose answer is lost after their effect.
 	uint64 retention = 1'000'000; ///< Records kept in each stream.
 	Millis list_lag_ms = 0;
 };
--- a/TestSupport/Main.cpp
+++ b/TestSupport/Main.cpp
@@ -84,7 +84,8 @@
 			spec.region = inGroup["region"].value_or(std::string("here"));
 			spec.availability_zone = zone;
 			spec.rack = zone + "-r" + std::to_string(in_zone / cHostsInRack);
-			spec.capacity = {inGroup["cpu_milli"].value_or(int64(16000)), inGroup["memory_mb"].value_or(int64(32768)), inGroup["accelerators"].value_or(int64(0))};
+			spec.capacity = {inGroup["cpu_milli"].value_or(int64(16000)), inGroup["memory_mb"].value_or(int64(32768)),
+							 inGroup["accelerators"].value_or(int64(0))};
 			spec.slots = static_cast<uint32>(inGroup["slots"].value_or(int64(8)));
 			spec.connections = static_cast<uint32>(inGroup["connections"].value_or(int64(64)));
 			const std::string name = spec.name;
@@ -116,12 +117,14 @@
 		auto timer = std::make_shared<Timer>();
 		const auto message = std::shared_ptr<SoupServerMessage>(static_cast<SoupServerMessage *>(g_object_ref(inMessage)), ObjectUnref());
 		GHashTable *query = inQuery == nullptr ? nullptr : g_hash_table_ref(inQuery);
-		timer->Once(this->faults.slow_ms, [this, message, inPath, query, timer] {
-			this->Platform(message.get(), inPath, query);
-			if (query != nullptr)
-				g_hash_table_unref(query);
-			soup_server_message_unpause(message.get());
-		});
+		timer->Once(this->faults.slow_ms,
+					[this, message, inPath, query, timer]
+					{
+						this->Platform(message.get(), inPath, query);
+						if (query != nullptr)
+							g_hash_table_unref(query);
+						soup_server_message_unpause(message.get());
+					});
 	}
 
 	void Platform(SoupServerMessage *inMessage, const std::string &inPath, GHashTable *inQuery)
@@ -175,7 +178,8 @@
 			return this->Report(inMessage);
 		if (inWhat == "set")
 		{
-			const auto number = [inQuery](const char *inKey, int64 inElse) {
+			const auto number = [inQuery](const char *inKey, int64 inElse)
+			{
 				const std::string text = QueryOf(inQuery, inKey);
 				return text.empty() ? inElse : std::strtoll(text.c_str(), nullptr, 10);
 			};
@@ -247,7 +251,8 @@
 	GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
 	g_unix_signal_add(
 		SIGTERM,
-		[](gpointer inLoop) -> gboolean {
+		[](gpointer inLoop) -> gboolean
+		{
 			g_main_loop_quit(static_cast<GMainLoop *>(inLoop));
 			return G_SOURCE_REMOVE;
 		},
--- a/TestSupport/WorkerStandIn.cpp
+++ b/TestSupport/WorkerStandIn.cpp
@@ -39,14 +39,17 @@
 			soup_message_headers_set_content_length(headers, static_cast<goffset>(this->size + cPieceBytes));
 			soup_message_body_set_accumulate(soup_server_message_get_response_body(this->message.get()), FALSE);
 			this->text.append(this->size, 'x');
-			soup_message_body_append(soup_server_message_get_response_body(this->message.get()), SOUP_MEMORY_COPY, this->text.data(), this->text.size());
+			soup_message_body_append(soup_server_message_get_response_body(this->message.get()), SOUP_MEMORY_COPY, this->text.data(),
+									 this->text.size());
 			soup_server_message_unpause(this->message.get());
-			return this->timer.Once(20, [this] {
-				const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(this->message.get()));
-				if (stream != nullptr)
-					g_io_stream_close(stream.get(), nullptr, nullptr);
-				this->worker->EndRequest(this);
-			});
+			return this->timer.Once(20,
+									[this]
+									{
+										const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(this->message.get()));
+										if (stream != nullptr)
+											g_io_stream_close(stream.get(), nullptr, nullptr);
+										this->worker->EndRequest(this);
+									});
 		}
 		this->text.append(this->size, 'x');
 		soup_server_message_set_response(this->message.get(), "text/plain", SOUP_MEMORY_COPY, this->text.data(), this->text.size());
@@ -101,11 +104,13 @@
 	if (inBoot != this->boot || this->reboot_timer.IsRunning())
 		return;
 	this->Down(true);
-	this->reboot_timer.Once(this->reboot_ms, [this] {
-		++this->boot;
-		this->leaving = false;
-		this->Up();
-	});
+	this->reboot_timer.Once(this->reboot_ms,
+							[this]
+							{
+								++this->boot;
+								this->leaving = false;
+								this->Up();
+							});
 }
 
 void WorkerStandIn::OnOrder(SoupServer *, SoupServerMessage *inMessage, const char *, GHashTable *, gpointer inSelf)
@@ -198,9 +203,8 @@
 {
 	this->ExpireTasks();
 	const char *service = soup_message_headers_get_one(soup_server_message_get_request_headers(inMessage), cHeaderService);
-	const bool runs_it = std::any_of(this->tasks.begin(), this->tasks.end(), [service](const auto &inTask) {
-		return service != nullptr && inTask.second.service == service;
-	});
+	const bool runs_it = std::any_of(this->tasks.begin(), this->tasks.end(),
+									 [service](const auto &inTask) { return service != nullptr && inTask.second.service == service; });
 	if (!this->accepts || this->leaving || !runs_it)
 	{
 		++this->tally.refused_unwanted;
--- a/TestSupport/WorkerStandIn.h
+++ b/TestSupport/WorkerStandIn.h
@@ -13,8 +13,8 @@
 {
 	uint64 begun = 0;
 	uint64 answered = 0;
-	uint64 cut = 0;             ///< Requests that a reboot or stop of the worker cut.
-	uint64 killed = 0;          ///< Requests that a kill of the worker cut.
+	uint64 cut = 0;    ///< Requests that a reboot or stop of the worker cut.
+	uint64 killed = 0; ///< Requests that a kill of the worker cut.
 	uint64 refused_full = 0;
 	uint64 refused_unwanted = 0; ///< Not begun: leaving, or the service's task is not here.
 	uint64 most_in_flight = 0;
--- a/UnitTests/FleetTests.cpp
+++ b/UnitTests/FleetTests.cpp
@@ -68,14 +68,19 @@
 {
 	TestFleet fleet;
 	std::vector<SettingsNode> nodes = {{"/pool", ENodeKind::Pool, {}}};
-	nodes.push_back({"/pool/small", ENodeKind::Job, {{ESetting::Replicas, {4, {}}}, {ESetting::CpuMilli, {4000, {}}}, {ESetting::Priority, {1, {}}}}});
-	nodes.push_back({"/pool/large", ENodeKind::Job, {{ESetting::Replicas, {1, {}}}, {ESetting::CpuMilli, {16'000, {}}}, {ESetting::Priority, {1, {}}}}});
+	nodes.push_back(
+		{"/pool/small", ENodeKind::Job, {{ESetting::Replicas, {4, {}}}, {ESetting::CpuMilli, {4000, {}}}, {ESetting::Priority, {1, {}}}}});
+	nodes.push_back({"/pool/large",
+					 ENodeKind::Job,
+					 {{ESetting::Replicas, {1, {}}}, {ESetting::CpuMilli, {16'000, {}}}, {ESetting::Priority, {1, {}}}}});
 	fleet.Accept(ApplySettings{0, nodes, "me"});
 	fleet.AddHealthy("h0");
 	fleet.AddHealthy("h1");
 	FoldPlan(fleet, PlacementPlanner(fleet.state, "/pool").Plan().proposals);
 	ASSERT_EQ(fleet.state.placements.size(), 5U);
-	nodes.push_back({"/pool/urgent", ENodeKind::Job, {{ESetting::Replicas, {1, {}}}, {ESetting::CpuMilli, {14'000, {}}}, {ESetting::Priority, {900, {}}}}});
+	nodes.push_back({"/pool/urgent",
+					 ENodeKind::Job,
+					 {{ESetting::Replicas, {1, {}}}, {ESetting::CpuMilli, {14'000, {}}}, {ESetting::Priority, {900, {}}}}});
 	fleet.Accept(ApplySettings{fleet.state.settings_version, nodes, "me"});
 	const PlacementPlan plan = PlacementPlanner(fleet.state, "/pool").Plan();
 	EXPECT_EQ(plan.preempted, 1U);
@@ -88,7 +93,9 @@
 	TestFleet fleet;
 	std::vector<SettingsNode> nodes = TestFleet::OnePool(0, 1, 4000);
 	nodes.push_back({"/pool/huge", ENodeKind::Job, {{ESetting::CpuMilli, {99'000, {}}}, {ESetting::Priority, {1000, {}}}}});
-	nodes.push_back({"/pool/poor", ENodeKind::Job, {{ESetting::CpuMilli, {5000, {}}}, {ESetting::QuotaCpuMilli, {100, {}}}, {ESetting::Team, {0, "poor"}}}});
+	nodes.push_back({"/pool/poor",
+					 ENodeKind::Job,
+					 {{ESetting::CpuMilli, {5000, {}}}, {ESetting::QuotaCpuMilli, {100, {}}}, {ESetting::Team, {0, "poor"}}}});
 	fleet.Accept(ApplySettings{0, nodes, "me"});
 	fleet.AddHealthy("h0");
 	const PlacementPlan plan = PlacementPlanner(fleet.state, "/pool").Plan();
@@ -145,7 +152,8 @@
 	HostObservation &observed = seen.hosts["h0"];
 	observed.first_polled = 1;
 	observed.last_answer = 10'000;
-	const auto decide = [&](bool inAcknowledged) { return HostKeeper(fleet.state, seen, {}, 10'000).Decide(fleet.state.hosts.at("h0"), inAcknowledged); };
+	const auto decide = [&](bool inAcknowledged)
+	{ return HostKeeper(fleet.state, seen, {}, 10'000).Decide(fleet.state.hosts.at("h0"), inAcknowledged); };
 	EXPECT_TRUE(decide(true).empty());
 	observed.quiet_since = 9'000;
 	EXPECT_TRUE(decide(false).empty());
@@ -281,7 +289,8 @@
 	const Wave &wave = fleet.state.waves.at("w");
 	if (failures == 0 && wave.state != EWaveState::Done)
 		RC_ASSERT(!WavePlanner(fleet.state, "/pool", {}).Plan().held_by.empty() ||
-				  std::any_of(fleet.state.hosts.begin(), fleet.state.hosts.end(), [](const auto &inEntry) { return inEntry.second.phase == EHostPhase::Draining; }));
+				  std::any_of(fleet.state.hosts.begin(), fleet.state.hosts.end(),
+							  [](const auto &inEntry) { return inEntry.second.phase == EHostPhase::Draining; }));
 }
 
 } // namespace
--- a/UnitTests/MemberTests.cpp
+++ b/UnitTests/MemberTests.cpp
@@ -80,7 +80,8 @@
 {
 	const std::vector<std::string> names = {"a", "b", "c", "d"};
 	const View view = ViewOf({{"a", "z1"}, {"b", "z1"}, {"c", "z2"}, {"d", "z2"}});
-	const auto picker = [&](const std::string &inSelf, const std::string &inZone, const std::set<std::string> &inSilent) {
+	const auto picker = [&](const std::string &inSelf, const std::string &inZone, const std::set<std::string> &inSilent)
+	{
 		PeerTracker tracker(inSelf, inZone, 1000);
 		for (const auto &[name, member] : view.members)
 			if (name != inSelf && inSilent.count(name) == 0)
--- a/UnitTests/RequestTests.cpp
+++ b/UnitTests/RequestTests.cpp
@@ -37,7 +37,10 @@
 		this->Update();
 	}
 
-	void Update(const std::set<std::string> &inLeaving = {}) { this->dispatcher.Update(this->fleet.state, inLeaving, this->now, this->decisions); }
+	void Update(const std::set<std::string> &inLeaving = {})
+	{
+		this->dispatcher.Update(this->fleet.state, inLeaving, this->now, this->decisions);
+	}
 
 	/// A request; its first decisions are left in `decisions`.
 	RequestId Arrive(bool inRepeatable = false, int64 inPriority = 500, Millis inTime = 10'000)
@@ -231,7 +234,9 @@
 	TestFleet fleet;
 	std::vector<SettingsNode> nodes = {{"/pool", ENodeKind::Pool, {}}};
 	nodes.push_back({"/pool/pay", ENodeKind::Job, {{ESetting::Priority, {900, {}}}, {ESetting::QueueLimit, {1000, {}}}}});
-	nodes.push_back({"/pool/bulk", ENodeKind::Job, {{ESetting::Priority, {50, {}}}, {ESetting::QueueShare, {10, {}}}, {ESetting::QueueLimit, {1000, {}}}}});
+	nodes.push_back({"/pool/bulk",
+					 ENodeKind::Job,
+					 {{ESetting::Priority, {50, {}}}, {ESetting::QueueShare, {10, {}}}, {ESetting::QueueLimit, {1000, {}}}}});
 	fleet.Accept(ApplySettings{0, nodes, "me"});
 	fleet.AddHealthy("h0");
 	fleet.Accept(PlaceReplica{{"/pool/pay", 0}, "h0", 0});
@@ -290,7 +295,8 @@
 		{
 			const RequestId id = repeatable.size() + 1;
 			repeatable[id] = *rc::gen::arbitrary<bool>();
-			dispatcher.Arrive({id, "/pool/job", *rc::gen::inRange<int64>(0, 500), now + *rc::gen::inRange(1, 3000), repeatable[id]}, now, decisions);
+			dispatcher.Arrive({id, "/pool/job", *rc::gen::inRange<int64>(0, 500), now + *rc::gen::inRange(1, 3000), repeatable[id]}, now,
+							  decisions);
 		}
 		else if (action < 9 && !in_flight.empty())
 		{
@@ -388,12 +394,15 @@
 	std::map<std::string, FleetState> states; ///< How far each member has read.
 	uint64 incarnations = 0;
 	std::map<std::string, Member> members;
-	const auto start = [&](const std::string &inName) {
+	const auto start = [&](const std::string &inName)
+	{
 		members[inName] = {inName, ++incarnations, "r", "z" + inName.substr(1), {}, {}};
 		tables[inName] = std::make_unique<ClaimTable>(inName);
 		states[inName] = FleetState();
 	};
-	const auto propose_view = [&](const std::vector<Member> &inMembers) { fleet.Fold(ChangeView{fleet.state.view.number, inMembers, false}); };
+	const auto propose_view = [&](const std::vector<Member> &inMembers) {
+		fleet.Fold(ChangeView{fleet.state.view.number, inMembers, false});
+	};
 	start("m0");
 	fleet.Accept(ChangeView{0, {members["m0"]}, true});
 	const uint64 resets = fleet.state.view.resets;
@@ -460,7 +469,8 @@
 			{
 				uint64 holder = 0;
 				const bool lost = *rc::gen::inRange(0, 6) == 0;
-				const bool granted = !lost && tables[member]->Answer(id, range, claimer, states[name].view.number, true, now, holder) == EClaim::Granted;
+				const bool granted =
+					!lost && tables[member]->Answer(id, range, claimer, states[name].view.number, true, now, holder) == EClaim::Granted;
 				complete = complete && granted;
 				if (!complete)
 					break;
--- a/UnitTests/SettingsTests.cpp
+++ b/UnitTests/SettingsTests.cpp
@@ -37,18 +37,20 @@
 	EXPECT_NE(LastReason().detail.find(bad.word), std::string::npos) << LastReason().detail;
 }
 
-INSTANTIATE_TEST_SUITE_P(Kinds, BadSettings,
-						 testing::Values(BadText{"[pool.a\n", "1:", ""}, BadText{"colour = 3\n", "1:1", "unknown setting 'colour'"},
-										 BadText{"priority = \"high\"\n", "1:12", "whole number"}, BadText{"\npriority = 5000\n", "2:12", "from 0 to 1000"},
-										 BadText{"repeatable = 1\n", "1:14", "true or false"}, BadText{"kind = \"daemon\"\n", "1:8", "service|batch"},
-										 BadText{"team = 4\n", "1:8", "text in quotes"}, BadText{"[job.x]\n", "1:", "pools hold jobs"},
-										 BadText{"[pool.a.pool.b]\n", "1:", "pools hold jobs"}, BadText{"[pool.\"a b\"]\n", "1:", "without spaces"},
-										 BadText{"pool = 3\n", "1:8", "table"}, BadText{"[pool]\na = 1\n", "2:5", "table with settings"},
-										 BadText{"[pool.a.job.x]\n[pool.b.job.x]\n", "", "another job has the same name"}));
+INSTANTIATE_TEST_SUITE_P(
+	Kinds, BadSettings,
+	testing::Values(BadText{"[pool.a\n", "1:", ""}, BadText{"colour = 3\n", "1:1", "unknown setting 'colour'"},
+					BadText{"priority = \"high\"\n", "1:12", "whole number"}, BadText{"\npriority = 5000\n", "2:12", "from 0 to 1000"},
+					BadText{"repeatable = 1\n", "1:14", "true or false"}, BadText{"kind = \"daemon\"\n", "1:8", "service|batch"},
+					BadText{"team = 4\n", "1:8", "text in quotes"}, BadText{"[job.x]\n", "1:", "pools hold jobs"},
+					BadText{"[pool.a.pool.b]\n", "1:", "pools hold jobs"}, BadText{"[pool.\"a b\"]\n", "1:", "without spaces"},
+					BadText{"pool = 3\n", "1:8", "table"}, BadText{"[pool]\na = 1\n", "2:5", "table with settings"},
+					BadText{"[pool.a.job.x]\n[pool.b.job.x]\n", "", "another job has the same name"}));
 
 TEST(SettingsTree, InheritsUnlessStated)
 {
-	const std::optional<SettingsTree> tree = ParseSettings("priority = 7\n[group.g]\nteam = \"red\"\n[group.g.pool.p]\npriority = 9\n[group.g.pool.p.job.j]\n", "f");
+	const std::optional<SettingsTree> tree =
+		ParseSettings("priority = 7\n[group.g]\nteam = \"red\"\n[group.g.pool.p]\npriority = 9\n[group.g.pool.p.job.j]\n", "f");
 	ASSERT_TRUE(tree.has_value()) << LastReasonText();
 	EXPECT_EQ(tree->Explain("/g/p/j", ESetting::Priority).from, "/g/p");
 	EXPECT_EQ(tree->Number("/g/p/j", ESetting::Priority), 9);
@@ -91,8 +93,9 @@
 }
 
 /// A daemon's configuration that is good.
-const std::string cGood = "name = \"e\"\navailability_zone = \"z\"\ncallers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n"
-						  "platform = \"127.0.0.1:4\"\npeer_key_file = \"key\"\n";
+const std::string cGood =
+	"name = \"e\"\navailability_zone = \"z\"\ncallers = \"127.0.0.1:1\"\noperators = \"127.0.0.1:2\"\npeers = \"127.0.0.1:3\"\n"
+	"platform = \"127.0.0.1:4\"\npeer_key_file = \"key\"\n";
 
 class DaemonConfigTest : public testing::Test
 {
--- a/UnitTests/StateTests.cpp
+++ b/UnitTests/StateTests.cpp
@@ -87,7 +87,9 @@
 	nodes.push_back({"/other", ENodeKind::Pool, {}});
 	fleet.Accept(ApplySettings{0, nodes, "me"});
 	fleet.AddHealthy("h0");
-	const auto move = [&fleet](const std::string &inFrom) { return MoveHost{"h0", inFrom, "/other", fleet.state.hosts.at("h0").generation}; };
+	const auto move = [&fleet](const std::string &inFrom) {
+		return MoveHost{"h0", inFrom, "/other", fleet.state.hosts.at("h0").generation};
+	};
 	fleet.Reject(move("/pool"), EError::WrongPhase);
 	fleet.Accept(PlaceReplica{{"/pool/job", 0}, "h0", 0});
 	fleet.Step("h0", EHostStep::Drain);
@@ -137,7 +139,8 @@
 TEST(Fold, AViewKeepsAHolderOfEachClaimRange)
 {
 	TestFleet fleet;
-	const auto member = [](const std::string &inName, uint64 inIncarnation) { return Member{inName, inIncarnation, "r", "z-" + inName, {}, {}}; };
+	const auto member = [](const std::string &inName, uint64 inIncarnation)
+	{ return Member{inName, inIncarnation, "r", "z-" + inName, {}, {}}; };
 	fleet.Reject(ChangeView{0, {member("a", 1)}, false}, EError::ViewRejected);
 	fleet.Accept(ChangeView{0, {member("a", 1)}, true});
 	fleet.Accept(ChangeView{1, {member("a", 1), member("b", 2)}, false});
@@ -261,13 +264,19 @@
 	const LogPosition base = placement == inState.placements.end() ? 0 : placement->second.generation;
 	switch (*rc::gen::inRange(0, 8))
 	{
-	case 0: return AddHost{{host, {"127.0.0.1", 9}, "r", "z", "k", {16'000, 32'768, 0}, 8, 64}, *rc::gen::element<std::string>("/pool", "/other", "/none")};
-	case 1: return MoveHost{host, *rc::gen::element<std::string>("/pool", "/other"), *rc::gen::element<std::string>("/pool", "/other"), generation};
+	case 0:
+		return AddHost{{host, {"127.0.0.1", 9}, "r", "z", "k", {16'000, 32'768, 0}, 8, 64},
+					   *rc::gen::element<std::string>("/pool", "/other", "/none")};
+	case 1:
+		return MoveHost{host, *rc::gen::element<std::string>("/pool", "/other"), *rc::gen::element<std::string>("/pool", "/other"),
+						generation};
 	case 2:
 	case 3: return PlaceReplica{replica, host, base};
 	case 4: return StopReplica{replica, base, static_cast<EStopReason>(*rc::gen::inRange(0, 6))};
 	case 5: return StartWave{"w" + std::to_string(*rc::gen::inRange(0, 3)), "", "", ""};
-	default: return StepHost{host, static_cast<EHostStep>(*rc::gen::inRange(0, 10)), generation, *rc::gen::element<std::string>("", "w0", "w1"), "", 1};
+	default:
+		return StepHost{
+			host, static_cast<EHostStep>(*rc::gen::inRange(0, 10)), generation, *rc::gen::element<std::string>("", "w0", "w1"), "", 1};
 	}
 }
 
--- a/UnitTests/TestFleet.h
+++ b/UnitTests/TestFleet.h
@@ -50,7 +50,8 @@
 	}
 
 	/// Adds a healthy host of 16 cores and 32 GB.
-	void AddHealthy(const std::string &inName, const std::string &inPool = "/pool", const std::string &inRack = "rack-0", const std::string &inZone = "zone-0")
+	void AddHealthy(const std::string &inName, const std::string &inPool = "/pool", const std::string &inRack = "rack-0",
+					const std::string &inZone = "zone-0")
 	{
 		HostSpec spec{inName, {"127.0.0.1", 9}, "here", inZone, inRack, {16'000, 32'768, 0}, 8, 64};
 		this->Accept(AddHost{spec, inPool});
@@ -62,7 +63,10 @@
 		return {inHost, inStep, this->state.hosts.at(inHost).generation, inWave, "test", 0};
 	}
 
-	void Step(const std::string &inHost, EHostStep inStep, const std::string &inWave = {}) { this->Accept(this->MakeStep(inHost, inStep, inWave)); }
+	void Step(const std::string &inHost, EHostStep inStep, const std::string &inWave = {})
+	{
+		this->Accept(this->MakeStep(inHost, inStep, inWave));
+	}
 
 	FleetState state;
 	uint64 sequence = 0;
