--- a/Loomreach/Core/LogEvent.h
+++ b/Loomreach/Core/LogEvent.h
@@ -42,6 +42,9 @@
 	std::string line;
 };
 
+/// Writes an event that has no fields.
+inline void LogPlain(ELogLevel inLevel, std::string_view inEvent) { const LogEvent event(inLevel, inEvent); }
+
 /// Starts glog for a program: to standard error, from the given level on.
 void StartLogging(const char *inProgram);
 
--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -8,7 +8,7 @@
 #include <Loomreach/Entry/ControlLoop.h>
 #include <Loomreach/Fleet/HostKeeper.h>
 #include <Loomreach/Fleet/WavePlanner.h>
-#include <Loomreach/Request/SlotShare.h>
+#include <Loomreach/Request/ShareUpdate.h>
 
 namespace Loomreach
 {
@@ -183,53 +183,35 @@
 
 void ControlLoop::UpdateRoutes()
 {
-	std::vector<Decision> decisions;
 	const Millis now = NowMillis();
-	this->dispatcher.Update(this->follower.State(), this->LeavingHosts(), now, decisions);
+	std::set<std::string> leaving = this->LeavingHosts();
+	const bool is_same = this->routes_offset == this->follower.State().next_offset && this->routes_leaving == leaving;
+	if (is_same)
+		return;
+	this->routes_offset = this->follower.State().next_offset;
+	this->routes_leaving = std::move(leaving);
+	std::vector<Decision> decisions;
+	this->dispatcher.Update(this->follower.State(), this->routes_leaving, now, decisions);
 	this->UpdateShares(now);
 	this->on_decisions(std::move(decisions));
 }
 
 void ControlLoop::UpdateShares(Millis inNow)
 {
-	const FleetState &state = this->follower.State();
-	// Live members, this one among them, with the demand that each reported for each service
-	std::vector<std::string> members;
-	for (const auto &[name, member] : state.view.members)
-		if (name == this->config.name || this->tracker.IsLive(name, inNow))
-			members.push_back(name);
-	if (members.empty())
-		return;
-	for (auto &[host, endpoint] : this->dispatcher.Endpoints().All())
+	// Live members of the own availability zone, this one among them, with what each reported. Members of other zones seldom
+	// come here; where they do, the worker itself refuses what does not fit
+	std::vector<MemberDemand> members;
+	for (const auto &[name, member] : this->follower.State().view.members)
 	{
-		std::vector<std::string> order = members;
-		std::sort(order.begin(), order.end(),
-				  [&host](const std::string &inA, const std::string &inB)
-				  { return RendezvousWeight(host, inA) > RendezvousWeight(host, inB); });
-		std::vector<uint32> demands;
-		ShareInput input;
-		input.slots = endpoint.slots;
-		for (const std::string &name : order)
-		{
-			if (name == this->config.name)
-				input.self = static_cast<uint32>(demands.size());
-			uint32 demand = 0;
-			for (const std::string &job : endpoint.services)
-			{
-				// Demand of a service spreads over the endpoints that carry it
-				const uint32 spread = std::max<uint32>(1, this->dispatcher.Endpoints().CountOf(job));
-				uint32 reported = name == this->config.name ? this->dispatcher.Demand(job) : 0;
-				if (const Peer *peer = this->tracker.Find(name); peer != nullptr && name != this->config.name)
-					for (const ServiceDemand &entry : peer->digest.demands)
-						if (entry.service == ServiceHash(job))
-							reported = entry.requests;
-				demand += (reported + spread - 1) / spread;
-			}
-			demands.push_back(demand);
-		}
-		input.demands = demands;
-		endpoint.limit = DemandSlotShare::Limit(input);
+		if (member.availability_zone != this->config.availability_zone)
+			continue;
+		const Peer *peer = this->tracker.Find(name);
+		if (name == this->config.name)
+			members.push_back({name, true, {}});
+		else if (peer != nullptr && this->tracker.IsLive(name, inNow))
+			members.push_back({name, false, DemandByService(peer->digest)});
 	}
+	UpdateLimits(this->dispatcher, this->config.availability_zone, members);
 }
 
 void ControlLoop::PlanRound()
@@ -436,7 +418,7 @@
 	this->AskNextMember(round);
 }
 
-void ControlLoop::AskNextMember(std::shared_ptr<ClaimRound> inRound)
+void ControlLoop::AskNextMember(const std::shared_ptr<ClaimRound> &inRound)
 {
 	if (inRound->next == inRound->group.size())
 	{
@@ -486,7 +468,7 @@
 		return inDone();
 	this->left = true;
 	// Where the view can't let this member go yet, the others remove it once it is silent
-	this->proposer.Propose(std::move(change), [inDone = std::move(inDone)](const Verdict &) { inDone(); });
+	this->proposer.Propose(std::move(change), [done = std::move(inDone)](const Verdict &) { done(); });
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -66,7 +66,7 @@
 	void TakeOverClaims();
 	void UpdateShares(Millis inNow);
 	void UpdateRoutes();
-	void AskNextMember(std::shared_ptr<ClaimRound> inRound);
+	void AskNextMember(const std::shared_ptr<ClaimRound> &inRound);
 
 	const DaemonConfig &config;
 	uint64 incarnation;
@@ -93,6 +93,8 @@
 	bool taking_over = false;
 	ListeningSpan listening;
 	Millis log_beat_sent = 0;
+	LogOffset routes_offset = 0;          ///< State that the routes were made from.
+	std::set<std::string> routes_leaving; ///< Leaving hosts that the routes were made with.
 	uint64 seen_resets = 0;
 	Millis claims_from = 0; ///< After a reset, no claims before this time.
 
--- a/Loomreach/Entry/EntryHost.cpp
+++ b/Loomreach/Entry/EntryHost.cpp
@@ -80,7 +80,7 @@
 	this->control.LeaveView(
 		[this]
 		{
-			LogEvent(ELogLevel::Info, "stop_done");
+			LogPlain(ELogLevel::Info, "stop_done");
 			this->stopped();
 		});
 }
--- a/Loomreach/Entry/LogFollower.cpp
+++ b/Loomreach/Entry/LogFollower.cpp
@@ -61,7 +61,7 @@
 	this->poll_timer.Once(inDelay, [this] { this->Poll(); });
 }
 
-void LogFollower::ReadSnapshots(LogOffset inFrom, std::shared_ptr<SnapshotAssembler> inAssembler)
+void LogFollower::ReadSnapshots(LogOffset inFrom, const std::shared_ptr<SnapshotAssembler> &inAssembler)
 {
 	this->platform.Read(
 		cSnapshotStream, inFrom, cPageRecords,
@@ -265,7 +265,7 @@
 	this->AppendPieces(pieces, 0, this->state.next_offset);
 }
 
-void LogFollower::AppendPieces(std::shared_ptr<std::vector<std::string>> inPieces, size_t inIndex, LogOffset inOffset)
+void LogFollower::AppendPieces(const std::shared_ptr<std::vector<std::string>> &inPieces, size_t inIndex, LogOffset inOffset)
 {
 	if (inIndex == inPieces->size())
 	{
--- a/Loomreach/Entry/LogFollower.h
+++ b/Loomreach/Entry/LogFollower.h
@@ -66,7 +66,7 @@
 	std::function<void(const std::vector<Verdict> &)> on_folded;
 
 private:
-	void ReadSnapshots(LogOffset inFrom, std::shared_ptr<SnapshotAssembler> inAssembler);
+	void ReadSnapshots(LogOffset inFrom, const std::shared_ptr<SnapshotAssembler> &inAssembler);
 	void OnSnapshotsRead(const SnapshotAssembler &inAssembler);
 	void OnPage(Millis inStarted, std::optional<LogPage> inPage);
 	void FoldRecords(std::vector<PassedRecord> inRecords, std::string_view inSource);
@@ -74,7 +74,7 @@
 	void AskStateOf(const Address &inPeer);
 	void AskSeeds();
 	void OnSeedState(std::optional<PeerReply> inReply);
-	void AppendPieces(std::shared_ptr<std::vector<std::string>> inPieces, size_t inIndex, LogOffset inOffset);
+	void AppendPieces(const std::shared_ptr<std::vector<std::string>> &inPieces, size_t inIndex, LogOffset inOffset);
 	void Schedule(Millis inDelay);
 
 	PlatformClient &platform;
--- a/Loomreach/Request/ClaimTable.h
+++ b/Loomreach/Request/ClaimTable.h
@@ -36,7 +36,7 @@
 {
 public:
 	static constexpr size_t cMaxClaims = 200'000;
-	static constexpr Millis cKeepMs = 6 * 3600 * 1000;
+	static constexpr Millis cKeepMs = Millis(6) * 3600 * 1000;
 
 	explicit ClaimTable(std::string inSelf) : self(std::move(inSelf)) {}
 
--- a/Loomreach/Request/Dispatcher.h
+++ b/Loomreach/Request/Dispatcher.h
@@ -83,6 +83,7 @@
 	void Tick(Millis inNow, std::vector<Decision> &outDecisions);
 
 	EndpointTable &Endpoints() { return this->endpoints; }
+	const EndpointTable &Endpoints() const { return this->endpoints; }
 	/// Requests of a job that wait or are in flight: the demand that is reported to other entry hosts.
 	uint32 Demand(const std::string &inJob) const;
 	/// Requests that wait, over all services.
--- a/Loomreach/State/Fold.cpp
+++ b/Loomreach/State/Fold.cpp
@@ -378,7 +378,12 @@
 			continue;
 		for (const auto &[host, host_state] : other.hosts)
 			if (host_state != EWaveHost::Done && wave.hosts.count(host) != 0)
-				return FailFalse(EError::Conflict, host + " is already in wave " + name);
+			{
+				std::string why = host;
+				why += " is already in wave ";
+				why += name;
+				return FailFalse(EError::Conflict, std::move(why));
+			}
 	}
 	this->state.waves.emplace(inProposal.name, std::move(wave));
 	this->ForgetOldWaves();
--- a/Loomreachctl/Commands.cpp
+++ b/Loomreachctl/Commands.cpp
@@ -170,13 +170,13 @@
 	const std::optional<Json> answer = PostSettings(ioCall, "&base_version=" + base + "&author=" + UrlEscape(ioCall.options.author));
 	if (!answer.has_value())
 	{
-		const Reason reason = LastReason();
+		Reason reason = LastReason();
 		if (ioCall.client.LastRefusal().contains("changed"))
 		{
 			PrintLine("Meanwhile version " + Plain(ioCall.client.LastRefusal()["version"]) + " has come into force. It changed:");
 			PrintChanges(ioCall.client.LastRefusal()["changed"]);
 		}
-		return FailFalse(reason.kind, reason.detail);
+		return FailFalse(reason.kind, std::move(reason.detail));
 	}
 	PrintLine(ioCall.options.json ? answer->dump() : "Accepted as version " + (*answer)["position"].dump() + ".");
 	return !ioCall.options.wait || WaitInForce(ioCall, (*answer)["position"]);
--- a/Loomreachctl/Main.cpp
+++ b/Loomreachctl/Main.cpp
@@ -43,7 +43,7 @@
 
 int PrintError()
 {
-	const Reason reason = LastReason();
+	const Reason &reason = LastReason();
 	std::fprintf(stderr, "loomreachctl: %s: %s\n  %s\n", std::string(AnswerOf(reason.kind).name).c_str(), reason.detail.c_str(),
 				 std::string(AnswerOf(reason.kind).meaning).c_str());
 	return AnswerOf(reason.kind).exit_code;
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -41,7 +41,7 @@
 	// A second signal forces the stop
 	if (program->stopping)
 	{
-		LogEvent(ELogLevel::Warning, "stop_forced");
+		LogPlain(ELogLevel::Warning, "stop_forced");
 		std::_Exit(1);
 	}
 	program->stopping = true;
--- a/UnitTests/RequestTests.cpp
+++ b/UnitTests/RequestTests.cpp
@@ -98,6 +98,7 @@
 {
 	this->Fill();
 	std::vector<RequestId> low;
+	low.reserve(3);
 	for (int i = 0; i < 3; ++i)
 		low.push_back(this->Arrive(false, 100));
 	this->Arrive(false, 100);
