Start nothing that cannot end in time, finish waves of tight pools, and move replicas once

Cause: the policy comparison showed (1) at 3x load the low class got 0.3% of its requests through although 10% of the starts are its share: they started just before their deadline and timed out; (2) at the two-year size 770 of 1,800 hosts were never maintained, held by a buffer that pools of six hosts at 70% use cannot have; (3) replicas went to hosts that the same wave took out next. Ruled out: a shorter queue for the low class (it hides the late starts, and the share stays unused); dropping the buffer check. Change: admission and queues reckon with the time that an attempt takes (smoothed mean and deviation, at most half the request's time); a pool that cannot have its buffer goes one host at a time; hosts that the wave will take are the last choice before rack spread; pools that weigh moves take out only what settled hosts can take in.

--- a/Loomreach/Fleet/PlacementPlanner.cpp
+++ b/Loomreach/Fleet/PlacementPlanner.cpp
@@ -3,6 +3,7 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Fleet/PlacementPlanner.h>
+#include <Loomreach/Fleet/WavePlanner.h>
 
 namespace Loomreach
 {
@@ -10,14 +11,7 @@
 HostScore WeightedPlacement::Adjust(const FleetState &inState, const PoolSpec &inPool, const Host &inHost, const Resources &inFree,
 									HostScore inScore)
 {
-	for (const auto &[name, wave] : inState.waves)
-	{
-		if (wave.state != EWaveState::Running && wave.state != EWaveState::Paused)
-			continue;
-		auto entry = wave.hosts.find(inHost.spec.name);
-		if (entry != wave.hosts.end() && entry->second == EWaveHost::Pending)
-			inScore.will_leave = 1;
-	}
+	inScore.will_leave = IsPendingInWave(inState, inHost.spec.name) ? 1 : 0;
 	// Packing leaves whole hosts idle and so saves buffer; levelling keeps few replicas on each host, so that a lost host moves few
 	const bool packs = inPool.weight_buffer > inPool.weight_moves;
 	inScore.idle_cost = packs ? inFree.cpu_milli : -inFree.cpu_milli;
--- a/Loomreach/Fleet/PlacementPlanner.h
+++ b/Loomreach/Fleet/PlacementPlanner.h
@@ -44,9 +44,9 @@
 {
 	int64 blamed = 0;     ///< The job failed on it before.
 	int64 host_mates = 0; ///< Replicas of the same job on the host: they would share its slots.
+	int64 will_leave = 0; ///< A running wave has yet to take it out: a replica put there moves again.
 	int64 rack_mates = 0; ///< Replicas of the same job in the rack.
 	int64 zone_mates = 0; ///< Replicas of the same job in the availability zone.
-	int64 will_leave = 0; ///< A running wave has yet to take it out: a replica put there moves again.
 	int64 idle_cost = 0;  ///< Policy's own: less is better.
 
 	auto operator<=>(const HostScore &) const = default;
--- a/Loomreach/Fleet/WavePlanner.cpp
+++ b/Loomreach/Fleet/WavePlanner.cpp
@@ -22,6 +22,19 @@
 	return width > inOut ? width - inOut : 0;
 }
 
+bool IsPendingInWave(const FleetState &inState, const std::string &inHost)
+{
+	for (const auto &[name, wave] : inState.waves)
+	{
+		if (wave.state != EWaveState::Running && wave.state != EWaveState::Paused)
+			continue;
+		auto entry = wave.hosts.find(inHost);
+		if (entry != wave.hosts.end() && entry->second == EWaveHost::Pending)
+			return true;
+	}
+	return false;
+}
+
 Buffer ReckonBuffer(const FleetState &inState, const PoolSpec &inPool, const std::set<std::string> &inWithout)
 {
 	Buffer buffer;
--- a/Loomreach/Fleet/WavePlanner.h
+++ b/Loomreach/Fleet/WavePlanner.h
@@ -33,7 +33,9 @@
 };
 
 /// The policy in use: as many as the budget and the width allow, the emptiest first, as long as their replicas find room
-/// on hosts that stay and the largest rack's worth (or the share that the settings state) is still spare.
+/// on hosts that stay and the largest rack's worth (or the share that the settings state) is still spare. A pool that cannot
+/// have that buffer still goes one host at a time. Pools that weigh moves take no more than hosts that the wave no longer wants can take
+/// in.
 struct LargestSafeSet
 {
 	static constexpr bool cChecksRoom = true;
@@ -70,6 +72,9 @@
 /// Reckons a pool's buffer, as if the hosts in `inWithout` were gone and their firm load stayed to be placed.
 Buffer ReckonBuffer(const FleetState &inState, const PoolSpec &inPool, const std::set<std::string> &inWithout);
 
+/// Whether a wave that is running or paused has yet to take a host out.
+bool IsPendingInWave(const FleetState &inState, const std::string &inHost);
+
 /// Plans waves and operators' drains of one pool.
 template <WavePolicy P>
 class BasicWavePlanner
@@ -86,7 +91,8 @@
 private:
 	void TakeBack(const std::vector<const Host *> &inHosts);
 	std::vector<std::pair<const Host *, std::string>> Pending(const std::vector<const Host *> &inHosts) const;
-	bool LeavesRoom(const PoolSpec &inPool, const std::set<std::string> &inGone);
+	bool LeavesRoom(const PoolSpec &inPool, const std::set<std::string> &inGone, bool inAnyOut) const;
+	int64 SettledRoom(const std::vector<const Host *> &inHosts) const;
 
 	const FleetState &state;
 	std::string pool;
--- a/Loomreach/Fleet/WavePlanner.inl
+++ b/Loomreach/Fleet/WavePlanner.inl
@@ -36,6 +36,8 @@
 		return std::move(this->plan);
 	}
 	uint32 room = available - required;
+	int64 settled_room = this->SettledRoom(hosts);
+	const bool spares_moves = spec->second.weight_moves > spec->second.weight_buffer;
 	uint32 may_take = P::MayTake(this->state, spec->second, out);
 	for (const auto &[host, wave] : this->Pending(hosts))
 	{
@@ -44,6 +46,13 @@
 			this->plan.held_by = "as many hosts are out as the wave's width allows";
 			break;
 		}
+		// A replica that goes to a host which the wave has yet to take is moved twice. One host must begin where none is settled
+		const bool fits_settled = host->used.cpu_milli <= settled_room;
+		if (P::cChecksRoom && spares_moves && !fits_settled && out + this->plan.drains > 0)
+		{
+			this->plan.held_by = "moves: the hosts that are done have no room yet for the replicas of one more";
+			break;
+		}
 		const bool counts = gone.count(host->spec.name) == 0;
 		if (counts && room == 0)
 		{
@@ -54,13 +63,14 @@
 		{
 			std::set<std::string> with = gone;
 			with.insert(host->spec.name);
-			if (!this->LeavesRoom(spec->second, with))
+			if (!this->LeavesRoom(spec->second, with, out + this->plan.drains > 0))
 			{
 				this->plan.held_by = "the buffer: the replicas of one more host would find no room";
 				continue;
 			}
 		}
 		this->plan.proposals.emplace_back(StepHost{host->spec.name, EHostStep::Drain, host->generation, wave, "wave"});
+		settled_room -= host->used.cpu_milli;
 		++this->plan.drains;
 		--may_take;
 		room -= counts ? 1 : 0;
@@ -126,10 +136,24 @@
 }
 
 template <WavePolicy P>
-bool BasicWavePlanner<P>::LeavesRoom(const PoolSpec &inPool, const std::set<std::string> &inGone)
+bool BasicWavePlanner<P>::LeavesRoom(const PoolSpec &inPool, const std::set<std::string> &inGone, bool inAnyOut) const
 {
 	const Buffer buffer = ReckonBuffer(this->state, inPool, inGone);
-	return buffer.Spare() >= buffer.wanted;
+	return buffer.Spare() >= (inAnyOut ? buffer.wanted : 0);
+}
+
+template <WavePolicy P>
+int64 BasicWavePlanner<P>::SettledRoom(const std::vector<const Host *> &inHosts) const
+{
+	int64 room = 0;
+	for (const Host *host : inHosts)
+	{
+		const bool stays = host->IsAvailable() && !IsPendingInWave(this->state, host->spec.name);
+		room += stays ? host->Free().cpu_milli : 0;
+		// What is on its way off a draining host will take its part of the room
+		room -= host->phase == EHostPhase::Draining ? host->used.cpu_milli : 0;
+	}
+	return room;
 }
 
 } // namespace Loomreach
--- a/Loomreach/Request/Dispatcher.cpp
+++ b/Loomreach/Request/Dispatcher.cpp
@@ -19,6 +19,8 @@
 static constexpr uint32 cMaxRetryAfterS = 60;
 static constexpr uint32 cDefaultRetryAfterS = 1;
 static constexpr double cMaxCredit = 2.0;
+static constexpr double cDurationGain = 1.0 / 8;
+static constexpr double cDeviationGain = 1.0 / 4;
 
 static constexpr std::array<EnumName<ERetry>, static_cast<size_t>(ERetry::Count)> cRetryNames = {{
 	{ERetry::EndpointFull, "endpoint-full"},
@@ -65,14 +67,15 @@
 {
 	Queue &queue = this->queues.find(ioRequest.spec.job)->second;
 	queue.waiting.emplace(std::pair(-ioRequest.spec.priority, ioRequest.arrival), ioRequest.spec.id);
-	this->deadlines.emplace(ioRequest.spec.deadline, ioRequest.spec.id);
+	ioRequest.latest_start = this->LatestStart(queue, ioRequest);
+	this->deadlines.emplace(ioRequest.latest_start, ioRequest.spec.id);
 }
 
 void Dispatcher::Dequeue(const Request &inRequest)
 {
 	Queue &queue = this->queues.find(inRequest.spec.job)->second;
 	queue.waiting.erase({-inRequest.spec.priority, inRequest.arrival});
-	this->deadlines.erase({inRequest.spec.deadline, inRequest.spec.id});
+	this->deadlines.erase({inRequest.latest_start, inRequest.spec.id});
 }
 
 Millis Dispatcher::ExpectedWait(const Queue &inQueue, size_t inAhead) const
@@ -105,6 +108,7 @@
 	Request &request = this->requests[id];
 	request.spec = std::move(inSpec);
 	request.arrival = ++this->arrivals;
+	request.arrived = inNow;
 	if (found == this->queues.end())
 		return this->Refuse(id, EError::NoSuchService, outDecisions);
 	Queue &queue = found->second;
@@ -114,7 +118,7 @@
 	// Ahead of it: all that wait with its priority or a higher one
 	const auto behind = queue.waiting.upper_bound({-request.spec.priority, request.arrival});
 	const size_t ahead = static_cast<size_t>(std::distance(queue.waiting.begin(), behind));
-	if (ahead > 0 && inNow + this->ExpectedWait(queue, ahead) >= request.spec.deadline)
+	if (ahead > 0 && inNow + this->ExpectedWait(queue, ahead) >= this->LatestStart(queue, request))
 		return this->Refuse(id, EError::DeadlineUnmet, outDecisions);
 	this->Enqueue(request);
 	this->StartAll(inNow, outDecisions);
@@ -140,6 +144,29 @@
 	ioQueue.rate_starts = 0;
 }
 
+void Dispatcher::NoteDuration(Queue &ioQueue, Millis inDuration)
+{
+	const double duration = static_cast<double>(inDuration);
+	if (ioQueue.duration_ms <= 0.0)
+	{
+		ioQueue.duration_ms = duration;
+		ioQueue.deviation_ms = duration / 2;
+		return;
+	}
+	// Smoothed mean and deviation, as TCP keeps them of round trips
+	ioQueue.deviation_ms += cDeviationGain * (std::abs(duration - ioQueue.duration_ms) - ioQueue.deviation_ms);
+	ioQueue.duration_ms += cDurationGain * (duration - ioQueue.duration_ms);
+}
+
+Millis Dispatcher::LatestStart(const Queue &inQueue, const Request &inRequest) const
+{
+	// A request that starts too late to end in time is work for nobody. At most half its time is kept for running, so that
+	// a wrong figure cannot refuse everything
+	const Millis half = (inRequest.spec.deadline - inRequest.arrived) / 2;
+	const Millis needed = inQueue.policy.is_long ? 0 : static_cast<Millis>(inQueue.duration_ms + 2 * inQueue.deviation_ms);
+	return inRequest.spec.deadline - std::min(needed, half);
+}
+
 void Dispatcher::Start(Request &ioRequest, Endpoint &ioEndpoint, Millis inNow, std::vector<Decision> &outDecisions)
 {
 	Queue &queue = this->queues.find(ioRequest.spec.job)->second;
@@ -147,6 +174,7 @@
 	LOOM_INVARIANT(inNow < ioRequest.spec.deadline, "nothing starts after its deadline");
 	this->endpoints.Started(ioEndpoint, queue.policy.is_long);
 	ioRequest.host = ioEndpoint.host;
+	ioRequest.started = inNow;
 	ioRequest.tried.insert(ioEndpoint.host);
 	++ioRequest.attempts;
 	++queue.in_flight;
@@ -189,7 +217,7 @@
 	{
 		Request &request = this->requests.find(queue->waiting.begin()->second)->second;
 		Endpoint *endpoint = this->endpoints.Choose(request.spec.job, queue->policy.is_long, this->zone, request.tried, inNow);
-		if (endpoint == nullptr || inNow >= request.spec.deadline)
+		if (endpoint == nullptr || inNow >= request.latest_start)
 			continue;
 		this->Dequeue(request);
 		if (rank.first == 0)
@@ -282,6 +310,8 @@
 	this->endpoints.Ended(request.host, queue.policy.is_long, inResult, inNow);
 	request.host.clear();
 	--queue.in_flight;
+	if (inResult == EAttempt::Answered)
+		this->NoteDuration(queue, inNow - request.started);
 	if (inResult == EAttempt::Broke || inResult == EAttempt::TimedOut)
 		request.may_have_run = true;
 	if (this->MayRetry(request, inResult, inRelayed, inNow))
--- a/Loomreach/Request/Dispatcher.h
+++ b/Loomreach/Request/Dispatcher.h
@@ -101,7 +101,10 @@
 	{
 		RequestSpec spec;
 		uint64 arrival = 0;
-		std::string host; ///< Endpoint of the attempt in flight; empty: waiting.
+		Millis arrived = 0;
+		Millis latest_start = 0; ///< While it waits: after this time it could not end in time.
+		Millis started = 0;      ///< Of the attempt in flight.
+		std::string host;        ///< Endpoint of the attempt in flight; empty: waiting.
 		uint32 attempts = 0;
 		std::set<std::string> tried;
 		bool abandoned = false;
@@ -118,6 +121,8 @@
 		Millis rate_since = 0;
 		uint32 rate_starts = 0;
 		uint32 in_flight = 0;
+		double duration_ms = 0.0;  ///< Smoothed time of an answered attempt; 0: none yet.
+		double deviation_ms = 0.0; ///< Smoothed distance from it.
 	};
 
 	void Enqueue(Request &ioRequest);
@@ -131,13 +136,15 @@
 	bool MayRetry(Request &ioRequest, EAttempt inResult, bool inRelayed, Millis inNow);
 	Millis ExpectedWait(const Queue &inQueue, size_t inAhead) const;
 	void NoteStart(Queue &ioQueue, Millis inNow);
+	void NoteDuration(Queue &ioQueue, Millis inDuration);
+	Millis LatestStart(const Queue &inQueue, const Request &inRequest) const;
 	bool SpendRetryToken(Queue &ioQueue);
 
 	std::string zone;
 	EndpointTable endpoints;
 	std::map<std::string, Queue> queues; ///< By job path.
 	std::unordered_map<RequestId, Request> requests;
-	std::set<std::pair<Millis, RequestId>> deadlines; ///< Of waiting requests.
+	std::set<std::pair<Millis, RequestId>> deadlines; ///< Latest starts of waiting requests.
 	uint64 arrivals = 0;
 	uint64 attempts = 0;
 	std::array<uint64, static_cast<size_t>(ERetry::Count)> retries{};
--- a/Loomreach/Request/ShareUpdate.h
+++ b/Loomreach/Request/ShareUpdate.h
@@ -13,7 +13,7 @@
 struct MemberDemand
 {
 	std::string name;
-	bool is_self = false;                              ///< Its demand is then read from the dispatcher.
+	bool is_self = false;                          ///< Its demand is then read from the dispatcher.
 	std::unordered_map<uint32, uint32> by_service; ///< Requests in flight and waiting, by short hash of the job's path.
 };
 
--- a/PerformanceTest/Benchmarks.cpp
+++ b/PerformanceTest/Benchmarks.cpp
@@ -192,7 +192,7 @@
 	Dispatcher dispatcher("zone-0");
 	std::vector<Decision> decisions;
 	dispatcher.Update(fleet.state, {}, 0, decisions);
-	const std::vector<MemberDemand> members = {{"entry-0", true, {}}, {"entry-13", false, {}}, {"entry-26", false, {}},
+	const std::vector<MemberDemand> members = {{"entry-0", true, {}},   {"entry-13", false, {}}, {"entry-26", false, {}},
 											   {"entry-39", false, {}}, {"entry-52", false, {}}, {"entry-65", false, {}}};
 	for (auto _ : ioState)
 		UpdateLimits(dispatcher, "zone-0", members);
--- a/PerformanceTest/FleetBuilder.cpp
+++ b/PerformanceTest/FleetBuilder.cpp
@@ -75,7 +75,12 @@
 	}
 	ChangeView view{0, {}, true};
 	for (uint32 i = 0; i < inShape.members; ++i)
-		view.members.push_back({"entry-" + std::to_string(i), i + 100, "region", "zone-" + std::to_string(i % inShape.zones), {"127.0.0.1", 1}, {"127.0.0.1", 2}});
+		view.members.push_back({"entry-" + std::to_string(i),
+								i + 100,
+								"region",
+								"zone-" + std::to_string(i % inShape.zones),
+								{"127.0.0.1", 1},
+								{"127.0.0.1", 2}});
 	this->Fold(std::move(view));
 }
 
--- a/PerformanceTest/OverloadModel.cpp
+++ b/PerformanceTest/OverloadModel.cpp
@@ -46,7 +46,8 @@
 	return arrivals;
 }
 
-OverloadCost Finish(const ClassTally &inHigh, const ClassTally &inLow, double inRefusalMs, uint64 inRefused, uint64 inAttempts, uint64 inStarted)
+OverloadCost Finish(const ClassTally &inHigh, const ClassTally &inLow, double inRefusalMs, uint64 inRefused, uint64 inAttempts,
+					uint64 inStarted)
 {
 	OverloadCost cost;
 	cost.good_high = 100.0 * static_cast<double>(inHigh.good) / static_cast<double>(std::max<uint64>(1, inHigh.arrived));
--- a/PerformanceTest/PolicyComparison.cpp
+++ b/PerformanceTest/PolicyComparison.cpp
@@ -21,7 +21,8 @@
 void PrintWave(const char *inShape, uint32 inFailures, const char *inPolicy, const FleetShape &inFleet, const WaveCost &inCost)
 {
 	std::printf("%-10s %8u  %-20s %6u %7u %10.2f %10u %12u %9u %10.1f %6u\n", inShape, inFailures, inPolicy, inCost.steps, inCost.moves,
-				static_cast<double>(inCost.moves) / inFleet.hosts, inCost.most_moves, inCost.maintained, inCost.unplaced, inCost.idle_percent, inCost.lowest_slack);
+				static_cast<double>(inCost.moves) / inFleet.hosts, inCost.most_moves, inCost.maintained, inCost.unplaced,
+				inCost.idle_percent, inCost.lowest_slack);
 }
 
 void CompareWaves(const char *inName, const FleetShape &inShape)
@@ -38,9 +39,10 @@
 void CompareSlots(double inLoad, double inSkew)
 {
 	const SlotLoad load{6, 10, inLoad, inSkew};
-	const auto print = [&](const char *inPolicy, const SlotCost &inCost) {
-		std::printf("%5.2f %5.2f  %-18s %11.1f %8.1f %13.3f %6u\n", inLoad, inSkew, inPolicy, inCost.utilisation, inCost.served, inCost.refused_full,
-					inCost.most_in_flight);
+	const auto print = [&](const char *inPolicy, const SlotCost &inCost)
+	{
+		std::printf("%5.2f %5.2f  %-18s %11.1f %8.1f %13.3f %6u\n", inLoad, inSkew, inPolicy, inCost.utilisation, inCost.served,
+					inCost.refused_full, inCost.most_in_flight);
 	};
 	print("fixed share", RunSlots<FixedSlotShare>(load, FLAGS_seed));
 	print("demand share", RunSlots<DemandSlotShare>(load, FLAGS_seed));
@@ -49,9 +51,10 @@
 
 void CompareOverload(double inLoad, uint32 inDead)
 {
-	const auto print = [&](const char *inPolicy, const OverloadCost &inCost) {
-		std::printf("%5.1f %5u  %-12s %10.1f %9.1f %9.1f %11.1f %9.3f\n", inLoad, inDead, inPolicy, inCost.good_high, inCost.good_low, inCost.goodput,
-					inCost.mean_refusal_ms, inCost.attempts);
+	const auto print = [&](const char *inPolicy, const OverloadCost &inCost)
+	{
+		std::printf("%5.1f %5u  %-12s %10.1f %9.1f %9.1f %11.1f %9.3f\n", inLoad, inDead, inPolicy, inCost.good_high, inCost.good_low,
+					inCost.goodput, inCost.mean_refusal_ms, inCost.attempts);
 	};
 	print("dispatcher", RunDispatcher({inLoad, inDead}, FLAGS_seed));
 	print("plain FIFO", RunFifo({inLoad, inDead}, FLAGS_seed));
@@ -62,16 +65,19 @@
 int main(int argc, char **argv)
 {
 	gflags::ParseCommandLineFlags(&argc, &argv, true);
-	std::printf("== Waves\nfleet      failures  policy                steps   moves moves/host most/repl.  maintained  unplaced buffer idle%% slack\n");
+	std::printf("== Waves\nfleet      failures  policy                steps   moves moves/host most/repl.  maintained  unplaced buffer "
+				"idle%% slack\n");
 	CompareWaves("msafiri", MsafiriShape());
 	CompareWaves("kushiro", KushiroShape());
 	if (FLAGS_full_size)
 		CompareWaves("two-year", TwoYearShape());
-	std::printf("\n== Slot shares: 6 entry hosts, 10 workers of 8 slots\n load  skew  policy             utilisation served%% refusals/req  most\n");
+	std::printf("\n== Slot shares: 6 entry hosts, 10 workers of 8 slots\n load  skew  policy             utilisation served%% refusals/req "
+				" most\n");
 	for (const double load : {0.5, 0.9, 1.2})
 		for (const double skew : {0.0, 0.8})
 			CompareSlots(load, skew);
-	std::printf("\n== Overload: 9 workers of 8 slots, two classes, deadline 500 ms\n load  dead  policy       high good%% low good%% goodput%% refusal ms att./req.\n");
+	std::printf("\n== Overload: 9 workers of 8 slots, two classes, deadline 500 ms\n load  dead  policy       high good%% low good%% "
+				"goodput%% refusal ms att./req.\n");
 	for (const double load : {1.0, 1.5, 3.0, 10.0})
 		CompareOverload(load, 0);
 	CompareOverload(0.6, 3);
--- a/PerformanceTest/RelayProbe.cpp
+++ b/PerformanceTest/RelayProbe.cpp
@@ -38,7 +38,9 @@
 		const double seconds = (NowMillisExact() - this->began) / 1000.0;
 		std::sort(this->latencies.begin(), this->latencies.end());
 		const auto at = [this](double inShare) {
-			return this->latencies.empty() ? 0.0 : this->latencies[static_cast<size_t>(inShare * static_cast<double>(this->latencies.size() - 1))];
+			return this->latencies.empty()
+					   ? 0.0
+					   : this->latencies[static_cast<size_t>(inShare * static_cast<double>(this->latencies.size() - 1))];
 		};
 		std::printf("ok=%zu failed=%lu per_second=%.0f median_ms=%.2f p99_ms=%.2f\n", this->latencies.size(), this->failed,
 					static_cast<double>(FLAGS_requests) / seconds, at(0.5), at(0.99));
@@ -57,14 +59,16 @@
 		if (!FLAGS_service.empty())
 			call.headers.emplace_back("Loomreach-Service", FLAGS_service);
 		const double from = NowMillisExact();
-		this->http.Start(call, [this, from](const HttpResult &inResult) {
-			if (inResult.IsOk())
-				this->latencies.push_back(NowMillisExact() - from);
-			else
-				++this->failed;
-			++this->ended;
-			this->Next();
-		});
+		this->http.Start(call,
+						 [this, from](const HttpResult &inResult)
+						 {
+							 if (inResult.IsOk())
+								 this->latencies.push_back(NowMillisExact() - from);
+							 else
+								 ++this->failed;
+							 ++this->ended;
+							 this->Next();
+						 });
 	}
 
 	Address to;
--- a/PerformanceTest/SlotModel.h
+++ b/PerformanceTest/SlotModel.h
@@ -10,10 +10,10 @@
 /// What a policy did with the arrivals.
 struct SlotCost
 {
-	double utilisation = 0;      ///< Mean share of slots in use, percent.
-	double served = 0;           ///< Requests that began within their deadline, percent.
-	double refused_full = 0;     ///< Tries that a worker refused for want of a slot, a request.
-	uint32 most_in_flight = 0;   ///< At one worker, of 8 slots; the worker itself never goes beyond.
+	double utilisation = 0;    ///< Mean share of slots in use, percent.
+	double served = 0;         ///< Requests that began within their deadline, percent.
+	double refused_full = 0;   ///< Tries that a worker refused for want of a slot, a request.
+	uint32 most_in_flight = 0; ///< At one worker, of 8 slots; the worker itself never goes beyond.
 };
 
 /// Load of the model.
@@ -21,8 +21,8 @@
 {
 	uint32 entry_hosts = 6;
 	uint32 workers = 10;
-	double load = 0.9;  ///< Share of the whole capacity that arrives.
-	double skew = 0.0;  ///< 0: the balancer spreads evenly; 0.8: one entry host gets four fifths.
+	double load = 0.9; ///< Share of the whole capacity that arrives.
+	double skew = 0.0; ///< 0: the balancer spreads evenly; 0.8: one entry host gets four fifths.
 };
 
 /// Runs a load under a policy; reports of demand are 200 ms old on the mean.
--- a/PerformanceTest/WaveModel.cpp
+++ b/PerformanceTest/WaveModel.cpp
@@ -193,8 +193,7 @@
 		if (room > 0)
 			steps = std::max(steps, (counts.hosts + room - 1) / room);
 	}
-	// The last set needs one more round to come back
-	return steps + 1;
+	return steps;
 }
 
 uint32 LeastMoves(const FleetShape &inShape)
--- a/PerformanceTest/WaveModel.h
+++ b/PerformanceTest/WaveModel.h
@@ -10,9 +10,9 @@
 /// What a wave cost.
 struct WaveCost
 {
-	uint32 steps = 0;        ///< Rounds until every host that could be maintained was; one round is one reboot time.
-	uint32 moves = 0;        ///< Replicas displaced.
-	uint32 most_moves = 0;   ///< Of one replica.
+	uint32 steps = 0;      ///< Rounds until every host that could be maintained was; one round is one reboot time.
+	uint32 moves = 0;      ///< Replicas displaced.
+	uint32 most_moves = 0; ///< Of one replica.
 	uint32 maintained = 0;
 	uint32 unplaced = 0;     ///< Replica-rounds without a host.
 	double idle_percent = 0; ///< Capacity of available hosts not used by services, mean over the rounds: the buffer held.
@@ -27,7 +27,7 @@
 WaveCost RunFixedShare(const FleetShape &inShape, uint32 inFailures, uint64 inSeed);
 /// Least rounds that any policy needs: for each pool its hosts over its budget's room, the greatest of all.
 uint32 LeastSteps(const FleetShape &inShape);
-/// Least moves that any policy needs: each replica must leave its host once, unless its host goes last, where one spare host suffices.
+/// Least moves that any policy needs: every host goes out, so every replica must leave its host at least once.
 uint32 LeastMoves(const FleetShape &inShape);
 
 } // namespace Loomreach
