Bound the control side's bytes and time at the two-year size

Cause: worked out from measured sizes, an entry host of 78 at 1,800 workers would spend about 35 KB/s on polling its 23 workers each second and 200 KB/s on reading a host list of 400 KB every two seconds, against 4 KB/s; making the routes takes 3.45 ms at that size and ran on every record. Ruled out: a longer poll interval for all (urgent placements would wait for it). Change: a worker whose order has changed, that is not at work as usual, or to which requests fail is polled at once, the others the more seldom the more one entry host keeps; one reader in each zone reads the host list, with If-None-Match; routes take at most a hundredth of the time; hosts that are gone from the list are removed by the steward that follows it.

--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -16,10 +16,10 @@
 static constexpr uint64 cFarBeatEvery = 4;
 static constexpr Millis cNewsDelayMs = 20;
 static constexpr Millis cListIntervalMs = 2000;
-static constexpr Millis cSnapshotMaxAgeMs = 600'000;
 static constexpr Millis cAskTimeoutMs = 1000;
 static constexpr Millis cFollowerIntervalMs = 5000;
 static constexpr Millis cReaderIntervalMs = 500;
+static constexpr double cRoutesPacing = 100.0;
 static constexpr size_t cMaxDemands = 32;
 static constexpr size_t cMaxHostsInDigest = 16;
 static constexpr double cLeavingSignMs = 10'000;
@@ -43,8 +43,7 @@
 							   if (this->follower.IsReady())
 								   this->poller.Round(this->follower.State(), this->Picker(NowMillis()), NowMillis());
 						   });
-	this->list_timer.Every(cListIntervalMs, [this] { this->poller.ReadHosts(); });
-	this->poller.ReadHosts();
+	this->list_timer.Every(cListIntervalMs, [this] { this->ReadList(); });
 }
 
 Member ControlLoop::Self() const
@@ -64,7 +63,7 @@
 	return read != 0 && inNow - read < this->config.claim_lease_ms && inNow >= this->claims_from;
 }
 
-std::set<std::string> ControlLoop::LeavingHosts() const
+std::set<std::string> ControlLoop::OwnLeavingHosts() const
 {
 	std::set<std::string> leaving;
 	for (const auto &[name, listed] : this->poller.Seen().listed)
@@ -74,6 +73,16 @@
 		if (observation.leaving)
 			leaving.insert(name);
 	const Millis now = NowMillis();
+	for (const auto &[name, endpoint] : this->dispatcher.Endpoints().All())
+		if (endpoint.leaving_until > now)
+			leaving.insert(name);
+	return leaving;
+}
+
+std::set<std::string> ControlLoop::LeavingHosts() const
+{
+	std::set<std::string> leaving = this->OwnLeavingHosts();
+	const Millis now = NowMillis();
 	for (const auto &[name, peer] : this->tracker.All())
 		if (static_cast<double>(now - peer.heard) < cLeavingSignMs)
 			leaving.insert(peer.digest.leaving_hosts.begin(), peer.digest.leaving_hosts.end());
@@ -99,8 +108,8 @@
 		if (drains && endpoint.in_flight > 0 && digest.busy_hosts.size() < cMaxHostsInDigest)
 			digest.busy_hosts.push_back(name);
 	}
-	for (const auto &[name, observation] : this->poller.Seen().hosts)
-		if (observation.leaving && digest.leaving_hosts.size() < cMaxHostsInDigest)
+	for (const std::string &name : this->OwnLeavingHosts())
+		if (digest.leaving_hosts.size() < cMaxHostsInDigest)
 			digest.leaving_hosts.push_back(name);
 	for (const auto &[name, path] : state.services)
 	{
@@ -181,18 +190,29 @@
 	this->proposer.Pump();
 }
 
+void ControlLoop::ReadList()
+{
+	// One reader in each zone, and the steward that follows the list; the others hear of leaving hosts by digests
+	const StewardPicker picker = this->Picker(NowMillis());
+	if (picker.IsMineIn("log-reader", this->config.availability_zone) || picker.IsMine("hosts"))
+		this->poller.ReadHosts(this->follower.State());
+}
+
 void ControlLoop::UpdateRoutes()
 {
 	const Millis now = NowMillis();
 	std::set<std::string> leaving = this->LeavingHosts();
 	const bool is_same = this->routes_offset == this->follower.State().next_offset && this->routes_leaving == leaving;
-	if (is_same)
+	// Making the routes grows with the fleet; under a burst of records it takes at most a hundredth of the time
+	if (is_same || now < this->routes_not_before)
 		return;
+	const double began = NowMillisExact();
 	this->routes_offset = this->follower.State().next_offset;
 	this->routes_leaving = std::move(leaving);
 	std::vector<Decision> decisions;
 	this->dispatcher.Update(this->follower.State(), this->routes_leaving, now, decisions);
 	this->UpdateShares(now);
+	this->routes_not_before = now + static_cast<Millis>(cRoutesPacing * (NowMillisExact() - began));
 	this->on_decisions(std::move(decisions));
 }
 
@@ -229,6 +249,10 @@
 								   ? cReaderIntervalMs
 								   : std::min(cFollowerIntervalMs, this->config.claim_lease_ms / 3));
 	this->UpdateRoutes();
+	// What requests see of an endpoint is news for its keeper
+	for (const auto &[name, endpoint] : this->dispatcher.Endpoints().All())
+		if (endpoint.ejected_until > now || endpoint.leaving_until > now)
+			this->poller.Suspect(name);
 	if (!this->stopping)
 		this->PlanMembership(picker, now);
 	this->TakeOverClaims();
@@ -266,11 +290,11 @@
 void ControlLoop::PlanHosts(const StewardPicker &inPicker, Millis inNow)
 {
 	const FleetState &state = this->follower.State();
-	const KeeperBounds bounds{this->config.worker_failed_after_ms, this->config.worker_poll_ms / 2,
-							  10 * this->config.worker_failed_after_ms};
+	this->poller.SetLeaving(this->LeavingHosts());
+	const KeeperBounds bounds{this->poller.FailedAfter(), this->config.worker_poll_ms / 2, 10 * this->poller.FailedAfter()};
 	const HostKeeper keeper(state, this->poller.Seen(), bounds, inNow);
 	if (inPicker.IsMine("hosts"))
-		for (ProposalBody &body : keeper.AddListed())
+		for (ProposalBody &body : keeper.FollowList())
 			this->proposer.Propose(std::move(body));
 	for (const auto &[name, observation] : this->poller.Seen().hosts)
 	{
@@ -337,7 +361,7 @@
 		return;
 	const LogOffset next = this->follower.State().next_offset;
 	const bool many = next - this->follower.SnapshotOffset() >= static_cast<uint64>(this->config.snapshot_every_records);
-	const bool old = inNow - std::max(this->follower.SnapshotTime(), this->started) > cSnapshotMaxAgeMs;
+	const bool old = inNow - std::max(this->follower.SnapshotTime(), this->started) > this->config.snapshot_max_age_s * 1000;
 	if (many || old)
 		this->follower.WriteSnapshot();
 }
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -66,6 +66,9 @@
 	void TakeOverClaims();
 	void UpdateShares(Millis inNow);
 	void UpdateRoutes();
+	void ReadList();
+	/// Hosts that this entry host itself has seen to be leaving.
+	std::set<std::string> OwnLeavingHosts() const;
 	void AskNextMember(const std::shared_ptr<ClaimRound> &inRound);
 
 	const DaemonConfig &config;
@@ -94,6 +97,7 @@
 	ListeningSpan listening;
 	Millis log_beat_sent = 0;
 	LogOffset routes_offset = 0;          ///< State that the routes were made from.
+	Millis routes_not_before = 0;
 	std::set<std::string> routes_leaving; ///< Leaving hosts that the routes were made with.
 	uint64 seen_resets = 0;
 	Millis claims_from = 0; ///< After a reset, no claims before this time.
--- a/Loomreach/Entry/EntryHost.cpp
+++ b/Loomreach/Entry/EntryHost.cpp
@@ -18,7 +18,7 @@
 	: config(std::move(inConfig)), incarnation(DrawIncarnation()), codec(this->config.peer_key), platform(this->config.platform),
 	  link(this->config.peers, this->codec, this->metrics), follower(this->platform, this->link, this->metrics, this->config.seeds),
 	  proposer(this->platform, this->follower, this->metrics, this->incarnation),
-	  poller(this->platform, this->config.worker_lease_ms, this->config.worker_failed_after_ms), dispatcher(this->config.availability_zone),
+	  poller(this->config, this->platform), dispatcher(this->config.availability_zone),
 	  relay(this->dispatcher, this->ids, this->metrics, this->config.connect_timeout_ms),
 	  control(this->config, this->incarnation, this->follower, this->proposer, this->poller, this->link, this->dispatcher, this->metrics),
 	  callers(this->config, this->incarnation, this->follower, this->control, this->relay, this->ids, this->codec, this->metrics),
--- a/Loomreach/Fleet/HostKeeper.cpp
+++ b/Loomreach/Fleet/HostKeeper.cpp
@@ -20,22 +20,17 @@
 
 bool HostKeeper::IsLeaving(const Host &inHost, const HostObservation &inSeen) const
 {
-	auto listed = this->seen.listed.find(inHost.spec.name);
-	return inSeen.leaving || (listed != this->seen.listed.end() && listed->second.leaving);
+	return inSeen.leaving || this->seen.leaving.count(inHost.spec.name) != 0;
 }
 
 std::optional<StepHost> HostKeeper::HealthStep(const Host &inHost, const HostObservation &inSeen) const
 {
 	if (inHost.phase == EHostPhase::Out)
 		return std::nullopt;
-	auto listed = this->seen.listed.find(inHost.spec.name);
-	const bool gone_from_list = this->seen.list_is_fresh && listed == this->seen.listed.end();
 	if (this->IsSilent(inSeen, this->bounds.failed_after))
 	{
 		if (inHost.health != EHostHealth::Failed)
 			return MakeStep(inHost, EHostStep::Failed, "no answer");
-		if (gone_from_list && inHost.replicas.empty() && this->IsSilent(inSeen, this->bounds.remove_after))
-			return MakeStep(inHost, EHostStep::Remove, "silent and no longer on the host list");
 		return std::nullopt;
 	}
 	if (this->IsLeaving(inHost, inSeen))
@@ -144,15 +139,25 @@
 	return proposals;
 }
 
-std::vector<ProposalBody> HostKeeper::AddListed() const
+std::vector<ProposalBody> HostKeeper::FollowList() const
 {
 	std::vector<ProposalBody> proposals;
+	if (!this->seen.list_is_fresh)
+		return proposals;
 	for (const auto &[name, listed] : this->seen.listed)
 	{
 		const bool is_new = this->state.hosts.count(name) == 0 && !listed.leaving;
 		if (is_new && this->state.pools.count(listed.pool) != 0)
 			proposals.emplace_back(AddHost{listed.spec, listed.pool});
 	}
+	for (const auto &[name, since] : this->seen.absent_since)
+	{
+		auto host = this->state.hosts.find(name);
+		const bool known = host != this->state.hosts.end();
+		// The list lags: only what is recorded as failed, holds nothing and stays off the list is gone for good
+		if (known && host->second.health == EHostHealth::Failed && host->second.replicas.empty() && this->now - since >= this->bounds.remove_after)
+			proposals.emplace_back(MakeStep(host->second, EHostStep::Remove, "failed and no longer on the host list"));
+	}
 	return proposals;
 }
 
--- a/Loomreach/Fleet/HostKeeper.h
+++ b/Loomreach/Fleet/HostKeeper.h
@@ -31,8 +31,8 @@
 	/// Proposals for one host. `inAcknowledged`: every member that routes to it has taken note of its drain and has nothing in flight to
 	/// it.
 	std::vector<ProposalBody> Decide(const Host &inHost, bool inAcknowledged) const;
-	/// Hosts on the list that are not known yet.
-	std::vector<ProposalBody> AddListed() const;
+	/// Hosts on the list that are not known yet, and known ones that have failed and been gone from the list for long.
+	std::vector<ProposalBody> FollowList() const;
 
 private:
 	std::optional<StepHost> NextStep(const Host &inHost, const HostObservation &inSeen, bool inAcknowledged) const;
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -8,7 +8,6 @@
 {
 
 static constexpr int cMaxConnections = 256;
-static constexpr int cMaxConnectionsPerHost = 16;
 
 /// One call under way.
 struct HttpClient::Pending
@@ -20,8 +19,8 @@
 	guint timeout = 0;
 };
 
-HttpClient::HttpClient()
-	: session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", cMaxConnectionsPerHost, nullptr)),
+HttpClient::HttpClient(int inPerHost)
+	: session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", inPerHost, nullptr)),
 	  alive(std::make_shared<bool>(true))
 {
 }
@@ -54,6 +53,8 @@
 		const void *data = g_bytes_get_data(bytes, &length);
 		result.body.assign(static_cast<const char *>(data), data == nullptr ? 0 : length);
 		result.status = soup_message_get_status(pending->message.get());
+		const char *etag = soup_message_headers_get_one(soup_message_get_response_headers(pending->message.get()), "ETag");
+		result.etag = etag == nullptr ? "" : etag;
 		g_bytes_unref(bytes);
 	}
 	else
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -15,6 +15,7 @@
 {
 	uint32 status = 0; ///< 0: no whole answer came.
 	std::string body;
+	std::string etag;     ///< The answer's entity tag, if it has one.
 	bool refused = false; ///< The connection was refused: the call certainly had no effect.
 	std::string error;    ///< With status 0: why.
 
@@ -39,7 +40,8 @@
 public:
 	using Callback = std::function<void(HttpResult)>;
 
-	HttpClient();
+	/// `inPerHost`: connections to one address at once, at most; further calls wait.
+	explicit HttpClient(int inPerHost = 16);
 	~HttpClient();
 	HttpClient(const HttpClient &) = delete;
 	HttpClient &operator=(const HttpClient &) = delete;
--- a/Loomreach/Platform/PlatformClient.h
+++ b/Loomreach/Platform/PlatformClient.h
@@ -27,6 +27,13 @@
 constexpr std::string_view cRecordStream = "loomreach";
 constexpr std::string_view cSnapshotStream = "loomreach-snapshots";
 
+/// What became of a read of the host list.
+struct HostListResult
+{
+	bool answered = false;
+	std::optional<std::map<std::string, ListedHost>> hosts; ///< Empty with `answered`: unchanged since the last read.
+};
+
 /// Calls the platform. An empty optional means that no answer came: an append may have taken effect all the same.
 class PlatformClient
 {
@@ -35,12 +42,14 @@
 
 	void Append(std::string_view inStream, std::string inBytes, std::function<void(std::optional<LogOffset>)> inDone);
 	void Read(std::string_view inStream, LogOffset inFrom, uint32 inMax, std::function<void(std::optional<LogPage>)> inDone);
-	void ReadHosts(std::function<void(std::optional<std::map<std::string, ListedHost>>)> inDone);
+	/// Reads the host list. Unchanged since the last read, it is not sent again, and `inDone` gets no hosts.
+	void ReadHosts(std::function<void(HostListResult)> inDone);
 	/// Hands a drained host over for its reboot. Asking again for the same boot is harmless.
 	void Reboot(const std::string &inHost, uint64 inBoot, std::function<void(bool)> inDone);
 
 private:
 	Address platform;
+	std::string list_etag;
 	HttpClient http;
 };
 
--- a/Loomreach/Settings/DaemonConfig.cpp
+++ b/Loomreach/Settings/DaemonConfig.cpp
@@ -49,6 +49,8 @@
 	IntegerKey{"remove_after_ms", &DaemonConfig::remove_after_ms, 1000, 600'000},
 	IntegerKey{"plan_interval_ms", &DaemonConfig::plan_interval_ms, 20, 10'000},
 	IntegerKey{"worker_poll_ms", &DaemonConfig::worker_poll_ms, 50, 60'000},
+	IntegerKey{"worker_pace_ms", &DaemonConfig::worker_pace_ms, 0, 10'000},
+	IntegerKey{"snapshot_max_age_s", &DaemonConfig::snapshot_max_age_s, 10, 864'000},
 	IntegerKey{"worker_lease_ms", &DaemonConfig::worker_lease_ms, 500, 600'000},
 	IntegerKey{"worker_failed_after_ms", &DaemonConfig::worker_failed_after_ms, 200, 600'000},
 	IntegerKey{"snapshot_every_records", &DaemonConfig::snapshot_every_records, 10, 1'000'000},
--- a/PerformanceTest/RelayProbe.cpp
+++ b/PerformanceTest/RelayProbe.cpp
@@ -26,7 +26,7 @@
 class Probe
 {
 public:
-	explicit Probe(Address inTo) : to(std::move(inTo)) {}
+	explicit Probe(Address inTo) : to(std::move(inTo)), http(static_cast<int>(FLAGS_loops)) {}
 
 	void Run()
 	{
--- a/SoakTests/SoakNode.cpp
+++ b/SoakTests/SoakNode.cpp
@@ -138,7 +138,7 @@
 	const StewardPicker picker = this->Picker(inNow);
 	const HostKeeper keeper(this->state, this->seen, {3000, 100, 20'000}, inNow);
 	if (picker.IsMine("hosts"))
-		for (ProposalBody &body : keeper.AddListed())
+		for (ProposalBody &body : keeper.FollowList())
 			this->Propose(std::move(body), inNow);
 	for (const auto &[host_name, observation] : this->seen.hosts)
 		if (auto host = this->state.hosts.find(host_name); host != this->state.hosts.end())
--- a/TestSupport/Main.cpp
+++ b/TestSupport/Main.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Error.h>
+#include <Loomreach/Core/Hash.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Settings/TomlReader.h>
 #include <TestSupport/WorkerStandIn.h>
@@ -169,6 +170,11 @@
 			this->list = hosts.dump();
 			this->list_made = now;
 		}
+		const std::string etag = '"' + std::to_string(HashBytes(this->list)) + '"';
+		const char *known = soup_message_headers_get_one(soup_server_message_get_request_headers(inMessage), "If-None-Match");
+		soup_message_headers_replace(soup_server_message_get_response_headers(inMessage), "ETag", etag.c_str());
+		if (known != nullptr && etag == known)
+			return soup_server_message_set_status(inMessage, SOUP_STATUS_NOT_MODIFIED, nullptr);
 		AnswerJson(inMessage, SOUP_STATUS_OK, this->list);
 	}
 
