Give listeners a backlog of their own, and leases at least three polls

Cause: 72 connections opened at once through an entry host: p99 1,001 ms while the median was 24 ms, no retries, no refusals. The listener that libsoup makes has a backlog of 10; the kernel drops the rest of a burst and the caller's side tries again after a second. Before that, 1,575 of 4,000 attempts had been refused by workers whose lease of 4 s had lapsed between two polls 7 s apart. Ruled out: connection reuse on the way to the endpoints (the same p99 with one loop a connection), the slot limits (no refusals for want of slots). Change: listening sockets are made with a backlog of 1,024; the lease that a poll gives is at least three poll intervals.

--- a/Loomreach/Entry/CallerServer.cpp
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -21,19 +21,6 @@
 static constexpr size_t cMaxOwnId = 128;
 static constexpr int64 cMaxDeadlineMs = 86'400'000;
 
-ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inWhat)
-{
-	ObjectPtr<SoupServer> server(soup_server_new("server-header", "loomreach", nullptr));
-	ErrorPtr error;
-	const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(inAddress.ip.c_str(), inAddress.port));
-	if (soup_server_listen(server.get(), where.get(), static_cast<SoupServerListenOptions>(0), error.Out()) == FALSE)
-	{
-		FailFalse(EError::BadConfig, std::string(inWhat) + ": " + inAddress.Text() + ": " + error.Text());
-		return nullptr;
-	}
-	return server;
-}
-
 /// A request's header, or an empty view.
 static std::string_view HeaderOf(SoupServerMessage *inMessage, const char *inName)
 {
--- a/Loomreach/Entry/CallerServer.h
+++ b/Loomreach/Entry/CallerServer.h
@@ -3,14 +3,12 @@
 #pragma once
 
 #include <Loomreach/Entry/ControlLoop.h>
+#include <Loomreach/Entry/HttpListener.h>
 #include <Loomreach/Entry/Relay.h>
 
 namespace Loomreach
 {
 
-/// Opens a libsoup server on an address; nothing, with bad-config, when the address can't be had.
-ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inWhat);
-
 /// The callers' side of one entry host.
 class CallerServer
 {
--- a/Loomreach/Entry/WorkerPoller.cpp
+++ b/Loomreach/Entry/WorkerPoller.cpp
@@ -72,7 +72,7 @@
 	// A host that was handed over and has not gone down yet: ask again, the platform takes it once for each boot
 	if (inHost.phase == EHostPhase::Out && observation.boot == inHost.out_boot)
 		this->platform.Reboot(name, inHost.out_boot, [](bool) {});
-	const WorkerOrder order = OrderFor(inState, inHost, this->config.worker_lease_ms);
+	const WorkerOrder order = OrderFor(inState, inHost, this->Lease());
 	const uint64 order_hash = HashOrder(order);
 	if (!this->IsDue(inHost, order_hash, inNow) || !this->under_way.insert(name).second)
 		return;
--- a/Scripts/deployment.sh
+++ b/Scripts/deployment.sh
@@ -50,6 +50,7 @@
 		plan_interval_ms = 100
 		worker_poll_ms = 200
 		worker_lease_ms = 4000
+		worker_pace_ms = ${PACE_MS:-20}
 		worker_failed_after_ms = 1500
 		claim_lease_ms = 3000
 		claim_quiet_ms = 1000
--- a/TestSupport/Main.cpp
+++ b/TestSupport/Main.cpp
@@ -5,7 +5,7 @@
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/Hash.h>
-#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/HttpListener.h>
 #include <Loomreach/Settings/TomlReader.h>
 #include <TestSupport/WorkerStandIn.h>
 
@@ -40,11 +40,9 @@
 		const std::optional<std::string> text = ReadFile(FLAGS_hosts);
 		if (!address.has_value() || !text.has_value() || !this->ReadHosts(*text))
 			return false;
-		this->server.reset(soup_server_new("server-header", "platform", nullptr));
-		const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(address->ip.c_str(), address->port));
-		ErrorPtr error;
-		if (soup_server_listen(this->server.get(), where.get(), static_cast<SoupServerListenOptions>(0), error.Out()) == FALSE)
-			return FailFalse(EError::BadConfig, error.Text());
+		this->server = OpenServer(*address, "platform");
+		if (this->server == nullptr)
+			return false;
 		soup_server_add_handler(this->server.get(), nullptr, &StandIn::OnCall, this, nullptr);
 		return true;
 	}
--- a/TestSupport/WorkerStandIn.cpp
+++ b/TestSupport/WorkerStandIn.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Entry/Headers.h>
+#include <Loomreach/Entry/HttpListener.h>
 #include <TestSupport/WorkerStandIn.h>
 
 #include <nlohmann/json.hpp>
@@ -68,13 +69,9 @@
 
 bool WorkerStandIn::Up()
 {
-	this->server.reset(soup_server_new("server-header", "worker", nullptr));
-	const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(this->spec.address.ip.c_str(), this->spec.address.port));
-	if (soup_server_listen(this->server.get(), where.get(), static_cast<SoupServerListenOptions>(0), nullptr) == FALSE)
-	{
-		this->server.reset();
+	this->server = OpenServer(this->spec.address, this->spec.name);
+	if (this->server == nullptr)
 		return false;
-	}
 	soup_server_add_handler(this->server.get(), "/agent/order", &WorkerStandIn::OnOrder, this, nullptr);
 	soup_server_add_handler(this->server.get(), nullptr, &WorkerStandIn::OnRequest, this, nullptr);
 	return true;
