Hear other zones in every turn, and stop idle log beats

Cause: nine idle entry hosts appended 0.45 records a second: members of other zones beat to one of us each fourth beat, chosen by a hash that left some of us unheard for longer than the suspicion of the own zone, so zones told by the log that they live, and stewards of other zones flickered. Ruled out: a longer suspicion for all (a dead steward's takeover within 3 s depends on it). Change: members of a zone take different targets in each turn, so each of us hears every zone in every turn; other zones have a suspicion of their own (three turns); a zone tells by the log after half the removal time. Bytes to platform and workers are counted.

--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -13,7 +13,8 @@
 namespace Loomreach
 {
 
-static constexpr uint64 cFarBeatEvery = 4;
+static constexpr Millis cFarBeatEvery = 4;
+static constexpr Millis cFarTurnsToSuspect = 3;
 static constexpr Millis cNewsDelayMs = 20;
 static constexpr Millis cListIntervalMs = 2000;
 static constexpr Millis cAskTimeoutMs = 1000;
@@ -27,7 +28,9 @@
 ControlLoop::ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer,
 						 WorkerPoller &ioPoller, PeerLink &ioLink, Dispatcher &ioDispatcher, Metrics &ioMetrics)
 	: config(inConfig), incarnation(inIncarnation), follower(ioFollower), proposer(ioProposer), poller(ioPoller), link(ioLink),
-	  dispatcher(ioDispatcher), metrics(ioMetrics), tracker(inConfig.name, inConfig.availability_zone, inConfig.suspect_after_ms),
+	  dispatcher(ioDispatcher), metrics(ioMetrics),
+	  tracker(inConfig.name, inConfig.availability_zone, inConfig.suspect_after_ms,
+			  std::max(inConfig.suspect_after_ms, cFarTurnsToSuspect * cFarBeatEvery * inConfig.heartbeat_ms)),
 	  claims(inConfig.name)
 {
 }
@@ -124,12 +127,15 @@
 {
 	const Millis now = NowMillis();
 	Digest digest = this->MakeDigest(now);
-	const bool far_turn = inOnlyNews || this->beats++ % cFarBeatEvery == 0;
+	const bool far_turn = inOnlyNews || this->beats++ % static_cast<uint64>(cFarBeatEvery) == 0;
 	std::map<std::string, std::vector<std::string>> far_zones;
+	uint64 near = 0; ///< This entry host's place among the members of its zone.
 	for (const auto &[name, member] : this->follower.State().view.members)
 	{
 		if (name == this->config.name)
 			continue;
+		if (member.availability_zone == this->config.availability_zone && name < this->config.name)
+			++near;
 		if (member.availability_zone != this->config.availability_zone)
 		{
 			far_zones[member.availability_zone].push_back(name);
@@ -143,7 +149,8 @@
 	// One member in each other zone, so that traffic stays flat; who it is shifts from turn to turn
 	digest.demands.clear();
 	digest.zone_members = this->tracker.ZoneMembers(now);
-	const uint64 turn = this->beats / cFarBeatEvery + HashBytes(this->config.name);
+	// Members of one zone take different ones in each turn, so that all members there hear the zone in every turn
+	const uint64 turn = this->beats / static_cast<uint64>(cFarBeatEvery) + near;
 	for (const auto &[zone, names] : far_zones)
 	{
 		const std::string &to = names[turn % names.size()];
@@ -278,10 +285,9 @@
 		return this->proposer.Propose(std::move(*change));
 	// Cut off from another zone but not from the platform: without a word by the log, each would remove the other
 	const std::string &zone = this->config.availability_zone;
-	const bool due =
-		inNow - this->log_beat_sent >= this->config.suspect_after_ms && inNow - listening_since >= this->config.suspect_after_ms;
-	if (!due || !inPicker.IsMineIn("log-beat", zone) ||
-		!NeedsLogBeat(state.view, this->tracker, zone, this->config.suspect_after_ms, inNow))
+	const Millis silence = this->config.remove_after_ms / 2;
+	const bool due = inNow - this->log_beat_sent >= this->config.remove_after_ms / 3 && inNow - listening_since >= silence;
+	if (!due || !inPicker.IsMineIn("log-beat", zone) || !NeedsLogBeat(state.view, this->tracker, zone, silence, inNow))
 		return;
 	this->log_beat_sent = inNow;
 	this->proposer.Propose(ZoneAlive{zone});
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -50,6 +50,8 @@
 	std::set<std::string> LeavingHosts() const;
 	/// Whether claims may be answered and own ids dispatched: the platform was read within the lease.
 	bool LeaseHolds(Millis inNow) const;
+	/// Bytes to and from workers' agents.
+	uint64 WorkerBytes() const { return this->poller.Bytes(); }
 	bool IsStopping() const { return this->stopping; }
 	StewardPicker Picker(Millis inNow) const;
 
@@ -96,7 +98,7 @@
 	bool taking_over = false;
 	ListeningSpan listening;
 	Millis log_beat_sent = 0;
-	LogOffset routes_offset = 0;          ///< State that the routes were made from.
+	LogOffset routes_offset = 0; ///< State that the routes were made from.
 	Millis routes_not_before = 0;
 	std::set<std::string> routes_leaving; ///< Leaving hosts that the routes were made with.
 	uint64 seen_resets = 0;
--- a/Loomreach/Entry/EntryHost.cpp
+++ b/Loomreach/Entry/EntryHost.cpp
@@ -17,12 +17,11 @@
 EntryHost::EntryHost(DaemonConfig inConfig)
 	: config(std::move(inConfig)), incarnation(DrawIncarnation()), codec(this->config.peer_key), platform(this->config.platform),
 	  link(this->config.peers, this->codec, this->metrics), follower(this->platform, this->link, this->metrics, this->config.seeds),
-	  proposer(this->platform, this->follower, this->metrics, this->incarnation),
-	  poller(this->config, this->platform), dispatcher(this->config.availability_zone),
-	  relay(this->dispatcher, this->ids, this->metrics, this->config.connect_timeout_ms),
+	  proposer(this->platform, this->follower, this->metrics, this->incarnation), poller(this->config, this->platform),
+	  dispatcher(this->config.availability_zone), relay(this->dispatcher, this->ids, this->metrics, this->config.connect_timeout_ms),
 	  control(this->config, this->incarnation, this->follower, this->proposer, this->poller, this->link, this->dispatcher, this->metrics),
 	  callers(this->config, this->incarnation, this->follower, this->control, this->relay, this->ids, this->codec, this->metrics),
-	  operators(this->config, this->follower, this->control, this->proposer, this->dispatcher, this->relay, this->metrics)
+	  operators(this->config, this->follower, this->control, this->proposer, this->platform, this->dispatcher, this->relay, this->metrics)
 {
 	this->follower.on_folded = [this](const std::vector<Verdict> &inVerdicts) { this->control.OnFolded(inVerdicts); };
 	this->control.on_decisions = [this](std::vector<Decision> inDecisions) { this->relay.Execute(std::move(inDecisions)); };
--- a/Loomreach/Entry/HttpListener.cpp
+++ b/Loomreach/Entry/HttpListener.cpp
@@ -15,7 +15,8 @@
 static ObjectPtr<GSocket> Listen(const Address &inAddress, ErrorPtr &outError)
 {
 	const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(inAddress.ip.c_str(), inAddress.port));
-	ObjectPtr<GSocket> socket(g_socket_new(g_socket_address_get_family(where.get()), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, outError.Out()));
+	ObjectPtr<GSocket> socket(
+		g_socket_new(g_socket_address_get_family(where.get()), G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, outError.Out()));
 	if (socket == nullptr)
 		return nullptr;
 	g_socket_set_listen_backlog(socket.get(), cBacklog);
@@ -29,7 +30,8 @@
 	ErrorPtr error;
 	const ObjectPtr<GSocket> socket = Listen(inAddress, error);
 	ObjectPtr<SoupServer> server(soup_server_new("server-header", "loomreach", nullptr));
-	const bool listens = socket != nullptr && soup_server_listen_socket(server.get(), socket.get(), static_cast<SoupServerListenOptions>(0), error.Out()) != FALSE;
+	const bool listens = socket != nullptr && soup_server_listen_socket(server.get(), socket.get(), static_cast<SoupServerListenOptions>(0),
+																		error.Out()) != FALSE;
 	if (listens)
 		return server;
 	FailFalse(EError::BadConfig, std::string(inWhat) + ": " + inAddress.Text() + ": " + error.Text());
--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -21,9 +21,9 @@
 static constexpr std::string_view cBearer = "Bearer ";
 
 OperatorServer::OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
-							   Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics)
-	: config(inConfig), follower(ioFollower), control(ioControl), proposer(ioProposer), dispatcher(ioDispatcher), relay(ioRelay),
-	  metrics(ioMetrics)
+							   const PlatformClient &inPlatform, Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics)
+	: config(inConfig), follower(ioFollower), control(ioControl), proposer(ioProposer), platform(inPlatform), dispatcher(ioDispatcher),
+	  relay(ioRelay), metrics(ioMetrics)
 {
 }
 
@@ -98,6 +98,8 @@
 		this->metrics.Gauge("loomreach_waiting_requests", static_cast<double>(this->dispatcher.Waiting()));
 		this->metrics.Gauge("loomreach_next_offset", static_cast<double>(this->follower.State().next_offset));
 		this->metrics.Gauge("loomreach_append_repeats", static_cast<double>(this->proposer.Queue().Repeats()));
+		this->metrics.Gauge("loomreach_platform_bytes", static_cast<double>(this->platform.Bytes()));
+		this->metrics.Gauge("loomreach_worker_bytes", static_cast<double>(this->control.WorkerBytes()));
 		this->metrics.Gauge("loomreach_broken_invariants", static_cast<double>(BrokenInvariants()));
 		const Millis read = this->follower.LastPlatformRead();
 		this->metrics.Gauge("loomreach_state_age_ms", read == 0 ? -1.0 : static_cast<double>(NowMillis() - read));
@@ -181,7 +183,7 @@
 	Json members = Json::array();
 	for (const auto &[name, member] : this->follower.State().view.members)
 	{
-		const bool live = name == this->config.name || this->control.Tracker().IsLive(name, now);
+		const bool live = name == this->config.name || this->control.Tracker().IsHeard(member, now);
 		members.push_back({{"name", name}, {"availability_zone", member.availability_zone}, {"heard", live}});
 	}
 	body["members"] = std::move(members);
@@ -278,7 +280,7 @@
 		if (next > offset)
 			++reached;
 		else
-			behind.push_back({{"name", name}, {"heard", name == this->config.name || this->control.Tracker().IsLive(name, now)}});
+			behind.push_back({{"name", name}, {"heard", name == this->config.name || this->control.Tracker().IsHeard(member, now)}});
 	}
 	this->Reply(inCall.message, {{"reached", reached}, {"behind", std::move(behind)}});
 }
--- a/Loomreach/Entry/OperatorServer.h
+++ b/Loomreach/Entry/OperatorServer.h
@@ -14,7 +14,7 @@
 {
 public:
 	OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
-				   Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics);
+				   const PlatformClient &inPlatform, Dispatcher &ioDispatcher, Relay &ioRelay, Metrics &ioMetrics);
 
 	/// Binds the listener.
 	bool Open();
@@ -58,6 +58,7 @@
 	LogFollower &follower;
 	ControlLoop &control;
 	Proposer &proposer;
+	const PlatformClient &platform;
 	Dispatcher &dispatcher;
 	Relay &relay;
 	Metrics &metrics;
--- a/Loomreach/Entry/WorkerPoller.cpp
+++ b/Loomreach/Entry/WorkerPoller.cpp
@@ -107,9 +107,8 @@
 
 void WorkerPoller::NoteAbsent(const FleetState &inState, Millis inNow)
 {
-	std::erase_if(this->seen.absent_since, [this, &inState](const auto &inEntry) {
-		return this->seen.listed.count(inEntry.first) != 0 || inState.hosts.count(inEntry.first) == 0;
-	});
+	std::erase_if(this->seen.absent_since, [this, &inState](const auto &inEntry)
+				  { return this->seen.listed.count(inEntry.first) != 0 || inState.hosts.count(inEntry.first) == 0; });
 	for (const auto &[name, host] : inState.hosts)
 		if (this->seen.listed.count(name) == 0)
 			this->seen.absent_since.emplace(name, inNow);
@@ -117,14 +116,16 @@
 
 void WorkerPoller::ReadHosts(const FleetState &inState)
 {
-	this->platform.ReadHosts([this, &inState](HostListResult inResult) {
-		if (!inResult.answered)
-			return;
-		if (inResult.hosts.has_value())
-			this->seen.listed = std::move(*inResult.hosts);
-		this->list_read = NowMillis();
-		this->NoteAbsent(inState, this->list_read);
-	});
+	this->platform.ReadHosts(
+		[this, &inState](HostListResult inResult)
+		{
+			if (!inResult.answered)
+				return;
+			if (inResult.hosts.has_value())
+				this->seen.listed = std::move(*inResult.hosts);
+			this->list_read = NowMillis();
+			this->NoteAbsent(inState, this->list_read);
+		});
 }
 
 } // namespace Loomreach
--- a/Loomreach/Entry/WorkerPoller.h
+++ b/Loomreach/Entry/WorkerPoller.h
@@ -24,13 +24,18 @@
 	/// Takes note of hosts that some entry host has seen to be leaving.
 	void SetLeaving(std::set<std::string> inLeaving) { this->seen.leaving = std::move(inLeaving); }
 	/// Time between two polls of a host that is at work as usual.
-	Millis Interval() const { return this->config.worker_poll_ms + static_cast<Millis>(this->seen.hosts.size()) * this->config.worker_pace_ms; }
+	Millis Interval() const
+	{
+		return this->config.worker_poll_ms + static_cast<Millis>(this->seen.hosts.size()) * this->config.worker_pace_ms;
+	}
 	/// Silence after which a host counts as failed: no less than two polls and a half.
 	Millis FailedAfter() const { return std::max(this->config.worker_failed_after_ms, this->Interval() * 5 / 2); }
 	/// Lease that a poll gives: no less than three polls.
 	Millis Lease() const { return std::max(this->config.worker_lease_ms, this->Interval() * 3); }
 	/// Polls a host in the next round: requests to it fail.
 	void Suspect(const std::string &inHost) { this->suspects.insert(inHost); }
+	/// Bytes to and from workers' agents.
+	uint64 Bytes() const { return this->worker.Bytes(); }
 	/// What has been seen.
 	const Observations &Seen() const { return this->seen; }
 
--- a/Loomreach/Fleet/HostKeeper.cpp
+++ b/Loomreach/Fleet/HostKeeper.cpp
@@ -155,7 +155,8 @@
 		auto host = this->state.hosts.find(name);
 		const bool known = host != this->state.hosts.end();
 		// The list lags: only what is recorded as failed, holds nothing and stays off the list is gone for good
-		if (known && host->second.health == EHostHealth::Failed && host->second.replicas.empty() && this->now - since >= this->bounds.remove_after)
+		if (known && host->second.health == EHostHealth::Failed && host->second.replicas.empty() &&
+			this->now - since >= this->bounds.remove_after)
 			proposals.emplace_back(MakeStep(host->second, EHostStep::Remove, "failed and no longer on the host list"));
 	}
 	return proposals;
--- a/Loomreach/Fleet/Observations.h
+++ b/Loomreach/Fleet/Observations.h
@@ -49,9 +49,9 @@
 struct Observations
 {
 	std::map<std::string, ListedHost> listed;
-	bool list_is_fresh = false;          ///< The host list was read lately, by this entry host.
+	bool list_is_fresh = false;                 ///< The host list was read lately, by this entry host.
 	std::map<std::string, Millis> absent_since; ///< Known hosts that the list no longer holds.
-	std::set<std::string> leaving;       ///< Hosts that some entry host has seen to be leaving, by their own sign or the list.
+	std::set<std::string> leaving;              ///< Hosts that some entry host has seen to be leaving, by their own sign or the list.
 	std::map<std::string, HostObservation> hosts;
 };
 
--- a/Loomreach/Member/PeerTracker.cpp
+++ b/Loomreach/Member/PeerTracker.cpp
@@ -102,17 +102,41 @@
 	return mark == this->sequences.end() ? std::nullopt : std::optional(mark->second.heard);
 }
 
-std::optional<Millis> PeerTracker::ZoneLastHeard(const std::string &inZone) const
+std::optional<Millis> PeerTracker::ZoneLastDatagram(const std::string &inZone) const
 {
 	std::optional<Millis> heard;
 	for (const auto &[name, peer] : this->peers)
 		if (peer.digest.availability_zone == inZone && (!heard.has_value() || peer.heard > *heard))
 			heard = peer.heard;
-	if (auto beat = this->log_beats.find(inZone); beat != this->log_beats.end() && (!heard.has_value() || beat->second.heard > *heard))
-		heard = beat->second.heard;
 	return heard;
 }
 
+std::optional<Millis> PeerTracker::ZoneLastHeard(const std::string &inZone) const
+{
+	const std::optional<Millis> heard = this->ZoneLastDatagram(inZone);
+	auto beat = this->log_beats.find(inZone);
+	if (beat != this->log_beats.end() && (!heard.has_value() || beat->second.heard > *heard))
+		return beat->second.heard;
+	return heard;
+}
+
+const Digest *PeerTracker::LiveDigestOf(const std::string &inZone, Millis inNow) const
+{
+	const Peer *latest = nullptr;
+	for (const auto &[name, peer] : this->peers)
+		if (peer.digest.availability_zone == inZone && inNow - peer.heard < this->far_suspect_after &&
+			(latest == nullptr || peer.heard > latest->heard))
+			latest = &peer;
+	return latest == nullptr ? nullptr : &latest->digest;
+}
+
+bool PeerTracker::IsHeard(const Member &inMember, Millis inNow) const
+{
+	if (inMember.availability_zone == this->zone)
+		return this->IsLive(inMember.name, inNow);
+	return this->LiveDigestOf(inMember.availability_zone, inNow) != nullptr;
+}
+
 bool PeerTracker::ZoneReachesPlatform(Millis inNow) const
 {
 	for (const auto &[name, peer] : this->peers)
@@ -131,27 +155,30 @@
 	this->self_zone = own->second.availability_zone;
 	this->counts = inSelfReachesPlatform && !inSelfStopping;
 	std::set<std::string> eligible;
-	std::set<std::string> heard;
-	heard.insert(this->self_zone);
+	std::set<std::string> heard = {this->self_zone};
 	for (const auto &[name, member] : inView.members)
 	{
-		const bool is_self = name == inSelf;
-		const Peer *peer = inTracker.Find(name);
-		const bool live = is_self || inTracker.IsLive(name, inNow);
-		this->silent_zones.insert(member.availability_zone);
-		if (inTracker.IsZoneAliveByLog(member.availability_zone, inNow))
+		if (member.availability_zone != this->self_zone)
 		{
-			heard.insert(member.availability_zone);
-			eligible.insert(member.availability_zone);
+			this->silent_zones.insert(member.availability_zone);
+			continue;
 		}
-		if (!live)
+		const bool is_self = name == inSelf;
+		const Peer *peer = is_self || !inTracker.IsLive(name, inNow) ? nullptr : inTracker.Find(name);
+		const bool reaches = is_self ? this->counts : peer != nullptr && peer->digest.reaches_platform && !peer->digest.stopping;
+		if (!reaches)
 			continue;
-		heard.insert(member.availability_zone);
-		const bool reaches = is_self ? this->counts : peer->digest.reaches_platform && !peer->digest.stopping;
-		if (reaches || (!is_self && peer->digest.zone_reaches_platform))
-			eligible.insert(member.availability_zone);
-		if (reaches && member.availability_zone == this->self_zone)
-			this->zone_members.push_back(name);
+		eligible.insert(this->self_zone);
+		this->zone_members.push_back(name);
+	}
+	for (const std::string &zone : this->silent_zones)
+	{
+		const Digest *digest = inTracker.LiveDigestOf(zone, inNow);
+		const bool by_log = inTracker.IsZoneAliveByLog(zone, inNow);
+		if (digest != nullptr || by_log)
+			heard.insert(zone);
+		if (by_log || (digest != nullptr && digest->zone_reaches_platform))
+			eligible.insert(zone);
 	}
 	for (const std::string &zone : heard)
 		this->silent_zones.erase(zone);
--- a/Loomreach/Member/PeerTracker.h
+++ b/Loomreach/Member/PeerTracker.h
@@ -19,8 +19,9 @@
 class PeerTracker
 {
 public:
-	PeerTracker(std::string inSelf, std::string inZone, Millis inSuspectAfter)
-		: self(std::move(inSelf)), zone(std::move(inZone)), suspect_after(inSuspectAfter)
+	/// Members of the own zone beat often, those of other zones seldom and to one of us in turn; each has its silence that is suspect.
+	PeerTracker(std::string inSelf, std::string inZone, Millis inSuspectAfter, Millis inFarSuspectAfter)
+		: self(std::move(inSelf)), zone(std::move(inZone)), suspect_after(inSuspectAfter), far_suspect_after(inFarSuspectAfter)
 	{
 	}
 
@@ -34,10 +35,16 @@
 	const Peer *Find(const std::string &inName) const;
 	/// Whether a peer was heard lately.
 	bool IsLive(const std::string &inName, Millis inNow) const;
+	/// The latest digest of a zone that was heard lately, or nullptr.
+	const Digest *LiveDigestOf(const std::string &inZone, Millis inNow) const;
+	/// Whether a member of the view counts as heard: itself in the own zone, any of its zone in another.
+	bool IsHeard(const Member &inMember, Millis inNow) const;
 	/// When a peer was last heard, if ever.
 	std::optional<Millis> LastHeard(const std::string &inName) const;
 	/// When a datagram of an incarnation was last heard, if ever.
 	std::optional<Millis> IncarnationLastHeard(uint64 inIncarnation) const;
+	/// When any peer of an availability zone was last heard by UDP, if ever.
+	std::optional<Millis> ZoneLastDatagram(const std::string &inZone) const;
 	/// When any peer of an availability zone was last heard, by UDP or by the log, if ever.
 	std::optional<Millis> ZoneLastHeard(const std::string &inZone) const;
 	/// How far a member has read, as heard from itself or from a member of its availability zone. 0: never heard.
@@ -53,6 +60,7 @@
 	std::string self;
 	std::string zone;
 	Millis suspect_after;
+	Millis far_suspect_after;
 	std::map<std::string, Peer> peers;
 	/// A zone's last word by the log.
 	struct LogBeat
--- a/Loomreach/Member/ViewPlanner.cpp
+++ b/Loomreach/Member/ViewPlanner.cpp
@@ -45,17 +45,18 @@
 	return false;
 }
 
-bool NeedsLogBeat(const View &inView, const PeerTracker &inTracker, const std::string &inOwnZone, Millis inSuspectAfter, Millis inNow)
+bool NeedsLogBeat(const View &inView, const PeerTracker &inTracker, const std::string &inOwnZone, Millis inSilence, Millis inNow)
 {
-	std::map<std::string, bool> heard;
+	std::set<std::string> zones;
 	for (const auto &[name, member] : inView.members)
-	{
-		const std::optional<Millis> last = inTracker.LastHeard(name);
-		bool &zone_heard = heard[member.availability_zone];
-		zone_heard = zone_heard || (last.has_value() && inNow - *last < inSuspectAfter);
-	}
-	heard.erase(inOwnZone);
-	return std::any_of(heard.begin(), heard.end(), [](const auto &inEntry) { return !inEntry.second; });
+		zones.insert(member.availability_zone);
+	zones.erase(inOwnZone);
+	return std::any_of(zones.begin(), zones.end(),
+					   [&](const std::string &inZone)
+					   {
+						   const std::optional<Millis> heard = inTracker.ZoneLastDatagram(inZone);
+						   return !heard.has_value() || inNow - *heard >= inSilence;
+					   });
 }
 
 std::optional<ChangeView> PlanView(const ViewInputs &inInputs)
--- a/Loomreach/Member/ViewPlanner.h
+++ b/Loomreach/Member/ViewPlanner.h
@@ -41,7 +41,7 @@
 
 /// Whether this entry host's zone should tell by the log that it lives: some other zone of the view is not heard by UDP,
 /// and so may not hear this one.
-bool NeedsLogBeat(const View &inView, const PeerTracker &inTracker, const std::string &inOwnZone, Millis inSuspectAfter, Millis inNow);
+bool NeedsLogBeat(const View &inView, const PeerTracker &inTracker, const std::string &inOwnZone, Millis inSilence, Millis inNow);
 
 /// The view that this entry host would propose now, or nothing.
 std::optional<ChangeView> PlanView(const ViewInputs &inInputs);
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -12,6 +12,7 @@
 /// One call under way.
 struct HttpClient::Pending
 {
+	HttpClient *client = nullptr;
 	std::shared_ptr<bool> alive;
 	Callback done;
 	ObjectPtr<SoupMessage> message;
@@ -63,7 +64,15 @@
 		result.error = error.Text();
 	}
 	if (*pending->alive)
+	{
+		SoupMessageMetrics *metrics = soup_message_get_metrics(pending->message.get());
+		if (metrics != nullptr)
+			pending->client->bytes += soup_message_metrics_get_request_header_bytes_sent(metrics) +
+									  soup_message_metrics_get_request_body_bytes_sent(metrics) +
+									  soup_message_metrics_get_response_header_bytes_received(metrics) +
+									  soup_message_metrics_get_response_body_bytes_received(metrics);
 		pending->done(std::move(result));
+	}
 }
 
 void HttpClient::Start(const HttpCall &inCall, Callback inDone)
@@ -78,10 +87,12 @@
 		return;
 	}
 	auto pending = std::make_unique<Pending>();
+	pending->client = this;
 	pending->alive = this->alive;
 	pending->done = std::move(inDone);
 	pending->message.reset(message);
 	pending->cancellable.reset(g_cancellable_new());
+	soup_message_add_flags(message, SOUP_MESSAGE_COLLECT_METRICS);
 	if (!inCall.body.empty())
 	{
 		GBytes *bytes = g_bytes_new(inCall.body.data(), inCall.body.size());
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -48,6 +48,8 @@
 
 	/// Starts a call; `inDone` is called once.
 	void Start(const HttpCall &inCall, Callback inDone);
+	/// Bytes of HTTP sent and received, heads included, of calls that were answered.
+	uint64 Bytes() const { return this->bytes; }
 
 private:
 	struct Pending;
@@ -56,6 +58,7 @@
 
 	ObjectPtr<SoupSession> session;
 	std::shared_ptr<bool> alive;
+	uint64 bytes = 0;
 };
 
 /// Text made safe for one part of a URL's path or query.
--- a/Loomreach/Platform/PlatformClient.cpp
+++ b/Loomreach/Platform/PlatformClient.cpp
@@ -132,19 +132,21 @@
 	call.timeout_ms = cReadTimeoutMs;
 	if (!this->list_etag.empty())
 		call.headers.emplace_back("If-None-Match", this->list_etag);
-	this->http.Start(call, [this, done = std::move(inDone)](const HttpResult &inResult) {
-		HostListResult result;
-		if (inResult.status == SOUP_STATUS_NOT_MODIFIED)
-			result.answered = true;
-		else if (inResult.IsOk())
-		{
-			result.hosts = ParseHostList(inResult.body);
-			result.answered = result.hosts.has_value();
-			// A list that was not understood is asked for again
-			this->list_etag = result.answered ? inResult.etag : std::string();
-		}
-		done(std::move(result));
-	});
+	this->http.Start(call,
+					 [this, done = std::move(inDone)](const HttpResult &inResult)
+					 {
+						 HostListResult result;
+						 if (inResult.status == SOUP_STATUS_NOT_MODIFIED)
+							 result.answered = true;
+						 else if (inResult.IsOk())
+						 {
+							 result.hosts = ParseHostList(inResult.body);
+							 result.answered = result.hosts.has_value();
+							 // A list that was not understood is asked for again
+							 this->list_etag = result.answered ? inResult.etag : std::string();
+						 }
+						 done(std::move(result));
+					 });
 }
 
 void PlatformClient::Reboot(const std::string &inHost, uint64 inBoot, std::function<void(bool)> inDone)
--- a/Loomreach/Platform/PlatformClient.h
+++ b/Loomreach/Platform/PlatformClient.h
@@ -47,6 +47,9 @@
 	/// Hands a drained host over for its reboot. Asking again for the same boot is harmless.
 	void Reboot(const std::string &inHost, uint64 inBoot, std::function<void(bool)> inDone);
 
+	/// Bytes to and from the platform.
+	uint64 Bytes() const { return this->http.Bytes(); }
+
 private:
 	Address platform;
 	std::string list_etag;
--- a/Loomreach/Platform/WorkerClient.h
+++ b/Loomreach/Platform/WorkerClient.h
@@ -42,6 +42,8 @@
 public:
 	void Send(const Address &inWorker, const WorkerOrder &inOrder, Millis inTimeout,
 			  std::function<void(std::optional<WorkerStatus>)> inDone);
+	/// Bytes to and from workers' agents.
+	uint64 Bytes() const { return this->http.Bytes(); }
 
 private:
 	HttpClient http;
--- a/Loomreach/Settings/DaemonConfig.h
+++ b/Loomreach/Settings/DaemonConfig.h
@@ -44,11 +44,11 @@
 	int64 remove_after_ms = 15000;
 	int64 plan_interval_ms = 250;
 	int64 worker_poll_ms = 1000;
-	int64 worker_pace_ms = 400;        ///< Added to the poll interval for each worker that is kept here: bounds the bytes a second.
+	int64 worker_pace_ms = 400; ///< Added to the poll interval for each worker that is kept here: bounds the bytes a second.
 	int64 worker_lease_ms = 60000;
 	int64 worker_failed_after_ms = 5000;
 	int64 snapshot_every_records = 500;
-	int64 snapshot_max_age_s = 3600;  ///< A snapshot is written anew before the platform's retention takes the last one.
+	int64 snapshot_max_age_s = 3600; ///< A snapshot is written anew before the platform's retention takes the last one.
 	int64 append_per_s = 40;
 	int64 max_request_bytes = 1 << 20;
 	int64 connect_timeout_ms = 1000;
--- a/PerformanceTest/Benchmarks.cpp
+++ b/PerformanceTest/Benchmarks.cpp
@@ -140,7 +140,7 @@
 /// A tracker that has heard every member.
 PeerTracker HeardAll(const FleetState &inState)
 {
-	PeerTracker tracker("entry-0", "zone-0", 1000);
+	PeerTracker tracker("entry-0", "zone-0", 1000, 1000);
 	for (const auto &[name, member] : inState.view.members)
 	{
 		Digest digest;
@@ -149,6 +149,7 @@
 		digest.sequence = 1;
 		digest.availability_zone = member.availability_zone;
 		digest.reaches_platform = true;
+		digest.zone_reaches_platform = true;
 		tracker.Hear(std::move(digest), 0);
 	}
 	return tracker;
--- a/SoakTests/SoakNode.cpp
+++ b/SoakTests/SoakNode.cpp
@@ -16,7 +16,7 @@
 static constexpr double cAppendsPerSecond = 20.0;
 
 SoakNode::SoakNode(std::string inName, std::string inZone, uint64 inIncarnation)
-	: name(std::move(inName)), zone(std::move(inZone)), incarnation(inIncarnation), tracker(this->name, this->zone, cSuspectMs),
+	: name(std::move(inName)), zone(std::move(inZone)), incarnation(inIncarnation), tracker(this->name, this->zone, cSuspectMs, cSuspectMs),
 	  queue(inIncarnation, inIncarnation)
 {
 	this->queue.SetRate(cAppendsPerSecond);
--- a/UnitTests/MemberTests.cpp
+++ b/UnitTests/MemberTests.cpp
@@ -20,6 +20,7 @@
 	digest.sequence = inSequence;
 	digest.availability_zone = inZone;
 	digest.reaches_platform = true;
+	digest.zone_reaches_platform = true;
 	return digest;
 }
 
@@ -54,7 +55,7 @@
 
 TEST(PeerTracker, RefusesReplaysAndEarlierIncarnations)
 {
-	PeerTracker tracker("self", "z", 1000);
+	PeerTracker tracker("self", "z", 1000, 1000);
 	EXPECT_TRUE(tracker.Hear(DigestOf("a", 1, 5), 0));
 	EXPECT_FALSE(tracker.Hear(DigestOf("a", 1, 5), 0));
 	EXPECT_FALSE(tracker.Hear(DigestOf("a", 1, 4), 0));
@@ -82,7 +83,7 @@
 	const View view = ViewOf({{"a", "z1"}, {"b", "z1"}, {"c", "z2"}, {"d", "z2"}});
 	const auto picker = [&](const std::string &inSelf, const std::string &inZone, const std::set<std::string> &inSilent)
 	{
-		PeerTracker tracker(inSelf, inZone, 1000);
+		PeerTracker tracker(inSelf, inZone, 1000, 1000);
 		for (const auto &[name, member] : view.members)
 			if (name != inSelf && inSilent.count(name) == 0)
 				tracker.Hear(DigestOf(name, 100 + static_cast<uint64>(name[0]), 1, member.availability_zone), 0);
@@ -113,7 +114,7 @@
 	const Member self{"a", 1, "r", "z", {}, {}};
 	const Member other{"b", 2, "r", "z", {}, {}};
 	fleet.Accept(ChangeView{0, {self, other}, true});
-	const PeerTracker tracker("a", "z", 1000);
+	const PeerTracker tracker("a", "z", 1000, 1000);
 	EXPECT_FALSE(PlanView({fleet.state, tracker, self, 9100, 9000, 5000, 1000}).has_value());
 	const std::optional<ChangeView> change = PlanView({fleet.state, tracker, self, 15'000, 9000, 5000, 1000});
 	ASSERT_TRUE(change.has_value());
@@ -126,7 +127,7 @@
 	const Member self{"a", 1, "r", "z1", {}, {}};
 	const Member newer{"b", 9, "r", "z2", {}, {}};
 	fleet.Accept(ChangeView{0, {self, newer}, true});
-	PeerTracker tracker("a", "z1", 1000);
+	PeerTracker tracker("a", "z1", 1000, 1000);
 	// Heard before the cut: the incarnation before the one in the view
 	tracker.Hear(DigestOf("b", 8, 1, "z2"), 100);
 	EXPECT_FALSE(PlanView({fleet.state, tracker, self, 2000, 0, 5000, 1000}).has_value());
@@ -139,7 +140,7 @@
 TEST(ViewPlanner, AZoneThatIsNotHeardMayTellByTheLog)
 {
 	const View view = ViewOf({{"a", "z1"}, {"b", "z2"}});
-	PeerTracker tracker("a", "z1", 1000);
+	PeerTracker tracker("a", "z1", 1000, 1000);
 	EXPECT_TRUE(NeedsLogBeat(view, tracker, "z1", 1000, 5000));
 	tracker.Hear(DigestOf("b", 1, 1, "z2"), 4900);
 	EXPECT_FALSE(NeedsLogBeat(view, tracker, "z1", 1000, 5000));
