Plan only on news, keep entry hosts without the platform current, and back off failing jobs

Ruled out: fewer planning rounds (urgent work would wait). Change: pools are planned when state, silent zones or back-offs have changed, else every 2 s; shares are left alone while nobody has demand; an entry host without the platform asks its peers in turn for records; jobs that fail on three hosts wait, doubling; worker_pace_ms 600.

--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -20,6 +20,7 @@
 static constexpr Millis cAskTimeoutMs = 1000;
 static constexpr Millis cFollowerIntervalMs = 5000;
 static constexpr Millis cReaderIntervalMs = 500;
+static constexpr Millis cReplanMs = 2000;
 static constexpr double cRoutesPacing = 100.0;
 static constexpr size_t cMaxDemands = 32;
 static constexpr size_t cMaxHostsInDigest = 16;
@@ -225,6 +226,13 @@
 
 void ControlLoop::UpdateShares(Millis inNow)
 {
+	// Nobody in the zone has any demand: the limits can stay as they are
+	const bool any_demand =
+		this->dispatcher.Open() > 0 || std::any_of(this->tracker.All().begin(), this->tracker.All().end(),
+												   [](const auto &inPeer) { return !inPeer.second.digest.demands.empty(); });
+	if (!any_demand && !this->had_demand)
+		return;
+	this->had_demand = any_demand;
 	// Live members of the own availability zone, this one among them, with what each reported. Members of other zones seldom
 	// come here; where they do, the worker itself refuses what does not fit
 	std::vector<MemberDemand> members;
@@ -268,7 +276,7 @@
 		return;
 	const double began = NowMillisExact();
 	this->PlanHosts(picker, now);
-	this->PlanPools(picker);
+	this->PlanPools(picker, now);
 	this->PlanSnapshot(picker, now);
 	this->metrics.Time(ETiming::Plan, NowMillisExact() - began);
 }
@@ -335,23 +343,31 @@
 	return own == nullptr || own->in_flight == 0;
 }
 
-void ControlLoop::PlanPools(const StewardPicker &inPicker)
+void ControlLoop::PlanPools(const StewardPicker &inPicker, Millis inNow)
 {
 	const FleetState &state = this->follower.State();
 	std::set<std::string> unheard;
 	for (const auto &[name, host] : state.hosts)
 		if (inPicker.SilentZones().count(host.spec.availability_zone) != 0)
 			unheard.insert(name);
+	std::set<std::string> waiting = this->backoff.Waiting(state, inNow);
+	// A plan follows from what it looks at: while that stays the same there is nothing new to plan. Now and then it is made all the
+	// same, since stewardships shift
+	PlanBasis basis{state.next_offset, std::move(unheard), std::move(waiting)};
+	if (basis == this->planned_on && inNow - this->planned_at < cReplanMs)
+		return;
+	this->planned_on = std::move(basis);
+	this->planned_at = inNow;
 	this->unplaced.clear();
 	this->held_by.clear();
 	for (const auto &[path, pool] : state.pools)
 	{
 		if (!inPicker.IsMine("pool:" + path))
 			continue;
-		PlacementPlan placements = PlacementPlanner(state, path).Plan();
+		PlacementPlan placements = PlacementPlanner(state, path, &this->planned_on.waiting).Plan();
 		for (const Loomreach::Unplaced &entry : placements.unplaced)
 			this->unplaced.emplace(entry.replica, entry.why);
-		WavePlan wave = WavePlanner(state, path, unheard).Plan();
+		WavePlan wave = WavePlanner(state, path, this->planned_on.unheard).Plan();
 		if (!wave.held_by.empty())
 			this->held_by.emplace(path, wave.held_by);
 		for (ProposalBody &body : placements.proposals)
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -6,6 +6,7 @@
 #include <Loomreach/Entry/LogFollower.h>
 #include <Loomreach/Entry/Proposer.h>
 #include <Loomreach/Entry/WorkerPoller.h>
+#include <Loomreach/Fleet/JobBackoff.h>
 #include <Loomreach/Fleet/PlacementPlanner.h>
 #include <Loomreach/Member/PeerTracker.h>
 #include <Loomreach/Member/ViewPlanner.h>
@@ -57,12 +58,21 @@
 
 private:
 	struct ClaimRound;
+	/// What the plans of pools were made from.
+	struct PlanBasis
+	{
+		LogOffset next_offset = 0;
+		std::set<std::string> unheard;
+		std::set<std::string> waiting;
+
+		bool operator==(const PlanBasis &) const = default;
+	};
 	void Beat(bool inOnlyNews);
 	Digest MakeDigest(Millis inNow) const;
 	void PlanRound();
 	void PlanMembership(const StewardPicker &inPicker, Millis inNow);
 	void PlanHosts(const StewardPicker &inPicker, Millis inNow);
-	void PlanPools(const StewardPicker &inPicker);
+	void PlanPools(const StewardPicker &inPicker, Millis inNow);
 	void PlanSnapshot(const StewardPicker &inPicker, Millis inNow);
 	bool IsAcknowledged(const Host &inHost, Millis inNow) const;
 	void TakeOverClaims();
@@ -83,6 +93,10 @@
 	Metrics &metrics;
 	PeerTracker tracker;
 	ClaimTable claims;
+	JobBackoff backoff;
+	PlanBasis planned_on;
+	Millis planned_at = 0;
+	bool had_demand = true;
 	std::map<ReplicaKey, EUnplaced> unplaced;
 	std::map<std::string, std::string> held_by;
 	Timer beat_timer;
--- a/Loomreach/Entry/LogFollower.cpp
+++ b/Loomreach/Entry/LogFollower.cpp
@@ -128,7 +128,9 @@
 {
 	if (!inPage.has_value())
 	{
-		if (!this->ready)
+		if (this->ready)
+			this->AskPeerForNews();
+		else
 			this->AskSeeds();
 		return this->Schedule(cRetryMs);
 	}
@@ -197,6 +199,15 @@
 				   });
 }
 
+void LogFollower::AskPeerForNews()
+{
+	std::vector<Address> peers = this->seeds;
+	for (const auto &[name, member] : this->state.view.members)
+		peers.push_back(member.peers);
+	if (!peers.empty())
+		this->OnPeerAhead(peers[this->next_peer++ % peers.size()], this->state.next_offset + 1);
+}
+
 void LogFollower::AskStateOf(const Address &inPeer)
 {
 	if (this->asking)
--- a/Loomreach/Entry/LogFollower.h
+++ b/Loomreach/Entry/LogFollower.h
@@ -73,6 +73,8 @@
 	void Adopt(FleetState inState, std::string_view inSource);
 	void AskStateOf(const Address &inPeer);
 	void AskSeeds();
+	/// Asks one of the known peers, in turn, for records: where the platform is out of reach and digests may not come either.
+	void AskPeerForNews();
 	void OnSeedState(std::optional<PeerReply> inReply);
 	void AppendPieces(const std::shared_ptr<std::vector<std::string>> &inPieces, size_t inIndex, LogOffset inOffset);
 	void Schedule(Millis inDelay);
@@ -81,6 +83,7 @@
 	PeerLink &link;
 	Metrics &metrics;
 	std::vector<Address> seeds;
+	size_t next_peer = 0;
 	size_t seeds_asked = 0;                   ///< Seeds that have yet to answer.
 	std::optional<FleetState> newest_offered; ///< Of the seeds that have answered.
 	FleetState state;
--- a/Loomreach/Fleet/PlacementPlanner.h
+++ b/Loomreach/Fleet/PlacementPlanner.h
@@ -80,7 +80,8 @@
 class BasicPlacementPlanner
 {
 public:
-	BasicPlacementPlanner(const FleetState &inState, std::string inPool);
+	/// Jobs in `inWaiting` back off: their missing replicas are not placed now.
+	BasicPlacementPlanner(const FleetState &inState, std::string inPool, const std::set<std::string> *inWaiting = nullptr);
 	/// One round: stops what is not wanted, places what is missing, preempts where that makes room.
 	PlacementPlan Plan();
 
@@ -120,6 +121,7 @@
 
 	const FleetState &state;
 	std::string pool;
+	const std::set<std::string> *backing_off = nullptr;
 	const PoolSpec *pool_spec = nullptr;
 	std::vector<Candidate> candidates;
 	std::map<std::string, Mates> mates;
--- a/Loomreach/Fleet/PlacementPlanner.inl
+++ b/Loomreach/Fleet/PlacementPlanner.inl
@@ -8,7 +8,8 @@
 {
 
 template <PlacementPolicy P>
-BasicPlacementPlanner<P>::BasicPlacementPlanner(const FleetState &inState, std::string inPool) : state(inState), pool(std::move(inPool))
+BasicPlacementPlanner<P>::BasicPlacementPlanner(const FleetState &inState, std::string inPool, const std::set<std::string> *inWaiting)
+	: state(inState), pool(std::move(inPool)), backing_off(inWaiting)
 {
 	auto spec = this->state.pools.find(this->pool);
 	if (spec != this->state.pools.end())
@@ -279,6 +280,11 @@
 		this->plan.unplaced.push_back({inWanted.replica, *never});
 		return;
 	}
+	if (this->backing_off != nullptr && this->backing_off->count(inWanted.replica.job) != 0)
+	{
+		this->plan.unplaced.push_back({inWanted.replica, EUnplaced::BackingOff});
+		return;
+	}
 	if (!this->HasQuota(inWanted))
 	{
 		this->plan.unplaced.push_back({inWanted.replica, EUnplaced::QuotaFull});
--- a/Loomreach/Settings/DaemonConfig.h
+++ b/Loomreach/Settings/DaemonConfig.h
@@ -44,7 +44,7 @@
 	int64 remove_after_ms = 15000;
 	int64 plan_interval_ms = 250;
 	int64 worker_poll_ms = 1000;
-	int64 worker_pace_ms = 400; ///< Added to the poll interval for each worker that is kept here: bounds the bytes a second.
+	int64 worker_pace_ms = 600; ///< Added to the poll interval for each worker that is kept here: bounds the bytes a second.
 	int64 worker_lease_ms = 60000;
 	int64 worker_failed_after_ms = 5000;
 	int64 snapshot_every_records = 500;
--- a/Scripts/measure_control.sh
+++ b/Scripts/measure_control.sh
@@ -18,7 +18,7 @@
 choose_ports || exit 1
 # Workers need a block of their own
 WORKER_BASE=$((BASE + 40))
-[ "$WORKERS" -gt 60 ] && WORKER_BASE=$((33000 + (RANDOM % 20) * 1000))
+[ "$WORKERS" -gt 60 ] && WORKER_BASE=$((10000 + (RANDOM % 18) * 500))
 POOLS=$(((WORKERS + 5) / 6))
 head -c 24 /dev/urandom | base64 >"$DIR/peer.key"
 {
@@ -42,7 +42,7 @@
 	sed -i '/_ms = /d' "$DIR/$name.toml"
 	if [ "$MODE" = alone ]; then
 		head -c 24 /dev/urandom | base64 >"$DIR/$name.key"
-		sed -i "s/peer.key/$name.key/" "$DIR/$name.toml"
+		sed -i "s/\"peer.key\"/\"$name.key\"/" "$DIR/$name.toml"
 		echo "remove_after_ms = 600000" >>"$DIR/$name.toml"
 	fi
 	[ "$MODE" = cut ] && [ $i -ge 6 ] && sed -i "s/^platform = .*/platform = \"127.0.0.1:$((BASE + 38))\"/" "$DIR/$name.toml"
--- a/Scripts/test_processes.sh
+++ b/Scripts/test_processes.sh
@@ -202,6 +202,23 @@
 }
 check "without the platform everybody serves, changes are refused, and a new process starts from a peer" serves_without_platform
 
+version_of() { curl -s "http://${OPERATORS[$1]}/v1/status" | sed -n 's/.*"settings_version":\([0-9]*\).*/\1/p'; }
+same_version() { [ -n "$(version_of "$1")" ] && [ "$(version_of "$1")" = "$(version_of "$2")" ]; }
+current_through_peers() {
+	# An entry host that never reaches the platform: its address leads nowhere
+	sed -e "s/:$((BASE + 1))\"/:$((BASE + 34))\"/; s/:$((BASE + 2))\"/:$((BASE + 35))\"/; s/^peers.*/peers = \"127.0.0.1:$((BASE + 36))\"/" \
+		-e "s/entry-a1/entry-p/; s/^platform.*/platform = \"127.0.0.1:$((BASE + 37))\"/" "$DIR/entry-a1.toml" >"$DIR/entry-p.toml"
+	CALLERS[entry-p]="127.0.0.1:$((BASE + 34))"; OPERATORS[entry-p]="127.0.0.1:$((BASE + 35))"
+	start_entry entry-p || return 1
+	ctl settings apply Samples/msafiri.toml >/dev/null || return 1
+	until_true 15 same_version entry-p entry-a1 || return 1
+	[ "$(service entry-p price-basket "echo=cut")" = "echo=cut" ] && ASK=entry-p exits_with 10 ctl settings apply Samples/msafiri.toml
+	local result=$?
+	kill -TERM "${PID[entry-p]}" && wait "${PID[entry-p]}"
+	return $result
+}
+check "an entry host that reaches peers only starts, stays current, serves, and accepts no change" current_through_peers
+
 lost_answers() {
 	standin_set lose_percent=60
 	local i done=0
--- a/UnitTests/FleetTests.cpp
+++ b/UnitTests/FleetTests.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Fleet/HostKeeper.h>
+#include <Loomreach/Fleet/JobBackoff.h>
 #include <Loomreach/Fleet/PlacementPlanner.h>
 #include <Loomreach/Fleet/WavePlanner.h>
 #include <UnitTests/TestFleet.h>
@@ -166,6 +167,38 @@
 	EXPECT_EQ(std::get<StepHost>(decide(true)[0]).step, EHostStep::Failed);
 }
 
+TEST(JobBackoff, AJobThatFailsOnManyHostsWaitsLongerEachTime)
+{
+	TestFleet fleet;
+	fleet.Accept(ApplySettings{0, TestFleet::OnePool(0, 1), "me"});
+	JobBackoff backoff;
+	const auto fail_on = [&fleet](const std::string &inHost)
+	{
+		const LogPosition generation = fleet.Accept(PlaceReplica{{"/pool/job", 0}, inHost, 0});
+		fleet.Accept(StopReplica{{"/pool/job", 0}, generation, EStopReason::JobFailed});
+	};
+	for (const char *name : {"h0", "h1", "h2"})
+	{
+		fleet.AddHealthy(name);
+		EXPECT_TRUE(backoff.Waiting(fleet.state, 0).empty());
+		fail_on(name);
+	}
+	const std::set<std::string> waiting = backoff.Waiting(fleet.state, 1000);
+	EXPECT_EQ(waiting.count("/pool/job"), 1U);
+	const PlacementPlan held = PlacementPlanner(fleet.state, "/pool", &waiting).Plan();
+	EXPECT_TRUE(held.proposals.empty());
+	EXPECT_EQ(held.unplaced.at(0).why, EUnplaced::BackingOff);
+	EXPECT_TRUE(backoff.Waiting(fleet.state, 6000).empty());
+	fail_on("h0");
+	EXPECT_EQ(backoff.Waiting(fleet.state, 7000).size(), 1U);
+	EXPECT_EQ(backoff.Waiting(fleet.state, 16'999).size(), 1U);
+	EXPECT_TRUE(backoff.Waiting(fleet.state, 17'000).empty());
+	// New settings are a new chance
+	fail_on("h0");
+	fleet.Accept(ApplySettings{fleet.state.settings_version, TestFleet::OnePool(0, 1), "me"});
+	EXPECT_TRUE(backoff.Waiting(fleet.state, 17'001).empty());
+}
+
 TEST(HostKeeper, QuarantinesAHostThatFailsManyJobs)
 {
 	TestFleet fleet;
