Start maintenance waves by themselves, pool by pool, within the period

Cause: docs/CAPACITY.md had to say that nothing maintains every host once in two weeks unless operators start waves. Ruled out: one wave over everything (a burst of moves), a date for each host (the wave already orders hosts). Change: maintain_every_days; the steward starts a pool's wave at the pool's turn, spread by a hash over the period; the state keeps the date of the last turn and the fold rejects a second start. Before: no wave without an operator.

--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -7,6 +7,7 @@
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Entry/ControlLoop.h>
 #include <Loomreach/Fleet/HostKeeper.h>
+#include <Loomreach/Fleet/RollingPlan.h>
 #include <Loomreach/Fleet/WavePlanner.h>
 #include <Loomreach/Request/ShareUpdate.h>
 
@@ -367,6 +368,8 @@
 		PlacementPlan placements = PlacementPlanner(state, path, &this->planned_on.waiting).Plan();
 		for (const Loomreach::Unplaced &entry : placements.unplaced)
 			this->unplaced.emplace(entry.replica, entry.why);
+		if (std::optional<StartWave> turn = PlanRolling(state, pool, g_get_real_time() / G_USEC_PER_SEC); turn.has_value())
+			this->proposer.Propose(std::move(*turn));
 		WavePlan wave = WavePlanner(state, path, this->planned_on.unheard).Plan();
 		if (!wave.held_by.empty())
 			this->held_by.emplace(path, wave.held_by);
--- a/Loomreach/Settings/SettingsKey.cpp
+++ b/Loomreach/Settings/SettingsKey.cpp
@@ -36,6 +36,8 @@
 	 "spare capacity held in the pool, percent; -1: its largest rack"},
 	{ESetting::WaveWidth, "wave_width", Integer, 1, 5000, 1000, "", "", "hosts of the pool out at once in a wave, at most"},
 	{ESetting::RebootS, "reboot_s", Integer, 0, 86'400, 300, "", "", "time in which a host is back from its maintenance, s"},
+	{ESetting::MaintainEveryDays, "maintain_every_days", Integer, 0, 365, 0, "", "",
+	 "every host of the pool is maintained once in so many days; 0: only by operators' waves"},
 	{ESetting::WeightMoves, "weight_moves", Integer, 0, 1000, 1, "", "", "cost of displacing a replica, against weight_buffer"},
 	{ESetting::WeightBuffer, "weight_buffer", Integer, 0, 1000, 1, "", "", "cost of an idle host, against weight_moves"},
 	{ESetting::QuotaCpuMilli, "quota_cpu_milli", Integer, 0, 1'000'000'000, 0, "", "",
--- a/Loomreach/Settings/SettingsKey.h
+++ b/Loomreach/Settings/SettingsKey.h
@@ -28,6 +28,7 @@
 	BufferPercent,
 	WaveWidth,
 	RebootS,
+	MaintainEveryDays,
 	WeightMoves,
 	WeightBuffer,
 	QuotaCpuMilli,
--- a/Loomreach/State/FleetState.cpp
+++ b/Loomreach/State/FleetState.cpp
@@ -76,6 +76,7 @@
 	pool.min_available_percent = inTree.Number(path, ESetting::MinAvailablePercent);
 	pool.buffer_percent = inTree.Number(path, ESetting::BufferPercent);
 	pool.wave_width = static_cast<uint32>(inTree.Number(path, ESetting::WaveWidth));
+	pool.maintain_every_days = inTree.Number(path, ESetting::MaintainEveryDays);
 	pool.reboot_s = inTree.Number(path, ESetting::RebootS);
 	pool.weight_moves = inTree.Number(path, ESetting::WeightMoves);
 	pool.weight_buffer = inTree.Number(path, ESetting::WeightBuffer);
@@ -208,6 +209,7 @@
 	std::map<ReplicaKey, Placement> placements;
 	std::map<std::string, JobHistory> history;
 	std::map<std::string, Wave> waves;
+	std::map<std::string, int64> rolling_started;
 	View view;
 	std::vector<std::set<std::string>> claim_holders;
 	std::map<std::string, LogPosition> zones_alive;
@@ -217,7 +219,7 @@
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->next_offset, this->settings_version, this->nodes, this->hosts, this->placements, this->history, this->waves,
-				  this->view, this->claim_holders, this->zones_alive, this->proposers);
+				  this->rolling_started, this->view, this->claim_holders, this->zones_alive, this->proposers);
 	}
 };
 
@@ -233,6 +235,7 @@
 		inState.placements,
 		inState.history,
 		inState.waves,
+		inState.rolling_started,
 		inState.view,
 		std::vector<std::set<std::string>>(inState.claim_holders.begin(), inState.claim_holders.end()),
 		inState.zones_alive,
@@ -260,6 +263,7 @@
 	state.placements = std::move(image->placements);
 	state.history = std::move(image->history);
 	state.waves = std::move(image->waves);
+	state.rolling_started = std::move(image->rolling_started);
 	state.view = std::move(image->view);
 	std::move(image->claim_holders.begin(), image->claim_holders.end(), state.claim_holders.begin());
 	state.zones_alive = std::move(image->zones_alive);
--- a/Loomreach/State/FleetState.h
+++ b/Loomreach/State/FleetState.h
@@ -176,6 +176,7 @@
 	int64 buffer_percent = 0;
 	uint32 wave_width = 0;
 	int64 reboot_s = 0;
+	int64 maintain_every_days = 0;
 	int64 weight_moves = 0;
 	int64 weight_buffer = 0;
 };
@@ -206,6 +207,7 @@
 	std::map<ReplicaKey, Placement> placements;
 	std::map<std::string, JobHistory> history;
 	std::map<std::string, Wave> waves;
+	std::map<std::string, int64> rolling_started; ///< Pool to the date of its last turn in the rolling plan, s.
 	View view;
 	std::array<std::set<std::string>, cClaimRanges> claim_holders; ///< Members that hold all claims of a range.
 	std::map<std::string, LogPosition> zones_alive;                ///< Last time that a zone of the view said by the log that it lives.
--- a/Loomreach/State/Fold.cpp
+++ b/Loomreach/State/Fold.cpp
@@ -364,6 +364,9 @@
 		return FailFalse(EError::BadRequest, "a wave needs a name");
 	if (this->state.waves.count(inProposal.name) != 0)
 		return FailFalse(EError::Conflict, "a wave of that name exists");
+	auto last_turn = this->state.rolling_started.find(inProposal.pool);
+	if (inProposal.rolling_date_s != 0 && last_turn != this->state.rolling_started.end() && last_turn->second >= inProposal.rolling_date_s)
+		return FailFalse(EError::Conflict, inProposal.pool + " has had a later turn");
 	Wave wave{inProposal.name, EWaveState::Running, this->position, {}};
 	const auto matches = [](const std::string &inWanted, const std::string &inValue) { return inWanted.empty() || inWanted == inValue; };
 	for (const auto &[name, host] : this->state.hosts)
@@ -386,6 +389,8 @@
 			}
 	}
 	this->state.waves.emplace(inProposal.name, std::move(wave));
+	if (inProposal.rolling_date_s != 0)
+		this->state.rolling_started[inProposal.pool] = inProposal.rolling_date_s;
 	this->ForgetOldWaves();
 	return true;
 }
--- a/Loomreach/State/Records.h
+++ b/Loomreach/State/Records.h
@@ -225,11 +225,12 @@
 	std::string pool;
 	std::string availability_zone;
 	std::string rack;
+	int64 rolling_date_s = 0; ///< Of a pool's turn in the rolling plan, seconds since 1970; 0: an operator's wave.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->name, this->pool, this->availability_zone, this->rack);
+		ioArchive(this->name, this->pool, this->availability_zone, this->rack, this->rolling_date_s);
 	}
 };
 
--- a/PerformanceTest/Benchmarks.cpp
+++ b/PerformanceTest/Benchmarks.cpp
@@ -84,6 +84,7 @@
 	const std::vector<SettingsNode> nodes = fleet.state.settings.Nodes();
 	for (auto _ : ioState)
 		benchmark::DoNotOptimize(fleet.Fold(ApplySettings{fleet.state.settings_version, nodes, "bench"}));
+	ioState.counters["record_bytes"] = static_cast<double>(EncodeBatch({{{1, 1}, ApplySettings{0, nodes, "bench"}}}).size());
 }
 
 void Encode(benchmark::State &ioState)
--- a/Scripts/measure_control.sh
+++ b/Scripts/measure_control.sh
@@ -91,6 +91,19 @@
 echo "== $WORKERS workers, $POOLS pools, $(ctl --output=json status | sed -n 's/.*"placements": \([0-9]*\).*/\1/p') replicas, mode $MODE"
 phase idle "$SECONDS_IDLE"
 in_force_times
+# urgent_times: an urgent service is declared; ms until its first request is answered, and so until its task runs on a worker.
+urgent_times() {
+	local i began
+	for i in $(seq 1 "${URGENT:-10}"); do
+		{ cat "$DIR/settings.toml"; printf '[pool.p%d.job.urgent-%d]\npriority = 900\ncpu_milli = 8000\nreplicas = 1\n' $((i % POOLS + 1)) "$i"; } >"$DIR/urgent.toml"
+		began=$(date +%s%N)
+		ctl settings apply "$DIR/urgent.toml" >/dev/null || { echo failed; continue; }
+		until curl -sf -o /dev/null "http://${CALLERS[entry-$((i % 9))]}/v1/services/urgent-$i/x"; do sleep 0.02; done
+		echo $((($(date +%s%N) - began) / 1000000))
+	done | sort -n | awk '{t[NR] = $1} END {printf "urgent service declared until answered, ms: median %d worst %d of %d\n", t[int((NR + 1) / 2)], t[NR], NR}'
+}
+
+if [ "$MODE" = peers ]; then urgent_times; fi
 if [ "$MODE" != alone ]; then
 	ctl wave start measured >/dev/null
 	phase wave "$SECONDS_IDLE"
--- a/UnitTests/FleetTests.cpp
+++ b/UnitTests/FleetTests.cpp
@@ -6,6 +6,7 @@
 #include <Loomreach/Fleet/HostKeeper.h>
 #include <Loomreach/Fleet/JobBackoff.h>
 #include <Loomreach/Fleet/PlacementPlanner.h>
+#include <Loomreach/Fleet/RollingPlan.h>
 #include <Loomreach/Fleet/WavePlanner.h>
 #include <UnitTests/TestFleet.h>
 
@@ -142,6 +143,49 @@
 	EXPECT_EQ(WavePlanner(fleet.state, "/pool", {"h3"}).Plan().drains, 1U);
 }
 
+TEST(RollingPlan, EveryPoolHasOneTurnInEachPeriodAndTheyAreSpread)
+{
+	TestFleet fleet;
+	std::vector<SettingsNode> nodes = {{"/", ENodeKind::Group, {{ESetting::MaintainEveryDays, {14, {}}}}}};
+	constexpr int cPools = 60;
+	for (int i = 0; i < cPools; ++i)
+		nodes.push_back({"/pool-" + std::to_string(i), ENodeKind::Pool, {}});
+	fleet.Accept(ApplySettings{0, nodes, "me"});
+	for (int i = 0; i < cPools; ++i)
+		fleet.AddHealthy("h" + std::to_string(i), "/pool-" + std::to_string(i));
+	std::map<std::string, int64> last_turn;
+	constexpr int64 cPeriodS = 14 * 86'400;
+	int most_a_day = 0;
+	constexpr int64 cStart = 1'800'000'000;
+	for (int day = 0; day < 42; ++day)
+	{
+		int today = 0;
+		for (int hour = 0; hour < 24; ++hour)
+			for (const auto &[path, pool] : std::map(fleet.state.pools))
+			{
+				const int64 date = cStart + day * 86'400 + hour * 3600;
+				const std::optional<StartWave> turn = PlanRolling(fleet.state, pool, date);
+				if (!turn.has_value())
+					continue;
+				fleet.Accept(*turn);
+				// Two stewards at once: the second is rejected
+				EXPECT_FALSE(fleet.Fold(*turn).Accepted());
+				fleet.Accept(ChangeWave{turn->name, EWaveAction::Cancel});
+				// Neither later than a period after the last turn, nor much earlier
+				const int64 since = date - last_turn.try_emplace(path, cStart).first->second;
+				EXPECT_LE(since, cPeriodS + 3600) << path;
+				EXPECT_TRUE(last_turn[path] == cStart || since >= cPeriodS - 86'400) << path;
+				last_turn[path] = date;
+				++today;
+			}
+		most_a_day = std::max(most_a_day, today);
+	}
+	EXPECT_EQ(last_turn.size(), static_cast<size_t>(cPools));
+	for (const auto &[path, date] : last_turn)
+		EXPECT_GE(date, cStart + 42 * 86'400 - cPeriodS - 3600) << path;
+	EXPECT_LE(most_a_day, 14);
+}
+
 TEST(HostKeeper, TrustsOnlyTheWorkersOwnWord)
 {
 	TestFleet fleet;
