Survive callers that go away in the middle, and wait for the last byte at a planned stop

Cause: a review of who keeps an attempt alive: a streamed answer that waited for its caller was owned by the 'written' callback only, which was dropped when the caller went away. Brought about by a new process check (48 callers that go away in the middle of streams, queues and work): the entry host ended with a segmentation fault. Also by reading: a planned stop took an answer for ended before it had been written, and did not wait for an id whose claim was under way. Ruled out: libsoup's own handling (the crash is in our callback's dead owner). Change: the waiting callback lives until the relay has heard; a stream that waited is read on, to its end or its cancellation, never twice at once; answers count as open until written; claims under way hold the stop.

--- a/Loomreach/Entry/CallerServer.cpp
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -244,22 +244,28 @@
 	}
 	// Marked as begun while the claim is under way, so that a repeat at this entry host can't overtake it
 	inExchange->id_key = key;
+	this->relay.Hold();
 	this->control.ClaimOwnId(key,
 							 [this, inExchange, key, inForwarded](EError inError, uint64 inHolder)
 							 {
-								 if (inError == EError::None && !inExchange->IsGone())
-									 return this->relay.Submit(inExchange);
-								 this->ids.NotRun(key);
-								 if (inExchange->IsGone())
-									 return;
-								 if (inError == EError::DuplicateId)
-									 return this->ForwardTo(inExchange, inHolder, inForwarded);
-								 this->Refuse(
-									 inExchange, inError,
-									 "the id could not be claimed with every member of its group; ids from POST /v1/ids need no claim");
+								 this->OnClaimed(inExchange, key, inForwarded, inError, inHolder);
+								 this->relay.Release();
 							 });
 }
 
+void CallerServer::OnClaimed(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, bool inForwarded, EError inError,
+							 uint64 inHolder)
+{
+	if (inError == EError::None && !inExchange->IsGone())
+		return this->relay.Submit(inExchange);
+	this->ids.NotRun(inKey);
+	if (inExchange->IsGone())
+		return;
+	if (inError == EError::DuplicateId)
+		return this->ForwardTo(inExchange, inHolder, inForwarded);
+	this->Refuse(inExchange, inError, "the id could not be claimed with every member of its group; ids from POST /v1/ids need no claim");
+}
+
 void CallerServer::UseVerdict(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, const IdVerdict &inVerdict)
 {
 	switch (inVerdict.use)
--- a/Loomreach/Entry/CallerServer.h
+++ b/Loomreach/Entry/CallerServer.h
@@ -41,6 +41,8 @@
 	void HandleId(const std::shared_ptr<Exchange> &inExchange, const std::string &inId, bool inForwarded);
 	void HandleIssued(const std::shared_ptr<Exchange> &inExchange, const IssuedId &inId, bool inForwarded);
 	void HandleOwn(const std::shared_ptr<Exchange> &inExchange, const std::string &inId, bool inForwarded);
+	void OnClaimed(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, bool inForwarded, EError inError,
+				   uint64 inHolder);
 	void UseVerdict(const std::shared_ptr<Exchange> &inExchange, const std::string &inKey, const IdVerdict &inVerdict);
 	void ForwardTo(const std::shared_ptr<Exchange> &inExchange, uint64 inIncarnation, bool inForwarded);
 	void Refuse(const std::shared_ptr<Exchange> &inExchange, EError inError, std::string_view inDetail);
--- a/Loomreach/Entry/Exchange.cpp
+++ b/Loomreach/Entry/Exchange.cpp
@@ -31,6 +31,8 @@
 	if (this->gone)
 		return;
 	this->gone = true;
+	// Whoever waits for a piece to be written is told by on_gone; until then it must live
+	const std::function<void()> waiting = std::move(this->written);
 	this->written = nullptr;
 	// The call may end this object's life
 	const std::function<void()> call = this->on_gone;
@@ -38,21 +40,26 @@
 		call();
 }
 
-void Exchange::OnFinished(SoupServerMessage *, gpointer inSelf)
+void Exchange::Written()
 {
-	Exchange *self = static_cast<Exchange *>(inSelf);
-	// A finish before the answer is complete is the caller's going away
-	if (!self->answered || self->streaming)
-		self->Gone();
+	// The call may end this object's life
+	const std::function<void()> call = std::move(this->on_written);
+	this->on_written = nullptr;
+	if (call)
+		call();
 }
 
-void Exchange::OnDisconnected(SoupServerMessage *, gpointer inSelf)
+void Exchange::OnFinished(SoupServerMessage *, gpointer inSelf)
 {
 	Exchange *self = static_cast<Exchange *>(inSelf);
+	// A finish before the answer is complete is the caller's going away
 	if (!self->answered || self->streaming)
-		self->Gone();
+		return self->Gone();
+	self->Written();
 }
 
+void Exchange::OnDisconnected(SoupServerMessage *inMessage, gpointer inSelf) { OnFinished(inMessage, inSelf); }
+
 void Exchange::OnWroteChunk(SoupServerMessage *, gpointer inSelf)
 {
 	Exchange *self = static_cast<Exchange *>(inSelf);
--- a/Loomreach/Entry/Exchange.h
+++ b/Loomreach/Entry/Exchange.h
@@ -48,7 +48,8 @@
 	Millis arrived = 0;
 	double arrived_exact = 0;
 	bool is_long = false;
-	std::function<void()> on_gone; ///< The caller went away before its answer was written.
+	std::function<void()> on_written; ///< The answer has been written, or its caller went away before that.
+	std::function<void()> on_gone;    ///< The caller went away before its answer was written.
 
 private:
 	static void OnFinished(SoupServerMessage *inMessage, gpointer inSelf);
@@ -56,6 +57,7 @@
 	static void OnWroteChunk(SoupServerMessage *inMessage, gpointer inSelf);
 	void SetOutcome(EOutcome inOutcome, EError inReason);
 	void Gone();
+	void Written();
 
 	ObjectPtr<SoupServerMessage> message;
 	std::string entry;
--- a/Loomreach/Entry/Relay.cpp
+++ b/Loomreach/Entry/Relay.cpp
@@ -33,6 +33,7 @@
 	bool unconnected = false; ///< No connection came in time: the request certainly was not sent.
 	bool cancelled = false;
 	bool streaming = false;
+	bool reading = false; ///< A read is under way; otherwise a streamed answer waits for its caller.
 	std::string buffer;
 
 	void Start(const Address &inTo)
@@ -156,6 +157,7 @@
 
 	void ReadOn()
 	{
+		this->reading = true;
 		g_input_stream_read_bytes_async(this->stream.get(), cPieceBytes, G_PRIORITY_DEFAULT, this->cancellable.get(), &Attempt::OnPiece,
 										new std::shared_ptr<Attempt>(this->shared_from_this()));
 	}
@@ -164,6 +166,7 @@
 	{
 		const std::unique_ptr<std::shared_ptr<Attempt>> holder(static_cast<std::shared_ptr<Attempt> *>(inHolder));
 		const std::shared_ptr<Attempt> self = *holder;
+		self->reading = false;
 		ErrorPtr error;
 		GBytes *bytes = g_input_stream_read_bytes_finish(G_INPUT_STREAM(inStream), inResult, error.Out());
 		if (bytes == nullptr)
@@ -350,7 +353,23 @@
 		return;
 	this->metrics.Count(ECounter::Requests, found->second->IsGone() ? "abandoned" : "answered");
 	this->metrics.Time(ETiming::Request, NowMillisExact() - found->second->arrived_exact);
+	const std::shared_ptr<Exchange> exchange = std::move(found->second);
 	this->exchanges.erase(found);
+	if (exchange->IsGone())
+		return;
+	// A planned stop waits until the caller has the last byte
+	exchange->on_written = [this, inRequest]
+	{
+		this->closing.erase(inRequest);
+		this->CheckIdle();
+	};
+	this->closing.emplace(inRequest, exchange);
+}
+
+void Relay::Release()
+{
+	--this->held;
+	this->CheckIdle();
 }
 
 void Relay::OnGone(RequestId inRequest)
@@ -373,7 +392,8 @@
 	// A request that may be repeated is worth no slot without its caller; any other runs to its end
 	if (exchange->spec.repeatable)
 		running->Cancel();
-	else if (running->streaming)
+	// An answer that waited for its caller is read on: to its end, or to the cancellation
+	if (running->streaming && !running->reading)
 		running->ReadOn();
 }
 
--- a/Loomreach/Entry/Relay.h
+++ b/Loomreach/Entry/Relay.h
@@ -25,8 +25,12 @@
 	void Forward(std::shared_ptr<Exchange> inExchange, const Address &inTo);
 	/// Carries out decisions.
 	void Execute(std::vector<Decision> inDecisions);
-	/// Requests that have not ended, forwarded ones included.
-	size_t Open() const { return this->exchanges.size() + this->forwards; }
+	/// Requests that have not ended: forwarded ones, held ones, and answers that are still being written included.
+	size_t Open() const { return this->exchanges.size() + this->closing.size() + this->forwards + this->held; }
+	/// A request that is not submitted yet is under way: a planned stop waits for it.
+	void Hold() { ++this->held; }
+	/// It has been submitted or answered.
+	void Release();
 	/// Called when the last open request has ended.
 	std::function<void()> on_idle;
 
@@ -45,9 +49,11 @@
 	Millis connect_timeout;
 	ObjectPtr<SoupSession> session;
 	std::unordered_map<RequestId, std::shared_ptr<Exchange>> exchanges;
+	std::unordered_map<RequestId, std::shared_ptr<Exchange>> closing; ///< Answered, and not yet written to the caller.
 	std::unordered_map<RequestId, std::weak_ptr<Attempt>> attempts;
 	RequestId last_id = 0;
 	size_t forwards = 0;
+	size_t held = 0;
 	bool executing = false;
 	std::deque<Decision> pending;
 };
--- a/Loomreach/Fleet/RollingPlan.cpp
+++ b/Loomreach/Fleet/RollingPlan.cpp
@@ -29,7 +29,8 @@
 	for (const auto &[name, wave] : inState.waves)
 		if (wave.state == EWaveState::Running || wave.state == EWaveState::Paused)
 			for (const auto &[host_name, entry] : wave.hosts)
-				if (auto host = inState.hosts.find(host_name); entry != EWaveHost::Done && host != inState.hosts.end() && host->second.pool == inPool.path)
+				if (auto host = inState.hosts.find(host_name);
+					entry != EWaveHost::Done && host != inState.hosts.end() && host->second.pool == inPool.path)
 					return std::nullopt;
 	StartWave start;
 	start.name = "rolling" + inPool.path + "/" + std::to_string(turn / cDayS);
--- a/Scripts/test_processes.sh
+++ b/Scripts/test_processes.sh
@@ -77,6 +77,22 @@
 }
 check "bad headers, two lengths, oversized bodies and unknown services get a clear error" bad_requests
 
+open_requests() { ctl --output=json status | sed -n 's/.*"open_requests": \([0-9]*\).*/\1/p'; }
+nothing_open() { [ "$(open_requests)" = 0 ]; }
+gone_callers_leave_nothing() {
+	local i
+	for i in $(seq 1 12); do
+		# In the middle of a streamed answer, of a queued wait, and of the endpoint's work; repeatable and not
+		curl -s --max-time 0.4 --limit-rate 20k -o /dev/null "http://${CALLERS[entry-a1]}/v1/services/price-basket/x?size=3000000" &
+		curl -s --max-time 0.4 --limit-rate 20k -o /dev/null -X POST -d x "http://${CALLERS[entry-a1]}/v1/services/settle-card/x?size=3000000" &
+		curl -s --max-time 0.4 -o /dev/null "http://${CALLERS[entry-a1]}/v1/services/price-basket/x?work_ms=1500" &
+		curl -s --max-time 0.4 -o /dev/null -X POST -d x "http://${CALLERS[entry-a1]}/v1/services/settle-card/x?work_ms=1500" &
+	done
+	sleep 1
+	until_true 15 nothing_open && each_entry_answers
+}
+check "callers that go away in the middle leave nothing open" gone_callers_leave_nothing
+
 # --- Ids
 issued_id_once() {
 	local id entry; id=$(new_id entry-b1)
