Test each refusal of a claim guard directly

Change: a direct test of every answer that a guard must refuse: no lease, taken, older view, newer view, hand-over for a newer view, restarted.

--- a/UnitTests/RequestTests.cpp
+++ b/UnitTests/RequestTests.cpp
@@ -386,6 +386,34 @@
 			RC_ASSERT(DemandSlotShare::Limit({8, self, demands}) >= demands[self]);
 }
 
+TEST(ClaimTable, AGuardRefusesWhatItMayNotAnswerFor)
+{
+	TestFleet fleet;
+	const Member self{"a", 1, "r", "z1", {}, {}};
+	const Member other{"b", 2, "r", "z2", {}, {}};
+	fleet.Accept(ChangeView{0, {self}, true});
+	ClaimTable table("a", 1);
+	table.Update(fleet.state);
+	uint64 holder = 0;
+	const uint32 range = ClaimRangeOf({}, "id");
+	EXPECT_EQ(table.Answer("id", range, 7, 1, false, 0, holder), EClaim::NotReady);
+	EXPECT_EQ(table.Answer("id", range, 7, 1, true, 0, holder), EClaim::Granted);
+	EXPECT_EQ(table.Answer("id", range, 8, 1, true, 0, holder), EClaim::Taken);
+	EXPECT_EQ(holder, 7U);
+	fleet.Accept(ChangeView{1, {self, other}, false});
+	table.Update(fleet.state);
+	// A claim made under the old view could be missing from what was handed over
+	EXPECT_EQ(table.Answer("late", range, 7, 1, true, 0, holder), EClaim::OldView);
+	EXPECT_EQ(table.Answer("late", range, 7, 3, true, 0, holder), EClaim::NotReady);
+	EXPECT_FALSE(table.HandOver(range, 3).has_value());
+	// A process that restarted under the same name holds nothing of its predecessor's
+	ClaimTable restarted("a", 9);
+	restarted.Update(fleet.state);
+	EXPECT_EQ(restarted.Answer("id", range, 8, 2, true, 0, holder), EClaim::NotReady);
+	EXPECT_FALSE(restarted.HandOver(range, 2).has_value());
+	EXPECT_TRUE(restarted.Missing().empty());
+}
+
 /// Members with their claim tables over one accepted state; a network that drops and delays by not asking.
 RC_GTEST_PROP(ClaimProperty, AnIdIsBoundToOneOwnerAcrossViews, ())
 {
