--- a/Loomreach/Entry/ControlLoop.cpp
+++ b/Loomreach/Entry/ControlLoop.cpp
@@ -25,7 +25,7 @@
 static constexpr double cRoutesPacing = 100.0;
 static constexpr size_t cMaxDemands = 32;
 static constexpr size_t cMaxHostsInDigest = 16;
-static constexpr double cLeavingSignMs = 10'000;
+static constexpr Millis cLeavingSignMs = 10'000;
 
 ControlLoop::ControlLoop(const DaemonConfig &inConfig, uint64 inIncarnation, LogFollower &ioFollower, Proposer &ioProposer,
 						 WorkerPoller &ioPoller, PeerLink &ioLink, Dispatcher &ioDispatcher, Metrics &ioMetrics)
@@ -89,7 +89,7 @@
 	std::set<std::string> leaving = this->OwnLeavingHosts();
 	const Millis now = NowMillis();
 	for (const auto &[name, peer] : this->tracker.All())
-		if (static_cast<double>(now - peer.heard) < cLeavingSignMs)
+		if (now - peer.heard < cLeavingSignMs)
 			leaving.insert(peer.digest.leaving_hosts.begin(), peer.digest.leaving_hosts.end());
 	return leaving;
 }
@@ -359,15 +359,12 @@
 		return;
 	this->planned_on = std::move(basis);
 	this->planned_at = inNow;
-	this->unplaced.clear();
 	this->held_by.clear();
 	for (const auto &[path, pool] : state.pools)
 	{
 		if (!inPicker.IsMine("pool:" + path))
 			continue;
 		PlacementPlan placements = PlacementPlanner(state, path, &this->planned_on.waiting).Plan();
-		for (const Loomreach::Unplaced &entry : placements.unplaced)
-			this->unplaced.emplace(entry.replica, entry.why);
 		if (std::optional<StartWave> turn = PlanRolling(state, pool, g_get_real_time() / G_USEC_PER_SEC); turn.has_value())
 			this->proposer.Propose(std::move(*turn));
 		WavePlan wave = WavePlanner(state, path, this->planned_on.unheard).Plan();
--- a/Loomreach/Entry/ControlLoop.h
+++ b/Loomreach/Entry/ControlLoop.h
@@ -43,8 +43,6 @@
 	/// This process as a member.
 	Member Self() const;
 	const PeerTracker &Tracker() const { return this->tracker; }
-	/// Replicas that this entry host, as steward, could not place, and why.
-	const std::map<ReplicaKey, EUnplaced> &Unplaced() const { return this->unplaced; }
 	/// What holds the waves of the pools that this entry host plans for.
 	const std::map<std::string, std::string> &HeldBy() const { return this->held_by; }
 	/// Hosts that are leaving by their own sign or the host list, as seen here or by a peer.
@@ -56,6 +54,9 @@
 	bool IsStopping() const { return this->stopping; }
 	StewardPicker Picker(Millis inNow) const;
 
+	/// Decisions of the dispatcher that a change of routes or time brought about; set by the wiring.
+	std::function<void(std::vector<Decision>)> on_decisions;
+
 private:
 	struct ClaimRound;
 	/// What the plans of pools were made from.
@@ -97,7 +98,6 @@
 	PlanBasis planned_on;
 	Millis planned_at = 0;
 	bool had_demand = true;
-	std::map<ReplicaKey, EUnplaced> unplaced;
 	std::map<std::string, std::string> held_by;
 	Timer beat_timer;
 	Timer plan_timer;
@@ -117,10 +117,6 @@
 	std::set<std::string> routes_leaving; ///< Leaving hosts that the routes were made with.
 	uint64 seen_resets = 0;
 	Millis claims_from = 0; ///< After a reset, no claims before this time.
-
-public:
-	/// Decisions of the dispatcher that a change of routes or time brought about; set by the wiring.
-	std::function<void(std::vector<Decision>)> on_decisions;
 };
 
 } // namespace Loomreach
