--- a/Scripts/measure_control.sh
+++ b/Scripts/measure_control.sh
@@ -18,7 +18,7 @@
 choose_ports || exit 1
 # Workers need a block of their own
 WORKER_BASE=$((BASE + 40))
-[ "$WORKERS" -gt 60 ] && WORKER_BASE=$((10000 + (RANDOM % 18) * 500))
+[ "$WORKERS" -gt 60 ] && WORKER_BASE=$((10000 + (RANDOM % 16) * 500))
 POOLS=$(((WORKERS + 5) / 6))
 head -c 24 /dev/urandom | base64 >"$DIR/peer.key"
 {
