--- a/Loomreach/Core/Error.cpp
+++ b/Loomreach/Core/Error.cpp
@@ -54,6 +54,7 @@
 	{EError::Replayed, "replayed", 409, EOutcome::NotRun, 7, false, "The message was already seen."},
 	{EError::UnknownVersion, "unknown-version", 400, EOutcome::NotRun, 2, false,
 	 "The message is of a version that this program does not know."},
+	{EError::JobGone, "job-gone", 410, EOutcome::NotRun, 6, false, "No such job is kept here."},
 	{EError::Internal, "internal", 500, EOutcome::Unknown, 1, false, "An invariant failed; see the log."},
 }};
 
--- a/Loomreach/Core/Error.h
+++ b/Loomreach/Core/Error.h
@@ -52,6 +52,7 @@
 	Forged,
 	Replayed,
 	UnknownVersion,
+	JobGone,
 	Internal,
 	Count
 };
--- a/Loomreach/Core/Metrics.cpp
+++ b/Loomreach/Core/Metrics.cpp
@@ -40,6 +40,9 @@
 	{"loomreach_records_folded_total", "source"},
 	{"loomreach_snapshots_total", "event"},
 	{"loomreach_claims_total", "result"},
+	{"loomreach_orders_total", "result"},
+	{"loomreach_duties_total", "result"},
+	{"loomreach_job_calls_total", "answer"},
 }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(ETiming::Count)> cTimingNames = {{
--- a/Loomreach/Core/Metrics.h
+++ b/Loomreach/Core/Metrics.h
@@ -20,6 +20,9 @@
 	RecordsFolded, ///< By source: platform or peer.
 	Snapshots,     ///< By event.
 	Claims,        ///< By result.
+	Orders,        ///< To workers, by result.
+	Duties,        ///< To hosts, by result.
+	JobCalls,      ///< Callers' requests about jobs, by answer.
 	Count
 };
 
--- /dev/null
+++ b/Loomreach/Entry/CellSeat.h
@@ -0,0 +1,95 @@
+// The seat of an owner: drives one cell. Reads its inbox, writes its log, sends its orders, and checks the lease before each of them.
+
+#pragma once
+
+#include <Loomreach/Core/Metrics.h>
+#include <Loomreach/Entry/PeerQuery.h>
+#include <Loomreach/Ownership/CellNames.h>
+#include <Loomreach/Ownership/OwnedLog.h>
+#include <Loomreach/Ownership/OwnerTable.h>
+#include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Settings/JobHostConfig.h>
+
+namespace Loomreach::Jobs
+{
+
+/// What a seat shares with its host.
+struct SeatContext
+{
+	const JobHostConfig &config;
+	Metrics &metrics;
+	OwnLease &lease;
+	OwnerTable &owners;
+	uint64 life = 0;
+};
+
+/// A worker's agent as a seat needs it.
+template <class T>
+concept WorkerAgent = requires(T &ioAgent, const Order &inOrder) { ioAgent.Send(inOrder, [](const OrderAnswer &) {}); };
+
+/// An adviser as a seat needs it.
+template <class T>
+concept Adviser = requires(T &ioAdviser, const AdviceQuestion &inQuestion) { ioAdviser.Ask(inQuestion, [](const AdviceAnswer &) {}); };
+
+/// See the head of the file.
+template <class Hub>
+class CellSeat
+{
+public:
+	/// Called once when the claim is settled, and when the seat is lost.
+	using OnSeat = std::function<void(bool inHeld)>;
+
+	CellSeat(Hub &inHub, const SeatContext &inContext, uint32 inCell);
+
+	void Claim(OnSeat inDone);
+	/// Whether the claim has been won and nothing has been lost since.
+	bool IsHeld() const { return this->held; }
+	uint64 Epoch() const { return this->log.Epoch(); }
+	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->cell.SetCatalogue(std::move(inCatalogue)); }
+	void SetWorkers(const std::vector<WorkerEntry> &inWorkers);
+	PeerAnswer Answer(const PeerQuestion &inQuestion);
+	/// Decides and acts soon, or at once when nothing happened for a while.
+	void Step();
+	CellFigures Figures() const { return this->cell.Figures(); }
+	/// Whether nothing is on its way to the log.
+	bool IsQuiet() const { return !this->log.IsBusy(); }
+
+private:
+	using Store = decltype(Hub::store);
+
+	void Begin(const typename OwnedLog<Store>::Records &inRecords);
+	void ReadInbox();
+	void OnInbox(ReadAnswer inAnswer);
+	void Soon(Millis inDelayMs);
+	void Write();
+	void SendOrders();
+	template <class F>
+	auto Guard(F inCall)
+	{
+		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
+		{
+			if (!alive.expired())
+				call(std::forward<decltype(inArguments)>(inArguments)...);
+		};
+	}
+
+	Hub &hub;
+	SeatContext context;
+	uint32 number;
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+	OwnedLog<Store> log;
+	Cell cell;
+	OnSeat on_seat;
+	bool held = false;
+	Millis inbox_read_at = -1; ///< When the newest answered read of the inbox was sent.
+	Timer soon;
+	Timer tick;
+	Timer inbox_again;
+};
+
+/// The times and limits of a cell from the host's configuration.
+CellTuning TuningOf(const JobHostConfig &inConfig);
+
+} // namespace Loomreach::Jobs
+
+#include <Loomreach/Entry/CellSeat.inl>
--- /dev/null
+++ b/Loomreach/Entry/CellSeat.inl
@@ -0,0 +1,233 @@
+// Drives a cell.
+
+#include <Loomreach/State/Codec.h>
+
+namespace Loomreach::Jobs
+{
+
+inline constexpr Millis cStepGapMs = 6;     ///< News that comes together is decided on together.
+inline constexpr Millis cTickMs = 50;       ///< Timers of the cell are this coarse.
+inline constexpr Millis cAppendGapMs = 25;  ///< Between two appends: each is a call that is paid for.
+inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
+inline constexpr Millis cInboxAgainMs = 150;
+
+/// Time of day, ms since 1970.
+inline int64 WallMillis() { return g_get_real_time() / 1000; }
+
+inline CellTuning TuningOf(const JobHostConfig &inConfig)
+{
+	CellTuning tuning;
+	tuning.lease_ms = inConfig.worker_lease_ms;
+	tuning.most_lease_ms = inConfig.worker_lease_ms;
+	tuning.notice_ms = inConfig.notice_ms;
+	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
+	return tuning;
+}
+
+template <class Hub>
+CellSeat<Hub>::CellSeat(Hub &inHub, const SeatContext &inContext, uint32 inCell)
+	: hub(inHub), context(inContext), number(inCell),
+	  log(inHub.store, CellLog(inCell, static_cast<uint32>(inContext.config.log_parts)), inContext.config.name, inContext.life),
+	  cell(TuningOf(inContext.config))
+{
+}
+
+template <class Hub>
+void CellSeat<Hub>::Claim(OnSeat inDone)
+{
+	this->on_seat = std::move(inDone);
+	this->log.Claim(
+		[this](const ClaimRecord &inSeen)
+		{
+			const Millis now = NowMillis();
+			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
+				this->context.owners.OnClaimSeen(this->number, inSeen.host, inSeen.epoch, now);
+			return this->context.lease.MayAct(now) && this->context.owners.IsFree(this->number, now);
+		},
+		this->Guard(
+			[this](bool inWon, const typename OwnedLog<Store>::Records &inRecords)
+			{
+				if (inWon)
+					this->Begin(inRecords);
+				// The seat may be destroyed by the call
+				const OnSeat done = this->on_seat;
+				done(inWon);
+			}));
+}
+
+template <class Hub>
+void CellSeat<Hub>::Begin(const typename OwnedLog<Store>::Records &inRecords)
+{
+	size_t damaged = 0;
+	for (const auto &[key, value] : inRecords)
+		damaged += this->cell.Restore(key, value) ? 0 : 1;
+	this->cell.Begin(this->log.Epoch(), NowMillis());
+	this->held = true;
+	const CellFigures figures = this->cell.Figures();
+	LogEvent(ELogLevel::Info, "cell_owned")
+		.Field("cell", this->number)
+		.Field("epoch", this->log.Epoch())
+		.Field("records", inRecords.size())
+		.Field("damaged", damaged)
+		.Field("jobs", figures.jobs)
+		.Field("runs", figures.runs)
+		.Field("inbox_next", this->cell.InboxNext());
+	this->tick.Every(cTickMs, [this] { this->Step(); });
+	this->ReadInbox();
+}
+
+template <class Hub>
+void CellSeat<Hub>::SetWorkers(const std::vector<WorkerEntry> &inWorkers)
+{
+	std::vector<WorkerEntry> mine;
+	for (const WorkerEntry &worker : inWorkers)
+		if (CellOf(worker.pool, static_cast<uint32>(this->context.config.log_parts)) == this->number)
+			mine.push_back(worker);
+	this->cell.SetWorkers(mine, NowMillis());
+	this->Soon(cStepGapMs);
+}
+
+template <class Hub>
+void CellSeat<Hub>::ReadInbox()
+{
+	const Millis sent_at = NowMillis();
+	const LogName inbox = InboxLog(this->number, static_cast<uint32>(this->context.config.log_parts));
+	this->hub.store.Read(inbox, false, this->cell.InboxNext(), cInboxWaitMs,
+						 this->Guard(
+							 [this, sent_at](ReadAnswer inAnswer)
+							 {
+								 if (inAnswer.result == ERead::Done)
+									 this->inbox_read_at = sent_at;
+								 this->OnInbox(std::move(inAnswer));
+							 }));
+}
+
+template <class Hub>
+void CellSeat<Hub>::OnInbox(ReadAnswer inAnswer)
+{
+	if (inAnswer.result == ERead::Failed)
+		return this->inbox_again.Once(cInboxAgainMs, [this] { this->ReadInbox(); });
+	const Millis now = NowMillis();
+	for (const LogRecord &record : inAnswer.records)
+	{
+		const std::optional<InboxRecord> decoded = DecodeValue<InboxRecord>(record.value);
+		if (!decoded.has_value())
+			LogEvent(ELogLevel::Error, "inbox_damaged").Field("cell", this->number).Field("offset", record.offset);
+		this->cell.Ingest(decoded.value_or(InboxRecord{EInbox::Cancel, {}}), record.offset, now, WallMillis());
+	}
+	if (inAnswer.result == ERead::Gone)
+	{
+		LogEvent(ELogLevel::Error, "inbox_gone").Field("cell", this->number).Field("from", this->cell.InboxNext()).Field("first", inAnswer.first);
+		this->cell.SkipInbox(inAnswer.first);
+	}
+	if (!inAnswer.records.empty())
+		this->Soon(cStepGapMs);
+	this->ReadInbox();
+}
+
+template <class Hub>
+void CellSeat<Hub>::Soon(Millis inDelayMs)
+{
+	if (!this->soon.IsRunning())
+		this->soon.Once(inDelayMs, [this] { this->Step(); });
+}
+
+template <class Hub>
+void CellSeat<Hub>::Step()
+{
+	const Millis now = NowMillis();
+	// Without the lease nothing is decided: another owner may be at work
+	if (!this->held || !this->context.lease.MayAct(now))
+		return;
+	const double began = NowMillisExact();
+	this->cell.Plan(now, WallMillis());
+	this->context.metrics.Time(ETiming::Plan, NowMillisExact() - began);
+	this->SendOrders();
+	this->Write();
+	for (const AdviceQuestion &question : this->cell.TakeAdvice())
+		this->hub.adviser.Ask(question, this->Guard(
+											[this, question](const AdviceAnswer &inAnswer)
+											{
+												this->cell.OnAdvice(question, inAnswer, NowMillis());
+												this->Soon(cStepGapMs);
+											}));
+}
+
+template <class Hub>
+void CellSeat<Hub>::Write()
+{
+	if (this->log.IsBusy() || !this->cell.HasNews())
+		return;
+	const Millis since = NowMillis() - this->log.LastSentAt();
+	if (since < cAppendGapMs)
+		return this->Soon(cAppendGapMs - since);
+	std::vector<LogRecord> records;
+	for (KeyedRecord &record : this->cell.TakeBatch(WallMillis()))
+		records.push_back({std::move(record.key), std::move(record.value), 0});
+	if (records.empty())
+		return this->SendOrders();
+	this->log.Append(std::move(records), this->Guard(
+											 [this](bool inDone)
+											 {
+												 if (!inDone)
+												 {
+													 LogEvent(ELogLevel::Warning, "cell_lost").Field("cell", this->number).Field("why", "another owner's epoch");
+													 this->held = false;
+													 const OnSeat lost = this->on_seat;
+													 return lost(false);
+												 }
+												 this->cell.OnAppended(NowMillis());
+												 this->SendOrders();
+												 this->Soon(cStepGapMs);
+											 }));
+}
+
+template <class Hub>
+void CellSeat<Hub>::SendOrders()
+{
+	for (const Order &order : this->cell.TakeOrders(NowMillis()))
+	{
+		// The clock is looked at before each order: the process may have stood still since the last
+		const Millis sent_at = NowMillis();
+		if (!this->held || !this->context.lease.MayAct(sent_at))
+		{
+			OrderAnswer answer;
+			answer.result = EOrderResult::NotSent;
+			this->cell.OnAnswer(order, answer, sent_at, sent_at);
+			continue;
+		}
+		this->hub.workers.Send(order, this->Guard(
+										  [this, order, sent_at](const OrderAnswer &inAnswer)
+										  {
+											  this->context.metrics.Count(ECounter::Orders, NameOf(cOrderResultNames, inAnswer.result));
+											  this->cell.OnAnswer(order, inAnswer, sent_at, NowMillis());
+											  this->Soon(cStepGapMs);
+										  }));
+	}
+}
+
+template <class Hub>
+PeerAnswer CellSeat<Hub>::Answer(const PeerQuestion &inQuestion)
+{
+	const Millis now = NowMillis();
+	PeerAnswer answer;
+	answer.owner = this->held && this->context.lease.MayAct(now);
+	if (!answer.owner)
+		return answer;
+	answer.sure = this->inbox_read_at >= 0 && now - this->inbox_read_at < 2 * cInboxWaitMs;
+	switch (inQuestion.kind)
+	{
+	case EQuestion::Show:
+	{
+		const JobAnswer job = this->cell.Query(inQuestion.queue, inQuestion.id);
+		answer.known = job.known;
+		answer.phase = job.phase;
+		break;
+	}
+	case EQuestion::Count: answer.waiting = this->cell.Waiting(inQuestion.queue); break;
+	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
+	}
+	return answer;
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Entry/FleetSeat.h
@@ -0,0 +1,68 @@
+// The seat of the fleet cell's owner: carries out waves of maintenance. Pools' owners empty the hosts; this one sends them down.
+// All orders to hosts come from here, so their fencing tokens, this cell's epochs, never go back, whichever pool a host is in.
+
+#pragma once
+
+#include <Loomreach/Entry/CellSeat.h>
+#include <Loomreach/Fleet/Upkeep.h>
+
+namespace Loomreach::Jobs
+{
+
+/// See the head of the file.
+template <class Hub>
+class FleetSeat
+{
+public:
+	using OnSeat = std::function<void(bool inHeld)>;
+	/// Asks a pool's owner, this host's own or another's, about a worker.
+	using AskOwner = std::function<void(const std::string &inPool, PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)>;
+
+	FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk);
+
+	void Claim(OnSeat inDone);
+	bool IsHeld() const { return this->held; }
+	uint64 Epoch() const { return this->log.Epoch(); }
+	/// The waves that the operator has asked for.
+	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
+	bool IsQuiet() const { return !this->log.IsBusy(); }
+
+private:
+	using Store = decltype(Hub::store);
+
+	void Step();
+	void ListHosts();
+	void AskToEmpty(Millis inNow);
+	void SendDuties(Millis inNow);
+	void WriteProgress();
+	void WriteStatus(int64 inWave, bool inCompleted);
+	template <class F>
+	auto Guard(F inCall)
+	{
+		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
+		{
+			if (!alive.expired())
+				call(std::forward<decltype(inArguments)>(inArguments)...);
+		};
+	}
+
+	Hub &hub;
+	SeatContext context;
+	AskOwner ask;
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+	OwnedLog<Store> log;
+	UpkeepPlanner planner;
+	OnSeat on_seat;
+	bool held = false;
+	std::map<int64, std::set<std::string>> logged; ///< Hosts done, as the log holds it.
+	std::map<int64, bool> told;                    ///< Waves whose state the operator has been told: whether completed.
+	std::set<int64> telling;
+	std::set<std::string> asking; ///< Hosts whose pool's owner is being asked.
+	bool listing = false;
+	Millis listed_at = 0;
+	Timer tick;
+};
+
+} // namespace Loomreach::Jobs
+
+#include <Loomreach/Entry/FleetSeat.inl>
--- /dev/null
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -0,0 +1,191 @@
+// Drives waves of maintenance.
+
+namespace Loomreach::Jobs
+{
+
+inline constexpr Millis cFleetTickMs = 100;
+inline constexpr Millis cListEveryMs = 400;   ///< While a wave is open; the service takes tens of reads a second.
+inline constexpr Millis cEmptyForMs = 1500;   ///< An emptied worker is kept empty this long after each question.
+inline constexpr Millis cAskOwnerMs = 400;
+inline constexpr char cWaveKey = 'w';
+
+template <class Hub>
+FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
+	: hub(inHub), context(inContext), ask(std::move(inAsk)),
+	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life), planner(UpkeepTuning{inContext.config.maintenance_ms})
+{
+}
+
+template <class Hub>
+void FleetSeat<Hub>::Claim(OnSeat inDone)
+{
+	this->on_seat = std::move(inDone);
+	this->log.Claim(
+		[this](const ClaimRecord &inSeen)
+		{
+			const Millis now = NowMillis();
+			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
+				this->context.owners.OnClaimSeen(cFleetCell, inSeen.host, inSeen.epoch, now);
+			return this->context.lease.MayAct(now) && this->context.owners.IsFree(cFleetCell, now);
+		},
+		this->Guard(
+			[this](bool inWon, const typename OwnedLog<Store>::Records &inRecords)
+			{
+				if (inWon)
+				{
+					for (const auto &[key, value] : inRecords)
+					{
+						const std::optional<std::set<std::string>> done = DecodeValue<std::set<std::string>>(value);
+						if (key.size() > 1 && key[0] == cWaveKey && done.has_value())
+							this->logged[std::strtoll(key.c_str() + 1, nullptr, 10)] = *done;
+					}
+					this->held = true;
+					LogEvent(ELogLevel::Info, "fleet_owned").Field("epoch", this->log.Epoch()).Field("waves", this->logged.size());
+					this->tick.Every(cFleetTickMs, [this] { this->Step(); });
+				}
+				const OnSeat done = this->on_seat;
+				done(inWon);
+			}));
+}
+
+template <class Hub>
+void FleetSeat<Hub>::SetWaves(const std::map<int64, UpkeepWave> &inWaves)
+{
+	for (const auto &[number, wave] : inWaves)
+		if (!this->planner.HasWave(number))
+			this->planner.AddWave(wave, this->logged[number], NowMillis());
+}
+
+template <class Hub>
+void FleetSeat<Hub>::Step()
+{
+	const Millis now = NowMillis();
+	if (!this->held || !this->context.lease.MayAct(now))
+		return;
+	for (int64 wave : this->planner.Waves())
+		this->WriteStatus(wave, this->planner.IsCompleted(wave));
+	if (!this->planner.IsBusy())
+		return;
+	if (!this->listing && now - this->listed_at >= cListEveryMs)
+		this->ListHosts();
+	this->AskToEmpty(now);
+	this->SendDuties(now);
+	this->WriteProgress();
+}
+
+template <class Hub>
+void FleetSeat<Hub>::ListHosts()
+{
+	this->listing = true;
+	this->hub.machines.List(this->Guard(
+		[this](const std::optional<std::vector<HostEntry>> &inHosts)
+		{
+			this->listing = false;
+			this->listed_at = NowMillis();
+			if (inHosts.has_value())
+				this->planner.SetHosts(*inHosts, this->listed_at);
+			else
+				LogPlain(ELogLevel::Warning, "hosts_not_listed");
+		}));
+}
+
+template <class Hub>
+void FleetSeat<Hub>::AskToEmpty(Millis inNow)
+{
+	for (const HostEntry &host : this->planner.ToEmpty(inNow))
+	{
+		// A host without a worker has nothing to empty
+		if (host.worker.empty())
+		{
+			this->planner.OnEmpty(host.name, inNow, inNow);
+			continue;
+		}
+		if (!this->asking.insert(host.name).second)
+			continue;
+		PeerQuestion question;
+		question.kind = EQuestion::Empty;
+		question.id = host.worker;
+		question.for_ms = cEmptyForMs;
+		this->ask(host.pool, question,
+				  this->Guard(
+					  [this, name = host.name, asked_at = inNow](const std::optional<PeerAnswer> &inAnswer)
+					  {
+						  this->asking.erase(name);
+						  if (inAnswer.has_value() && inAnswer->owner && inAnswer->empty)
+							  this->planner.OnEmpty(name, asked_at, NowMillis());
+					  }));
+	}
+}
+
+template <class Hub>
+void FleetSeat<Hub>::SendDuties(Millis inNow)
+{
+	for (HostDuty &duty : this->planner.TakeDuties(inNow))
+	{
+		duty.holder = this->context.config.name;
+		duty.token = this->log.Epoch();
+		if (!this->context.lease.MayAct(NowMillis()))
+		{
+			this->planner.OnDuty(duty, EDutyResult::Refused, inNow);
+			continue;
+		}
+		this->hub.machines.Send(duty, this->Guard(
+										  [this, duty](EDutyResult inResult)
+										  {
+											  this->context.metrics.Count(ECounter::Duties, NameOf(cDutyResultNames, inResult));
+											  this->planner.OnDuty(duty, inResult, NowMillis());
+										  }));
+	}
+}
+
+template <class Hub>
+void FleetSeat<Hub>::WriteProgress()
+{
+	if (this->log.IsBusy())
+		return;
+	std::vector<LogRecord> records;
+	for (int64 wave : this->planner.Waves())
+	{
+		std::set<std::string> done = this->planner.DoneOf(wave);
+		if (done == this->logged[wave])
+			continue;
+		records.push_back({cWaveKey + std::to_string(wave), EncodeValue(done), 0});
+		this->logged[wave] = std::move(done);
+	}
+	if (records.empty())
+		return;
+	this->log.Append(std::move(records), this->Guard(
+											 [this](bool inDone)
+											 {
+												 if (inDone)
+													 return;
+												 LogPlain(ELogLevel::Warning, "fleet_lost");
+												 this->held = false;
+												 const OnSeat lost = this->on_seat;
+												 lost(false);
+											 }));
+}
+
+template <class Hub>
+void FleetSeat<Hub>::WriteStatus(int64 inWave, bool inCompleted)
+{
+	auto told = this->told.find(inWave);
+	const bool stands = told != this->told.end() && told->second == inCompleted;
+	if (stands || !this->telling.insert(inWave).second)
+		return;
+	AppendCall call;
+	call.log = Hub::StatusLog();
+	call.keyed = true;
+	call.records.push_back(Hub::EncodeWaveStatus(inWave, inCompleted));
+	this->hub.store.Append(call, this->Guard(
+									 [this, inWave, inCompleted](const AppendAnswer &inAnswer)
+									 {
+										 this->telling.erase(inWave);
+										 if (inAnswer.result != EAppend::Done)
+											 return;
+										 this->told[inWave] = inCompleted;
+										 LogEvent(ELogLevel::Info, "wave_state").Field("wave", inWave).Field("completed", inCompleted ? 1 : 0);
+									 }));
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Entry/JobHost.h
@@ -0,0 +1,101 @@
+// An entry host that takes jobs: its door to callers, its share of the cells, and what it reads of the platform to do both.
+
+#pragma once
+
+#include <Loomreach/Entry/FleetSeat.h>
+#include <Loomreach/Entry/JobCalls.h>
+
+namespace Loomreach::Jobs
+{
+
+/// See the head of the file. `Hub` is the platform: a log, workers' agents, the machine service, the adviser, a door, and decoders.
+template <class Hub>
+class JobHost final : public JobCalls
+{
+public:
+	explicit JobHost(JobHostConfig inConfig);
+
+	/// Opens the listeners and begins to read; false with the reason.
+	bool Start();
+	/// Gives back the cells, answers what is under way, then calls back.
+	void Stop(std::function<void()> inDone);
+
+	// JobCalls
+	std::optional<Queue> FindQueue(std::string_view inHost, std::string_view inPath, EError &outError) override;
+	void Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply) override;
+	void Show(const JobCall &inCall, JobReply inReply) override;
+	void Cancel(const JobCall &inCall, JobReply inReply) override;
+	void Count(const JobCall &inCall, JobReply inReply) override;
+	bool IsReady() override;
+	std::string MetricsText() override;
+
+private:
+	/// A caller's request on its way into an inbox.
+	struct Entering
+	{
+		InboxRecord record;
+		uint32 cell = 0;
+		Millis give_up_at = 0;
+		bool in_doubt = false; ///< Whether an earlier try may have been appended.
+		JobReply reply;
+	};
+
+	uint32 Parts() const { return static_cast<uint32>(this->config.log_parts); }
+	// The operator's and the workers' records
+	void LoadOperator();
+	void FollowOperator(uint64 inFrom);
+	void OnOperatorRecord(const LogRecord &inRecord);
+	void LoadWorkers();
+	void FollowWorkers(uint64 inFrom);
+	void OnWorkerRecord(const LogRecord &inRecord);
+	void TellWorkers();
+	// Ownership
+	void PollHosts();
+	void Beat();
+	void ConsiderClaims();
+	void ClaimCell(uint32 inCell);
+	void ClaimFleet();
+	void DropSeats(std::string_view inWhy);
+	void Tick();
+	size_t Owned() const;
+	// Callers
+	void Enter(std::shared_ptr<Entering> inEntering);
+	void Answer(const JobReply &inReply, JobOutcome inOutcome);
+	void AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone);
+	PeerAnswer AnswerPeer(const PeerQuestion &inQuestion);
+	void FinishStop();
+
+	JobHostConfig config;
+	Metrics metrics;
+	LeaseTuning lease_tuning;
+	OwnLease lease;
+	OwnerTable owners;
+	uint64 life;
+	Hub hub;
+	typename Hub::Door door;
+	PeerQuery peers;
+	std::shared_ptr<const Catalogue> catalogue;
+	std::map<int64, UpkeepWave> waves;
+	std::map<std::string, WorkerEntry> workers;
+	std::map<uint32, std::unique_ptr<CellSeat<Hub>>> seats;
+	std::unique_ptr<FleetSeat<Hub>> fleet;
+	std::vector<uint32> lost_seats; ///< Dropped at the next tick, not within their own calls.
+	bool beat_under_way = false;
+	bool beat_wanted = false;
+	bool beat_cells = false; ///< Whether the last acknowledged heartbeat told of cells.
+	uint64 beat_number = 0;
+	Millis beat_sent_at = 0;
+	Millis store_heard_at = -1; ///< When the store last answered a read.
+	bool store_heard = true;
+	bool stopping = false;
+	Millis stop_at = 0;
+	std::function<void()> on_stopped;
+	Timer tick;
+	Timer hosts_timer;
+	Timer operator_timer;
+	Timer workers_timer;
+};
+
+} // namespace Loomreach::Jobs
+
+#include <Loomreach/Entry/JobHost.inl>
--- /dev/null
+++ b/Loomreach/Fleet/Upkeep.h
@@ -0,0 +1,151 @@
+// Waves of maintenance over the platform's hosts: which host goes down next. Pure; the fleet cell's owner drives it.
+//
+// A wave asks for every host of a list to have its maintenance within a time, with at most so many down at once. A host is emptied
+// by the owner of its pool before it goes down: the planner only names it, asks until it is empty, and then sends the order.
+
+#pragma once
+
+#include <Loomreach/Core/EnumTable.h>
+#include <Loomreach/Loomreach.h>
+
+namespace Loomreach::Jobs
+{
+
+/// What a host is doing.
+enum class EHostState : uint8
+{
+	Up,
+	Moving,
+	Maintenance,
+	Down
+};
+
+/// A host as the platform's machine service shows it.
+struct HostEntry
+{
+	std::string name;
+	std::string pool;
+	EHostState state = EHostState::Down;
+	std::string availability_zone;
+	std::string kind;
+	std::string rack;
+	std::string worker; ///< Life of the worker on it; empty when it has none.
+};
+
+/// What a host is told.
+enum class EDuty : uint8
+{
+	Move,
+	Maintain
+};
+
+/// One order to a host.
+struct HostDuty
+{
+	EDuty kind = EDuty::Maintain;
+	std::string host;
+	std::string pool; ///< Move: where to.
+	int64 wave = 0;   ///< Maintain: of which wave.
+	std::string holder;
+	uint64 token = 0;
+};
+
+/// How an order to a host came out.
+enum class EDutyResult : uint8
+{
+	Done,
+	StaleToken,
+	Busy,       ///< Not up, or leaving.
+	NotOfWave,
+	Impossible, ///< No such host, or a pool of other hosts.
+	Refused,    ///< Certainly not done; later perhaps.
+	Unknown
+};
+
+inline constexpr std::array cDutyResultNames = {
+	EnumName<EDutyResult>{EDutyResult::Done, "done"},           EnumName<EDutyResult>{EDutyResult::StaleToken, "stale-token"},
+	EnumName<EDutyResult>{EDutyResult::Busy, "busy"},           EnumName<EDutyResult>{EDutyResult::NotOfWave, "not-of-wave"},
+	EnumName<EDutyResult>{EDutyResult::Impossible, "impossible"}, EnumName<EDutyResult>{EDutyResult::Refused, "refused"},
+	EnumName<EDutyResult>{EDutyResult::Unknown, "unknown"},
+};
+
+/// A wave as the operator asks for it.
+struct UpkeepWave
+{
+	int64 number = 0;
+	std::vector<std::string> hosts;
+	Millis within_ms = 0;
+	uint32 at_most = 1;
+};
+
+/// Times of the planner, ms.
+struct UpkeepTuning
+{
+	Millis down_ms = 2000;      ///< A host's maintenance takes this. Setting.
+	Millis settle_ms = 600;     ///< A host counts as down this much longer than it is shown down: the list lags.
+	Millis again_ms = 1500;     ///< An order with an unknown outcome is sent again after this.
+	Millis ready_for_ms = 1000; ///< An empty host is trusted to stay empty this long after its pool's owner was asked.
+	uint32 ahead = 3;           ///< Hosts that are being emptied beyond those that may be down.
+};
+
+/// One host of a wave.
+enum class EUpkeepStep : uint8
+{
+	Waiting,
+	Emptying,
+	Ordered, ///< The order is out, its outcome not known.
+	Down,
+	Done
+};
+
+/// The planner.
+class UpkeepPlanner
+{
+public:
+	explicit UpkeepPlanner(const UpkeepTuning &inTuning) : tuning(inTuning) {}
+
+	/// A wave was asked for. `inDone`: hosts that the log says are done.
+	void AddWave(const UpkeepWave &inWave, const std::set<std::string> &inDone, Millis inNow);
+	bool HasWave(int64 inNumber) const { return this->waves.contains(inNumber); }
+	/// The host list is this now.
+	void SetHosts(const std::vector<HostEntry> &inHosts, Millis inNow);
+	/// Hosts whose workers' pools should be asked to empty them now.
+	std::vector<HostEntry> ToEmpty(Millis inNow);
+	/// A pool's owner was asked at `inAskedAt` and says that the host is empty.
+	void OnEmpty(const std::string &inHost, Millis inAskedAt, Millis inNow);
+	/// Orders to send now, each at once.
+	std::vector<HostDuty> TakeDuties(Millis inNow);
+	void OnDuty(const HostDuty &inDuty, EDutyResult inResult, Millis inNow);
+	/// Hosts of a wave that are done.
+	std::set<std::string> DoneOf(int64 inWave) const;
+	/// Waves all of whose hosts are done or gone.
+	bool IsCompleted(int64 inWave) const;
+	std::vector<int64> Waves() const;
+	/// Whether any wave is open: the host list is needed.
+	bool IsBusy() const;
+
+private:
+	/// One host of one wave.
+	struct Item
+	{
+		EUpkeepStep step = EUpkeepStep::Waiting;
+		Millis since = 0;
+		Millis empty_until = 0; ///< Trusted to be empty until then.
+		bool sent = false;      ///< An order is under way.
+	};
+	struct Wave
+	{
+		UpkeepWave asked;
+		Millis begun_at = 0;
+		std::map<std::string, Item> items;
+	};
+
+	uint32 DownOf(const Wave &inWave) const;
+
+	UpkeepTuning tuning;
+	std::map<int64, Wave> waves;
+	std::map<std::string, HostEntry> hosts;
+	bool listed = false; ///< Whether a host list was had.
+};
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Job/JobRecord.cpp
@@ -0,0 +1,63 @@
+// Fresh records, and what a submission must satisfy.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Error.h>
+#include <Loomreach/Job/JobRecord.h>
+
+namespace Loomreach::Jobs
+{
+
+/// Bounds against damage, not policy: far above what the users' pages show (32 tasks a step, 5 steps, 8 times).
+static constexpr uint32 cMostTasksOfStep = 10'000;
+static constexpr size_t cMostSteps = 256;
+static constexpr uint32 cMostRounds = 10'000;
+static constexpr uint64 cMostTasks = 100'000;
+
+JobRecord NewRecord(const JobSpec &inSpec)
+{
+	JobRecord record;
+	for (uint32 round = 0; round < inSpec.Rounds(); ++round)
+		for (const StepSpec &step : inSpec.steps)
+		{
+			StepRecord fresh;
+			fresh.tasks.resize(step.count);
+			record.steps.push_back(std::move(fresh));
+		}
+	return record;
+}
+
+static bool CheckStep(const StepSpec &inStep, size_t inNumber)
+{
+	const std::string name = "step " + std::to_string(inNumber);
+	if (inStep.count == 0 || inStep.count > cMostTasksOfStep)
+		return FailFalse(EError::BadRequest, name + ": count must be from 1 to " + std::to_string(cMostTasksOfStep));
+	if (inStep.need.cpu_milli < 0 || inStep.need.memory_mb < 0 || inStep.need.accelerators < 0)
+		return FailFalse(EError::BadRequest, name + ": resources must not be negative");
+	for (uint32 before : inStep.after)
+		if (before >= inNumber)
+			return FailFalse(EError::BadRequest, name + ": may only come after earlier steps");
+	return true;
+}
+
+bool CheckSpec(const JobSpec &inSpec)
+{
+	if (inSpec.id.empty())
+		return FailFalse(EError::BadRequest, "the job has no id");
+	if (inSpec.steps.empty() || inSpec.steps.size() > cMostSteps)
+		return FailFalse(EError::BadRequest, "a job has from 1 to " + std::to_string(cMostSteps) + " steps");
+	if (inSpec.Rounds() > cMostRounds || inSpec.interval_ms < 0)
+		return FailFalse(EError::BadRequest, "times or interval out of range");
+	uint64 tasks = 0;
+	for (size_t i = 0; i < inSpec.steps.size(); ++i)
+	{
+		if (!CheckStep(inSpec.steps[i], i))
+			return false;
+		tasks += static_cast<uint64>(inSpec.steps[i].count) * inSpec.Rounds();
+	}
+	if (tasks > cMostTasks)
+		return FailFalse(EError::BadRequest, "too many tasks in all");
+	return true;
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Ownership/CellNames.h
@@ -0,0 +1,34 @@
+// Which log keeps what: the rule from a pool to its cell, and the names of the product's logs. The rule never changes under a running pool:
+// it depends on the pool's name and on the number of partitions, which the platform fixes.
+
+#pragma once
+
+#include <Loomreach/Core/Hash.h>
+#include <Loomreach/Ownership/LogTypes.h>
+
+namespace Loomreach::Jobs
+{
+
+/// Topics that hold cells' records; as many again hold their inboxes. The store takes 100 topics in all.
+inline constexpr uint32 cCellTopics = 40;
+/// The cell of the fleet: waves and moves of hosts.
+inline constexpr uint32 cFleetCell = 0xffffffff;
+
+/// The cell of a pool. Two pools may share a cell; they then share an owner.
+inline uint32 CellOf(std::string_view inPool, uint32 inParts) { return static_cast<uint32>(HashBytes(inPool) % (cCellTopics * inParts)); }
+
+/// The log of a cell's records, by key.
+inline LogName CellLog(uint32 inCell, uint32 inParts)
+{
+	if (inCell == cFleetCell)
+		return {"keyed.fleet", 0};
+	return {"keyed.cell" + std::to_string(inCell / inParts), inCell % inParts};
+}
+
+/// The log into which entry hosts put what callers ask of a cell.
+inline LogName InboxLog(uint32 inCell, uint32 inParts) { return {"inbox" + std::to_string(inCell / inParts), inCell % inParts}; }
+
+/// The log of the hosts' heartbeats.
+inline LogName HostsLog() { return {"keyed.hosts", 0}; }
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -0,0 +1,100 @@
+// One cell's log in the hands of its owner: the claim, and one append after the other. Every append carries the owner's epoch, so an
+// earlier owner's are refused from the moment of the claim on.
+
+#pragma once
+
+#include <Loomreach/Core/Clock.h>
+#include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Ownership/LogTypes.h>
+
+namespace Loomreach::Jobs
+{
+
+/// A log service as the owner needs it.
+template <class T>
+concept JobLog = requires(T &ioLog, const AppendCall &inCall, const LogName &inName)
+{
+	ioLog.Append(inCall, [](const AppendAnswer &) {});
+	ioLog.Read(inName, true, uint64(0), Millis(0), [](ReadAnswer) {});
+	ioLog.Newest(inName, [](NewestAnswer) {});
+};
+
+/// The record of a claim.
+struct ClaimRecord
+{
+	std::string host;
+	uint64 life = 0;
+	uint64 epoch = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->host, this->life, this->epoch);
+	}
+};
+
+/// The key of the claim in every cell's log.
+inline constexpr std::string_view cClaimKey = "o";
+
+/// See the head of the file.
+template <JobLog Log>
+class OwnedLog
+{
+public:
+	/// All records of the log by key, without the claim.
+	using Records = std::map<std::string, std::string>;
+	using OnClaimed = std::function<void(bool inWon, const Records &inRecords)>;
+	using OnAppended = std::function<void(bool inDone)>;
+	/// Told of the claim found in the log before ours; says whether to go on.
+	using Judge = std::function<bool(const ClaimRecord &)>;
+
+	OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife);
+
+	/// Reads the log and claims it.
+	void Claim(Judge inJudge, OnClaimed inDone);
+	/// Appends, again and again until the outcome is certain. `inDone(false)`: the log has another owner.
+	void Append(std::vector<LogRecord> inRecords, OnAppended inDone);
+	bool IsBusy() const { return this->busy; }
+	uint64 Epoch() const { return this->epoch; }
+	Millis LastSentAt() const { return this->last_sent_at; }
+
+private:
+	void ReadRest(uint64 inFrom);
+	void TryClaim();
+	void SendAppend();
+	void Lose(std::string_view inWhy);
+	void Apply(const std::vector<LogRecord> &inRecords);
+	template <class F>
+	auto Guard(F inCall)
+	{
+		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
+		{
+			if (!alive.expired())
+				call(std::forward<decltype(inArguments)>(inArguments)...);
+		};
+	}
+
+	Log &log;
+	LogName name;
+	std::string host;
+	uint64 life;
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+	Judge judge;
+	OnClaimed on_claimed;
+	Records records;
+	ClaimRecord seen; ///< The newest claim in the log.
+	uint64 end = 0;
+	uint64 epoch = 0;
+	uint64 number = 0; ///< Of the next append within the epoch.
+	bool busy = false;
+	uint32 tries = 0;
+	std::vector<LogRecord> batch;
+	OnAppended on_appended;
+	Millis last_sent_at = 0;
+	Timer again;
+};
+
+} // namespace Loomreach::Jobs
+
+#include <Loomreach/Ownership/OwnedLog.inl>
--- /dev/null
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -0,0 +1,145 @@
+// Claiming and appending.
+
+#include <Loomreach/State/Codec.h>
+
+namespace Loomreach::Jobs
+{
+
+/// A claim that does not come through in this many tries is given up; others may try.
+inline constexpr uint32 cClaimTries = 8;
+inline constexpr Millis cLogAgainMs = 60;      ///< After a refusal or a lost answer.
+inline constexpr Millis cAppendTimeoutMs = 700; ///< The store's slow answers take 240 ms; a lost one costs this.
+
+template <JobLog Log>
+OwnedLog<Log>::OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife)
+	: log(inLog), name(std::move(inName)), host(std::move(inHost)), life(inLife)
+{
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::Lose(std::string_view inWhy)
+{
+	LogEvent(ELogLevel::Info, "claim_lost").Field("topic", this->name.topic).Field("part", this->name.part).Field("why", inWhy);
+	const OnClaimed done = std::move(this->on_claimed);
+	done(false, this->records);
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::Apply(const std::vector<LogRecord> &inRecords)
+{
+	for (const LogRecord &record : inRecords)
+	{
+		if (record.key != cClaimKey)
+		{
+			// Kept also when empty: a removal must win over an older page
+			this->records[record.key] = record.value;
+			continue;
+		}
+		const std::optional<ClaimRecord> claim = DecodeValue<ClaimRecord>(record.value);
+		if (claim.has_value() && claim->epoch >= this->seen.epoch)
+			this->seen = *claim;
+	}
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::Claim(Judge inJudge, OnClaimed inDone)
+{
+	this->judge = std::move(inJudge);
+	this->on_claimed = std::move(inDone);
+	this->records.clear();
+	this->log.Newest(this->name, this->Guard(
+									 [this](NewestAnswer inAnswer)
+									 {
+										 if (!inAnswer.good)
+											 return this->Lose("log not readable");
+										 this->Apply(inAnswer.records);
+										 this->ReadRest(inAnswer.end);
+									 }));
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::ReadRest(uint64 inFrom)
+{
+	// The pages are no snapshot: what was written meanwhile is read in order
+	this->log.Read(this->name, true, inFrom, 0, this->Guard(
+													[this](ReadAnswer inAnswer)
+													{
+														if (inAnswer.result != ERead::Done)
+															return this->Lose("log not readable to its end");
+														this->Apply(inAnswer.records);
+														this->end = inAnswer.next;
+														if (inAnswer.next < inAnswer.end)
+															return this->ReadRest(inAnswer.next);
+														this->TryClaim();
+													}));
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::TryClaim()
+{
+	// Our own claim, whose answer was lost
+	if (this->epoch != 0 && this->seen.life == this->life && this->seen.epoch == this->epoch)
+	{
+		this->number = 1;
+		const OnClaimed done = std::move(this->on_claimed);
+		return done(true, this->records);
+	}
+	if (!this->judge(this->seen) || ++this->tries > cClaimTries)
+		return this->Lose("another owner");
+	this->epoch = this->seen.epoch + 1;
+	AppendCall call;
+	call.log = this->name;
+	call.keyed = true;
+	call.records.push_back({std::string(cClaimKey), EncodeValue(ClaimRecord{this->host, this->life, this->epoch}), 0});
+	call.at = this->end;
+	call.producer = Producer{"owner", this->epoch, 0};
+	call.timeout_ms = cAppendTimeoutMs;
+	this->log.Append(call, this->Guard(
+							   [this](const AppendAnswer &inAnswer)
+							   {
+								   if (inAnswer.result == EAppend::Done)
+								   {
+									   this->number = 1;
+									   const OnClaimed done = std::move(this->on_claimed);
+									   return done(true, this->records);
+								   }
+								   // Whatever it was, the log tells: read on and judge anew
+								   this->again.Once(cLogAgainMs, [this] { this->ReadRest(this->end); });
+							   }));
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::Append(std::vector<LogRecord> inRecords, OnAppended inDone)
+{
+	this->batch = std::move(inRecords);
+	this->on_appended = std::move(inDone);
+	this->busy = true;
+	this->SendAppend();
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::SendAppend()
+{
+	AppendCall call;
+	call.log = this->name;
+	call.keyed = true;
+	call.records = this->batch;
+	call.producer = Producer{"owner", this->epoch, this->number};
+	call.timeout_ms = cAppendTimeoutMs;
+	this->last_sent_at = NowMillis();
+	this->log.Append(call, this->Guard(
+							   [this](const AppendAnswer &inAnswer)
+							   {
+								   // The same number again: if it was done before, the store says so again
+								   if (inAnswer.result == EAppend::Refused || inAnswer.result == EAppend::Unknown)
+									   return this->again.Once(cLogAgainMs, [this] { this->SendAppend(); });
+								   this->busy = false;
+								   const bool done = inAnswer.result == EAppend::Done;
+								   if (done)
+									   ++this->number;
+								   const OnAppended call_back = std::move(this->on_appended);
+								   call_back(done);
+							   }));
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -0,0 +1,125 @@
+// Who owns which cell, as far as this entry host can tell from the hosts' heartbeats in the log, and whether it may claim one.
+//
+// The lease. An owner appends a heartbeat at times. It may act until its last acknowledged heartbeat's *sending* plus the lease, less a
+// slack, and extends only while it still may act. A challenger waits the full lease from when it first *read* that heartbeat, and
+// then reads once more. The owner's period therefore ends first on any two steady clocks that differ by less than the slack.
+
+#pragma once
+
+#include <Loomreach/Settings/DaemonConfig.h>
+
+namespace Loomreach::Jobs
+{
+
+/// Times of the ownership lease, ms.
+struct LeaseTuning
+{
+	Millis lease_ms = 2000;   ///< Setting `owner_lease_ms`.
+	Millis slack_ms = 300;    ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
+	Millis beat_ms = 500;     ///< Between heartbeats of an owner.
+	Millis spread_ms = 250;   ///< A challenger waits longer for each cell it has already, so that cells spread,
+	Millis jitter_ms = 120;   ///< and up to this much by chance.
+};
+
+/// A cell that a host owns.
+struct OwnedCell
+{
+	uint32 cell = 0;
+	uint64 epoch = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->cell, this->epoch);
+	}
+};
+
+/// One heartbeat of an owner.
+struct HostBeat
+{
+	std::string host;
+	uint64 life = 0;   ///< Differs from start to start of a process.
+	uint64 number = 0; ///< Rises within a life.
+	Address address;   ///< For questions of other entry hosts.
+	std::vector<OwnedCell> cells;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->host, this->life, this->number, this->address, this->cells);
+	}
+};
+
+/// Where to ask about a cell.
+struct CellOwner
+{
+	std::string host;
+	Address address;
+	uint64 epoch = 0;
+};
+
+/// The view of owners. Pure.
+class OwnerTable
+{
+public:
+	OwnerTable(std::string inHost, const LeaseTuning &inTuning) : self(std::move(inHost)), tuning(inTuning) {}
+
+	/// A heartbeat was read.
+	void OnBeat(const HostBeat &inBeat, Millis inNow);
+	/// A claim record of a cell was read in the cell's own log.
+	void OnClaimSeen(uint32 inCell, const std::string &inHost, uint64 inEpoch, Millis inNow);
+	/// The owner of a cell, if its lease has not run out here.
+	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
+	/// Whether a cell's last owner must have stopped acting.
+	bool IsFree(uint32 inCell, Millis inNow) const;
+	/// Whether to claim a free cell now. `inOwned`: how many this host has already; `inDraw`: a random number.
+	bool ShouldClaim(uint32 inCell, size_t inOwned, uint64 inDraw, Millis inNow);
+	/// Forgets since when cells are free, after a claim was lost.
+	void PutOff(uint32 inCell, Millis inNow) { this->free_since[inCell] = inNow; }
+
+private:
+	/// A host's newest heartbeat and when it was first read.
+	struct Heard
+	{
+		HostBeat beat;
+		Millis at = 0;
+	};
+	/// A claim and when it was first read.
+	struct ClaimSeen
+	{
+		std::string host;
+		uint64 epoch = 0;
+		Millis at = 0;
+	};
+
+	std::string self;
+	LeaseTuning tuning;
+	std::map<std::string, Heard> hosts;
+	std::map<uint32, ClaimSeen> claims;
+	std::map<uint32, Millis> free_since;
+	std::map<uint32, Millis> claim_delay;
+};
+
+/// The own lease: until when this process may act.
+class OwnLease
+{
+public:
+	explicit OwnLease(const LeaseTuning &inTuning) : tuning(inTuning) {}
+
+	/// Whether orders may be sent now.
+	bool MayAct(Millis inNow) const { return inNow < this->until; }
+	/// A heartbeat sent at `inSentAt` was acknowledged. False: too late, what was owned is lost; the lease begins anew.
+	bool OnAcknowledged(Millis inSentAt, Millis inNow)
+	{
+		const bool kept = this->until == 0 || inNow < this->until;
+		this->until = std::max(this->until, inSentAt + this->tuning.lease_ms - this->tuning.slack_ms);
+		return kept;
+	}
+	Millis Until() const { return this->until; }
+
+private:
+	LeaseTuning tuning;
+	Millis until = 0; ///< Never moves back; 0: no heartbeat yet.
+};
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -21,7 +21,8 @@
 };
 
 HttpClient::HttpClient(int inPerHost)
-	: session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", inPerHost, nullptr)),
+	: session(soup_session_new_with_options("max-conns", cMaxConnections, "max-conns-per-host", inPerHost,
+											 "proxy-resolver", nullptr, nullptr)),
 	  alive(std::make_shared<bool>(true))
 {
 }
@@ -60,7 +61,10 @@
 	}
 	else
 	{
-		result.refused = error.Is(G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+		// Without a start of the request its first byte never left
+		SoupMessageMetrics *sent = soup_message_get_metrics(pending->message.get());
+		const bool never_began = sent != nullptr && soup_message_metrics_get_request_start(sent) == 0;
+		result.refused = never_began || error.Is(G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
 		result.error = error.Text();
 	}
 	if (*pending->alive)
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -16,7 +16,7 @@
 	uint32 status = 0; ///< 0: no whole answer came.
 	std::string body;
 	std::string etag;     ///< The answer's entity tag, if it has one.
-	bool refused = false; ///< The connection was refused: the call certainly had no effect.
+	bool refused = false; ///< The request never left (no connection was had): the call certainly had no effect.
 	std::string error;    ///< With status 0: why.
 
 	bool IsOk() const { return this->status >= 200 && this->status < 300; }
--- /dev/null
+++ b/Loomreach/Schedule/Cell.cpp
@@ -0,0 +1,346 @@
+// Records of a cell: taking them in at take-over, writing them in batches, answering callers from what the log holds.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Schedule/TaskText.h>
+#include <Loomreach/State/Codec.h>
+
+namespace Loomreach::Jobs
+{
+
+// Keys of a cell's log: one letter, then the job's id.
+static constexpr char cSpecKey = 'j';
+static constexpr char cStateKey = 's';
+static constexpr std::string_view cCursorKey = "c";
+
+bool Cell::Restore(std::string_view inKey, std::string_view inValue)
+{
+	if (inKey == cCursorKey)
+	{
+		const std::optional<uint64> next = DecodeValue<uint64>(inValue);
+		if (!next.has_value())
+			return false;
+		this->inbox_next = *next;
+		this->inbox_logged = *next;
+		return true;
+	}
+	if (inKey.size() < 2)
+		return true;
+	const std::string id(inKey.substr(1));
+	// An empty value removes the job
+	if (inValue.empty())
+	{
+		this->jobs.erase(id);
+		return true;
+	}
+	if (inKey[0] == cSpecKey)
+	{
+		std::optional<JobSpec> spec = DecodeValue<JobSpec>(inValue);
+		if (!spec.has_value())
+			return false;
+		this->jobs[id].spec = std::move(*spec);
+		this->jobs[id].spec_logged = true;
+	}
+	if (inKey[0] == cStateKey)
+	{
+		std::optional<JobRecord> record = DecodeValue<JobRecord>(inValue);
+		if (!record.has_value())
+			return false;
+		this->jobs[id].record = std::move(*record);
+	}
+	return true;
+}
+
+void Cell::Begin(uint64 inEpoch, Millis inNow)
+{
+	this->epoch = inEpoch;
+	for (auto it = this->jobs.begin(); it != this->jobs.end();)
+	{
+		CellJob &job = it->second;
+		// Both keys are written in one append, so a job without its spec is one whose removal was read half-way
+		if (!job.spec_logged || job.record.steps.size() != job.spec.steps.size() * job.spec.Rounds())
+		{
+			LogEvent(ELogLevel::Warning, "job_incomplete").Field("request", it->first);
+			it = this->jobs.erase(it);
+			continue;
+		}
+		job.shown = job.record.phase;
+		job.writing = job.shown;
+		job.arrived_at = inNow;
+		this->InheritRuns(job, inNow);
+		++it;
+	}
+}
+
+void Cell::InheritRuns(CellJob &ioJob, Millis inNow)
+{
+	ioJob.memory.resize(ioJob.record.steps.size());
+	for (size_t unit = 0; unit < ioJob.record.steps.size(); ++unit)
+	{
+		const StepSpec &step = ioJob.StepOf(unit);
+		std::vector<TaskRecord> &tasks = ioJob.record.steps[unit].tasks;
+		ioJob.memory[unit].resize(tasks.size());
+		for (uint32 index = 0; index < tasks.size(); ++index)
+			for (const RunRecord &run : tasks[index].runs)
+			{
+				CellWorker &worker = this->workers[run.worker];
+				worker.entry.id = run.worker;
+				worker.listed = false;
+				// A predecessor may have extended the lease right up to now
+				worker.lease_over_at = inNow + this->tuning.most_lease_ms * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs;
+				const size_t steps = ioJob.spec.steps.size();
+				const RunId id{{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index}, run.run};
+				Run inherited;
+				inherited.state = ERunState::Inherited;
+				inherited.since = inNow;
+				inherited.room = step.need;
+				if (step.fills)
+					inherited.room.cpu_milli = 0;
+				inherited.serves = step.lasting && step.target_ms > 0;
+				inherited.fills = step.fills;
+				inherited.lasting = step.lasting;
+				worker.used.Add(inherited.room);
+				worker.runs.emplace(id, std::move(inherited));
+			}
+	}
+}
+
+void Cell::SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow)
+{
+	std::set<std::string> present;
+	for (const WorkerEntry &entry : inWorkers)
+	{
+		present.insert(entry.id);
+		CellWorker &worker = this->workers[entry.id];
+		const bool is_new = worker.entry.address.port == 0;
+		const bool drains_now = entry.draining && !worker.entry.draining;
+		worker.entry = entry;
+		worker.listed = true;
+		if (is_new)
+			worker.next_hold_at = inNow;
+		// What the list says is some time old, so the worker's clock is past it
+		if (entry.clock_ms >= 0 && (worker.clock_ms < 0 || entry.clock_ms > worker.ClockAt(inNow)))
+		{
+			worker.clock_ms = entry.clock_ms;
+			worker.clock_at = inNow;
+		}
+		if (is_new || drains_now)
+			LogEvent(ELogLevel::Info, is_new ? "worker_found" : "worker_drains")
+				.Field("worker", entry.id)
+				.Field("pool", entry.pool)
+				.Field("cpu_milli", entry.capacity.cpu_milli)
+				.Field("rack", entry.rack);
+	}
+	for (auto it = this->workers.begin(); it != this->workers.end();)
+	{
+		CellWorker &worker = it->second;
+		if (worker.listed && !present.contains(it->first))
+		{
+			worker.listed = false;
+			LogEvent(ELogLevel::Info, "worker_unlisted").Field("worker", it->first).Field("runs", worker.runs.size());
+		}
+		// Nothing is remembered of a worker that left and has nothing
+		const bool forget = !worker.listed && worker.runs.empty() && !worker.hold_sent;
+		it = forget ? this->workers.erase(it) : std::next(it);
+	}
+}
+
+CellJob *Cell::FindJob(const std::string &inId)
+{
+	auto found = this->jobs.find(inId);
+	return found == this->jobs.end() ? nullptr : &found->second;
+}
+
+TaskRecord *Cell::FindTask(const TaskId &inTask)
+{
+	CellJob *job = this->FindJob(inTask.job);
+	if (job == nullptr || inTask.step >= job->spec.steps.size() || inTask.round >= job->spec.Rounds())
+		return nullptr;
+	std::vector<TaskRecord> &tasks = job->record.steps[job->Unit(inTask.round, inTask.step)].tasks;
+	return inTask.index < tasks.size() ? &tasks[inTask.index] : nullptr;
+}
+
+TaskMemory *Cell::FindMemory(const TaskId &inTask)
+{
+	if (this->FindTask(inTask) == nullptr)
+		return nullptr;
+	CellJob *job = this->FindJob(inTask.job);
+	return &job->memory[job->Unit(inTask.round, inTask.step)][inTask.index];
+}
+
+void Cell::Touch(CellJob &ioJob)
+{
+	ioJob.dirty = true;
+	this->news = true;
+}
+
+void Cell::Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow)
+{
+	// Reading goes on where the log says, so a record may come twice
+	if (inOffset < this->inbox_next)
+		return;
+	this->inbox_next = inOffset + 1;
+	this->news = true;
+	const std::string &id = inRecord.spec.id;
+	CellJob *known = this->FindJob(id);
+	if (inRecord.kind == EInbox::Cancel)
+	{
+		const bool ends_it = known != nullptr && !IsFinal(known->record.phase);
+		LogEvent(ELogLevel::Info, "cancel").Field("request", id).Field("outcome", ends_it ? "canceled" : "nothing to cancel");
+		if (!ends_it)
+			return;
+		known->record.ended_wall_ms = inWallNow;
+		this->CloseJob(*known, EJobPhase::Canceled, "caller");
+		this->StopAll(*known, "canceled", inNow);
+		return;
+	}
+	// One id is one job, however often it is sent
+	if (known != nullptr)
+	{
+		LogEvent(ELogLevel::Info, "job_repeated").Field("request", id).Field("offset", inOffset);
+		return;
+	}
+	CellJob &job = this->jobs[id];
+	job.spec = inRecord.spec;
+	job.record = NewRecord(job.spec);
+	job.memory.resize(job.record.steps.size());
+	for (size_t unit = 0; unit < job.memory.size(); ++unit)
+		job.memory[unit].resize(job.record.steps[unit].tasks.size());
+	job.arrived_at = inNow;
+	this->Touch(job);
+	LogEvent(ELogLevel::Info, "job_taken")
+		.Field("request", id)
+		.Field("queue", job.spec.queue)
+		.Field("pool", job.spec.pool)
+		.Field("steps", job.spec.steps.size())
+		.Field("tasks", job.spec.steps[0].count)
+		.Field("cpu_milli", job.spec.steps[0].need.cpu_milli)
+		.Field("offset", inOffset)
+		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
+}
+
+void Cell::ForgetEnded(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
+{
+	for (auto it = this->jobs.begin(); it != this->jobs.end();)
+	{
+		const CellJob &job = it->second;
+		const bool old = IsFinal(job.shown) && !job.dirty && !job.in_batch && inWallNow - job.record.ended_wall_ms > this->tuning.keep_ended_ms;
+		if (!old)
+		{
+			++it;
+			continue;
+		}
+		outBatch.push_back({cSpecKey + it->first, ""});
+		outBatch.push_back({cStateKey + it->first, ""});
+		it = this->jobs.erase(it);
+	}
+}
+
+std::vector<KeyedRecord> Cell::TakeBatch(int64 inWallNow)
+{
+	LOOM_INVARIANT(!this->batch_under_way, "one append at a time, or records could pass one another");
+	std::vector<KeyedRecord> batch;
+	for (auto &[id, job] : this->jobs)
+	{
+		if (!job.dirty)
+			continue;
+		if (IsFinal(job.record.phase) && job.record.ended_wall_ms == 0)
+			job.record.ended_wall_ms = inWallNow;
+		if (!job.spec_logged)
+			batch.push_back({cSpecKey + id, EncodeValue(job.spec)});
+		job.spec_writing = !job.spec_logged;
+		batch.push_back({cStateKey + id, EncodeValue(job.record)});
+		job.dirty = false;
+		job.in_batch = true;
+		job.writing = job.record.phase;
+	}
+	this->ForgetEnded(inWallNow, batch);
+	if (this->inbox_next != this->inbox_logged)
+		batch.push_back({std::string(cCursorKey), EncodeValue(this->inbox_next)});
+	this->inbox_writing = this->inbox_next;
+	this->news = false;
+	for (auto &[id, worker] : this->workers)
+	{
+		worker.writing = worker.noted;
+		// Ends that changed no record need no append
+		if (batch.empty())
+			worker.last_seen = worker.noted;
+		for (auto &[run_id, run] : worker.runs)
+			if (run.state == ERunState::Planned)
+				run.state = ERunState::Writing;
+	}
+	this->batch_under_way = !batch.empty();
+	return batch;
+}
+
+void Cell::OnAppended(Millis inNow)
+{
+	this->now = inNow;
+	this->batch_under_way = false;
+	this->inbox_logged = this->inbox_writing;
+	for (auto &[id, job] : this->jobs)
+	{
+		if (!job.in_batch)
+			continue;
+		job.in_batch = false;
+		job.spec_logged = job.spec_logged || job.spec_writing;
+		if (job.shown != job.writing)
+			LogEvent(ELogLevel::Info, "job_shown").Field("request", id).Field("phase", NameOf(cJobPhaseNames, job.writing));
+		job.shown = job.writing;
+	}
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.last_seen < worker.writing)
+			worker.next_hold_at = inNow;
+		worker.last_seen = std::max(worker.last_seen, worker.writing);
+		for (auto &[run_id, run] : worker.runs)
+			if (run.state == ERunState::Writing)
+			{
+				run.state = ERunState::Starting;
+				run.since = inNow;
+				this->to_start.push_back(run_id);
+				this->start_workers[run_id] = id;
+			}
+	}
+}
+
+JobAnswer Cell::Query(std::string_view inQueue, std::string_view inId) const
+{
+	JobAnswer answer;
+	auto found = this->jobs.find(std::string(inId));
+	if (found == this->jobs.end() || found->second.spec.queue != inQueue)
+		return answer;
+	answer.known = true;
+	answer.phase = found->second.shown;
+	if (answer.phase == EJobPhase::Queued && found->second.record.begun)
+		answer.phase = EJobPhase::Running;
+	return answer;
+}
+
+uint32 Cell::Waiting(std::string_view inQueue) const
+{
+	uint32 waiting = 0;
+	for (const auto &[id, job] : this->jobs)
+		if (job.spec.queue == inQueue && !job.record.begun && !IsFinal(job.record.phase))
+			++waiting;
+	return waiting;
+}
+
+CellFigures Cell::Figures() const
+{
+	CellFigures figures;
+	figures.jobs = this->jobs.size();
+	for (const auto &[id, job] : this->jobs)
+		figures.active += IsFinal(job.record.phase) ? 0 : 1;
+	for (const auto &[id, worker] : this->workers)
+	{
+		figures.workers += worker.listed ? 1 : 0;
+		figures.runs += worker.runs.size();
+	}
+	return figures;
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Schedule/Cell.h
@@ -0,0 +1,146 @@
+// A cell: the jobs and workers of one or more pools whose records share one log, decided on by the log's owner.
+// Pure: time comes in, orders and records go out. Whoever drives it sends orders only while its ownership holds.
+//
+// The order of things, on which the promises rest:
+//  1. a run is in the log before its worker is told of it (Planned, Writing, then Starting);
+//  2. a run's end is in the log before the worker may forget it (CellWorker::last_seen);
+//  3. callers are told a phase only once the log holds it (CellJob::shown);
+//  4. a task gets a new run only when every earlier one is known to have ended, or its lease must be over.
+
+#pragma once
+
+#include <Loomreach/Schedule/Catalogue.h>
+#include <Loomreach/Schedule/CellTypes.h>
+
+namespace Loomreach::Jobs
+{
+
+/// What a question about a job is answered with.
+struct JobAnswer
+{
+	bool known = false;
+	EJobPhase phase = EJobPhase::Queued;
+};
+
+/// Figures of a cell for metrics.
+struct CellFigures
+{
+	size_t jobs = 0;
+	size_t active = 0;
+	size_t runs = 0;
+	size_t workers = 0;
+};
+
+/// One cell. See the head of the file.
+class Cell
+{
+public:
+	explicit Cell(const CellTuning &inTuning) : tuning(inTuning) {}
+
+	/// Takes in one record of the log during take-over; records of unknown keys are passed over.
+	bool Restore(std::string_view inKey, std::string_view inValue);
+	/// Starts to act, as the owner with this epoch. Runs found in the log are asked for before anything else happens to them.
+	void Begin(uint64 inEpoch, Millis inNow);
+	/// The host list as it is now: workers of this cell's pools.
+	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow);
+	/// Whether a pool's workers guard their room themselves. Unknown pools do not.
+	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->catalogue = std::move(inCatalogue); }
+	/// Takes in one record of the inbox. `inOffset` is its place there.
+	void Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow);
+	/// Records before this place have been removed unread.
+	void SkipInbox(uint64 inFirst) { this->inbox_next = std::max(this->inbox_next, inFirst); }
+	/// The place in the inbox from which to go on reading.
+	uint64 InboxNext() const { return this->inbox_next; }
+
+	/// Decides what to start, stop and pace. Call after news and at times.
+	void Plan(Millis inNow, int64 inWallNow);
+	/// Records to append, all or nothing; empty: nothing to write. One append at a time.
+	std::vector<KeyedRecord> TakeBatch(int64 inWallNow);
+	/// The append is in the log.
+	void OnAppended(Millis inNow);
+	/// Orders to send now.
+	std::vector<Order> TakeOrders(Millis inNow);
+	/// An order came out. `inSentAt`: when it was sent.
+	void OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
+
+	/// Questions for the adviser that planning has raised.
+	std::vector<AdviceQuestion> TakeAdvice() { return std::exchange(this->questions, {}); }
+	void OnAdvice(const AdviceQuestion &inQuestion, const AdviceAnswer &inAnswer, Millis inNow);
+
+	/// What callers may be told of a job.
+	JobAnswer Query(std::string_view inQueue, std::string_view inId) const;
+	/// Accepted jobs of a queue none of whose tasks has begun.
+	uint32 Waiting(std::string_view inQueue) const;
+	/// Asks to empty a worker for maintenance; true when nothing is on it and nothing will be for the next `inForMs`.
+	bool Vacate(const std::string &inWorker, Millis inForMs, Millis inNow);
+	CellFigures Figures() const;
+	/// Whether another append has something to write.
+	bool HasNews() const { return this->news; }
+
+private:
+	friend class CellProbe;
+
+	// Cell.cpp: records
+	void ForgetEnded(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
+	CellJob *FindJob(const std::string &inId);
+	TaskRecord *FindTask(const TaskId &inTask);
+	TaskMemory *FindMemory(const TaskId &inTask);
+	void Touch(CellJob &ioJob);
+	void InheritRuns(CellJob &ioJob, Millis inNow);
+
+	// CellPlan.cpp: decisions
+	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
+	void PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow);
+	void PlanGang(CellJob &ioJob, size_t inUnit, Millis inNow);
+	void PlanVacating(CellWorker &ioWorker, Millis inNow);
+	void PlanDraining(CellWorker &ioWorker, Millis inNow);
+	void PlanLapsed(CellWorker &ioWorker, Millis inNow);
+	void PlanPaces(CellWorker &ioWorker, Millis inNow);
+	bool MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const;
+	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
+	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
+							 const std::map<std::string, uint32> &inOnWorker);
+	double ScoreOf(const CellWorker &inWorker, const StepSpec &inStep) const;
+	std::map<std::string, uint32> CountByWorker(const CellJob &inJob, size_t inUnit) const;
+	void AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow);
+	void AddRun(CellJob &ioJob, size_t inUnit, uint32 inTask, uint32 inRun, CellWorker &ioWorker, Millis inNow);
+
+	// CellOrders.cpp: answers
+	void OnStartAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
+	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
+	void OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
+	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
+	void OnAbsent(CellWorker &ioWorker, Millis inSentAt, Millis inNow);
+	void OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow);
+	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy, Millis inNow);
+	void FinishTask(CellJob &ioJob, const TaskId &inTask);
+	void CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun);
+	void CloseIfEnded(CellJob &ioJob);
+	void CloseJob(CellJob &ioJob, EJobPhase inPhase, std::string_view inWhy);
+	void StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow);
+	void StopAll(CellJob &ioJob, std::string_view inWhy, Millis inNow);
+	void DropRun(CellWorker &ioWorker, const RunId &inRun);
+	Order NewOrder(EOrder inKind, CellWorker &ioWorker, Millis inNow);
+	void TakeHold(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
+	void TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
+
+	CellTuning tuning;
+	uint64 epoch = 0;
+	std::shared_ptr<const Catalogue> catalogue;
+	std::map<std::string, CellJob> jobs;
+	std::map<std::string, CellWorker> workers;
+	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
+	std::map<RunId, std::string> start_workers;
+	std::vector<Order> paces;
+	std::vector<AdviceQuestion> questions;
+	uint64 inbox_next = 0;
+	uint64 inbox_writing = 0;
+	uint64 inbox_logged = 0;
+	uint64 next_serial = 1;
+	bool news = false;
+	bool batch_under_way = false;
+	Millis now = 0; ///< The time of the call under way.
+};
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -0,0 +1,516 @@
+// Orders to workers and what their answers mean for the jobs.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Schedule/TaskText.h>
+
+namespace Loomreach::Jobs
+{
+
+/// A stop that got no answer is sent again after this.
+static constexpr Millis cStopAgainMs = 500;
+static constexpr uint32 cFailuresToQuarantine = 3;
+
+/// How long after our sending a lease of `inLeaseMs` on a worker's clock may last on ours.
+static Millis LongestLease(Millis inLeaseMs) { return inLeaseMs * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs; }
+
+Order Cell::NewOrder(EOrder inKind, CellWorker &ioWorker, Millis)
+{
+	Order order;
+	order.kind = inKind;
+	order.serial = this->next_serial++;
+	order.worker = ioWorker.entry.id;
+	order.address = ioWorker.entry.address;
+	order.token = this->epoch;
+	return order;
+}
+
+std::vector<Order> Cell::TakeOrders(Millis inNow)
+{
+	this->now = inNow;
+	std::vector<Order> orders;
+	std::vector<RunId> to_start = std::move(this->to_start);
+	this->to_start.clear();
+	for (const RunId &id : to_start)
+	{
+		const std::string worker_id = this->start_workers[id];
+		this->start_workers.erase(id);
+		auto found = this->workers.find(worker_id);
+		CellJob *job = this->FindJob(id.task.job);
+		if (found == this->workers.end() || !found->second.runs.contains(id))
+			continue;
+		CellWorker &worker = found->second;
+		// Things may have changed while the log was written; the worker was not told, so the run simply never was
+		const bool still_wanted = job != nullptr && !IsFinal(job->record.phase) && this->CanTake(worker, inNow);
+		const bool trial = worker.failures_in_row >= cFailuresToQuarantine;
+		if (!still_wanted && !(trial && job != nullptr && !IsFinal(job->record.phase) && worker.listed && !worker.entry.draining))
+		{
+			this->DropRun(worker, id);
+			continue;
+		}
+		Order order = this->NewOrder(EOrder::Start, worker, inNow);
+		order.task = id.task;
+		order.run = id.run;
+		order.payload = job->spec.payload;
+		const TaskRecord *task = this->FindTask(id.task);
+		order.checkpoint = task->checkpoint;
+		order.ticket = worker.runs.at(id).ticket;
+		order.until_ms = worker.ClockAt(inNow) + this->tuning.lease_ms;
+		worker.lease_over_at = std::max(worker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
+		orders.push_back(std::move(order));
+	}
+	for (auto &[id, worker] : this->workers)
+	{
+		this->TakeStops(worker, inNow, orders);
+		this->TakeHold(worker, inNow, orders);
+	}
+	for (Order &pace : this->paces)
+		orders.push_back(std::move(pace));
+	this->paces.clear();
+	return orders;
+}
+
+void Cell::TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
+{
+	for (auto &[id, run] : ioWorker.runs)
+	{
+		const bool due = run.state == ERunState::Stopping && !run.stop_sent && run.stop_acked_at < 0 && inNow >= run.next_stop_at;
+		if (!due)
+			continue;
+		Order order = this->NewOrder(EOrder::Stop, ioWorker, inNow);
+		order.task = id.task;
+		order.run = id.run;
+		run.stop_sent = true;
+		outOrders.push_back(std::move(order));
+	}
+}
+
+void Cell::TakeHold(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
+{
+	if (ioWorker.hold_sent || ioWorker.gone || ioWorker.entry.address.port == 0 || inNow < ioWorker.next_hold_at)
+		return;
+	bool told_runs = false;
+	bool doubt = false;
+	bool watch = false;
+	bool serves = false;
+	bool fills = false;
+	for (const auto &[id, run] : ioWorker.runs)
+	{
+		told_runs = told_runs || (run.state != ERunState::Planned && run.state != ERunState::Writing);
+		doubt = doubt || run.state == ERunState::Doubtful || run.state == ERunState::Inherited || run.state == ERunState::Stopping;
+		doubt = doubt || (run.lasting && run.percent < 100);
+		serves = serves || run.serves;
+		fills = fills || run.fills;
+	}
+	watch = serves && fills;
+	const bool unacked = ioWorker.noted > ioWorker.last_seen;
+	const bool first = ioWorker.clock_ms < 0 || !ioWorker.reachable;
+	const bool wanted = told_runs || unacked || (first && ioWorker.listed);
+	if (!wanted)
+		return;
+	Order order = this->NewOrder(EOrder::Hold, ioWorker, inNow);
+	order.last_seen = ioWorker.last_seen;
+	// A lease is extended only for a worker that answers: else it would never be over
+	if (told_runs && ioWorker.clock_ms >= 0 && ioWorker.reachable)
+	{
+		order.until_ms = ioWorker.ClockAt(inNow) + this->tuning.lease_ms;
+		ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
+	}
+	const bool look_at_once = first || unacked || doubt;
+	if (!look_at_once)
+		order.wait_ms = watch ? this->tuning.watch_wait_ms : this->tuning.hold_wait_ms;
+	ioWorker.hold_sent = true;
+	ioWorker.next_hold_at = inNow + (look_at_once ? this->tuning.retry_hold_ms : 0);
+	outOrders.push_back(std::move(order));
+}
+
+void Cell::OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow)
+{
+	this->now = inNow;
+	auto found = this->workers.find(inOrder.worker);
+	if (found == this->workers.end())
+		return;
+	CellWorker &worker = found->second;
+	if (inOrder.kind == EOrder::Hold)
+		worker.hold_sent = false;
+	const bool answered = inAnswer.result != EOrderResult::Unknown && inAnswer.result != EOrderResult::NotSent;
+	if (answered)
+		worker.last_answer_at = inNow;
+	if (answered && inAnswer.clock_ms >= 0)
+	{
+		worker.clock_ms = inAnswer.clock_ms;
+		worker.clock_at = inNow;
+	}
+	// Only a hold proves a worker well again; any order can show that it is not
+	const bool well = answered && inAnswer.result != EOrderResult::Unhealthy;
+	if (inOrder.kind == EOrder::Hold || !answered)
+	{
+		if (worker.reachable != well)
+			LogEvent(well ? ELogLevel::Info : ELogLevel::Warning, well ? "worker_answers" : "worker_silent")
+				.Field("worker", inOrder.worker)
+				.Field("result", NameOf(cOrderResultNames, inAnswer.result))
+				.Field("runs", worker.runs.size());
+		worker.reachable = well;
+		if (!well)
+			worker.next_hold_at = inNow + this->tuning.retry_hold_ms;
+	}
+	if (inAnswer.result == EOrderResult::OtherLife)
+	{
+		this->OnLifeOver(worker, "its address is another life's", inNow);
+		return;
+	}
+	switch (inOrder.kind)
+	{
+	case EOrder::Start: this->OnStartAnswer(worker, inOrder, inAnswer, inNow); break;
+	case EOrder::Stop: this->OnStopAnswer(worker, inOrder, inAnswer, inNow); break;
+	case EOrder::Hold: this->OnHoldAnswer(worker, inOrder, inAnswer, inSentAt, inNow); break;
+	case EOrder::Pace:
+	{
+		auto run = worker.runs.find({inOrder.task, inOrder.run});
+		if (run != worker.runs.end())
+			run->second.pace_sent = false;
+		break;
+	}
+	}
+}
+
+void Cell::OnStartAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow)
+{
+	const RunId id{inOrder.task, inOrder.run};
+	auto found = ioWorker.runs.find(id);
+	if (found == ioWorker.runs.end())
+		return;
+	Run &run = found->second;
+	const bool open = run.state == ERunState::Starting || run.state == ERunState::Doubtful;
+	if (inAnswer.result == EOrderResult::Done)
+	{
+		if (open)
+		{
+			run.state = ERunState::Confirmed;
+			run.since = inNow;
+			run.confirmed_at = inNow;
+		}
+		CellJob *job = this->FindJob(inOrder.task.job);
+		if (job != nullptr && !job->record.begun)
+		{
+			job->record.begun = true;
+			this->Touch(*job);
+		}
+		if (ioWorker.next_hold_at < inNow && !ioWorker.hold_sent)
+			ioWorker.next_hold_at = inNow;
+		return;
+	}
+	LogEvent(ELogLevel::Warning, "start_refused")
+		.Field("request", inOrder.task.job)
+		.Field("task", TaskText(inOrder.task))
+		.Field("run", inOrder.run)
+		.Field("worker", inOrder.worker)
+		.Field("result", NameOf(cOrderResultNames, inAnswer.result));
+	if (inAnswer.result == EOrderResult::Unknown)
+	{
+		// It may be carried out yet: the run keeps its room until the worker says
+		if (open)
+		{
+			run.state = ERunState::Doubtful;
+			run.since = inNow;
+		}
+		ioWorker.next_hold_at = inNow;
+		return;
+	}
+	if (inAnswer.result == EOrderResult::Unhealthy || inAnswer.result == EOrderResult::NoRoom)
+		ioWorker.refuse_until = inNow + this->tuning.refused_pause_ms;
+	if (open)
+		this->EndRun(ioWorker, id, ERunEnd::Stopped, "", NameOf(cOrderResultNames, inAnswer.result), inNow);
+}
+
+void Cell::OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow)
+{
+	auto found = ioWorker.runs.find({inOrder.task, inOrder.run});
+	if (found == ioWorker.runs.end())
+		return;
+	Run &run = found->second;
+	run.stop_sent = false;
+	run.next_stop_at = inNow + cStopAgainMs;
+	// From here on the run can only be listed as ended, or be absent for good
+	if (inAnswer.result == EOrderResult::Done || inAnswer.result == EOrderResult::StaleRun)
+		run.stop_acked_at = inNow;
+	if (!ioWorker.hold_sent)
+		ioWorker.next_hold_at = inNow;
+}
+
+void Cell::OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow)
+{
+	if (inAnswer.result != EOrderResult::Done)
+		return;
+	for (const EndedRow &row : inAnswer.ended)
+	{
+		if (row.number <= ioWorker.noted)
+			continue;
+		this->OnEnded(ioWorker, row, inNow);
+		ioWorker.noted = row.number;
+		this->news = true;
+	}
+	std::set<RunId> listed;
+	std::vector<RunId> unwanted;
+	for (const RunningRow &row : inAnswer.running)
+	{
+		const RunId id{row.task, row.run};
+		listed.insert(id);
+		auto found = ioWorker.runs.find(id);
+		if (found == ioWorker.runs.end())
+		{
+			unwanted.push_back(id);
+			continue;
+		}
+		Run &run = found->second;
+		const bool proves = run.state == ERunState::Doubtful || run.state == ERunState::Inherited || run.state == ERunState::Starting;
+		if (proves)
+		{
+			run.state = ERunState::Confirmed;
+			run.since = inNow;
+			run.confirmed_at = inNow;
+		}
+		run.percent = row.percent;
+		run.figure = row.figure;
+		TaskRecord *task = this->FindTask(row.task);
+		// Kept in memory at once; the log gets it with the record's next change
+		if (task != nullptr && !row.checkpoint.empty())
+			task->checkpoint = row.checkpoint;
+		const CellJob *job = this->FindJob(row.task.job);
+		if (job == nullptr || IsFinal(job->record.phase))
+			unwanted.push_back(id);
+	}
+	for (const RunId &id : unwanted)
+		this->StopRun(ioWorker, id, "not wanted", inNow);
+	std::vector<RunId> absent;
+	for (auto &[id, run] : ioWorker.runs)
+	{
+		if (listed.contains(id))
+			continue;
+		const bool was_there = run.state == ERunState::Confirmed && run.confirmed_at < inSentAt;
+		const bool stopped = run.state == ERunState::Stopping && run.stop_acked_at >= 0 && run.stop_acked_at < inSentAt;
+		// A predecessor's order is refused by its token, once the worker has heard ours
+		const bool fenced = run.state == ERunState::Inherited;
+		if (was_there || stopped || fenced)
+			absent.push_back(id);
+		else if (run.state == ERunState::Doubtful && run.since < inSentAt)
+		{
+			// It may still come: a stop makes sure that it never does
+			run.state = ERunState::Stopping;
+			run.since = inNow;
+		}
+	}
+	for (const RunId &id : absent)
+		this->EndRun(ioWorker, id, ERunEnd::Stopped, "", "worker does not have it", inNow);
+	if (inOrder.wait_ms > 0 || ioWorker.noted == ioWorker.last_seen)
+		ioWorker.next_hold_at = std::max(ioWorker.next_hold_at, inNow);
+	if (ioWorker.noted > ioWorker.last_seen)
+		ioWorker.next_hold_at = inNow + this->tuning.retry_hold_ms;
+}
+
+void Cell::OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow)
+{
+	const RunId id{inRow.task, inRow.run};
+	if (ioWorker.runs.contains(id))
+		this->EndRun(ioWorker, id, inRow.end, inRow.checkpoint, "worker said so", inNow);
+}
+
+void Cell::EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy, Millis inNow)
+{
+	auto found = ioWorker.runs.find(inRun);
+	if (found == ioWorker.runs.end())
+		return;
+	const Run run = found->second;
+	LogEvent(ELogLevel::Info, "run_ended")
+		.Field("request", inRun.task.job)
+		.Field("task", TaskText(inRun.task))
+		.Field("run", inRun.run)
+		.Field("worker", ioWorker.entry.id)
+		.Field("end", NameOf(cRunEndNames, inEnd))
+		.Field("state", NameOf(cRunStateNames, run.state))
+		.Field("after_ms", run.confirmed_at < 0 ? -1 : inNow - run.confirmed_at)
+		.Field("why", inWhy);
+	this->DropRun(ioWorker, inRun);
+	CellJob *job = this->FindJob(inRun.task.job);
+	TaskRecord *task = this->FindTask(inRun.task);
+	if (job == nullptr || task == nullptr)
+		return;
+	if (!inCheckpoint.empty())
+		task->checkpoint = inCheckpoint;
+	TaskMemory &memory = *this->FindMemory(inRun.task);
+	if (!run.lasting && inEnd == ERunEnd::Failed)
+	{
+		++ioWorker.failures_in_row;
+		memory.last_worker = ioWorker.entry.id;
+		if (ioWorker.failures_in_row >= cFailuresToQuarantine)
+		{
+			ioWorker.quarantine_until = inNow + this->tuning.quarantine_ms;
+			LogEvent(ELogLevel::Warning, "worker_quarantined").Field("worker", ioWorker.entry.id).Field("failures", ioWorker.failures_in_row);
+		}
+	}
+	if (inEnd == ERunEnd::Done)
+		ioWorker.failures_in_row = 0;
+	if (run.lasting && inEnd == ERunEnd::Failed)
+		memory.not_before = inNow + this->tuning.fail_pause_ms;
+	if (IsFinal(job->record.phase))
+		return;
+	if (inEnd == ERunEnd::Done && !run.lasting)
+		this->FinishTask(*job, inRun.task);
+	if (inEnd == ERunEnd::Failed && !run.lasting)
+		this->CountFailure(*job, inRun.task, inRun.run);
+	// A gang's members are of no use alone
+	const StepSpec &step = job->spec.steps[inRun.task.step];
+	if (step.gang && inEnd != ERunEnd::Done && !IsFinal(job->record.phase))
+	{
+		const size_t unit = job->Unit(inRun.task.round, inRun.task.step);
+		for (uint32 index = 0; index < job->record.steps[unit].tasks.size(); ++index)
+		{
+			const std::vector<RunRecord> members = job->record.steps[unit].tasks[index].runs;
+			for (const RunRecord &member : members)
+			{
+				auto other = this->workers.find(member.worker);
+				if (other != this->workers.end())
+					this->StopRun(other->second, {{inRun.task.job, inRun.task.round, inRun.task.step, index}, member.run}, "gang broke", inNow);
+			}
+		}
+	}
+}
+
+void Cell::FinishTask(CellJob &ioJob, const TaskId &inTask)
+{
+	const size_t unit = ioJob.Unit(inTask.round, inTask.step);
+	std::vector<TaskRecord> &tasks = ioJob.record.steps[unit].tasks;
+	// One member's good end is the whole gang's
+	if (ioJob.StepOf(unit).gang)
+		for (TaskRecord &member : tasks)
+			member.done = true;
+	tasks[inTask.index].done = true;
+	this->Touch(ioJob);
+	// Copies that still run are no longer needed
+	const std::vector<RunRecord> copies = tasks[inTask.index].runs;
+	for (const RunRecord &copy : copies)
+	{
+		auto other = this->workers.find(copy.worker);
+		if (other != this->workers.end())
+			this->StopRun(other->second, {inTask, copy.run}, "another copy is done", this->now);
+	}
+	this->CloseIfEnded(ioJob);
+}
+
+void Cell::CloseIfEnded(CellJob &ioJob)
+{
+	for (const StepRecord &step : ioJob.record.steps)
+		for (const TaskRecord &task : step.tasks)
+			if (!task.done)
+				return;
+	this->CloseJob(ioJob, EJobPhase::Completed, "every task is done");
+}
+
+void Cell::CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun)
+{
+	const size_t unit = ioJob.Unit(inTask.round, inTask.step);
+	// A gang counts as one: a run of it fails once, whichever member did
+	TaskRecord &counted = ioJob.record.steps[unit].tasks[ioJob.StepOf(unit).gang ? 0 : inTask.index];
+	if (ioJob.StepOf(unit).gang && counted.failed_run >= inRun)
+		return;
+	counted.failed_run = std::max(counted.failed_run, inRun);
+	++counted.failures;
+	this->Touch(ioJob);
+	if (counted.failures < ioJob.spec.max_attempts)
+		return;
+	this->CloseJob(ioJob, EJobPhase::Failed, "attempts used up");
+	this->StopAll(ioJob, "job failed", this->now);
+}
+
+void Cell::CloseJob(CellJob &ioJob, EJobPhase inPhase, std::string_view inWhy)
+{
+	ioJob.record.phase = inPhase;
+	this->Touch(ioJob);
+	LogEvent(ELogLevel::Info, "job_closed")
+		.Field("request", ioJob.spec.id)
+		.Field("queue", ioJob.spec.queue)
+		.Field("phase", NameOf(cJobPhaseNames, inPhase))
+		.Field("why", inWhy)
+		.Field("after_ms", this->now - ioJob.arrived_at);
+}
+
+void Cell::StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow)
+{
+	auto found = ioWorker.runs.find(inRun);
+	// A run that the records do not have still goes, but takes part in nothing
+	if (found == ioWorker.runs.end())
+	{
+		Run stray;
+		stray.state = ERunState::Stopping;
+		stray.since = inNow;
+		ioWorker.runs.emplace(inRun, std::move(stray));
+		return;
+	}
+	Run &run = found->second;
+	// What its worker was never told needs no stop
+	if (run.state == ERunState::Planned)
+	{
+		this->DropRun(ioWorker, inRun);
+		return;
+	}
+	if (run.state == ERunState::Stopping || run.state == ERunState::Writing)
+		return;
+	LogEvent(ELogLevel::Info, "run_stopped")
+		.Field("request", inRun.task.job)
+		.Field("task", TaskText(inRun.task))
+		.Field("run", inRun.run)
+		.Field("worker", ioWorker.entry.id)
+		.Field("why", inWhy);
+	run.state = ERunState::Stopping;
+	run.since = inNow;
+	run.told_by_us = true;
+}
+
+void Cell::StopAll(CellJob &ioJob, std::string_view inWhy, Millis inNow)
+{
+	for (size_t unit = 0; unit < ioJob.record.steps.size(); ++unit)
+		for (uint32 index = 0; index < ioJob.record.steps[unit].tasks.size(); ++index)
+		{
+			const std::vector<RunRecord> runs = ioJob.record.steps[unit].tasks[index].runs;
+			const size_t steps = ioJob.spec.steps.size();
+			const TaskId task{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index};
+			for (const RunRecord &run : runs)
+			{
+				auto worker = this->workers.find(run.worker);
+				if (worker != this->workers.end())
+					this->StopRun(worker->second, {task, run.run}, inWhy, inNow);
+			}
+		}
+}
+
+void Cell::DropRun(CellWorker &ioWorker, const RunId &inRun)
+{
+	auto found = ioWorker.runs.find(inRun);
+	if (found == ioWorker.runs.end())
+		return;
+	ioWorker.used.Subtract(found->second.room);
+	ioWorker.runs.erase(found);
+	TaskRecord *task = this->FindTask(inRun.task);
+	if (task == nullptr)
+		return;
+	std::erase_if(task->runs, [&](const RunRecord &inRecord) { return inRecord.run == inRun.run && inRecord.worker == ioWorker.entry.id; });
+	this->Touch(*this->FindJob(inRun.task.job));
+}
+
+void Cell::OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow)
+{
+	if (!ioWorker.gone)
+		LogEvent(ELogLevel::Warning, "worker_gone").Field("worker", ioWorker.entry.id).Field("why", inWhy).Field("runs", ioWorker.runs.size());
+	ioWorker.gone = true;
+	std::vector<RunId> runs;
+	for (const auto &[id, run] : ioWorker.runs)
+		if (run.state != ERunState::Planned && run.state != ERunState::Writing)
+			runs.push_back(id);
+	for (const RunId &id : runs)
+		this->EndRun(ioWorker, id, ERunEnd::Lapsed, "", inWhy, inNow);
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -0,0 +1,467 @@
+// Decisions of a cell: what starts where, what is moved away, what is paced.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Schedule/TaskText.h>
+
+namespace Loomreach::Jobs
+{
+
+/// Failures in a row on one worker after which it only gets one trial at a time: a chance failure (0.2 to 3%) hardly repeats thrice.
+static constexpr uint32 cFailuresToQuarantine = 3;
+/// Pacing holds the tail between these shares of its target: above the first, others slow down; below the second, they speed up.
+static constexpr int64 cTailHighPercent = 75;
+static constexpr int64 cTailLowPercent = 50;
+static constexpr int64 cPaceCutPercent = 50; ///< Multiplicative decrease.
+static constexpr int64 cPaceStep = 10;       ///< Additive increase, points.
+static constexpr int64 cFullPace = 100;
+/// Weights of the placement score: a rack with the data halves the run time, so it outweighs any balance of load.
+static constexpr double cDataRackWeight = 10.0;
+static constexpr double cNeighbourWeight = 2.0; ///< For each serving neighbour of a task that serves or fills.
+static constexpr double cFreeShareWeight = 1.0;
+/// A ticket must be good for the append and the order: two store answers at their slow pace.
+static constexpr Millis cTicketSlackMs = 500;
+static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
+static constexpr Millis cAskAgainMs = 250; ///< After a question that got no answer.
+
+/// A job's place in the order of planning.
+struct PlanPlace
+{
+	uint32 priority = 0;
+	int64 due_wall_ms = 0;
+	CellJob *job = nullptr;
+
+	bool operator<(const PlanPlace &inOther) const
+	{
+		return std::tie(this->priority, this->due_wall_ms) < std::tie(inOther.priority, inOther.due_wall_ms);
+	}
+};
+
+/// The longest chain of estimates through a job's steps, ms.
+static Millis LongestChain(const JobSpec &inSpec)
+{
+	std::vector<Millis> ends(inSpec.steps.size(), 0);
+	Millis longest = 0;
+	for (size_t i = 0; i < inSpec.steps.size(); ++i)
+	{
+		Millis begin = 0;
+		for (uint32 before : inSpec.steps[i].after)
+			begin = std::max(begin, ends[before]);
+		ends[i] = begin + inSpec.steps[i].estimate_ms;
+		longest = std::max(longest, ends[i]);
+	}
+	return longest;
+}
+
+/// By when a job should be done, on the time of day. Lasting jobs earn from the first second, so they are due at once.
+static int64 DueWall(const JobSpec &inSpec)
+{
+	if (inSpec.steps[0].lasting)
+		return inSpec.accepted_wall_ms + inSpec.target_ms;
+	const double chain = static_cast<double>(LongestChain(inSpec)) * inSpec.stretch;
+	return inSpec.accepted_wall_ms + inSpec.target_ms + static_cast<int64>(chain);
+}
+
+void Cell::Plan(Millis inNow, int64 inWallNow)
+{
+	this->now = inNow;
+	for (auto &[id, worker] : this->workers)
+	{
+		this->PlanLapsed(worker, inNow);
+		this->PlanDraining(worker, inNow);
+		this->PlanVacating(worker, inNow);
+		this->PlanPaces(worker, inNow);
+	}
+	std::vector<PlanPlace> order;
+	for (auto &[id, job] : this->jobs)
+		if (!IsFinal(job.record.phase))
+			order.push_back({job.spec.priority, DueWall(job.spec), &job});
+	std::sort(order.begin(), order.end());
+	for (const PlanPlace &place : order)
+		this->PlanJob(*place.job, inNow, inWallNow);
+}
+
+bool Cell::IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const
+{
+	const size_t steps = inJob.spec.steps.size();
+	const size_t round = inUnit / steps;
+	if (inJob.spec.times > 0 && inWallNow < inJob.spec.first_wall_ms + static_cast<int64>(round) * inJob.spec.interval_ms)
+		return false;
+	for (uint32 before : inJob.StepOf(inUnit).after)
+		for (const TaskRecord &task : inJob.record.steps[round * steps + before].tasks)
+			if (!task.done)
+				return false;
+	return true;
+}
+
+void Cell::PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow)
+{
+	for (size_t unit = 0; unit < ioJob.record.steps.size(); ++unit)
+	{
+		if (!this->IsDue(ioJob, unit, inWallNow))
+			continue;
+		if (ioJob.StepOf(unit).gang)
+			this->PlanGang(ioJob, unit, inNow);
+		else
+			this->PlanUnit(ioJob, unit, inNow);
+	}
+}
+
+std::map<std::string, uint32> Cell::CountByWorker(const CellJob &inJob, size_t inUnit) const
+{
+	std::map<std::string, uint32> count;
+	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+		for (const RunRecord &run : task.runs)
+			++count[run.worker];
+	return count;
+}
+
+void Cell::PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow)
+{
+	std::vector<TaskRecord> &tasks = ioJob.record.steps[inUnit].tasks;
+	std::optional<std::map<std::string, uint32>> on_worker;
+	for (uint32 index = 0; index < tasks.size(); ++index)
+	{
+		const TaskRecord &task = tasks[index];
+		const bool waits = !task.done && task.runs.empty() && ioJob.memory[inUnit][index].not_before <= inNow;
+		if (!waits)
+			continue;
+		if (!on_worker.has_value())
+			on_worker = this->CountByWorker(ioJob, inUnit);
+		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, *on_worker);
+		// What one task of the step does not find, its like will not find either
+		if (worker == nullptr)
+			return this->AskAdvice(ioJob, inUnit, inNow);
+		++(*on_worker)[worker->entry.id];
+		this->AddRun(ioJob, inUnit, index, task.last_run + 1, *worker, inNow);
+	}
+}
+
+void Cell::PlanGang(CellJob &ioJob, size_t inUnit, Millis inNow)
+{
+	std::vector<TaskRecord> &tasks = ioJob.record.steps[inUnit].tasks;
+	uint32 last_run = 0;
+	for (uint32 index = 0; index < tasks.size(); ++index)
+	{
+		// All members or none: earlier runs must be over everywhere
+		const bool free = !tasks[index].done && tasks[index].runs.empty() && ioJob.memory[inUnit][index].not_before <= inNow;
+		if (!free)
+			return;
+		last_run = std::max(last_run, tasks[index].last_run);
+	}
+	// Room is taken member by member, and given back if one finds none
+	std::map<std::string, uint32> on_worker;
+	std::vector<CellWorker *> places;
+	const StepSpec &step = ioJob.StepOf(inUnit);
+	Resources room = step.need;
+	if (step.fills)
+		room.cpu_milli = 0;
+	for (uint32 index = 0; index < tasks.size(); ++index)
+	{
+		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, on_worker);
+		if (worker == nullptr)
+			break;
+		worker->used.Add(room);
+		++on_worker[worker->entry.id];
+		places.push_back(worker);
+	}
+	for (CellWorker *worker : places)
+		worker->used.Subtract(room);
+	if (places.size() < tasks.size())
+		return this->AskAdvice(ioJob, inUnit, inNow);
+	for (uint32 index = 0; index < tasks.size(); ++index)
+		this->AddRun(ioJob, inUnit, index, last_run + 1, *places[index], inNow);
+}
+
+bool Cell::CanTake(const CellWorker &inWorker, Millis inNow) const
+{
+	if (!inWorker.listed || inWorker.gone || inWorker.entry.draining || !inWorker.reachable || inWorker.clock_ms < 0)
+		return false;
+	if (inNow < inWorker.refuse_until || inNow < inWorker.vacate_until || inNow < inWorker.quarantine_until)
+		return false;
+	// After quarantine one trial at a time
+	return inWorker.failures_in_row < cFailuresToQuarantine || inWorker.runs.empty();
+}
+
+double Cell::ScoreOf(const CellWorker &inWorker, const StepSpec &inStep) const
+{
+	const double cores = std::max<double>(1.0, static_cast<double>(inWorker.entry.capacity.cpu_milli));
+	double score = cFreeShareWeight * static_cast<double>(inWorker.Free().cpu_milli) / cores;
+	if (!inStep.data_rack.empty() && inWorker.entry.rack == inStep.data_rack)
+		score += cDataRackWeight;
+	// Tasks that serve suffer from neighbours that fill or serve
+	if (inStep.lasting || inStep.fills)
+		for (const auto &[id, run] : inWorker.runs)
+			score -= run.serves || run.fills ? cNeighbourWeight : 0.0;
+	return score;
+}
+
+/// Whether a worker may run a step of a queue with a policy, for long enough to reach it.
+static bool HasTicket(const CellJob &inJob, size_t inUnit, const std::string &inWorker, Millis inNow)
+{
+	auto advice = inJob.advice.find(inUnit);
+	if (advice == inJob.advice.end())
+		return false;
+	auto ticket = advice->second.tickets.find(inWorker);
+	return ticket != advice->second.tickets.end() && inNow + cTicketSlackMs < ticket->second.good_until;
+}
+
+void Cell::AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow)
+{
+	if (!ioJob.spec.advised)
+		return;
+	StepAdvice &advice = ioJob.advice[inUnit];
+	if (advice.asked || inNow < advice.ask_after)
+		return;
+	const StepSpec &step = ioJob.StepOf(inUnit);
+	std::vector<std::pair<double, std::string>> likely;
+	for (const auto &[id, worker] : this->workers)
+	{
+		const bool possible = worker.entry.pool == ioJob.spec.pool && this->CanTake(worker, inNow) && !advice.refused.contains(id);
+		if (possible && !HasTicket(ioJob, inUnit, id, inNow))
+			likely.emplace_back(-this->ScoreOf(worker, step), id);
+	}
+	if (likely.empty())
+		return;
+	std::sort(likely.begin(), likely.end());
+	AdviceQuestion question;
+	question.job = ioJob.spec.id;
+	question.round = static_cast<uint32>(inUnit / ioJob.spec.steps.size());
+	question.step = static_cast<uint32>(inUnit % ioJob.spec.steps.size());
+	for (const auto &[score, id] : likely)
+		if (question.workers.size() < cMostAdvised)
+			question.workers.push_back(id);
+	const Queue *queue = nullptr;
+	if (this->catalogue != nullptr)
+		for (const Queue &candidate : this->catalogue->queues)
+			if (candidate.name == ioJob.spec.queue)
+				queue = &candidate;
+	if (queue != nullptr && queue->advice.has_value())
+		question.expect_ms = queue->advice->decide_ms + queue->advice->each_ms * static_cast<Millis>(question.workers.size());
+	advice.asked = true;
+	LogEvent(ELogLevel::Info, "advice_asked").Field("request", question.job).Field("step", question.step).Field("workers", question.workers.size());
+	this->questions.push_back(std::move(question));
+}
+
+void Cell::OnAdvice(const AdviceQuestion &inQuestion, const AdviceAnswer &inAnswer, Millis inNow)
+{
+	CellJob *job = this->FindJob(inQuestion.job);
+	if (job == nullptr)
+		return;
+	StepAdvice &advice = job->advice[job->Unit(inQuestion.round, inQuestion.step)];
+	advice.asked = false;
+	LogEvent(ELogLevel::Info, "advice")
+		.Field("request", inQuestion.job)
+		.Field("step", inQuestion.step)
+		.Field("answered", inAnswer.answered ? 1 : 0)
+		.Field("good", inAnswer.tickets.size())
+		.Field("named", inQuestion.workers.size());
+	if (!inAnswer.answered)
+	{
+		advice.ask_after = inNow + cAskAgainMs;
+		return;
+	}
+	for (const std::string &worker : inQuestion.workers)
+	{
+		auto ticket = inAnswer.tickets.find(worker);
+		if (ticket == inAnswer.tickets.end())
+			advice.refused.insert(worker);
+		else
+			advice.tickets[worker] = {ticket->second, inNow + inAnswer.valid_ms};
+	}
+}
+
+CellWorker *Cell::ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
+							   const std::map<std::string, uint32> &inOnWorker)
+{
+	const StepSpec &step = inJob.StepOf(inUnit);
+	const std::string &failed_on = inJob.memory[inUnit][inTask].last_worker;
+	Resources room = step.need;
+	if (step.fills)
+		room.cpu_milli = 0;
+	CellWorker *best = nullptr;
+	double best_score = 0.0;
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.entry.pool != inJob.spec.pool || !this->CanTake(worker, inNow) || !room.FitsInto(worker.Free()))
+			continue;
+		const std::vector<std::string> &labels = worker.entry.labels;
+		if (!step.needs_label.empty() && std::find(labels.begin(), labels.end(), step.needs_label) == labels.end())
+			continue;
+		auto on_it = inOnWorker.find(id);
+		const uint32 here = on_it == inOnWorker.end() ? 0 : on_it->second;
+		if (step.max_per_worker > 0 && here >= step.max_per_worker)
+			continue;
+		if (inJob.spec.advised && !HasTicket(inJob, inUnit, id, inNow))
+			continue;
+		double score = this->ScoreOf(worker, step);
+		// Where it failed before, others go first
+		if (id == failed_on)
+			score -= cDataRackWeight * 2;
+		if (best != nullptr && score <= best_score)
+			continue;
+		best = &worker;
+		best_score = score;
+	}
+	return best;
+}
+
+void Cell::AddRun(CellJob &ioJob, size_t inUnit, uint32 inTask, uint32 inRun, CellWorker &ioWorker, Millis inNow)
+{
+	const StepSpec &step = ioJob.StepOf(inUnit);
+	const size_t steps = ioJob.spec.steps.size();
+	const RunId id{{ioJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask}, inRun};
+	Run run;
+	run.since = inNow;
+	run.room = step.need;
+	if (step.fills)
+		run.room.cpu_milli = 0;
+	run.serves = step.lasting && step.target_ms > 0;
+	run.fills = step.fills;
+	run.lasting = step.lasting;
+	LOOM_INVARIANT(run.room.FitsInto(ioWorker.Free()), "a worker is never told to run more than it has room for");
+	TaskRecord &task = ioJob.record.steps[inUnit].tasks[inTask];
+	LOOM_INVARIANT(inRun > task.last_run, "run numbers always rise");
+	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time");
+	if (ioJob.spec.advised)
+		run.ticket = ioJob.advice[inUnit].tickets[ioWorker.entry.id].text;
+	task.last_run = inRun;
+	task.runs.push_back({inRun, ioWorker.entry.id});
+	ioWorker.used.Add(run.room);
+	ioWorker.runs.emplace(id, std::move(run));
+	this->Touch(ioJob);
+	LogEvent(ELogLevel::Info, "run_planned")
+		.Field("request", ioJob.spec.id)
+		.Field("task", TaskText(id.task))
+		.Field("run", inRun)
+		.Field("worker", ioWorker.entry.id)
+		.Field("free_cpu_milli", ioWorker.Free().cpu_milli)
+		.Field("worker_heard_ms_ago", inNow - ioWorker.last_answer_at);
+}
+
+void Cell::PlanLapsed(CellWorker &ioWorker, Millis inNow)
+{
+	if (ioWorker.runs.empty() || inNow < ioWorker.lease_over_at)
+		return;
+	std::vector<RunId> lapsed;
+	for (const auto &[id, run] : ioWorker.runs)
+		if (run.state != ERunState::Planned && run.state != ERunState::Writing)
+			lapsed.push_back(id);
+	// Nothing was extended since: wherever the worker is, its leases are over
+	for (const RunId &id : lapsed)
+		this->EndRun(ioWorker, id, ERunEnd::Lapsed, "", "lease over without an answer", inNow);
+}
+
+void Cell::PlanDraining(CellWorker &ioWorker, Millis inNow)
+{
+	if (!ioWorker.entry.draining || ioWorker.runs.empty())
+		return;
+	// What lasts dies with the worker: better restarted now than missed until a lease is over
+	std::vector<RunId> leaving;
+	for (const auto &[id, run] : ioWorker.runs)
+		if (run.lasting && run.state == ERunState::Confirmed)
+			leaving.push_back(id);
+	for (const RunId &id : leaving)
+		this->StopRun(ioWorker, id, "worker drains", inNow);
+}
+
+bool Cell::MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis) const
+{
+	const StepSpec &step = inJob.StepOf(inUnit);
+	const std::vector<TaskRecord> &tasks = inJob.record.steps[inUnit].tasks;
+	uint32 away = 0;
+	for (uint32 index = 0; index < tasks.size(); ++index)
+	{
+		if (index == inTask)
+			continue;
+		bool at_work = false;
+		for (const RunRecord &record : tasks[index].runs)
+		{
+			auto worker = this->workers.find(record.worker);
+			if (worker == this->workers.end())
+				continue;
+			const size_t steps = inJob.spec.steps.size();
+			const RunId id{{inJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), index}, record.run};
+			auto run = worker->second.runs.find(id);
+			if (run != worker->second.runs.end())
+				at_work = run->second.state == ERunState::Confirmed && run->second.percent >= cFullPace;
+		}
+		away += at_work ? 0 : 1;
+	}
+	return step.limits_misses ? away < step.may_miss : away == 0;
+}
+
+void Cell::PlanVacating(CellWorker &ioWorker, Millis inNow)
+{
+	if (inNow >= ioWorker.vacate_until || ioWorker.runs.empty())
+		return;
+	std::vector<RunId> lasting;
+	for (const auto &[id, run] : ioWorker.runs)
+		if (run.lasting && run.state == ERunState::Confirmed)
+			lasting.push_back(id);
+	for (const RunId &id : lasting)
+	{
+		const CellJob *job = this->FindJob(id.task.job);
+		if (job != nullptr && this->MayMiss(*job, job->Unit(id.task.round, id.task.step), id.task.index, inNow))
+			this->StopRun(ioWorker, id, "worker is emptied", inNow);
+	}
+}
+
+bool Cell::Vacate(const std::string &inWorker, Millis inForMs, Millis inNow)
+{
+	auto found = this->workers.find(inWorker);
+	if (found == this->workers.end())
+		return false;
+	CellWorker &worker = found->second;
+	if (inNow >= worker.vacate_until)
+		LogEvent(ELogLevel::Info, "worker_emptied").Field("worker", inWorker).Field("runs", worker.runs.size());
+	worker.vacate_until = std::max(worker.vacate_until, inNow + inForMs);
+	return worker.runs.empty();
+}
+
+void Cell::PlanPaces(CellWorker &ioWorker, Millis inNow)
+{
+	// One decision an answer of the worker
+	if (ioWorker.paced_at >= ioWorker.last_answer_at || ioWorker.runs.empty())
+		return;
+	ioWorker.paced_at = ioWorker.last_answer_at;
+	int64 worst = 0;
+	bool serves = false;
+	bool fills = false;
+	for (const auto &[id, run] : ioWorker.runs)
+	{
+		fills = fills || run.fills;
+		if (!run.serves || run.state != ERunState::Confirmed)
+			continue;
+		serves = true;
+		const CellJob *job = this->FindJob(id.task.job);
+		const Millis target = job == nullptr ? 0 : job->spec.steps[id.task.step].target_ms;
+		worst = target <= 0 ? worst : std::max(worst, run.figure * 100 / target);
+	}
+	if (!fills)
+		return;
+	for (auto &[id, run] : ioWorker.runs)
+	{
+		if (!run.fills || run.state != ERunState::Confirmed || run.pace_sent)
+			continue;
+		int64 pace = run.pace;
+		if (serves && worst > cTailHighPercent)
+			pace = pace * cPaceCutPercent / 100;
+		else if (!serves || worst < cTailLowPercent)
+			pace = std::min(cFullPace, pace + cPaceStep);
+		if (pace == run.pace)
+			continue;
+		run.pace = pace;
+		run.pace_sent = true;
+		Order order = this->NewOrder(EOrder::Pace, ioWorker, inNow);
+		order.task = id.task;
+		order.run = id.run;
+		order.percent = pace;
+		this->paces.push_back(std::move(order));
+	}
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Schedule/CellTypes.h
@@ -0,0 +1,173 @@
+// What a cell keeps in memory: its jobs, its workers, and the runs that join them.
+
+#pragma once
+
+#include <Loomreach/Schedule/Advice.h>
+#include <Loomreach/Schedule/Worker.h>
+
+namespace Loomreach::Jobs
+{
+
+/// Times, limits and weights of one cell. All times in ms.
+struct CellTuning
+{
+	Millis lease_ms = 4000;        ///< Lease given to a worker's runs with each hold. Setting `worker_lease_ms`.
+	Millis most_lease_ms = 10000;  ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
+	Millis hold_wait_ms = 1500;    ///< A hold's answer waits this long for an end; well under the lease.
+	Millis watch_wait_ms = 500;    ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
+	Millis retry_hold_ms = 400;    ///< Between holds that got no answer, and between holds while ends wait for the log.
+	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
+	Millis notice_ms = 4500;       ///< A lasting task that is away this long counts as away by itself.
+	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
+	Millis quarantine_ms = 4000;   ///< A worker that fails all gets no more than a trial within this.
+	Millis fail_pause_ms = 300;    ///< A lasting task that failed starts again after this.
+};
+
+/// A worker's clock may run this much slower than ours (users' figure 2%, and a half more), thousandths.
+inline constexpr Millis cClockSlackPerMille = 30;
+/// And a lease is trusted to be over only this much later: two message delays and a timer's lateness.
+inline constexpr Millis cLeaseSlackMs = 150;
+
+/// Where a run stands, as far as the cell knows.
+enum class ERunState : uint8
+{
+	Planned,   ///< Decided, not yet in the log.
+	Writing,   ///< In the append that is under way.
+	Starting,  ///< Logged; the worker has been told.
+	Confirmed, ///< The worker has it.
+	Doubtful,  ///< No answer: the worker may have it, or may take it up later.
+	Inherited, ///< Found in the log at take-over; the worker has not been asked yet.
+	Stopping   ///< A stop is under way.
+};
+
+inline constexpr std::array cRunStateNames = {
+	EnumName<ERunState>{ERunState::Planned, "planned"},     EnumName<ERunState>{ERunState::Writing, "writing"},
+	EnumName<ERunState>{ERunState::Starting, "starting"},   EnumName<ERunState>{ERunState::Confirmed, "confirmed"},
+	EnumName<ERunState>{ERunState::Doubtful, "doubtful"},   EnumName<ERunState>{ERunState::Inherited, "inherited"},
+	EnumName<ERunState>{ERunState::Stopping, "stopping"},
+};
+
+/// A run names a task and a number.
+struct RunId
+{
+	TaskId task;
+	uint32 run = 0;
+
+	auto operator<=>(const RunId &) const = default;
+	bool operator==(const RunId &) const = default;
+};
+
+/// A run that takes room on a worker.
+struct Run
+{
+	ERunState state = ERunState::Planned;
+	Resources room;            ///< What it takes; no processor time for a task that fills.
+	bool serves = false;       ///< Lasting and with a target.
+	bool fills = false;
+	bool lasting = false;
+	Millis since = 0;          ///< When it came into its state.
+	Millis confirmed_at = -1;  ///< When the worker was known to have it.
+	bool stop_sent = false;    ///< An order to stop is under way.
+	Millis stop_acked_at = -1; ///< When the worker took the stop; -1: not yet.
+	Millis next_stop_at = 0;
+	bool told_by_us = false;   ///< Whether its loss was our own act (a stop of ours).
+	int64 percent = 0;
+	int64 figure = 0;          ///< See RunningRow.
+	int64 pace = 100;          ///< Share at which it was told to work.
+	bool pace_sent = false;
+	std::string ticket;
+};
+
+/// A worker of the cell.
+struct CellWorker
+{
+	WorkerEntry entry;
+	bool listed = true;   ///< Whether the host list shows it now.
+	bool gone = false;    ///< Its life is known to be over.
+	std::map<RunId, Run> runs; ///< Invariant: every run here is in its task's record and the other way round.
+	Resources used;            ///< Sum of the runs' room.
+	Millis clock_ms = -1;      ///< Its clock when last heard,
+	Millis clock_at = 0;       ///< and our clock when the answer came: the worker's has gone on since.
+	Millis lease_over_at = 0;  ///< By then, on our clock, everything told to it has lapsed unless extended anew.
+	bool hold_sent = false;
+	Millis next_hold_at = 0;
+	Millis last_answer_at = -1;
+	bool reachable = false; ///< Whether the last order was answered.
+	uint64 noted = 0;     ///< Highest end that the jobs' records have taken in.
+	uint64 writing = 0;   ///< As much of it as the append under way holds.
+	uint64 last_seen = 0; ///< As much of it as the log holds: may be told to the worker.
+	Millis refuse_until = 0;    ///< It refused; nothing new until then.
+	Millis quarantine_until = 0;
+	uint32 failures_in_row = 0; ///< Runs ended as failed there with none done in between.
+	Millis vacate_until = 0;    ///< It is being emptied for maintenance; nothing new until then.
+	Millis paced_at = 0;
+
+	/// What is free.
+	Resources Free() const
+	{
+		Resources free = this->entry.capacity;
+		free.Subtract(this->used);
+		return free;
+	}
+	/// Its clock now, as a lower bound.
+	Millis ClockAt(Millis inNow) const { return this->clock_ms + (inNow - this->clock_at) * (1000 - cClockSlackPerMille) / 1000; }
+};
+
+/// What is remembered of a task beside its record.
+struct TaskMemory
+{
+	Millis not_before = 0;      ///< Nothing is started earlier.
+	Millis away_since = 0;      ///< Lasting: since when it is not at work.
+	bool away_by_us = false;    ///< Lasting: whether that was our act.
+	std::string last_worker;    ///< Where it failed last.
+};
+
+/// One job of the cell.
+struct CellJob
+{
+	JobSpec spec;
+	JobRecord record;
+	std::vector<std::vector<TaskMemory>> memory; ///< As record.steps.
+	EJobPhase shown = EJobPhase::Queued;   ///< The phase that the log holds: what callers are told.
+	EJobPhase writing = EJobPhase::Queued; ///< The phase in the append under way.
+	bool spec_logged = false;
+	bool spec_writing = false;
+	bool dirty = false;
+	bool in_batch = false;
+	bool canceled = false;
+	Millis arrived_at = 0;
+	uint32 waiting = 0; ///< Upper bound of tasks that could be started; 0 skips the job when planning.
+	std::map<size_t, StepAdvice> advice; ///< By number of a step's record; queues with a policy only.
+
+	/// Number of a step's record.
+	size_t Unit(uint32 inRound, uint32 inStep) const { return static_cast<size_t>(inRound) * this->spec.steps.size() + inStep; }
+	const StepSpec &StepOf(size_t inUnit) const { return this->spec.steps[inUnit % this->spec.steps.size()]; }
+};
+
+/// A record for the cell's log: the newest of a key counts; an empty value removes the key.
+struct KeyedRecord
+{
+	std::string key;
+	std::string value;
+};
+
+/// What an entry host puts into a cell's inbox.
+enum class EInbox : uint8
+{
+	Submit,
+	Cancel
+};
+
+struct InboxRecord
+{
+	EInbox kind = EInbox::Submit;
+	JobSpec spec; ///< Cancel: only id and queue.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->kind, this->spec);
+	}
+};
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -0,0 +1,147 @@
+// Reads the entry host's configuration by one table of keys.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Error.h>
+#include <Loomreach/Settings/JobHostConfig.h>
+#include <Loomreach/Settings/TomlReader.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+/// A key whose value is a whole number.
+struct NumberKey
+{
+	std::string_view name;
+	int64 JobHostConfig::*member;
+	int64 min;
+	int64 max;
+};
+
+/// A key whose value is text.
+struct TextKey
+{
+	std::string_view name;
+	std::string JobHostConfig::*member;
+};
+
+/// A key whose value is "ip:port".
+struct AddressKey
+{
+	std::string_view name;
+	Address JobHostConfig::*member;
+};
+
+constexpr std::array cNumberKeys = {
+	NumberKey{"metrics_port", &JobHostConfig::metrics_port, 0, 65535},
+	NumberKey{"log_parts", &JobHostConfig::log_parts, 1, 1024},
+	NumberKey{"worker_lease_ms", &JobHostConfig::worker_lease_ms, 500, 60'000},
+	NumberKey{"worker_most_lease_ms", &JobHostConfig::worker_most_lease_ms, 500, 600'000},
+	NumberKey{"notice_ms", &JobHostConfig::notice_ms, 0, 600'000},
+	NumberKey{"maintenance_ms", &JobHostConfig::maintenance_ms, 0, 86'400'000},
+	NumberKey{"owner_lease_ms", &JobHostConfig::owner_lease_ms, 500, 60'000},
+	NumberKey{"owner_slack_ms", &JobHostConfig::owner_slack_ms, 50, 10'000},
+	NumberKey{"keep_ended_ms", &JobHostConfig::keep_ended_ms, 1000, 86'400'000},
+	NumberKey{"duties_per_s", &JobHostConfig::duties_per_s, 1, 10'000},
+};
+
+constexpr std::array cTextKeys = {
+	TextKey{"name", &JobHostConfig::name},
+	TextKey{"availability_zone", &JobHostConfig::availability_zone},
+};
+
+constexpr std::array cAddressKeys = {
+	AddressKey{"callers", &JobHostConfig::callers}, AddressKey{"ready", &JobHostConfig::ready},
+	AddressKey{"peers", &JobHostConfig::peers},     AddressKey{"store", &JobHostConfig::store},
+	AddressKey{"machines", &JobHostConfig::machines},
+};
+
+/// Reads one document.
+class JobConfigReader
+{
+public:
+	explicit JobConfigReader(std::string_view inFile) : file(inFile) {}
+
+	std::optional<JobHostConfig> Read(const toml::table &inDocument)
+	{
+		for (auto &&[key, value] : inDocument)
+			if (!this->ReadKey(key, value))
+				return std::nullopt;
+		for (const TextKey &key : cTextKeys)
+			if ((this->config.*key.member).empty())
+				return Fail(EError::BadConfig, std::string(this->file) + ": '" + std::string(key.name) + "' is missing");
+		for (const AddressKey &key : cAddressKeys)
+			if ((this->config.*key.member).port == 0)
+				return Fail(EError::BadConfig, std::string(this->file) + ": '" + std::string(key.name) + "' is missing");
+		if (this->config.worker_lease_ms > this->config.worker_most_lease_ms)
+			return Fail(EError::BadConfig, std::string(this->file) + ": worker_lease_ms is above worker_most_lease_ms");
+		if (this->config.owner_slack_ms * 2 >= this->config.owner_lease_ms)
+			return Fail(EError::BadConfig, std::string(this->file) + ": owner_slack_ms leaves no lease");
+		return this->config;
+	}
+
+private:
+	bool Wrong(const toml::source_region &inWhere, const std::string &inWhat)
+	{
+		return FailFalse(EError::BadConfig, PositionOf(inWhere, this->file) + ": " + inWhat);
+	}
+
+	bool ReadKey(const toml::key &inKey, const toml::node &inValue)
+	{
+		const std::string_view name = inKey.str();
+		for (const NumberKey &key : cNumberKeys)
+			if (key.name == name)
+				return this->ReadNumber(key, inValue);
+		const std::optional<std::string> text = inValue.value<std::string>();
+		for (const TextKey &key : cTextKeys)
+			if (key.name == name)
+			{
+				this->config.*key.member = text.value_or("");
+				return text.has_value() || this->Wrong(inValue.source(), std::string(name) + " must be text");
+			}
+		for (const AddressKey &key : cAddressKeys)
+			if (key.name == name)
+			{
+				const std::optional<Address> address = ParseAddress(text.value_or(""));
+				this->config.*key.member = address.value_or(Address());
+				return address.has_value() || this->Wrong(inValue.source(), std::string(name) + " must be \"ip:port\"");
+			}
+		if (name != "adviser")
+			return this->Wrong(inKey.source(), "unknown key '" + std::string(name) + "'");
+		// Empty: there is none
+		if (text.value_or("").empty())
+			return true;
+		this->config.adviser = ParseAddress(*text);
+		return this->config.adviser.has_value() || this->Wrong(inValue.source(), "adviser must be \"ip:port\"");
+	}
+
+	bool ReadNumber(const NumberKey &inKey, const toml::node &inValue)
+	{
+		// The platform writes whole numbers and fractions alike
+		const std::optional<double> number = inValue.value<double>();
+		const bool fits = number.has_value() && *number >= static_cast<double>(inKey.min) && *number <= static_cast<double>(inKey.max);
+		if (!fits)
+			return this->Wrong(inValue.source(), std::string(inKey.name) + " must be from " + std::to_string(inKey.min) + " to " +
+													 std::to_string(inKey.max));
+		this->config.*inKey.member = static_cast<int64>(*number);
+		return true;
+	}
+
+	std::string_view file;
+	JobHostConfig config;
+};
+
+} // namespace
+
+std::optional<JobHostConfig> ParseJobHostConfig(std::string_view inText, std::string_view inFile)
+{
+	const std::optional<toml::table> document = ParseToml(inText, inFile, EError::BadConfig);
+	if (!document.has_value())
+		return std::nullopt;
+	return JobConfigReader(inFile).Read(*document);
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -0,0 +1,36 @@
+// The configuration file of an entry host that takes jobs: addresses, limits, times. Every key is checked.
+
+#pragma once
+
+#include <Loomreach/Settings/DaemonConfig.h>
+
+namespace Loomreach::Jobs
+{
+
+/// What one entry host is told by its file. Times in ms.
+struct JobHostConfig
+{
+	std::string name;
+	std::string availability_zone;
+	Address callers;  ///< Listener for callers.
+	Address ready;    ///< Listener for the balancer's question.
+	Address peers;    ///< UDP address for other entry hosts' questions.
+	Address store;    ///< The platform's log.
+	Address machines; ///< The platform's machine service.
+	std::optional<Address> adviser;
+	int64 metrics_port = 0;       ///< 0: none.
+	int64 log_parts = 8;          ///< Partitions of a topic.
+	int64 worker_lease_ms = 4000; ///< Lease given to workers' runs.
+	int64 worker_most_lease_ms = 10000; ///< The longest that workers grant.
+	int64 notice_ms = 4500;
+	int64 maintenance_ms = 2000;  ///< A host's maintenance takes this.
+	int64 owner_lease_ms = 2000;
+	int64 owner_slack_ms = 300;
+	int64 keep_ended_ms = 120000; ///< Ended jobs are shown at least this long.
+	int64 duties_per_s = 16;      ///< Orders to hosts a second, all entry hosts together.
+};
+
+/// Parses and checks the file's text.
+std::optional<JobHostConfig> ParseJobHostConfig(std::string_view inText, std::string_view inFile);
+
+} // namespace Loomreach::Jobs
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -5,6 +5,8 @@
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Entry/EntryHost.h>
+#include <Loomreach/Entry/JobHost.h>
+#include <platform/PlatformHub.h>
 
 #include <csignal>
 #include <cstdio>
@@ -14,6 +16,7 @@
 #include <glib-unix.h>
 
 DEFINE_string(config, "", "The daemon's configuration file (TOML).");
+DEFINE_string(jobs_config_env, "", "Take jobs on the platform; the named variable of the environment holds the path of the configuration (TOML).");
 DEFINE_bool(check_config, false, "Check the configuration and exit.");
 
 namespace
@@ -49,6 +52,63 @@
 	return G_SOURCE_CONTINUE;
 }
 
+/// The running process when it takes jobs on the platform.
+struct JobProgram
+{
+	Jobs::JobHost<Jobs::Platform::PlatformHub> *host = nullptr;
+	GMainLoop *loop = nullptr;
+	bool stopping = false;
+};
+
+gboolean OnJobSignal(gpointer inProgram)
+{
+	JobProgram *program = static_cast<JobProgram *>(inProgram);
+	if (program->stopping)
+		return G_SOURCE_CONTINUE;
+	program->stopping = true;
+	program->host->Stop([program] { g_main_loop_quit(program->loop); });
+	return G_SOURCE_CONTINUE;
+}
+
+/// The settings hold nothing that can change under a running process; what the platform adds is read at the next start.
+gboolean OnJobReload(gpointer)
+{
+	LogPlain(ELogLevel::Info, "reload");
+	return G_SOURCE_CONTINUE;
+}
+
+std::optional<Jobs::JobHostConfig> ReadJobConfig()
+{
+	const char *path = std::getenv(FLAGS_jobs_config_env.c_str());
+	if (path == nullptr)
+		return Fail(EError::BadConfig, "the variable " + FLAGS_jobs_config_env + " is not set");
+	const std::optional<std::string> text = ReadFile(path);
+	if (!text.has_value())
+		return std::nullopt;
+	return Jobs::ParseJobHostConfig(*text, path);
+}
+
+int RunJobs(const char *inProgram)
+{
+	std::optional<Jobs::JobHostConfig> config = ReadJobConfig();
+	if (!config.has_value())
+		return PrintError();
+	if (FLAGS_check_config)
+		return 0;
+	StartLogging(inProgram);
+	std::signal(SIGPIPE, SIG_IGN);
+	Jobs::JobHost<Jobs::Platform::PlatformHub> host(std::move(*config));
+	if (!host.Start())
+		return PrintError();
+	JobProgram program{&host, g_main_loop_new(nullptr, FALSE), false};
+	g_unix_signal_add(SIGTERM, &OnJobSignal, &program);
+	g_unix_signal_add(SIGINT, &OnJobSignal, &program);
+	g_unix_signal_add(SIGHUP, &OnJobReload, &program);
+	g_main_loop_run(program.loop);
+	g_main_loop_unref(program.loop);
+	return 0;
+}
+
 std::optional<DaemonConfig> ReadConfig()
 {
 	if (FLAGS_config.empty())
@@ -69,6 +129,8 @@
 	gflags::SetUsageMessage("One entry host of loomreach.\n  loomreachd --config=FILE [--check_config]");
 	gflags::SetVersionString("0.1.0");
 	gflags::ParseCommandLineFlags(&argc, &argv, true);
+	if (!FLAGS_jobs_config_env.empty())
+		return RunJobs(argv[0]);
 	std::optional<DaemonConfig> config = ReadConfig();
 	if (!config.has_value())
 		return PrintError();
