--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -77,7 +77,7 @@
 template <JobLog Log>
 void OwnedLog<Log>::TryClaim()
 {
-	// Our own claim, whose answer was lost
+	// Our own claim is in the log
 	if (this->epoch != 0 && this->seen.life == this->life && this->seen.epoch == this->epoch)
 	{
 		this->number = 1;
@@ -97,14 +97,9 @@
 	this->log.Append(call, this->Guard(
 							   [this](const AppendAnswer &inAnswer)
 							   {
-								   if (inAnswer.result == EAppend::Done)
-								   {
-									   this->number = 1;
-									   const OnClaimed done = std::move(this->on_claimed);
-									   return done(true, this->records);
-								   }
-								   // Whatever it was, the log tells: read on and judge anew
-								   this->again.Once(cLogAgainMs, [this] { this->ReadRest(this->end); });
+								   // Only the log tells who won: a challenger with the same epoch and number is given the winner's answer
+								   const bool answered = inAnswer.result == EAppend::Done;
+								   this->again.Once(answered ? 0 : cLogAgainMs, [this] { this->ReadRest(this->end); });
 							   }));
 }
 
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -97,6 +97,9 @@
 	pending->message.reset(message);
 	pending->cancellable.reset(g_cancellable_new());
 	soup_message_add_flags(message, SOUP_MESSAGE_COLLECT_METRICS);
+	// libsoup opens a new connection for each POST that it may not repeat
+	if (inCall.repeatable)
+		soup_message_add_flags(message, SOUP_MESSAGE_IDEMPOTENT);
 	if (!inCall.body.empty())
 	{
 		GBytes *bytes = g_bytes_new(inCall.body.data(), inCall.body.size());
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -32,6 +32,7 @@
 	std::string content_type = "application/json";
 	std::vector<std::pair<std::string, std::string>> headers;
 	Millis timeout_ms = 3000;
+	bool repeatable = false; ///< Doing it twice is doing it once: it may go over a kept connection, and again if that turns out closed.
 };
 
 /// Makes calls on the main context. Calls that are under way when it is destroyed never call back.
