--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -5,7 +5,7 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cStepGapMs = 6;     ///< News that comes together is decided on together.
+inline constexpr Millis cStepGapMs = 10;    ///< News that comes together is decided on together.
 inline constexpr Millis cTickMs = 50;       ///< Timers of the cell are this coarse.
 inline constexpr Millis cAppendGapMs = 25;  ///< Between two appends: each is a call that is paid for.
 inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
@@ -185,8 +185,9 @@
 template <class Hub>
 void CellSeat<Hub>::SendOrders()
 {
-	for (const Order &order : this->cell.TakeOrders(NowMillis()))
+	for (Order &order : this->cell.TakeOrders(NowMillis()))
 	{
+		order.not_after = this->context.lease.Until();
 		// The clock is looked at before each order: the process may have stood still since the last
 		const Millis sent_at = NowMillis();
 		if (!this->held || !this->context.lease.MayAct(sent_at))
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -124,6 +124,7 @@
 	{
 		duty.holder = this->context.config.name;
 		duty.token = this->log.Epoch();
+		duty.not_after = this->context.lease.Until();
 		if (!this->context.lease.MayAct(NowMillis()))
 		{
 			this->planner.OnDuty(duty, EDutyResult::Refused, inNow);
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -81,8 +81,7 @@
 	std::unique_ptr<FleetSeat<Hub>> fleet;
 	std::vector<uint32> lost_seats; ///< Dropped at the next tick, not within their own calls.
 	bool beat_under_way = false;
-	bool beat_wanted = false;
-	bool beat_cells = false; ///< Whether the last acknowledged heartbeat told of cells.
+	bool cells_free = false; ///< Whether any cell seemed free at the last look.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
 	Millis store_heard_at = -1; ///< When the store last answered a read.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -211,7 +211,7 @@
 								   }
 								   this->ConsiderClaims();
 							   }
-							   const bool close = this->beat_wanted || !inAnswer.good;
+							   const bool close = this->cells_free || !inAnswer.good;
 							   this->hosts_timer.Once(close ? cHostsClaimMs : cHostsEveryMs, [this] { this->PollHosts(); });
 						   });
 }
@@ -219,28 +219,21 @@
 template <class Hub>
 void JobHost<Hub>::ConsiderClaims()
 {
-	this->beat_wanted = false;
+	this->cells_free = false;
 	if (this->catalogue == nullptr || this->stopping)
 		return;
 	const Millis now = NowMillis();
 	std::set<uint32> cells{cFleetCell};
 	for (const auto &[name, pool] : this->catalogue->pools)
 		cells.insert(CellOf(name, this->Parts()));
+	std::erase_if(cells, [this](uint32 inCell) { return inCell == cFleetCell ? this->fleet != nullptr : this->seats.contains(inCell); });
 	for (uint32 cell : cells)
+		this->cells_free = this->cells_free || this->owners.IsFree(cell, now);
+	// A lease of one's own comes first
+	if (!this->lease.MayAct(now))
+		return;
+	for (uint32 cell : this->owners.ToClaim(cells, now))
 	{
-		const bool mine = cell == cFleetCell ? this->fleet != nullptr : this->seats.contains(cell);
-		if (mine || !this->owners.IsFree(cell, now))
-			continue;
-		this->beat_wanted = true;
-		const uint64 draw = HashBytes(this->config.name, cell ^ this->life);
-		if (!this->owners.ShouldClaim(cell, this->Owned(), draw, now))
-			continue;
-		// A lease of one's own comes first
-		if (!this->lease.MayAct(now))
-		{
-			this->Beat();
-			continue;
-		}
 		this->owners.PutOff(cell, now);
 		if (cell == cFleetCell)
 			this->ClaimFleet();
@@ -300,6 +293,8 @@
 	beat.life = this->life;
 	beat.number = ++this->beat_number;
 	beat.address = this->config.peers;
+	beat.weight = static_cast<uint32>(this->config.processor_milli);
+	beat.claims = !this->stopping;
 	if (!this->stopping)
 	{
 		for (const auto &[cell, seat] : this->seats)
@@ -316,14 +311,12 @@
 	const Millis sent_at = NowMillis();
 	this->beat_sent_at = sent_at;
 	this->beat_under_way = true;
-	const bool cells = !beat.cells.empty();
 	this->hub.store.Append(call,
-						   [this, sent_at, cells](const AppendAnswer &inAnswer)
+						   [this, sent_at](const AppendAnswer &inAnswer)
 						   {
 							   this->beat_under_way = false;
 							   if (inAnswer.result != EAppend::Done)
 								   return;
-							   this->beat_cells = cells;
 							   const bool kept = this->lease.OnAcknowledged(sent_at, NowMillis());
 							   if (!kept && this->Owned() > 0)
 								   this->DropSeats("heartbeat acknowledged too late");
@@ -352,8 +345,8 @@
 	}
 	if (this->Owned() > 0 && !this->lease.MayAct(now))
 		this->DropSeats("lease over");
-	const bool needs_beat = (this->Owned() > 0 || this->beat_cells) && now - this->beat_sent_at >= this->lease_tuning.beat_ms;
-	if (needs_beat)
+	// Also without cells: a host that is heard of may take over at once
+	if (now - this->beat_sent_at >= this->lease_tuning.beat_ms)
 		this->Beat();
 	const bool heard = this->store_heard_at >= 0 && now - this->store_heard_at <= cStoreSilentMs;
 	if (heard != this->store_heard)
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -48,6 +48,7 @@
 	int64 wave = 0;   ///< Maintain: of which wave.
 	std::string holder;
 	uint64 token = 0;
+	Millis not_after = 0; ///< End of the sender's ownership: later it must not leave.
 };
 
 /// How an order to a host came out.
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/Hash.h>
 #include <Loomreach/Ownership/OwnerTable.h>
 
 namespace Loomreach::Jobs
@@ -60,17 +61,37 @@
 	return beaten >= claim->second.epoch || heard_later || inNow - claim->second.at > this->tuning.lease_ms;
 }
 
-bool OwnerTable::ShouldClaim(uint32 inCell, size_t inOwned, uint64 inDraw, Millis inNow)
+std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow)
 {
-	if (!this->IsFree(inCell, inNow))
+	// Cells of each host that is at work, and what free cells would add to it
+	std::map<std::string, uint64> load;
+	for (const auto &[name, heard] : this->hosts)
+		if (heard.beat.claims && inNow - heard.at <= this->tuning.lease_ms)
+			load[name] = heard.beat.cells.size();
+	std::vector<uint32> wanted;
+	for (uint32 cell : inCells)
 	{
-		this->free_since.erase(inCell);
-		return false;
+		if (!this->IsFree(cell, inNow))
+		{
+			this->free_since.erase(cell);
+			continue;
+		}
+		using Place = std::tuple<double, uint64, std::string>;
+		std::vector<Place> order;
+		for (const auto &[name, cells] : load)
+			order.emplace_back(static_cast<double>(cells + 1) / std::max<uint32>(this->hosts.at(name).beat.weight, 1),
+							   RendezvousWeight(std::to_string(cell), name), name);
+		std::sort(order.begin(), order.end());
+		size_t rank = 0;
+		while (rank < order.size() && std::get<std::string>(order[rank]) != this->self)
+			++rank;
+		if (!order.empty())
+			++load[std::get<std::string>(order[0])];
+		const Millis since = this->free_since.try_emplace(cell, inNow).first->second;
+		if (rank < order.size() && inNow - since >= static_cast<Millis>(rank) * this->tuning.rank_ms)
+			wanted.push_back(cell);
 	}
-	auto [since, is_new] = this->free_since.try_emplace(inCell, inNow);
-	if (is_new)
-		this->claim_delay[inCell] = static_cast<Millis>(inDraw % static_cast<uint64>(this->tuning.jitter_ms));
-	return inNow - since->second >= this->claim_delay[inCell] + static_cast<Millis>(inOwned) * this->tuning.spread_ms;
+	return wanted;
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -17,8 +17,7 @@
 	Millis lease_ms = 2000;   ///< Setting `owner_lease_ms`.
 	Millis slack_ms = 300;    ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
 	Millis beat_ms = 500;     ///< Between heartbeats of an owner.
-	Millis spread_ms = 250;   ///< A challenger waits longer for each cell it has already, so that cells spread,
-	Millis jitter_ms = 120;   ///< and up to this much by chance.
+	Millis rank_ms = 350;     ///< A challenger waits this long for each host that comes before it.
 };
 
 /// A cell that a host owns.
@@ -41,12 +40,14 @@
 	uint64 life = 0;   ///< Differs from start to start of a process.
 	uint64 number = 0; ///< Rises within a life.
 	Address address;   ///< For questions of other entry hosts.
+	uint32 weight = 1; ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
+	bool claims = true; ///< Whether it takes cells at all; not when it is stopping.
 	std::vector<OwnedCell> cells;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->host, this->life, this->number, this->address, this->cells);
+		ioArchive(this->host, this->life, this->number, this->address, this->weight, this->claims, this->cells);
 	}
 };
 
@@ -72,9 +73,10 @@
 	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
-	/// Whether to claim a free cell now. `inOwned`: how many this host has already; `inDraw`: a random number.
-	bool ShouldClaim(uint32 inCell, size_t inOwned, uint64 inDraw, Millis inNow);
-	/// Forgets since when cells are free, after a claim was lost.
+	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
+	/// with the fewest cells for their size first. The first claims at once, each next one a little later.
+	std::vector<uint32> ToClaim(const std::set<uint32> &inCells, Millis inNow);
+	/// Waits anew for a cell, after a claim was lost.
 	void PutOff(uint32 inCell, Millis inNow) { this->free_since[inCell] = inNow; }
 
 private:
@@ -97,7 +99,6 @@
 	std::map<std::string, Heard> hosts;
 	std::map<uint32, ClaimSeen> claims;
 	std::map<uint32, Millis> free_since;
-	std::map<uint32, Millis> claim_delay;
 };
 
 /// The own lease: until when this process may act.
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/Clock.h>
 #include <Loomreach/Platform/HttpClient.h>
 
 namespace Loomreach
@@ -18,6 +19,8 @@
 	ObjectPtr<SoupMessage> message;
 	ObjectPtr<GCancellable> cancellable;
 	guint timeout = 0;
+	Millis not_after = 0;
+	bool too_late = false;
 };
 
 HttpClient::HttpClient(int inPerHost)
@@ -33,6 +36,16 @@
 	soup_session_abort(this->session.get());
 }
 
+/// Just before a request's first byte: the process may have stood still since the call was made.
+static void StopIfLate(SoupMessage *, gpointer inPending)
+{
+	HttpClient::Pending *pending = static_cast<HttpClient::Pending *>(inPending);
+	if (NowMillis() <= pending->not_after)
+		return;
+	pending->too_late = true;
+	g_cancellable_cancel(pending->cancellable.get());
+}
+
 gboolean HttpClient::OnTimeout(gpointer inPending)
 {
 	Pending *pending = static_cast<Pending *>(inPending);
@@ -64,7 +77,7 @@
 		// Without a start of the request its first byte never left
 		SoupMessageMetrics *sent = soup_message_get_metrics(pending->message.get());
 		const bool never_began = sent != nullptr && soup_message_metrics_get_request_start(sent) == 0;
-		result.refused = never_began || error.Is(G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
+		result.refused = never_began || pending->too_late || error.Is(G_IO_ERROR, G_IO_ERROR_CONNECTION_REFUSED);
 		result.error = error.Text();
 	}
 	if (*pending->alive)
@@ -110,6 +123,11 @@
 		soup_message_headers_replace(soup_message_get_request_headers(message), name.c_str(), value.c_str());
 	Pending *raw = pending.release();
 	raw->timeout = g_timeout_add(static_cast<guint>(inCall.timeout_ms), &HttpClient::OnTimeout, raw);
+	if (inCall.not_after > 0)
+	{
+		raw->not_after = inCall.not_after;
+		g_signal_connect(message, "starting", G_CALLBACK(&StopIfLate), raw);
+	}
 	soup_session_send_and_read_async(this->session.get(), message, G_PRIORITY_DEFAULT, raw->cancellable.get(), &HttpClient::OnSent, raw);
 }
 
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -32,6 +32,7 @@
 	std::string content_type = "application/json";
 	std::vector<std::pair<std::string, std::string>> headers;
 	Millis timeout_ms = 3000;
+	Millis not_after = 0;    ///< On the process's clock: a request that could not be sent by then is not sent any more; 0: no bound.
 	bool repeatable = false; ///< Doing it twice is doing it once: it may go over a kept connection, and again if that turns out closed.
 };
 
@@ -52,8 +53,9 @@
 	/// Bytes of HTTP sent and received, heads included, of calls that were answered.
 	uint64 Bytes() const { return this->bytes; }
 
-private:
 	struct Pending;
+
+private:
 	static void OnSent(GObject *inSession, GAsyncResult *inResult, gpointer inPending);
 	static gboolean OnTimeout(gpointer inPending);
 
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -15,6 +15,8 @@
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
 static constexpr std::string_view cCursorKey = "c";
+/// Ended jobs are looked through this often.
+static constexpr int64 cForgetEveryMs = 5000;
 
 bool Cell::Restore(std::string_view inKey, std::string_view inValue)
 {
@@ -71,6 +73,8 @@
 		job.writing = job.shown;
 		job.arrived_at = inNow;
 		this->InheritRuns(job, inNow);
+		if (!IsFinal(job.record.phase))
+			this->active.insert(it->first);
 		++it;
 	}
 }
@@ -173,7 +177,11 @@
 
 void Cell::Touch(CellJob &ioJob)
 {
-	ioJob.dirty = true;
+	this->dirty.insert(ioJob.spec.id);
+	if (IsFinal(ioJob.record.phase))
+		this->active.erase(ioJob.spec.id);
+	else
+		this->active.insert(ioJob.spec.id);
 	this->news = true;
 }
 
@@ -224,10 +232,14 @@
 
 void Cell::ForgetEnded(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
 {
+	if (inWallNow - this->forgot_wall_ms < cForgetEveryMs)
+		return;
+	this->forgot_wall_ms = inWallNow;
 	for (auto it = this->jobs.begin(); it != this->jobs.end();)
 	{
 		const CellJob &job = it->second;
-		const bool old = IsFinal(job.shown) && !job.dirty && !job.in_batch && inWallNow - job.record.ended_wall_ms > this->tuning.keep_ended_ms;
+		const bool in_use = this->dirty.contains(it->first) || this->in_batch.contains(it->first);
+		const bool old = IsFinal(job.shown) && !in_use && inWallNow - job.record.ended_wall_ms > this->tuning.keep_ended_ms;
 		if (!old)
 		{
 			++it;
@@ -243,18 +255,16 @@
 {
 	LOOM_INVARIANT(!this->batch_under_way, "one append at a time, or records could pass one another");
 	std::vector<KeyedRecord> batch;
-	for (auto &[id, job] : this->jobs)
+	this->in_batch = std::exchange(this->dirty, {});
+	for (const std::string &id : this->in_batch)
 	{
-		if (!job.dirty)
-			continue;
+		CellJob &job = *this->FindJob(id);
 		if (IsFinal(job.record.phase) && job.record.ended_wall_ms == 0)
 			job.record.ended_wall_ms = inWallNow;
 		if (!job.spec_logged)
 			batch.push_back({cSpecKey + id, EncodeValue(job.spec)});
 		job.spec_writing = !job.spec_logged;
 		batch.push_back({cStateKey + id, EncodeValue(job.record)});
-		job.dirty = false;
-		job.in_batch = true;
 		job.writing = job.record.phase;
 	}
 	this->ForgetEnded(inWallNow, batch);
@@ -281,11 +291,9 @@
 	this->now = inNow;
 	this->batch_under_way = false;
 	this->inbox_logged = this->inbox_writing;
-	for (auto &[id, job] : this->jobs)
+	for (const std::string &id : std::exchange(this->in_batch, {}))
 	{
-		if (!job.in_batch)
-			continue;
-		job.in_batch = false;
+		CellJob &job = *this->FindJob(id);
 		job.spec_logged = job.spec_logged || job.spec_writing;
 		if (job.shown != job.writing)
 			LogEvent(ELogLevel::Info, "job_shown").Field("request", id).Field("phase", NameOf(cJobPhaseNames, job.writing));
@@ -323,9 +331,11 @@
 uint32 Cell::Waiting(std::string_view inQueue) const
 {
 	uint32 waiting = 0;
-	for (const auto &[id, job] : this->jobs)
-		if (job.spec.queue == inQueue && !job.record.begun && !IsFinal(job.record.phase))
-			++waiting;
+	for (const std::string &id : this->active)
+	{
+		const CellJob &job = this->jobs.at(id);
+		waiting += job.spec.queue == inQueue && !job.record.begun ? 1 : 0;
+	}
 	return waiting;
 }
 
@@ -333,8 +343,7 @@
 {
 	CellFigures figures;
 	figures.jobs = this->jobs.size();
-	for (const auto &[id, job] : this->jobs)
-		figures.active += IsFinal(job.record.phase) ? 0 : 1;
+	figures.active = this->active.size();
 	for (const auto &[id, worker] : this->workers)
 	{
 		figures.workers += worker.listed ? 1 : 0;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -31,6 +31,13 @@
 	size_t workers = 0;
 };
 
+/// A task that found no place in the planning under way: no task of the pool that asks for as much will find one.
+struct PlanReject
+{
+	std::string_view pool;
+	Resources room;
+};
+
 /// One cell. See the head of the file.
 class Cell
 {
@@ -129,6 +136,11 @@
 	uint64 epoch = 0;
 	std::shared_ptr<const Catalogue> catalogue;
 	std::map<std::string, CellJob> jobs;
+	std::set<std::string> active; ///< Jobs whose phase is not final.
+	std::set<std::string> dirty;  ///< Jobs that the log does not hold as they are.
+	std::set<std::string> in_batch; ///< Jobs in the append under way.
+	std::vector<PlanReject> rejects; ///< Of the planning under way.
+	int64 forgot_wall_ms = 0;     ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
 	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -76,9 +76,12 @@
 		this->PlanPaces(worker, inNow);
 	}
 	std::vector<PlanPlace> order;
-	for (auto &[id, job] : this->jobs)
-		if (!IsFinal(job.record.phase))
-			order.push_back({job.spec.priority, DueWall(job.spec), &job});
+	this->rejects.clear();
+	for (const std::string &id : this->active)
+	{
+		CellJob &job = *this->FindJob(id);
+		order.push_back({job.spec.priority, DueWall(job.spec), &job});
+	}
 	std::sort(order.begin(), order.end());
 	for (const PlanPlace &place : order)
 		this->PlanJob(*place.job, inNow, inWallNow);
@@ -282,12 +285,18 @@
 	Resources room = step.need;
 	if (step.fills)
 		room.cpu_milli = 0;
+	// Something as small has been tried for this pool already
+	for (const PlanReject &reject : this->rejects)
+		if (reject.pool == inJob.spec.pool && reject.room.FitsInto(room))
+			return nullptr;
 	CellWorker *best = nullptr;
+	bool any_fits = false;
 	double best_score = 0.0;
 	for (auto &[id, worker] : this->workers)
 	{
 		if (worker.entry.pool != inJob.spec.pool || !this->CanTake(worker, inNow) || !room.FitsInto(worker.Free()))
 			continue;
+		any_fits = true;
 		const std::vector<std::string> &labels = worker.entry.labels;
 		if (!step.needs_label.empty() && std::find(labels.begin(), labels.end(), step.needs_label) == labels.end())
 			continue;
@@ -306,6 +315,8 @@
 		best = &worker;
 		best_score = score;
 	}
+	if (!any_fits)
+		this->rejects.push_back({inJob.spec.pool, room});
 	return best;
 }
 
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -132,11 +132,7 @@
 	EJobPhase writing = EJobPhase::Queued; ///< The phase in the append under way.
 	bool spec_logged = false;
 	bool spec_writing = false;
-	bool dirty = false;
-	bool in_batch = false;
-	bool canceled = false;
 	Millis arrived_at = 0;
-	uint32 waiting = 0; ///< Upper bound of tasks that could be started; 0 skips the job when planning.
 	std::map<size_t, StepAdvice> advice; ///< By number of a step's record; queues with a policy only.
 
 	/// Number of a step's record.
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -120,6 +120,7 @@
 	uint64 last_seen = 0; ///< Hold: ends up to this number are taken note of.
 	Millis wait_ms = 0;   ///< Hold: the answer waits this long for an end.
 	int64 percent = 100;  ///< Pace: the share at which the task is to work.
+	Millis not_after = 0; ///< End of the sender's ownership on its clock: later the order must not leave.
 };
 
 /// The answer to an order.
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr double cMostCores = 1024.0;
+
 /// A key whose value is a whole number.
 struct NumberKey
 {
@@ -109,6 +111,8 @@
 				this->config.*key.member = address.value_or(Address());
 				return address.has_value() || this->Wrong(inValue.source(), std::string(name) + " must be \"ip:port\"");
 			}
+		if (name == "processor_share")
+			return this->ReadShare(inValue);
 		if (name != "adviser")
 			return this->Wrong(inKey.source(), "unknown key '" + std::string(name) + "'");
 		// Empty: there is none
@@ -130,6 +134,16 @@
 		return true;
 	}
 
+	/// A share of a core, as a fraction.
+	bool ReadShare(const toml::node &inValue)
+	{
+		const std::optional<double> share = inValue.value<double>();
+		if (!share.has_value() || *share <= 0.0 || *share > cMostCores)
+			return this->Wrong(inValue.source(), "processor_share must be above 0, in cores");
+		this->config.processor_milli = std::max<int64>(1, static_cast<int64>(*share * 1000.0));
+		return true;
+	}
+
 	std::string_view file;
 	JobHostConfig config;
 };
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -27,6 +27,7 @@
 	int64 owner_lease_ms = 2000;
 	int64 owner_slack_ms = 300;
 	int64 keep_ended_ms = 120000; ///< Ended jobs are shown at least this long.
+	int64 processor_milli = 1000; ///< Processor of this host, thousandths of a core.
 	int64 duties_per_s = 16;      ///< Orders to hosts a second, all entry hosts together.
 };
 
