--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include <Loomreach/Entry/CellSeat.h>
-#include <Loomreach/Fleet/Upkeep.h>
+#include <Loomreach/Fleet/PoolBalancer.h>
 
 namespace Loomreach::Jobs
 {
@@ -25,6 +25,7 @@
 	uint64 Epoch() const { return this->log.Epoch(); }
 	/// The waves that the operator has asked for.
 	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
+	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->balancer.SetPools(*inCatalogue); }
 	bool IsQuiet() const { return !this->log.IsBusy(); }
 
 private:
@@ -33,6 +34,7 @@
 	void Step();
 	void ListHosts();
 	void AskToEmpty(Millis inNow);
+	void AskDemands(Millis inNow);
 	void SendDuties(Millis inNow);
 	void WriteProgress();
 	void WriteStatus(int64 inWave, bool inCompleted);
@@ -52,12 +54,15 @@
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 	OwnedLog<Store> log;
 	UpkeepPlanner planner;
+	PoolBalancer balancer;
 	OnSeat on_seat;
 	bool held = false;
 	std::map<int64, std::set<std::string>> logged; ///< Hosts done, as the log holds it.
 	std::map<int64, bool> told;                    ///< Waves whose state the operator has been told: whether completed.
 	std::set<int64> telling;
 	std::set<std::string> asking; ///< Hosts whose pool's owner is being asked.
+	std::set<std::string> asking_pools;
+	Millis demands_at = 0;
 	bool listing = false;
 	Millis listed_at = 0;
 	Timer tick;
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -7,12 +7,15 @@
 inline constexpr Millis cListEveryMs = 400;   ///< While a wave is open; the service takes tens of reads a second.
 inline constexpr Millis cEmptyForMs = 1500;   ///< An emptied worker is kept empty this long after each question.
 inline constexpr Millis cAskOwnerMs = 400;
+inline constexpr Millis cDemandsEveryMs = 200; ///< Pools' needs are asked for this often; a move takes 1.5 s.
+inline constexpr uint32 cMostSpared = 40;      ///< Names of workers that fit one datagram.
 inline constexpr char cWaveKey = 'w';
 
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
 	: hub(inHub), context(inContext), ask(std::move(inAsk)),
-	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life), planner(UpkeepTuning{inContext.config.maintenance_ms})
+	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life), planner(UpkeepTuning{inContext.config.maintenance_ms}),
+	  balancer(BalanceTuning{})
 {
 }
 
@@ -64,11 +67,10 @@
 		return;
 	for (int64 wave : this->planner.Waves())
 		this->WriteStatus(wave, this->planner.IsCompleted(wave));
-	if (!this->planner.IsBusy())
-		return;
 	if (!this->listing && now - this->listed_at >= cListEveryMs)
 		this->ListHosts();
 	this->AskToEmpty(now);
+	this->AskDemands(now);
 	this->SendDuties(now);
 	this->WriteProgress();
 }
@@ -83,7 +85,10 @@
 			this->listing = false;
 			this->listed_at = NowMillis();
 			if (inHosts.has_value())
+			{
 				this->planner.SetHosts(*inHosts, this->listed_at);
+				this->balancer.SetHosts(*inHosts, this->planner.Busy(), this->listed_at);
+			}
 			else
 				LogPlain(ELogLevel::Warning, "hosts_not_listed");
 		}));
@@ -117,25 +122,55 @@
 	}
 }
 
+template <class Hub>
+void FleetSeat<Hub>::AskDemands(Millis inNow)
+{
+	if (inNow - this->demands_at < cDemandsEveryMs)
+		return;
+	this->demands_at = inNow;
+	for (const auto &[pool, spare] : this->balancer.ToAsk(inNow))
+	{
+		if (!this->asking_pools.insert(pool).second)
+			continue;
+		PeerQuestion question;
+		question.kind = EQuestion::Demand;
+		question.id = pool;
+		question.count = std::min(spare, cMostSpared);
+		question.for_ms = cEmptyForMs;
+		this->ask(pool, question,
+				  this->Guard(
+					  [this, name = pool, asked_at = inNow](const std::optional<PeerAnswer> &inAnswer)
+					  {
+						  this->asking_pools.erase(name);
+						  if (inAnswer.has_value() && inAnswer->owner)
+							  this->balancer.OnDemand(name, inAnswer->demand, asked_at);
+					  }));
+	}
+}
+
 template <class Hub>
 void FleetSeat<Hub>::SendDuties(Millis inNow)
 {
-	for (HostDuty &duty : this->planner.TakeDuties(inNow))
+	std::vector<HostDuty> duties = this->planner.TakeDuties(inNow);
+	for (HostDuty &move : this->balancer.TakeMoves(inNow))
+		duties.push_back(std::move(move));
+	for (HostDuty &duty : duties)
 	{
 		duty.holder = this->context.config.name;
 		duty.token = this->log.Epoch();
 		duty.not_after = this->context.lease.Until();
-		if (!this->context.lease.MayAct(NowMillis()))
+		const auto tell = [this, duty](EDutyResult inResult)
 		{
-			this->planner.OnDuty(duty, EDutyResult::Refused, inNow);
-			continue;
-		}
-		this->hub.machines.Send(duty, this->Guard(
-										  [this, duty](EDutyResult inResult)
-										  {
-											  this->context.metrics.Count(ECounter::Duties, NameOf(cDutyResultNames, inResult));
-											  this->planner.OnDuty(duty, inResult, NowMillis());
-										  }));
+			this->context.metrics.Count(ECounter::Duties, NameOf(cDutyResultNames, inResult));
+			if (duty.kind == EDuty::Move)
+				this->balancer.OnMove(duty, inResult, NowMillis());
+			else
+				this->planner.OnDuty(duty, inResult, NowMillis());
+		};
+		if (this->context.lease.MayAct(NowMillis()))
+			this->hub.machines.Send(duty, this->Guard(tell));
+		else
+			tell(EDutyResult::Refused);
 	}
 }
 
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -107,6 +107,8 @@
 		this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
 		for (auto &[cell, seat] : this->seats)
 			seat->SetCatalogue(this->catalogue);
+		if (this->fleet != nullptr)
+			this->fleet->SetCatalogue(this->catalogue);
 		return;
 	}
 	const std::optional<UpkeepWave> wave = inRecord.value.empty() ? std::nullopt : Hub::DecodeWave(inRecord.key, inRecord.value);
@@ -272,6 +274,7 @@
 													   inQuestion.cell = cell;
 													   this->AskCell(cell, inQuestion, cAskOwnerMs, std::move(inDone));
 												   });
+	this->fleet->SetCatalogue(this->catalogue);
 	this->fleet->Claim(
 		[this](bool inHeld)
 		{
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -5,6 +5,7 @@
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Core/Metrics.h>
 #include <Loomreach/Job/JobRecord.h>
+#include <Loomreach/Schedule/PoolDemand.h>
 #include <Loomreach/Settings/DaemonConfig.h>
 
 namespace Loomreach::Jobs
@@ -15,7 +16,8 @@
 {
 	Show,  ///< A job's phase.
 	Count, ///< Jobs of a queue that have not begun.
-	Empty  ///< Empty a worker for maintenance; is it empty?
+	Empty, ///< Empty a worker for maintenance; is it empty?
+	Demand ///< What does a pool need, and which workers can it spare?
 };
 
 /// A question. Every field that the kind does not need is empty.
@@ -25,13 +27,14 @@
 	EQuestion kind = EQuestion::Show;
 	uint32 cell = 0;
 	std::string queue;
-	std::string id; ///< A job, or a worker.
+	std::string id; ///< A job, a worker or a pool.
 	int64 for_ms = 0;
+	uint32 count = 0; ///< Demand: workers that should be spared.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms);
+		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count);
 	}
 };
 
@@ -45,11 +48,12 @@
 	EJobPhase phase = EJobPhase::Queued;
 	uint32 waiting = 0;
 	bool empty = false;
+	PoolDemand demand;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->owner, this->sure, this->known, this->phase, this->waiting, this->empty);
+		ioArchive(this->nonce, this->owner, this->sure, this->known, this->phase, this->waiting, this->empty, this->demand);
 	}
 };
 
--- /dev/null
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -0,0 +1,188 @@
+// Balances hosts over pools.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Fleet/PoolBalancer.h>
+
+namespace Loomreach::Jobs
+{
+
+void PoolBalancer::SetHosts(const std::vector<HostEntry> &inHosts, const std::set<std::string> &inBusy, Millis inNow)
+{
+	this->hosts.clear();
+	this->busy = inBusy;
+	for (const HostEntry &host : inHosts)
+		this->hosts[host.name] = host;
+	std::erase_if(this->moves,
+				  [&](const auto &inMove)
+				  {
+					  auto host = this->hosts.find(inMove.first);
+					  const bool there = host != this->hosts.end() && host->second.pool == inMove.second.to && host->second.state == EHostState::Up;
+					  return there || inNow - inMove.second.since > this->tuning.moving_ms;
+				  });
+}
+
+void PoolBalancer::OnDemand(const std::string &inPool, const PoolDemand &inDemand, Millis inAskedAt)
+{
+	this->known[inPool] = {inDemand, inAskedAt};
+}
+
+bool PoolBalancer::IsSpare(const std::string &inPool) const
+{
+	auto pool = this->pools.find(inPool);
+	return pool != this->pools.end() && pool->second.spare;
+}
+
+std::map<std::string, int64> PoolBalancer::Deficits(Millis inNow) const
+{
+	std::map<std::string, int64> has;
+	std::map<std::string, Resources> room;
+	Resources total;
+	int64 hosts_up = 0;
+	for (const auto &[name, host] : this->hosts)
+	{
+		auto move = this->moves.find(name);
+		const std::string &pool = move == this->moves.end() ? host.pool : move->second.to;
+		const bool comes = move != this->moves.end() || host.state == EHostState::Moving;
+		if ((host.state == EHostState::Up || comes) && !this->busy.contains(name))
+			++has[pool];
+		total.Add(host.capacity);
+		++hosts_up;
+	}
+	std::map<std::string, int64> deficits;
+	for (const auto &[pool, known] : this->known)
+	{
+		if (inNow - known.asked_at > this->tuning.fresh_ms || this->IsSpare(pool) || !this->pools.contains(pool) || hosts_up == 0)
+			continue;
+		// Hosts by the scarcer of processor and memory, at the mean size of a host
+		const auto by = [&](int64 inNeed, int64 inTotal)
+		{
+			const int64 each = std::max<int64>(1, inTotal / hosts_up);
+			return (inNeed * this->tuning.headroom_percent / 100 + each - 1) / each;
+		};
+		const Resources &need = known.demand.need;
+		int64 wanted = std::max(by(need.cpu_milli, total.cpu_milli), by(need.memory_mb, total.memory_mb));
+		wanted = std::max<int64>(wanted, known.demand.least_hosts) + this->tuning.margin;
+		deficits[pool] = wanted - has[pool];
+	}
+	return deficits;
+}
+
+std::vector<std::pair<std::string, uint32>> PoolBalancer::ToAsk(Millis inNow) const
+{
+	std::vector<std::pair<std::string, uint32>> ask;
+	const std::map<std::string, int64> deficits = this->Deficits(inNow);
+	for (const auto &[name, pool] : this->pools)
+	{
+		if (pool.spare)
+			continue;
+		auto deficit = deficits.find(name);
+		const int64 over = deficit == deficits.end() ? 0 : -deficit->second - static_cast<int64>(this->tuning.slack);
+		ask.emplace_back(name, static_cast<uint32>(std::max<int64>(over, 0)));
+	}
+	return ask;
+}
+
+const HostEntry *PoolBalancer::SpareHost(const std::string &inPool, Millis) const
+{
+	for (const auto &[name, host] : this->hosts)
+	{
+		const bool free = this->IsSpare(host.pool) && host.state == EHostState::Up && !this->moves.contains(name) && !this->busy.contains(name);
+		if (free && this->CanGo(host, inPool))
+			return &host;
+	}
+	return nullptr;
+}
+
+const HostEntry *PoolBalancer::PromisedHost(const std::string &inFrom, const std::string &inTo, Millis inNow)
+{
+	auto known = this->known.find(inFrom);
+	if (known == this->known.end() || inNow - known->second.asked_at > this->tuning.promise_ms)
+		return nullptr;
+	for (const std::string &worker : known->second.demand.spared)
+		for (const auto &[name, host] : this->hosts)
+		{
+			const bool free = host.worker == worker && host.pool == inFrom && host.state == EHostState::Up && !this->moves.contains(name) &&
+							  !this->busy.contains(name);
+			if (free && this->CanGo(host, inTo))
+				return &host;
+		}
+	return nullptr;
+}
+
+std::vector<HostDuty> PoolBalancer::TakeMoves(Millis inNow)
+{
+	std::vector<HostDuty> duties;
+	std::map<std::string, int64> deficits = this->Deficits(inNow);
+	const auto order = [&](const HostEntry &inHost, const std::string &inTo)
+	{
+		HostDuty duty;
+		duty.kind = EDuty::Move;
+		duty.host = inHost.name;
+		duty.pool = inTo;
+		LogEvent(ELogLevel::Info, "host_moves").Field("host", inHost.name).Field("from", inHost.pool).Field("to", inTo);
+		this->moves[inHost.name] = {inTo, inNow};
+		duties.push_back(std::move(duty));
+	};
+	// The pool that lacks most is served first, host by host
+	for (;;)
+	{
+		auto worst = std::max_element(deficits.begin(), deficits.end(), [](const auto &inA, const auto &inB) { return inA.second < inB.second; });
+		if (worst == deficits.end() || worst->second <= 0)
+			break;
+		const HostEntry *host = this->SpareHost(worst->first, inNow);
+		std::string from;
+		for (auto it = deficits.begin(); host == nullptr && it != deficits.end(); ++it)
+		{
+			if (it->second >= -static_cast<int64>(this->tuning.slack))
+				continue;
+			host = this->PromisedHost(it->first, worst->first, inNow);
+			from = it->first;
+		}
+		if (host == nullptr)
+		{
+			worst->second = 0;
+			continue;
+		}
+		order(*host, worst->first);
+		--worst->second;
+		if (!from.empty())
+			++deficits[from];
+	}
+	// What nobody needs costs nothing in a spare pool
+	for (const auto &[name, pool] : this->pools)
+	{
+		if (!pool.spare)
+			continue;
+		for (auto &[from, deficit] : deficits)
+			while (deficit < -static_cast<int64>(this->tuning.slack))
+			{
+				const HostEntry *host = this->PromisedHost(from, name, inNow);
+				if (host == nullptr)
+					break;
+				order(*host, name);
+				++deficit;
+			}
+	}
+	return duties;
+}
+
+void PoolBalancer::OnMove(const HostDuty &inDuty, EDutyResult inResult, Millis inNow)
+{
+	LogEvent(ELogLevel::Info, "host_moved")
+		.Field("host", inDuty.host)
+		.Field("to", inDuty.pool)
+		.Field("token", inDuty.token)
+		.Field("result", NameOf(cDutyResultNames, inResult));
+	auto host = this->hosts.find(inDuty.host);
+	if (inResult == EDutyResult::Impossible && host != this->hosts.end())
+		this->impossible.insert({host->second.kind, inDuty.pool});
+	const bool under_way = inResult == EDutyResult::Done || inResult == EDutyResult::Unknown;
+	if (under_way)
+		this->moves[inDuty.host].since = inNow;
+	else
+		this->moves.erase(inDuty.host);
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Fleet/Upkeep.cpp
+++ b/Loomreach/Fleet/Upkeep.cpp
@@ -40,6 +40,13 @@
 		for (auto &[name, item] : wave.items)
 		{
 			auto host = this->hosts.find(name);
+			// An earlier owner's order: the host is down all the same
+			const bool taken_down = host != this->hosts.end() && host->second.state == EHostState::Maintenance;
+			if (taken_down && (item.step == EUpkeepStep::Waiting || item.step == EUpkeepStep::Emptying || item.step == EUpkeepStep::Done))
+			{
+				item.step = EUpkeepStep::Down;
+				item.since = inNow;
+			}
 			const bool up = host != this->hosts.end() && host->second.state == EHostState::Up;
 			// The order was carried out, so the time is over when the list says that it is up again
 			const bool over = item.step == EUpkeepStep::Down && inNow - item.since > this->tuning.down_ms + this->tuning.settle_ms;
@@ -65,20 +72,23 @@
 		uint32 under_way = this->DownOf(wave);
 		for (const auto &[name, item] : wave.items)
 			under_way += item.step == EUpkeepStep::Emptying ? 1 : 0;
-		for (auto &[name, item] : wave.items)
-		{
-			auto host = this->hosts.find(name);
-			if (host == this->hosts.end() || host->second.state != EHostState::Up)
-				continue;
-			if (item.step == EUpkeepStep::Waiting && under_way < most)
+		// Hosts without a worker first: nothing is displaced there
+		for (const bool idle : {true, false})
+			for (auto &[name, item] : wave.items)
 			{
-				item.step = EUpkeepStep::Emptying;
-				item.since = inNow;
-				++under_way;
+				auto host = this->hosts.find(name);
+				const bool is_up = host != this->hosts.end() && host->second.state == EHostState::Up;
+				if (!is_up || host->second.worker.empty() != idle)
+					continue;
+				if (item.step == EUpkeepStep::Waiting && under_way < most)
+				{
+					item.step = EUpkeepStep::Emptying;
+					item.since = inNow;
+					++under_way;
+				}
+				if (item.step == EUpkeepStep::Emptying)
+					wanted.push_back(host->second);
 			}
-			if (item.step == EUpkeepStep::Emptying)
-				wanted.push_back(host->second);
-		}
 	}
 	return wanted;
 }
@@ -185,6 +195,16 @@
 	return numbers;
 }
 
+std::set<std::string> UpkeepPlanner::Busy() const
+{
+	std::set<std::string> names;
+	for (const auto &[number, wave] : this->waves)
+		for (const auto &[name, item] : wave.items)
+			if (item.step == EUpkeepStep::Emptying || item.step == EUpkeepStep::Ordered || item.step == EUpkeepStep::Down)
+				names.insert(name);
+	return names;
+}
+
 bool UpkeepPlanner::IsBusy() const
 {
 	for (const auto &[number, wave] : this->waves)
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -6,7 +6,7 @@
 #pragma once
 
 #include <Loomreach/Core/EnumTable.h>
-#include <Loomreach/Loomreach.h>
+#include <Loomreach/Job/JobSpec.h>
 
 namespace Loomreach::Jobs
 {
@@ -30,6 +30,7 @@
 	std::string kind;
 	std::string rack;
 	std::string worker; ///< Life of the worker on it; empty when it has none.
+	Resources capacity;
 };
 
 /// What a host is told.
@@ -122,7 +123,9 @@
 	/// Waves all of whose hosts are done or gone.
 	bool IsCompleted(int64 inWave) const;
 	std::vector<int64> Waves() const;
-	/// Whether any wave is open: the host list is needed.
+	/// Hosts that are being emptied or are down for their maintenance.
+	std::set<std::string> Busy() const;
+	/// Whether any wave is open.
 	bool IsBusy() const;
 
 private:
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -226,6 +226,11 @@
 		.Field("steps", job.spec.steps.size())
 		.Field("tasks", job.spec.steps[0].count)
 		.Field("cpu_milli", job.spec.steps[0].need.cpu_milli)
+		.Field("memory_mb", job.spec.steps[0].need.memory_mb)
+		.Field("lasting", job.spec.steps[0].lasting ? 1 : 0)
+		.Field("fills", job.spec.steps.back().fills ? 1 : 0)
+		.Field("target_ms", job.spec.steps[0].target_ms)
+		.Field("may_miss", job.spec.steps[0].limits_misses ? static_cast<int64>(job.spec.steps[0].may_miss) : -1)
 		.Field("offset", inOffset)
 		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
 }
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -11,6 +11,7 @@
 
 #include <Loomreach/Schedule/Catalogue.h>
 #include <Loomreach/Schedule/CellTypes.h>
+#include <Loomreach/Schedule/PoolDemand.h>
 
 namespace Loomreach::Jobs
 {
@@ -80,6 +81,8 @@
 	uint32 Waiting(std::string_view inQueue) const;
 	/// Asks to empty a worker for maintenance; true when nothing is on it and nothing will be for the next `inForMs`.
 	bool Vacate(const std::string &inWorker, Millis inForMs, Millis inNow);
+	/// What a pool needs, and up to `inSpare` of its workers that are empty and will be for the next `inForMs`.
+	PoolDemand Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow);
 	CellFigures Figures() const;
 	/// Whether another append has something to write.
 	bool HasNews() const { return this->news; }
@@ -95,6 +98,9 @@
 	void Touch(CellJob &ioJob);
 	void InheritRuns(CellJob &ioJob, Millis inNow);
 
+	// CellDemand.cpp
+	Resources NeedNow(std::string_view inPool, int64 inWallNow) const;
+
 	// CellPlan.cpp: decisions
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
 	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
@@ -108,7 +114,7 @@
 	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
 	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
 							 const std::map<std::string, uint32> &inOnWorker);
-	double ScoreOf(const CellWorker &inWorker, const StepSpec &inStep) const;
+	double ScoreOf(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit) const;
 	std::map<std::string, uint32> CountByWorker(const CellJob &inJob, size_t inUnit) const;
 	void AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow);
 	void AddRun(CellJob &ioJob, size_t inUnit, uint32 inTask, uint32 inRun, CellWorker &ioWorker, Millis inNow);
@@ -144,6 +150,7 @@
 	std::map<std::string, CellWorker> workers;
 	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
+	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
 	uint64 inbox_next = 0;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -22,6 +22,9 @@
 static constexpr double cDataRackWeight = 10.0;
 static constexpr double cNeighbourWeight = 2.0; ///< For each serving neighbour of a task that serves or fills.
 static constexpr double cFreeShareWeight = 1.0;
+static constexpr double cLastingTogetherWeight = 0.5;
+static constexpr double cSameRackWeight = 1.5;
+static constexpr double cSameZoneWeight = 0.5;
 /// A ticket must be good for the append and the order: two store answers at their slow pace.
 static constexpr Millis cTicketSlackMs = 500;
 static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
@@ -189,16 +192,35 @@
 	return inWorker.failures_in_row < cFailuresToQuarantine || inWorker.runs.empty();
 }
 
-double Cell::ScoreOf(const CellWorker &inWorker, const StepSpec &inStep) const
+double Cell::ScoreOf(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit) const
 {
+	const StepSpec &step = inJob.StepOf(inUnit);
 	const double cores = std::max<double>(1.0, static_cast<double>(inWorker.entry.capacity.cpu_milli));
-	double score = cFreeShareWeight * static_cast<double>(inWorker.Free().cpu_milli) / cores;
-	if (!inStep.data_rack.empty() && inWorker.entry.rack == inStep.data_rack)
+	// Work is packed, so that hosts come free for other pools and for maintenance
+	double score = -cFreeShareWeight * static_cast<double>(inWorker.Free().cpu_milli) / cores;
+	if (!step.data_rack.empty() && inWorker.entry.rack == step.data_rack)
 		score += cDataRackWeight;
-	// Tasks that serve suffer from neighbours that fill or serve
-	if (inStep.lasting || inStep.fills)
-		for (const auto &[id, run] : inWorker.runs)
-			score -= run.serves || run.fills ? cNeighbourWeight : 0.0;
+	const bool shares = step.target_ms > 0 || step.fills;
+	if (!step.lasting && !shares)
+		return score;
+	for (const auto &[id, run] : inWorker.runs)
+	{
+		// Tasks that serve suffer from neighbours that fill or serve; others that last are best kept on few hosts
+		if (shares && (run.serves || run.fills))
+			score -= cNeighbourWeight;
+		else if (run.lasting && !shares)
+			score += cLastingTogetherWeight;
+	}
+	// The loss of a rack or a zone should take few tasks of one step
+	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+		for (const RunRecord &run : task.runs)
+		{
+			auto other = this->workers.find(run.worker);
+			if (other == this->workers.end())
+				continue;
+			score -= other->second.entry.rack == inWorker.entry.rack ? cSameRackWeight : 0.0;
+			score -= other->second.entry.availability_zone == inWorker.entry.availability_zone ? cSameZoneWeight : 0.0;
+		}
 	return score;
 }
 
@@ -219,13 +241,12 @@
 	StepAdvice &advice = ioJob.advice[inUnit];
 	if (advice.asked || inNow < advice.ask_after)
 		return;
-	const StepSpec &step = ioJob.StepOf(inUnit);
 	std::vector<std::pair<double, std::string>> likely;
 	for (const auto &[id, worker] : this->workers)
 	{
 		const bool possible = worker.entry.pool == ioJob.spec.pool && this->CanTake(worker, inNow) && !advice.refused.contains(id);
 		if (possible && !HasTicket(ioJob, inUnit, id, inNow))
-			likely.emplace_back(-this->ScoreOf(worker, step), id);
+			likely.emplace_back(-this->ScoreOf(worker, ioJob, inUnit), id);
 	}
 	if (likely.empty())
 		return;
@@ -306,7 +327,7 @@
 			continue;
 		if (inJob.spec.advised && !HasTicket(inJob, inUnit, id, inNow))
 			continue;
-		double score = this->ScoreOf(worker, step);
+		double score = this->ScoreOf(worker, inJob, inUnit);
 		// Where it failed before, others go first
 		if (id == failed_on)
 			score -= cDataRackWeight * 2;
