--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -97,6 +97,7 @@
 template <class Hub>
 void FleetSeat<Hub>::AskToEmpty(Millis inNow)
 {
+	this->planner.SetTight(this->balancer.Tight(inNow));
 	for (const HostEntry &host : this->planner.ToEmpty(inNow))
 	{
 		// A host without a worker has nothing to empty
--- a/Loomreach/Fleet/PoolBalancer.cpp
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -84,6 +84,15 @@
 	return ask;
 }
 
+std::set<std::string> PoolBalancer::Tight(Millis inNow) const
+{
+	std::set<std::string> tight;
+	for (const auto &[pool, deficit] : this->Deficits(inNow))
+		if (deficit > 0)
+			tight.insert(pool);
+	return tight;
+}
+
 const HostEntry *PoolBalancer::SpareHost(const std::string &inPool, Millis) const
 {
 	for (const auto &[name, host] : this->hosts)
--- a/Loomreach/Fleet/PoolBalancer.h
+++ b/Loomreach/Fleet/PoolBalancer.h
@@ -36,6 +36,8 @@
 	void OnDemand(const std::string &inPool, const PoolDemand &inDemand, Millis inAskedAt);
 	/// Pools to ask, and how many workers each should spare.
 	std::vector<std::pair<std::string, uint32>> ToAsk(Millis inNow) const;
+	/// Pools that have no host to miss.
+	std::set<std::string> Tight(Millis inNow) const;
 	/// Moves to order now.
 	std::vector<HostDuty> TakeMoves(Millis inNow);
 	void OnMove(const HostDuty &inDuty, EDutyResult inResult, Millis inNow);
--- a/Loomreach/Fleet/Upkeep.cpp
+++ b/Loomreach/Fleet/Upkeep.cpp
@@ -63,12 +63,22 @@
 	return down;
 }
 
+bool UpkeepPlanner::IsPressed(const Wave &inWave, Millis inNow) const
+{
+	int64 left = 0;
+	for (const auto &[name, item] : inWave.items)
+		left += item.step == EUpkeepStep::Done ? 0 : 1;
+	const int64 rounds = (left + inWave.asked.at_most - 1) / inWave.asked.at_most;
+	return inNow + rounds * this->tuning.host_ms + this->tuning.spare_ms >= inWave.begun_at + inWave.asked.within_ms;
+}
+
 std::vector<HostEntry> UpkeepPlanner::ToEmpty(Millis inNow)
 {
 	std::vector<HostEntry> wanted;
 	for (auto &[number, wave] : this->waves)
 	{
 		const uint32 most = wave.asked.at_most + this->tuning.ahead;
+		const bool pressed = this->IsPressed(wave, inNow);
 		uint32 under_way = this->DownOf(wave);
 		for (const auto &[name, item] : wave.items)
 			under_way += item.step == EUpkeepStep::Emptying ? 1 : 0;
@@ -80,7 +90,8 @@
 				const bool is_up = host != this->hosts.end() && host->second.state == EHostState::Up;
 				if (!is_up || host->second.worker.empty() != idle)
 					continue;
-				if (item.step == EUpkeepStep::Waiting && under_way < most)
+				const bool may_go = pressed || idle || !this->tight.contains(host->second.pool);
+				if (item.step == EUpkeepStep::Waiting && under_way < most && may_go)
 				{
 					item.step = EUpkeepStep::Emptying;
 					item.since = inNow;
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -87,6 +87,8 @@
 	Millis settle_ms = 600;     ///< A host counts as down this much longer than it is shown down: the list lags.
 	Millis again_ms = 1500;     ///< An order with an unknown outcome is sent again after this.
 	Millis ready_for_ms = 1000; ///< An empty host is trusted to stay empty this long after its pool's owner was asked.
+	Millis host_ms = 4500;      ///< Emptying, maintenance and news of its end, for one host.
+	Millis spare_ms = 5000;     ///< A wave should be over this much before its time.
 	uint32 ahead = 3;           ///< Hosts that are being emptied beyond those that may be down.
 };
 
@@ -113,6 +115,8 @@
 	void SetHosts(const std::vector<HostEntry> &inHosts, Millis inNow);
 	/// Hosts whose workers' pools should be asked to empty them now.
 	std::vector<HostEntry> ToEmpty(Millis inNow);
+	/// Pools that lack hosts: theirs go down only when a wave's time demands it.
+	void SetTight(std::set<std::string> inPools) { this->tight = std::move(inPools); }
 	/// A pool's owner was asked at `inAskedAt` and says that the host is empty.
 	void OnEmpty(const std::string &inHost, Millis inAskedAt, Millis inNow);
 	/// Orders to send now, each at once.
@@ -145,10 +149,12 @@
 	};
 
 	uint32 DownOf(const Wave &inWave) const;
+	bool IsPressed(const Wave &inWave, Millis inNow) const;
 
 	UpkeepTuning tuning;
 	std::map<int64, Wave> waves;
 	std::map<std::string, HostEntry> hosts;
+	std::set<std::string> tight;
 	bool listed = false; ///< Whether a host list was had.
 };
 
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -12,6 +12,7 @@
 #include <Loomreach/Schedule/Catalogue.h>
 #include <Loomreach/Schedule/CellTypes.h>
 #include <Loomreach/Schedule/PoolDemand.h>
+#include <Loomreach/Schedule/RunTimes.h>
 
 namespace Loomreach::Jobs
 {
@@ -103,6 +104,9 @@
 
 	// CellPlan.cpp: decisions
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	int64 WorkLeft(const CellJob &inJob) const;
+	Millis ChainLeft(const CellJob &inJob) const;
+	int64 DueWall(const CellJob &inJob) const;
 	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
 	void PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow);
 	void PlanGang(CellJob &ioJob, size_t inUnit, Millis inNow);
@@ -151,6 +155,8 @@
 	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
+	RunTimes run_times;
+	std::map<std::string, std::deque<std::pair<Millis, int64>>> arrivals; ///< Core-milliseconds handed in of late, by pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
 	uint64 inbox_next = 0;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -10,6 +10,8 @@
 
 /// A need counts this long after it was last seen: fetching a host back takes a move and a start, about as long.
 static constexpr Millis cDemandHoldMs = 2500;
+/// The rate of arrivals is taken over this time: short against a turn of load, long against the gap between two jobs.
+static constexpr Millis cArrivalsMs = 1000;
 
 Resources Cell::NeedNow(std::string_view inPool, int64 inWallNow) const
 {
@@ -46,6 +48,12 @@
 	seen.emplace_back(inNow, this->NeedNow(inPool, inWallNow));
 	while (inNow - seen.front().first > cDemandHoldMs)
 		seen.pop_front();
+	// What comes in each second must also be worked off each second, later steps included
+	std::deque<std::pair<Millis, int64>> &arrived = this->arrivals[inPool];
+	while (!arrived.empty() && inNow - arrived.front().first > cArrivalsMs)
+		arrived.pop_front();
+	for (const auto &[at, work] : arrived)
+		demand.need.cpu_milli += work * 1000 / cArrivalsMs;
 	for (const auto &[at, need] : seen)
 	{
 		demand.need.cpu_milli = std::max(demand.need.cpu_milli, need.cpu_milli);
@@ -59,15 +67,23 @@
 			if (job.spec.pool == inPool && step.lasting && step.max_per_worker > 0)
 				demand.least_hosts = std::max(demand.least_hosts, (step.count + step.max_per_worker - 1) / step.max_per_worker);
 	}
+	// The emptiest hosts that hold nothing lasting take no new work, and go once they are empty
+	std::vector<std::pair<int64, CellWorker *>> least_used;
 	for (auto &[id, worker] : this->workers)
 	{
-		if (demand.spared.size() >= inSpare)
-			break;
-		const bool can_go = worker.entry.pool == inPool && worker.listed && !worker.entry.draining && !worker.gone && worker.runs.empty();
-		if (!can_go)
-			continue;
+		bool can_go = worker.entry.pool == inPool && worker.listed && !worker.entry.draining && !worker.gone;
+		for (const auto &[run_id, run] : worker.runs)
+			can_go = can_go && !run.lasting;
+		if (can_go)
+			least_used.emplace_back(worker.runs.empty() ? -1 : worker.used.cpu_milli, &worker);
+	}
+	std::sort(least_used.begin(), least_used.end(), [](const auto &inA, const auto &inB) { return inA.first < inB.first; });
+	for (size_t i = 0; i < least_used.size() && i < inSpare; ++i)
+	{
+		CellWorker &worker = *least_used[i].second;
 		worker.vacate_until = std::max(worker.vacate_until, inNow + inForMs);
-		demand.spared.push_back(id);
+		if (worker.runs.empty())
+			demand.spared.push_back(worker.entry.id);
 	}
 	if (!demand.spared.empty())
 		LogEvent(ELogLevel::Info, "workers_spared")
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -352,7 +352,11 @@
 		}
 	}
 	if (inEnd == ERunEnd::Done)
+	{
 		ioWorker.failures_in_row = 0;
+		if (run.confirmed_at >= 0)
+			this->run_times.Learn(job->spec, job->spec.steps[inRun.task.step], inNow - run.confirmed_at);
+	}
 	if (run.lasting && inEnd == ERunEnd::Failed)
 		memory.not_before = inNow + this->tuning.fail_pause_ms;
 	if (IsFinal(job->record.phase))
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -21,6 +21,10 @@
 /// Weights of the placement score: a rack with the data halves the run time, so it outweighs any balance of load.
 static constexpr double cDataRackWeight = 10.0;
 static constexpr double cNeighbourWeight = 2.0; ///< For each serving neighbour of a task that serves or fills.
+/// A job that ends later than this many times its objective earns nothing (the users' rule).
+static constexpr int64 cObjectivesLate = 3;
+/// Each second of a core that a job still needs puts it this much later in the order.
+static constexpr int64 cKeyMsPerCoreSecond = 30;
 static constexpr double cFreeShareWeight = 1.0;
 static constexpr double cLastingTogetherWeight = 0.5;
 static constexpr double cSameRackWeight = 1.5;
@@ -30,42 +34,80 @@
 static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
 static constexpr Millis cAskAgainMs = 250; ///< After a question that got no answer.
 
+/// How likely a job is to earn its credit still.
+enum class EHope : uint8
+{
+	InTime, ///< It can be done by its objective.
+	Late,   ///< It can only be late.
+	None    ///< Even three objectives are over.
+};
+
 /// A job's place in the order of planning.
 struct PlanPlace
 {
+	EHope hope = EHope::InTime;
 	uint32 priority = 0;
-	int64 due_wall_ms = 0;
+	int64 key = 0; ///< When it is due, later for larger jobs.
 	CellJob *job = nullptr;
 
 	bool operator<(const PlanPlace &inOther) const
 	{
-		return std::tie(this->priority, this->due_wall_ms) < std::tie(inOther.priority, inOther.due_wall_ms);
+		return std::tie(this->hope, this->priority, this->key) < std::tie(inOther.hope, inOther.priority, inOther.key);
 	}
 };
 
-/// The longest chain of estimates through a job's steps, ms.
-static Millis LongestChain(const JobSpec &inSpec)
+int64 Cell::WorkLeft(const CellJob &inJob) const
+{
+	int64 work = 0;
+	for (size_t unit = 0; unit < inJob.record.steps.size(); ++unit)
+	{
+		const StepSpec &step = inJob.StepOf(unit);
+		if (step.lasting)
+			continue;
+		int64 left = 0;
+		for (const TaskRecord &task : inJob.record.steps[unit].tasks)
+			left += task.done ? 0 : 1;
+		work += left * step.need.cpu_milli * this->run_times.Expect(inJob.spec, step) / 1000;
+	}
+	return work;
+}
+
+Millis Cell::ChainLeft(const CellJob &inJob) const
 {
-	std::vector<Millis> ends(inSpec.steps.size(), 0);
+	const size_t steps = inJob.spec.steps.size();
+	std::vector<Millis> ends(steps, 0);
 	Millis longest = 0;
-	for (size_t i = 0; i < inSpec.steps.size(); ++i)
+	for (size_t i = 0; i < steps; ++i)
 	{
 		Millis begin = 0;
-		for (uint32 before : inSpec.steps[i].after)
+		for (uint32 before : inJob.spec.steps[i].after)
 			begin = std::max(begin, ends[before]);
-		ends[i] = begin + inSpec.steps[i].estimate_ms;
+		bool open = false;
+		for (const TaskRecord &task : inJob.record.steps[i].tasks)
+			open = open || !task.done;
+		ends[i] = begin + (open ? this->run_times.Expect(inJob.spec, inJob.spec.steps[i]) : 0);
 		longest = std::max(longest, ends[i]);
 	}
 	return longest;
 }
 
-/// By when a job should be done, on the time of day. Lasting jobs earn from the first second, so they are due at once.
-static int64 DueWall(const JobSpec &inSpec)
+int64 Cell::DueWall(const CellJob &inJob) const
 {
-	if (inSpec.steps[0].lasting)
-		return inSpec.accepted_wall_ms + inSpec.target_ms;
-	const double chain = static_cast<double>(LongestChain(inSpec)) * inSpec.stretch;
-	return inSpec.accepted_wall_ms + inSpec.target_ms + static_cast<int64>(chain);
+	// Lasting jobs earn from the first second
+	const int64 from = inJob.spec.times > 0 ? std::max(inJob.spec.first_wall_ms, inJob.spec.accepted_wall_ms) : inJob.spec.accepted_wall_ms;
+	if (inJob.spec.steps[0].lasting)
+		return from;
+	std::vector<Millis> ends(inJob.spec.steps.size(), 0);
+	Millis longest = 0;
+	for (size_t i = 0; i < ends.size(); ++i)
+	{
+		Millis begin = 0;
+		for (uint32 before : inJob.spec.steps[i].after)
+			begin = std::max(begin, ends[before]);
+		ends[i] = begin + this->run_times.Expect(inJob.spec, inJob.spec.steps[i]);
+		longest = std::max(longest, ends[i]);
+	}
+	return from + inJob.spec.target_ms + static_cast<int64>(static_cast<double>(longest) * inJob.spec.stretch);
 }
 
 void Cell::Plan(Millis inNow, int64 inWallNow)
@@ -83,7 +125,20 @@
 	for (const std::string &id : this->active)
 	{
 		CellJob &job = *this->FindJob(id);
-		order.push_back({job.spec.priority, DueWall(job.spec), &job});
+		const int64 due = this->DueWall(job);
+		const int64 from = job.spec.accepted_wall_ms;
+		PlanPlace place;
+		place.priority = job.spec.priority;
+		place.job = &job;
+		place.key = due;
+		if (!job.spec.steps[0].lasting)
+		{
+			const int64 done_at = inWallNow + this->ChainLeft(job);
+			place.hope = done_at <= due ? EHope::InTime : done_at <= from + cObjectivesLate * (due - from) ? EHope::Late : EHope::None;
+			// When room is short, small jobs first: each earns nearly as much as a large one
+			place.key += this->WorkLeft(job) * cKeyMsPerCoreSecond / 1000;
+		}
+		order.push_back(place);
 	}
 	std::sort(order.begin(), order.end());
 	for (const PlanPlace &place : order)
