Test the cell in a world of lost, late and reordered orders and killed owners

Found by the new property: a run whose append had just come in was taken for lapsed before its worker was told (Starting began at the append; now Logged until the order is made); a good end of a run given up for lost was thrown away, and its task run again.

--- a/Loomreach/Fleet/PoolBalancer.cpp
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -34,7 +34,7 @@
 	return pool != this->pools.end() && pool->second.spare;
 }
 
-std::map<std::string, int64> PoolBalancer::Deficits(Millis inNow) const
+std::map<std::string, int64> PoolBalancer::Deficits(ECount inCount, Millis inNow) const
 {
 	std::map<std::string, int64> has;
 	std::map<std::string, Resources> room;
@@ -61,7 +61,9 @@
 			const int64 each = std::max<int64>(1, inTotal / hosts_up);
 			return (inNeed * this->tuning.headroom_percent / 100 + each - 1) / each;
 		};
-		const Resources &need = known.demand.need;
+		Resources need = known.demand.need;
+		if (inCount == ECount::All)
+			need.Add(known.demand.late);
 		int64 wanted = std::max(by(need.cpu_milli, total.cpu_milli), by(need.memory_mb, total.memory_mb));
 		wanted = std::max<int64>(wanted, known.demand.least_hosts) + this->tuning.margin;
 		deficits[pool] = wanted - has[pool];
@@ -72,7 +74,9 @@
 std::vector<std::pair<std::string, uint32>> PoolBalancer::ToAsk(Millis inNow) const
 {
 	std::vector<std::pair<std::string, uint32>> ask;
-	const std::map<std::string, int64> deficits = this->Deficits(inNow);
+	// What can only be late gives way where others can be in time
+	const bool lacking = !this->Tight(inNow).empty();
+	const std::map<std::string, int64> deficits = this->Deficits(lacking ? ECount::InTime : ECount::All, inNow);
 	for (const auto &[name, pool] : this->pools)
 	{
 		if (pool.spare)
@@ -87,7 +91,7 @@
 std::set<std::string> PoolBalancer::Tight(Millis inNow) const
 {
 	std::set<std::string> tight;
-	for (const auto &[pool, deficit] : this->Deficits(inNow))
+	for (const auto &[pool, deficit] : this->Deficits(ECount::InTime, inNow))
 		if (deficit > 0)
 			tight.insert(pool);
 	return tight;
@@ -120,29 +124,28 @@
 	return nullptr;
 }
 
-std::vector<HostDuty> PoolBalancer::TakeMoves(Millis inNow)
+void PoolBalancer::Order(const HostEntry &inHost, const std::string &inTo, Millis inNow, std::vector<HostDuty> &outDuties)
+{
+	HostDuty duty;
+	duty.kind = EDuty::Move;
+	duty.host = inHost.name;
+	duty.pool = inTo;
+	LogEvent(ELogLevel::Info, "host_moves").Field("host", inHost.name).Field("from", inHost.pool).Field("to", inTo);
+	this->moves[inHost.name] = {inTo, inNow};
+	outDuties.push_back(std::move(duty));
+}
+
+void PoolBalancer::FillDeficits(std::map<std::string, int64> &ioDeficits, Millis inNow, std::vector<HostDuty> &outDuties)
 {
-	std::vector<HostDuty> duties;
-	std::map<std::string, int64> deficits = this->Deficits(inNow);
-	const auto order = [&](const HostEntry &inHost, const std::string &inTo)
-	{
-		HostDuty duty;
-		duty.kind = EDuty::Move;
-		duty.host = inHost.name;
-		duty.pool = inTo;
-		LogEvent(ELogLevel::Info, "host_moves").Field("host", inHost.name).Field("from", inHost.pool).Field("to", inTo);
-		this->moves[inHost.name] = {inTo, inNow};
-		duties.push_back(std::move(duty));
-	};
 	// The pool that lacks most is served first, host by host
 	for (;;)
 	{
-		auto worst = std::max_element(deficits.begin(), deficits.end(), [](const auto &inA, const auto &inB) { return inA.second < inB.second; });
-		if (worst == deficits.end() || worst->second <= 0)
-			break;
+		auto worst = std::max_element(ioDeficits.begin(), ioDeficits.end(), [](const auto &inA, const auto &inB) { return inA.second < inB.second; });
+		if (worst == ioDeficits.end() || worst->second <= 0)
+			return;
 		const HostEntry *host = this->SpareHost(worst->first, inNow);
 		std::string from;
-		for (auto it = deficits.begin(); host == nullptr && it != deficits.end(); ++it)
+		for (auto it = ioDeficits.begin(); host == nullptr && it != ioDeficits.end(); ++it)
 		{
 			if (it->second >= -static_cast<int64>(this->tuning.slack))
 				continue;
@@ -154,23 +157,32 @@
 			worst->second = 0;
 			continue;
 		}
-		order(*host, worst->first);
+		this->Order(*host, worst->first, inNow, outDuties);
 		--worst->second;
 		if (!from.empty())
-			++deficits[from];
+			++ioDeficits[from];
 	}
+}
+
+std::vector<HostDuty> PoolBalancer::TakeMoves(Millis inNow)
+{
+	std::vector<HostDuty> duties;
+	std::map<std::string, int64> in_time = this->Deficits(ECount::InTime, inNow);
+	this->FillDeficits(in_time, inNow, duties);
+	std::map<std::string, int64> all = this->Deficits(ECount::All, inNow);
+	this->FillDeficits(all, inNow, duties);
 	// What nobody needs costs nothing in a spare pool
 	for (const auto &[name, pool] : this->pools)
 	{
 		if (!pool.spare)
 			continue;
-		for (auto &[from, deficit] : deficits)
+		for (auto &[from, deficit] : all)
 			while (deficit < -static_cast<int64>(this->tuning.slack))
 			{
 				const HostEntry *host = this->PromisedHost(from, name, inNow);
 				if (host == nullptr)
 					break;
-				order(*host, name);
+				this->Order(*host, name, inNow, duties);
 				++deficit;
 			}
 	}
--- a/Loomreach/Fleet/PoolBalancer.h
+++ b/Loomreach/Fleet/PoolBalancer.h
@@ -55,8 +55,16 @@
 		std::string to;
 		Millis since = 0;
 	};
+	/// Whose need counts.
+	enum class ECount : uint8
+	{
+		InTime, ///< Jobs that can be in time.
+		All     ///< Late ones as well.
+	};
 	/// Hosts too few (above 0) or too many (below 0) by pool, of pools whose need is known.
-	std::map<std::string, int64> Deficits(Millis inNow) const;
+	std::map<std::string, int64> Deficits(ECount inCount, Millis inNow) const;
+	void FillDeficits(std::map<std::string, int64> &ioDeficits, Millis inNow, std::vector<HostDuty> &outDuties);
+	void Order(const HostEntry &inHost, const std::string &inTo, Millis inNow, std::vector<HostDuty> &outDuties);
 	bool IsSpare(const std::string &inPool) const;
 	bool CanGo(const HostEntry &inHost, const std::string &inPool) const { return !this->impossible.contains({inHost.kind, inPool}); }
 	const HostEntry *SpareHost(const std::string &inPool, Millis inNow) const;
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -313,7 +313,7 @@
 		for (auto &[run_id, run] : worker.runs)
 			if (run.state == ERunState::Writing)
 			{
-				run.state = ERunState::Starting;
+				run.state = ERunState::Logged;
 				run.since = inNow;
 				this->to_start.push_back(run_id);
 				this->start_workers[run_id] = id;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -33,6 +33,14 @@
 	size_t workers = 0;
 };
 
+/// How likely a job is to earn its credit still.
+enum class EHope : uint8
+{
+	InTime, ///< It can be done by its objective.
+	Late,   ///< It can only be late.
+	None    ///< Even three objectives are over.
+};
+
 /// A task that found no place in the planning under way: no task of the pool that asks for as much will find one.
 struct PlanReject
 {
@@ -100,10 +108,11 @@
 	void InheritRuns(CellJob &ioJob, Millis inNow);
 
 	// CellDemand.cpp
-	Resources NeedNow(std::string_view inPool, int64 inWallNow) const;
+	void NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: decisions
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	EHope HopeOf(const CellJob &inJob, int64 inWallNow) const;
 	int64 WorkLeft(const CellJob &inJob) const;
 	Millis ChainLeft(const CellJob &inJob) const;
 	int64 DueWall(const CellJob &inJob) const;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -9,23 +9,18 @@
 {
 
 /// A need counts this long after it was last seen: fetching a host back takes a move and a start, about as long.
-static constexpr Millis cDemandHoldMs = 2500;
+static constexpr Millis cDemandHoldMs = 1500;
 /// The rate of arrivals is taken over this time: short against a turn of load, long against the gap between two jobs.
 static constexpr Millis cArrivalsMs = 1000;
 
-Resources Cell::NeedNow(std::string_view inPool, int64 inWallNow) const
+void Cell::NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const
 {
-	Resources need;
-	for (const auto &[id, worker] : this->workers)
-		if (worker.entry.pool == inPool)
-			for (const auto &[run_id, run] : worker.runs)
-				if (run.state != ERunState::Stopping)
-					need.Add(run.room);
 	for (const std::string &id : this->active)
 	{
 		const CellJob &job = this->jobs.at(id);
 		if (job.spec.pool != inPool)
 			continue;
+		const EHope hope = this->HopeOf(job, inWallNow);
 		for (size_t unit = 0; unit < job.record.steps.size(); ++unit)
 		{
 			if (!this->IsDue(job, unit, inWallNow))
@@ -34,18 +29,27 @@
 			if (job.StepOf(unit).fills)
 				room.cpu_milli = 0;
 			for (const TaskRecord &task : job.record.steps[unit].tasks)
-				if (!task.done && task.runs.empty())
-					need.Add(room);
+				if (!task.done)
+					(hope == EHope::InTime ? outInTime : outLate).Add(room);
 		}
 	}
-	return need;
+}
+
+/// The greater of each.
+static void RaiseTo(Resources &ioHighest, const Resources &inOther)
+{
+	ioHighest.cpu_milli = std::max(ioHighest.cpu_milli, inOther.cpu_milli);
+	ioHighest.memory_mb = std::max(ioHighest.memory_mb, inOther.memory_mb);
+	ioHighest.accelerators = std::max(ioHighest.accelerators, inOther.accelerators);
 }
 
 PoolDemand Cell::Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow)
 {
 	PoolDemand demand;
 	std::deque<std::pair<Millis, Resources>> &seen = this->needs[inPool];
-	seen.emplace_back(inNow, this->NeedNow(inPool, inWallNow));
+	Resources in_time;
+	this->NeedNow(inPool, inWallNow, in_time, demand.late);
+	seen.emplace_back(inNow, in_time);
 	while (inNow - seen.front().first > cDemandHoldMs)
 		seen.pop_front();
 	// What comes in each second must also be worked off each second, later steps included
@@ -55,11 +59,7 @@
 	for (const auto &[at, work] : arrived)
 		demand.need.cpu_milli += work * 1000 / cArrivalsMs;
 	for (const auto &[at, need] : seen)
-	{
-		demand.need.cpu_milli = std::max(demand.need.cpu_milli, need.cpu_milli);
-		demand.need.memory_mb = std::max(demand.need.memory_mb, need.memory_mb);
-		demand.need.accelerators = std::max(demand.need.accelerators, need.accelerators);
-	}
+		RaiseTo(demand.need, need);
 	for (const std::string &id : this->active)
 	{
 		const CellJob &job = this->jobs.at(id);
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -51,13 +51,16 @@
 			this->DropRun(worker, id);
 			continue;
 		}
+		Run &run = worker.runs.at(id);
+		run.state = ERunState::Starting;
+		run.since = inNow;
 		Order order = this->NewOrder(EOrder::Start, worker, inNow);
 		order.task = id.task;
 		order.run = id.run;
 		order.payload = job->spec.payload;
 		const TaskRecord *task = this->FindTask(id.task);
 		order.checkpoint = task->checkpoint;
-		order.ticket = worker.runs.at(id).ticket;
+		order.ticket = run.ticket;
 		order.until_ms = worker.ClockAt(inNow) + this->tuning.lease_ms;
 		worker.lease_over_at = std::max(worker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
 		orders.push_back(std::move(order));
@@ -99,7 +102,7 @@
 	bool fills = false;
 	for (const auto &[id, run] : ioWorker.runs)
 	{
-		told_runs = told_runs || (run.state != ERunState::Planned && run.state != ERunState::Writing);
+		told_runs = told_runs || IsTold(run.state);
 		doubt = doubt || run.state == ERunState::Doubtful || run.state == ERunState::Inherited || run.state == ERunState::Stopping;
 		doubt = doubt || (run.lasting && run.percent < 100);
 		serves = serves || run.serves;
@@ -315,7 +318,15 @@
 {
 	const RunId id{inRow.task, inRow.run};
 	if (ioWorker.runs.contains(id))
-		this->EndRun(ioWorker, id, inRow.end, inRow.checkpoint, "worker said so", inNow);
+		return this->EndRun(ioWorker, id, inRow.end, inRow.checkpoint, "worker said so", inNow);
+	// A run that was given up for lost has ended well all the same: no other run of its task is needed
+	CellJob *job = this->FindJob(inRow.task.job);
+	const TaskRecord *task = this->FindTask(inRow.task);
+	const bool helps = inRow.end == ERunEnd::Done && task != nullptr && !task->done && !IsFinal(job->record.phase);
+	if (!helps || job->spec.steps[inRow.task.step].lasting)
+		return;
+	LogEvent(ELogLevel::Info, "run_ended_late").Field("request", inRow.task.job).Field("task", TaskText(inRow.task)).Field("run", inRow.run);
+	this->FinishTask(*job, inRow.task);
 }
 
 void Cell::EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy, Millis inNow)
@@ -455,7 +466,7 @@
 	}
 	Run &run = found->second;
 	// What its worker was never told needs no stop
-	if (run.state == ERunState::Planned)
+	if (run.state == ERunState::Planned || run.state == ERunState::Logged)
 	{
 		this->DropRun(ioWorker, inRun);
 		return;
@@ -511,7 +522,7 @@
 	ioWorker.gone = true;
 	std::vector<RunId> runs;
 	for (const auto &[id, run] : ioWorker.runs)
-		if (run.state != ERunState::Planned && run.state != ERunState::Writing)
+		if (IsTold(run.state))
 			runs.push_back(id);
 	for (const RunId &id : runs)
 		this->EndRun(ioWorker, id, ERunEnd::Lapsed, "", inWhy, inNow);
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -34,14 +34,6 @@
 static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
 static constexpr Millis cAskAgainMs = 250; ///< After a question that got no answer.
 
-/// How likely a job is to earn its credit still.
-enum class EHope : uint8
-{
-	InTime, ///< It can be done by its objective.
-	Late,   ///< It can only be late.
-	None    ///< Even three objectives are over.
-};
-
 /// A job's place in the order of planning.
 struct PlanPlace
 {
@@ -56,6 +48,18 @@
 	}
 };
 
+EHope Cell::HopeOf(const CellJob &inJob, int64 inWallNow) const
+{
+	if (inJob.spec.steps[0].lasting)
+		return EHope::InTime;
+	const int64 due = this->DueWall(inJob);
+	const int64 from = inJob.spec.accepted_wall_ms;
+	const int64 done_at = inWallNow + this->ChainLeft(inJob);
+	if (done_at <= due)
+		return EHope::InTime;
+	return done_at <= from + cObjectivesLate * (due - from) ? EHope::Late : EHope::None;
+}
+
 int64 Cell::WorkLeft(const CellJob &inJob) const
 {
 	int64 work = 0;
@@ -125,19 +129,12 @@
 	for (const std::string &id : this->active)
 	{
 		CellJob &job = *this->FindJob(id);
-		const int64 due = this->DueWall(job);
-		const int64 from = job.spec.accepted_wall_ms;
 		PlanPlace place;
+		place.hope = this->HopeOf(job, inWallNow);
 		place.priority = job.spec.priority;
 		place.job = &job;
-		place.key = due;
-		if (!job.spec.steps[0].lasting)
-		{
-			const int64 done_at = inWallNow + this->ChainLeft(job);
-			place.hope = done_at <= due ? EHope::InTime : done_at <= from + cObjectivesLate * (due - from) ? EHope::Late : EHope::None;
-			// When room is short, small jobs first: each earns nearly as much as a large one
-			place.key += this->WorkLeft(job) * cKeyMsPerCoreSecond / 1000;
-		}
+		// When room is short, small jobs first: each earns nearly as much as a large one
+		place.key = this->DueWall(job) + this->WorkLeft(job) * cKeyMsPerCoreSecond / 1000;
 		order.push_back(place);
 	}
 	std::sort(order.begin(), order.end());
@@ -435,7 +432,7 @@
 		return;
 	std::vector<RunId> lapsed;
 	for (const auto &[id, run] : ioWorker.runs)
-		if (run.state != ERunState::Planned && run.state != ERunState::Writing)
+		if (IsTold(run.state))
 			lapsed.push_back(id);
 	// Nothing was extended since: wherever the worker is, its leases are over
 	for (const RunId &id : lapsed)
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -28,12 +28,13 @@
 /// And a lease is trusted to be over only this much later: two message delays and a timer's lateness.
 inline constexpr Millis cLeaseSlackMs = 150;
 
-/// Where a run stands, as far as the cell knows.
+/// Where a run stands, as far as the cell knows. Up to Logged, no worker has heard of it.
 enum class ERunState : uint8
 {
 	Planned,   ///< Decided, not yet in the log.
 	Writing,   ///< In the append that is under way.
-	Starting,  ///< Logged; the worker has been told.
+	Logged,    ///< In the log; the worker has not been told.
+	Starting,  ///< The worker has been told.
 	Confirmed, ///< The worker has it.
 	Doubtful,  ///< No answer: the worker may have it, or may take it up later.
 	Inherited, ///< Found in the log at take-over; the worker has not been asked yet.
@@ -42,11 +43,14 @@
 
 inline constexpr std::array cRunStateNames = {
 	EnumName<ERunState>{ERunState::Planned, "planned"},     EnumName<ERunState>{ERunState::Writing, "writing"},
-	EnumName<ERunState>{ERunState::Starting, "starting"},   EnumName<ERunState>{ERunState::Confirmed, "confirmed"},
+	EnumName<ERunState>{ERunState::Logged, "logged"},       EnumName<ERunState>{ERunState::Starting, "starting"},   EnumName<ERunState>{ERunState::Confirmed, "confirmed"},
 	EnumName<ERunState>{ERunState::Doubtful, "doubtful"},   EnumName<ERunState>{ERunState::Inherited, "inherited"},
 	EnumName<ERunState>{ERunState::Stopping, "stopping"},
 };
 
+/// Whether a worker may have heard of a run.
+constexpr bool IsTold(ERunState inState) { return inState > ERunState::Logged; }
+
 /// A run names a task and a number.
 struct RunId
 {
--- /dev/null
+++ b/UnitTests/CellTests.cpp
@@ -0,0 +1,197 @@
+// Properties and cases of a cell: what must hold whatever the network, the workers and the owner do.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Invariant.h>
+#include <UnitTests/CellWorld.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+std::string All(const std::vector<std::string> &inLines)
+{
+	std::string text;
+	for (const std::string &line : inLines)
+		text += line + '\n';
+	return text;
+}
+
+/// Hands in jobs over some seconds, some of which are cancelled, then lets everything settle.
+void PlayMixedDay(CellWorld &ioWorld, Random &ioRandom)
+{
+	SetInvariantsAbort(true);
+	JobSpec lasting = MakeJob("lasting", 1, 4, 1500, 500);
+	lasting.steps[0].lasting = true;
+	lasting.steps[0].max_per_worker = 1;
+	ioWorld.Submit(lasting);
+	for (int i = 0; i < 30; ++i)
+	{
+		const std::string id = "job" + std::to_string(i);
+		const JobSpec job = MakeJob(id, 1 + static_cast<uint32>(ioRandom.Below(3)), 1 + static_cast<uint32>(ioRandom.Below(8)),
+									500 + static_cast<int64>(ioRandom.Below(4000)), 800);
+		ioWorld.Submit(job);
+		// A repeat of an id stays one job
+		if (ioRandom.Chance(20))
+			ioWorld.Submit(job);
+		ioWorld.Run(100 + static_cast<Millis>(ioRandom.Below(500)));
+		if (ioRandom.Chance(10))
+			ioWorld.Cancel(id);
+	}
+	ioWorld.Cancel("lasting");
+}
+
+Trouble AnyTrouble(Random &ioRandom)
+{
+	Trouble trouble;
+	trouble.lost_order = ioRandom.Below(8);
+	trouble.lost_answer = ioRandom.Below(8);
+	trouble.late_order = ioRandom.Below(8);
+	trouble.failing = ioRandom.Below(10);
+	trouble.cut = ioRandom.Below(10);
+	trouble.crash = ioRandom.Below(4);
+	trouble.kill = ioRandom.Below(15);
+	trouble.slow_log = ioRandom.Below(10);
+	trouble.slow_clock_per_mille = 20;
+	return trouble;
+}
+
+/// A day of trouble, then calm: what was broken, and what did not end.
+std::string PlayTroubled(uint64 inSeed)
+{
+	Random random(inSeed);
+	CellWorld world(inSeed, AnyTrouble(random), 3 + random.Below(4));
+	PlayMixedDay(world, random);
+	world.Run(10000);
+	world.Calm();
+	world.Run(60000);
+	return All(world.broken) + world.Open();
+}
+
+} // namespace
+
+TEST(Cell, QuietDayEndsEveryJob)
+{
+	Random random(1);
+	CellWorld world(1, Trouble{}, 4);
+	PlayMixedDay(world, random);
+	world.Run(20000);
+	EXPECT_EQ(All(world.broken), "");
+	EXPECT_TRUE(world.AllEnded());
+	EXPECT_GT(world.Starts(), 100u);
+}
+
+RC_GTEST_PROP(Cell, KeepsTheRulesUnderAnyTrouble, ())
+{
+	const uint64 seed = *rc::gen::inRange<uint64>(1, 1'000'000'000);
+	RC_ASSERT(PlayTroubled(seed) == "");
+}
+
+/// Seeds that failed once, each with its cause.
+TEST(Cell, SeedsThatFailedOnce)
+{
+	// The world itself lost an answer when a cut began under way
+	EXPECT_EQ(PlayTroubled(645828339), "");
+}
+
+TEST(Cell, RunsSurviveAChangeOfOwner)
+{
+	// A kill every second: work still goes on, and nothing is run twice
+	Trouble trouble;
+	trouble.kill = 60;
+	Random random(7);
+	CellWorld world(7, trouble, 4);
+	PlayMixedDay(world, random);
+	world.Run(15000);
+	world.Calm();
+	world.Run(40000);
+	EXPECT_EQ(All(world.broken), "");
+	EXPECT_GT(world.Takeovers(), 3u);
+	EXPECT_TRUE(world.AllEnded());
+}
+
+TEST(Cell, NothingIsShownBeforeTheLogHoldsIt)
+{
+	Trouble trouble;
+	trouble.slow_log = 100;
+	CellWorld world(3, trouble, 2);
+	world.Submit(MakeJob("a", 1, 1, 1000, 300));
+	// Taken in, but its first record is still on the way
+	world.Run(500);
+	EXPECT_EQ(world.Shown("a").phase, EJobPhase::Queued);
+	EXPECT_EQ(world.Starts(), 0u);
+	world.Run(20000);
+	EXPECT_EQ(world.Shown("a").phase, EJobPhase::Completed);
+}
+
+TEST(Cell, AJobThatFailsTooOftenIsFailed)
+{
+	Trouble trouble;
+	trouble.failing = 100;
+	CellWorld world(5, trouble, 3);
+	world.Submit(MakeJob("a", 1, 1, 1000, 300));
+	world.Run(60000);
+	EXPECT_EQ(world.Shown("a").phase, EJobPhase::Failed);
+	EXPECT_EQ(world.Starts(), 3u);
+	EXPECT_EQ(All(world.broken), "");
+}
+
+TEST(Cell, WhatFitsNowhereWaits)
+{
+	CellWorld world(5, Trouble{}, 3);
+	world.Submit(MakeJob("huge", 1, 1, 99000, 300));
+	world.Run(10000);
+	EXPECT_EQ(world.Shown("huge").phase, EJobPhase::Queued);
+	EXPECT_EQ(world.Core().Waiting("queue"), 1u);
+}
+
+TEST(Cell, SparesOnlyEmptyWorkers)
+{
+	CellWorld world(5, Trouble{}, 4);
+	JobSpec lasting = MakeJob("lasting", 1, 2, 1500, 500);
+	lasting.steps[0].lasting = true;
+	lasting.steps[0].max_per_worker = 1;
+	world.Submit(lasting);
+	world.Run(3000);
+	const PoolDemand demand = world.Core().Demand("pool", 4, 1500, 4000, 0);
+	EXPECT_EQ(demand.spared.size(), 2u);
+	EXPECT_EQ(demand.least_hosts, 2u);
+	for (const std::string &id : demand.spared)
+		EXPECT_TRUE(world.Workers().at(id).running.empty());
+}
+
+TEST(Cell, MovesLastingTasksOffAnEmptiedWorker)
+{
+	CellWorld world(5, Trouble{}, 4);
+	JobSpec lasting = MakeJob("lasting", 1, 2, 1500, 500);
+	lasting.steps[0].lasting = true;
+	lasting.steps[0].max_per_worker = 1;
+	lasting.steps[0].limits_misses = true;
+	lasting.steps[0].may_miss = 1;
+	world.Submit(lasting);
+	world.Run(3000);
+	std::string busy;
+	for (const auto &[id, worker] : world.Workers())
+		if (!worker.running.empty())
+			busy = id;
+	ASSERT_FALSE(busy.empty());
+	bool empty = false;
+	for (int i = 0; i < 40 && !empty; ++i)
+	{
+		empty = world.Core().Vacate(busy, 1500, 4000 + i * 100);
+		world.Run(100);
+	}
+	EXPECT_TRUE(empty);
+	world.Run(2000);
+	size_t at_work = 0;
+	for (const auto &[id, worker] : world.Workers())
+		at_work += worker.running.size();
+	EXPECT_EQ(at_work, 2u);
+}
+
+} // namespace Loomreach::Jobs
