--- /dev/null
+++ b/UnitTests/FleetDutyTests.cpp
@@ -0,0 +1,195 @@
+// Waves of maintenance and the balance of hosts over pools.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Fleet/PoolBalancer.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+HostEntry Host(const std::string &inName, const std::string &inPool, EHostState inState = EHostState::Up)
+{
+	HostEntry host;
+	host.name = inName;
+	host.pool = inPool;
+	host.state = inState;
+	host.worker = "worker-" + inName;
+	host.kind = "a";
+	host.capacity = {16000, 32768, 0};
+	return host;
+}
+
+Catalogue TwoPools()
+{
+	Catalogue catalogue;
+	catalogue.pools["busy"] = {"busy", false, false};
+	catalogue.pools["idle"] = {"idle", false, false};
+	catalogue.pools["spare"] = {"spare", false, true};
+	return catalogue;
+}
+
+/// Plays a wave to its end and returns the most hosts that were down at once.
+uint32 PlayWave(UpkeepPlanner &ioPlanner, std::vector<HostEntry> inHosts, int64 inWave, EDutyResult inResult)
+{
+	uint32 most = 0;
+	std::map<std::string, Millis> down_since;
+	for (Millis now = 1000; now < 60000 && !ioPlanner.IsCompleted(inWave); now += 100)
+	{
+		for (HostEntry &host : inHosts)
+			if (down_since.contains(host.name))
+			{
+				const bool over = now - down_since[host.name] > 2000;
+				host.state = over ? EHostState::Up : EHostState::Maintenance;
+				if (over)
+					down_since.erase(host.name);
+			}
+		ioPlanner.SetHosts(inHosts, now);
+		for (const HostEntry &host : ioPlanner.ToEmpty(now))
+			ioPlanner.OnEmpty(host.name, now, now);
+		for (const HostDuty &duty : ioPlanner.TakeDuties(now))
+		{
+			down_since[duty.host] = now;
+			ioPlanner.OnDuty(duty, inResult, now);
+		}
+		most = std::max(most, static_cast<uint32>(down_since.size()));
+	}
+	return most;
+}
+
+} // namespace
+
+TEST(UpkeepPlanner, NeverTakesMoreDownThanAllowed)
+{
+	std::vector<HostEntry> hosts;
+	UpkeepWave wave{1, {}, 26000, 3};
+	for (int i = 0; i < 12; ++i)
+	{
+		hosts.push_back(Host("m" + std::to_string(i), "busy"));
+		wave.hosts.push_back(hosts.back().name);
+	}
+	UpkeepPlanner planner(UpkeepTuning{});
+	planner.AddWave(wave, {}, 1000);
+	EXPECT_EQ(PlayWave(planner, hosts, 1, EDutyResult::Done), 3u);
+	EXPECT_TRUE(planner.IsCompleted(1));
+}
+
+TEST(UpkeepPlanner, CountsHostsThatAPredecessorTookDown)
+{
+	UpkeepPlanner planner(UpkeepTuning{});
+	planner.AddWave({1, {"m0", "m1"}, 26000, 1}, {}, 1000);
+	planner.SetHosts({Host("m0", "busy", EHostState::Maintenance), Host("m1", "busy")}, 1000);
+	for (const HostEntry &host : planner.ToEmpty(1000))
+		planner.OnEmpty(host.name, 1000, 1000);
+	EXPECT_TRUE(planner.TakeDuties(1100).empty());
+}
+
+TEST(UpkeepPlanner, IsNotCompletedWhileAHostWaits)
+{
+	UpkeepPlanner planner(UpkeepTuning{});
+	planner.AddWave({1, {"m0", "m1"}, 26000, 2}, {"m0"}, 1000);
+	EXPECT_FALSE(planner.IsCompleted(1));
+	planner.SetHosts({Host("m0", "busy"), Host("m1", "busy")}, 1000);
+	EXPECT_FALSE(planner.IsCompleted(1));
+	// A host that left the fleet needs nothing
+	planner.SetHosts({Host("m0", "busy")}, 1200);
+	EXPECT_TRUE(planner.IsCompleted(1));
+}
+
+TEST(UpkeepPlanner, AnEmptyHostIsTrustedForAShortTimeOnly)
+{
+	UpkeepTuning tuning;
+	UpkeepPlanner planner(tuning);
+	planner.AddWave({1, {"m0"}, 26000, 1}, {}, 1000);
+	planner.SetHosts({Host("m0", "busy")}, 1000);
+	ASSERT_EQ(planner.ToEmpty(1000).size(), 1u);
+	planner.OnEmpty("m0", 1000, 1300);
+	EXPECT_TRUE(planner.TakeDuties(1000 + tuning.ready_for_ms).empty());
+}
+
+TEST(UpkeepPlanner, LeavesTightPoolsAloneUntilPressed)
+{
+	UpkeepPlanner planner(UpkeepTuning{});
+	planner.AddWave({1, {"m0"}, 26000, 1}, {}, 1000);
+	planner.SetHosts({Host("m0", "busy")}, 1000);
+	planner.SetTight({"busy"});
+	EXPECT_TRUE(planner.ToEmpty(2000).empty());
+	EXPECT_EQ(planner.ToEmpty(20000).size(), 1u);
+}
+
+TEST(PoolBalancer, BringsSpareHostsToAPoolInNeed)
+{
+	PoolBalancer balancer(BalanceTuning{});
+	balancer.SetPools(TwoPools());
+	balancer.SetHosts({Host("m0", "busy"), Host("s0", "spare"), Host("s1", "spare"), Host("s2", "spare")}, {}, 1000);
+	PoolDemand demand;
+	demand.need = {28000, 1000, 0};
+	balancer.OnDemand("busy", demand, 1000);
+	const std::vector<HostDuty> moves = balancer.TakeMoves(1100);
+	// 28 cores and headroom are three hosts, one more is margin; one is there
+	EXPECT_EQ(moves.size(), 3u);
+	for (const HostDuty &move : moves)
+		EXPECT_EQ(move.pool, "busy");
+	EXPECT_TRUE(balancer.TakeMoves(1200).empty());
+}
+
+TEST(PoolBalancer, MovesOnlyHostsWhoseOwnerPromisedThemEmpty)
+{
+	PoolBalancer balancer(BalanceTuning{});
+	balancer.SetPools(TwoPools());
+	std::vector<HostEntry> hosts{Host("b0", "busy")};
+	for (int i = 0; i < 6; ++i)
+		hosts.push_back(Host("i" + std::to_string(i), "idle"));
+	balancer.SetHosts(hosts, {}, 1000);
+	PoolDemand busy;
+	busy.need = {40000, 1000, 0};
+	PoolDemand idle;
+	balancer.OnDemand("busy", busy, 1000);
+	balancer.OnDemand("idle", idle, 1000);
+	EXPECT_TRUE(balancer.TakeMoves(1100).empty());
+	uint32 asked = 0;
+	for (const auto &[pool, count] : balancer.ToAsk(1100))
+		asked += pool == "idle" ? count : 0;
+	EXPECT_GT(asked, 0u);
+	idle.spared = {"worker-i2"};
+	balancer.OnDemand("idle", idle, 1200);
+	const std::vector<HostDuty> moves = balancer.TakeMoves(1300);
+	ASSERT_EQ(moves.size(), 1u);
+	EXPECT_EQ(moves[0].host, "i2");
+	// The promise is over
+	balancer.OnMove(moves[0], EDutyResult::Refused, 1400);
+	EXPECT_TRUE(balancer.TakeMoves(5000).empty());
+}
+
+TEST(PoolBalancer, HostsInAWaveAreLeftAlone)
+{
+	PoolBalancer balancer(BalanceTuning{});
+	balancer.SetPools(TwoPools());
+	balancer.SetHosts({Host("s0", "spare")}, {"s0"}, 1000);
+	PoolDemand demand;
+	demand.need = {28000, 1000, 0};
+	balancer.OnDemand("busy", demand, 1000);
+	EXPECT_TRUE(balancer.TakeMoves(1100).empty());
+}
+
+TEST(PoolBalancer, RemembersPoolsThatTakeOtherHosts)
+{
+	PoolBalancer balancer(BalanceTuning{});
+	balancer.SetPools(TwoPools());
+	balancer.SetHosts({Host("s0", "spare"), Host("s1", "spare")}, {}, 1000);
+	PoolDemand demand;
+	demand.need = {1000, 1000, 0};
+	balancer.OnDemand("busy", demand, 1000);
+	const std::vector<HostDuty> moves = balancer.TakeMoves(1100);
+	ASSERT_FALSE(moves.empty());
+	for (const HostDuty &move : moves)
+		balancer.OnMove(move, EDutyResult::Impossible, 1200);
+	balancer.OnDemand("busy", demand, 1200);
+	EXPECT_TRUE(balancer.TakeMoves(1300).empty());
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/UnitTests/OwnershipTests.cpp
@@ -0,0 +1,212 @@
+// Claims, leases and the order of hosts that may claim.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Ownership/CellNames.h>
+#include <Loomreach/Ownership/OwnedLog.h>
+#include <Loomreach/Ownership/OwnerTable.h>
+#include <UnitTests/FakeLog.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+const LogName cName{"keyed.cell0", 0};
+
+/// One claimant and what came of its claim.
+struct Claimant
+{
+	Claimant(FakeLog &ioLog, const std::string &inHost, uint64 inLife) : log(ioLog, cName, inHost, inLife) {}
+
+	void Claim(uint64 inMostEpoch = 100)
+	{
+		this->log.Claim([inMostEpoch](const ClaimRecord &inSeen) { return inSeen.epoch < inMostEpoch; },
+						[this](bool inWon, const OwnedLog<FakeLog>::Records &inRecords)
+						{
+							this->settled = true;
+							this->won = inWon;
+							this->records = inRecords;
+						});
+	}
+
+	OwnedLog<FakeLog> log;
+	bool settled = false;
+	bool won = false;
+	OwnedLog<FakeLog>::Records records;
+};
+
+HostBeat Beat(const std::string &inHost, uint64 inNumber, std::vector<OwnedCell> inCells, uint32 inWeight = 250)
+{
+	HostBeat beat;
+	beat.host = inHost;
+	beat.life = HashBytes(inHost);
+	beat.number = inNumber;
+	beat.weight = inWeight;
+	beat.cells = std::move(inCells);
+	return beat;
+}
+
+} // namespace
+
+TEST(OwnedLog, TwoClaimsAtOnceHaveOneWinner)
+{
+	// Failed first: both used the same producer, epoch and number, and the store gave the loser the winner's answer
+	FakeLog log;
+	Claimant a(log, "a", 1);
+	Claimant b(log, "b", 2);
+	a.Claim(1);
+	b.Claim(1);
+	FakeLog::Settle();
+	EXPECT_TRUE(a.settled && b.settled);
+	EXPECT_NE(a.won, b.won);
+	EXPECT_EQ(log.Size(cName), 1u);
+}
+
+TEST(OwnedLog, AClaimWhoseAnswerWasLostIsStillWon)
+{
+	FakeLog log;
+	log.fates = {FakeLog::EFate::LoseAnswer};
+	Claimant a(log, "a", 1);
+	a.Claim();
+	FakeLog::Settle();
+	EXPECT_TRUE(a.won);
+	EXPECT_EQ(log.Size(cName), 1u);
+}
+
+TEST(OwnedLog, ARefusedClaimIsTriedAgain)
+{
+	FakeLog log;
+	log.fates = {FakeLog::EFate::Refuse, FakeLog::EFate::Vanish};
+	Claimant a(log, "a", 1);
+	a.Claim();
+	FakeLog::Settle(400);
+	EXPECT_TRUE(a.won);
+}
+
+TEST(OwnedLog, AnUnreadableLogIsNotClaimed)
+{
+	FakeLog log;
+	log.readable = false;
+	Claimant a(log, "a", 1);
+	a.Claim();
+	FakeLog::Settle();
+	EXPECT_TRUE(a.settled);
+	EXPECT_FALSE(a.won);
+	EXPECT_EQ(log.Size(cName), 0u);
+}
+
+TEST(OwnedLog, ASuccessorReadsAllAndFencesItsPredecessor)
+{
+	FakeLog log;
+	Claimant a(log, "a", 1);
+	a.Claim();
+	FakeLog::Settle();
+	bool first = false;
+	a.log.Append({{"k", "1", 0}, {"l", "2", 0}}, [&](bool inDone) { first = inDone; });
+	FakeLog::Settle();
+	ASSERT_TRUE(first);
+	Claimant b(log, "b", 2);
+	b.Claim();
+	FakeLog::Settle();
+	ASSERT_TRUE(b.won);
+	EXPECT_EQ(b.records.at("k"), "1");
+	EXPECT_GT(b.log.Epoch(), a.log.Epoch());
+	bool late = true;
+	a.log.Append({{"k", "late", 0}}, [&](bool inDone) { late = inDone; });
+	FakeLog::Settle();
+	EXPECT_FALSE(late);
+}
+
+TEST(OwnedLog, AnAppendWhoseAnswerWasLostIsDoneOnce)
+{
+	FakeLog log;
+	Claimant a(log, "a", 1);
+	a.Claim();
+	FakeLog::Settle();
+	log.fates = {FakeLog::EFate::LoseAnswer, FakeLog::EFate::LoseAnswer, FakeLog::EFate::Refuse};
+	bool done = false;
+	a.log.Append({{"k", "1", 0}}, [&](bool inDone) { done = inDone; });
+	FakeLog::Settle(600);
+	EXPECT_TRUE(done);
+	EXPECT_EQ(log.Size(cName), 2u);
+}
+
+TEST(OwnerTable, ACellIsFreeOnlyAfterTheWholeLease)
+{
+	LeaseTuning tuning;
+	OwnerTable table("me", tuning);
+	table.OnBeat(Beat("other", 1, {{7, 3}}), 1000);
+	EXPECT_FALSE(table.IsFree(7, 1000 + tuning.lease_ms));
+	EXPECT_TRUE(table.IsFree(7, 1001 + tuning.lease_ms));
+	// A newer heartbeat begins the lease anew; the same one read again does not
+	table.OnBeat(Beat("other", 2, {{7, 3}}), 2000);
+	table.OnBeat(Beat("other", 2, {{7, 3}}), 3500);
+	EXPECT_FALSE(table.IsFree(7, 2000 + tuning.lease_ms));
+	EXPECT_TRUE(table.IsFree(7, 2001 + tuning.lease_ms));
+	// Given back
+	table.OnBeat(Beat("other", 3, {}), 4000);
+	EXPECT_TRUE(table.IsFree(7, 4000));
+}
+
+TEST(OwnerTable, AClaimNobodyHasToldOfHoldsForALease)
+{
+	LeaseTuning tuning;
+	OwnerTable table("me", tuning);
+	table.OnClaimSeen(7, "other", 4, 1000);
+	EXPECT_FALSE(table.IsFree(7, 1500));
+	EXPECT_TRUE(table.IsFree(7, 1001 + tuning.lease_ms));
+}
+
+TEST(OwnerTable, AnEarlierLifeOfThisHostHoldsNothing)
+{
+	OwnerTable table("me", LeaseTuning{});
+	table.OnBeat(Beat("me", 1, {{7, 3}}), 1000);
+	EXPECT_TRUE(table.IsFree(7, 1001));
+}
+
+TEST(OwnerTable, HostsWithFewCellsForTheirSizeClaimFirst)
+{
+	LeaseTuning tuning;
+	OwnerTable small("small", tuning);
+	OwnerTable large("large", tuning);
+	for (OwnerTable *table : {&small, &large})
+	{
+		table->OnBeat(Beat("small", 1, {}, 120), 1000);
+		table->OnBeat(Beat("large", 1, {{1, 1}}, 500), 1000);
+	}
+	EXPECT_TRUE(small.ToClaim({7}, 1000).empty());
+	EXPECT_EQ(large.ToClaim({7}, 1000), std::vector<uint32>{7});
+	// The first does nothing: the next one does, a little later
+	EXPECT_EQ(small.ToClaim({7}, 1000 + tuning.rank_ms), std::vector<uint32>{7});
+}
+
+TEST(OwnLease, EndsBeforeAnyChallengersWait)
+{
+	LeaseTuning tuning;
+	OwnLease lease(tuning);
+	EXPECT_FALSE(lease.MayAct(1000));
+	EXPECT_TRUE(lease.OnAcknowledged(1000, 1100));
+	EXPECT_TRUE(lease.MayAct(1000 + tuning.lease_ms - tuning.slack_ms - 1));
+	EXPECT_FALSE(lease.MayAct(1000 + tuning.lease_ms - tuning.slack_ms));
+	// Acknowledged after its end: what was owned is lost
+	EXPECT_FALSE(lease.OnAcknowledged(2000, 5000));
+}
+
+TEST(CellNames, AllPoolsFitTheStoresTopics)
+{
+	std::set<std::string> topics{HostsLog().topic, CellLog(cFleetCell, 8).topic};
+	for (int i = 0; i < 298; ++i)
+	{
+		const uint32 cell = CellOf("pool" + std::to_string(i), 8);
+		topics.insert(CellLog(cell, 8).topic);
+		topics.insert(InboxLog(cell, 8).topic);
+		EXPECT_LT(CellLog(cell, 8).part, 8u);
+	}
+	EXPECT_LE(topics.size(), 100u);
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/UnitTests/PlatformTests.cpp
@@ -0,0 +1,108 @@
+// The platform's messages as the adapter decodes them: the shapes of the protocol, and damaged ones.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Error.h>
+#include <Loomreach/Settings/JobHostConfig.h>
+#include <platform/Feeds.h>
+#include <platform/WorkerCalls.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs::Platform
+{
+
+TEST(PlatformFeeds, DecodesTheConfiguration)
+{
+	const std::string body = R"({"version":7,"routes":[{"name":"q","host":"h.example","pathPrefix":"/a/","service":"p","priority":1,
+		"maxAttempts":2,"stretch":1.6,"targetLatencyMs":600,"advice":{"decide_ms":50,"each_ms":5,"valid_ms":3000}},
+		{"name":"deep","host":"h.example","pathPrefix":"/a/b/","service":"s"}],
+		"services":[{"name":"p","enforcesCapacity":true},{"name":"s","spare":true}],"unknown":1})";
+	const std::optional<Catalogue> catalogue = DecodeCatalogue(body);
+	ASSERT_TRUE(catalogue.has_value());
+	EXPECT_EQ(catalogue->version, 7);
+	EXPECT_EQ(catalogue->Find("h.example", "/a/x")->name, "q");
+	EXPECT_EQ(catalogue->Find("h.example", "/a/b/x")->name, "deep");
+	EXPECT_EQ(catalogue->Find("other.example", "/a/x"), nullptr);
+	EXPECT_EQ(catalogue->queues[0].max_attempts, 2u);
+	ASSERT_TRUE(catalogue->queues[0].advice.has_value());
+	EXPECT_EQ(catalogue->queues[0].advice->each_ms, 5);
+	EXPECT_TRUE(catalogue->pools.at("p").guards_capacity);
+	EXPECT_TRUE(catalogue->pools.at("s").spare);
+}
+
+TEST(PlatformFeeds, RefusesWhatIsNoConfiguration)
+{
+	for (const char *body : {"", "[]", "{}", "{\"routes\":3}", "\xff\xfe", "{\"version\":"})
+		EXPECT_FALSE(DecodeCatalogue(body).has_value()) << body;
+	// Fields of the wrong type count as missing
+	const std::optional<Catalogue> odd = DecodeCatalogue(R"({"version":1,"routes":[3,{"name":4,"stretch":"x"}],"services":{}})");
+	ASSERT_TRUE(odd.has_value());
+	EXPECT_EQ(odd->queues.size(), 1u);
+}
+
+TEST(PlatformFeeds, DecodesAWorker)
+{
+	const std::optional<WorkerEntry> worker = DecodeWorker(
+		"i-1", R"({"service":"p","address":"10.0.0.1:80","zone":"z","state":"draining","capacity":{"cpu":16000,"memMb":32768,"gpu":2},
+		"labels":["a","r1-3"],"clockMs":4711,"machine":"m-1"})");
+	ASSERT_TRUE(worker.has_value());
+	EXPECT_EQ(worker->host, "m-1");
+	EXPECT_EQ(worker->rack, "r1-3");
+	EXPECT_EQ(worker->kind, "a");
+	EXPECT_EQ(worker->capacity.accelerators, 2);
+	EXPECT_EQ(worker->clock_ms, 4711);
+	EXPECT_TRUE(worker->draining);
+	EXPECT_FALSE(DecodeWorker("i-1", R"({"service":"p"})").has_value());
+}
+
+TEST(PlatformFeeds, DecodesAWave)
+{
+	const std::optional<UpkeepWave> wave = DecodeWave("wave/3", R"({"wave":3,"machines":["m-1","m-2"],"withinS":20.5,"atMost":2})");
+	ASSERT_TRUE(wave.has_value());
+	EXPECT_EQ(wave->within_ms, 20500);
+	EXPECT_EQ(wave->at_most, 2u);
+	EXPECT_FALSE(DecodeWave("config", "{}").has_value());
+	EXPECT_FALSE(DecodeWave("wave/3", "{}").has_value());
+	EXPECT_EQ(EncodeWaveStatus(3, true).value, R"({"state":"completed","wave":3})");
+}
+
+TEST(PlatformWorkers, ParsesTaskNames)
+{
+	const std::optional<TaskId> task = ParseTask("5c0e7a21d94b36f8.2.1.17");
+	ASSERT_TRUE(task.has_value());
+	EXPECT_EQ(task->job, "5c0e7a21d94b36f8");
+	EXPECT_EQ(task->round, 2u);
+	EXPECT_EQ(task->step, 1u);
+	EXPECT_EQ(task->index, 17u);
+	for (const char *text : {"", "a", "a.1", "a.1.2", "a.x.1.2"})
+		EXPECT_FALSE(ParseTask(text).has_value()) << text;
+}
+
+TEST(JobHostConfig, ReadsWhatTheTemplateFills)
+{
+	const std::string text = R"(name = "n"
+availability_zone = "z"
+callers = "10.0.0.1:1"
+ready = "10.0.0.1:2"
+peers = "10.0.0.1:3"
+store = "10.0.0.2:1"
+log_parts = 8
+machines = "10.0.0.2:2"
+adviser = ""
+duties_per_s = 64.0
+worker_most_lease_ms = 10000
+maintenance_ms = 2000
+processor_share = 0.25
+)";
+	const std::optional<JobHostConfig> config = ParseJobHostConfig(text, "f");
+	ASSERT_TRUE(config.has_value()) << LastReasonText();
+	EXPECT_EQ(config->processor_milli, 250);
+	EXPECT_FALSE(config->adviser.has_value());
+	EXPECT_FALSE(ParseJobHostConfig(text + "colour = 3\n", "f").has_value());
+	EXPECT_NE(LastReasonText().find("unknown key 'colour'"), std::string::npos);
+	EXPECT_FALSE(ParseJobHostConfig("name = \"n\"\n", "f").has_value());
+	EXPECT_FALSE(ParseJobHostConfig(text + "owner_lease_ms = 500\nowner_slack_ms = 400\n", "f").has_value());
+}
+
+} // namespace Loomreach::Jobs::Platform
