--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -41,7 +41,8 @@
 
 	CellSeat(Hub &inHub, const SeatContext &inContext, uint32 inCell);
 
-	void Claim(OnSeat inDone);
+	/// `inBeatNumber`: of the host's newest heartbeat.
+	void Claim(uint64 inBeatNumber, OnSeat inDone);
 	/// Whether the claim has been won and nothing has been lost since.
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -33,15 +33,16 @@
 }
 
 template <class Hub>
-void CellSeat<Hub>::Claim(OnSeat inDone)
+void CellSeat<Hub>::Claim(uint64 inBeatNumber, OnSeat inDone)
 {
 	this->on_seat = std::move(inDone);
 	this->log.Claim(
+		inBeatNumber,
 		[this](const ClaimRecord &inSeen)
 		{
 			const Millis now = NowMillis();
 			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
-				this->context.owners.OnClaimSeen(this->number, inSeen.host, inSeen.epoch, now);
+				this->context.owners.OnClaimSeen(this->number, inSeen, now);
 			return this->context.lease.MayAct(now) && this->context.owners.IsFree(this->number, now);
 		},
 		this->Guard(
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -20,7 +20,8 @@
 
 	FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk);
 
-	void Claim(OnSeat inDone);
+	/// `inBeatNumber`: of the host's newest heartbeat.
+	void Claim(uint64 inBeatNumber, OnSeat inDone);
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
 	/// The waves that the operator has asked for.
@@ -35,8 +36,8 @@
 	void ListHosts();
 	void AskToEmpty(Millis inNow);
 	void AskDemands(Millis inNow);
-	void SendDuties(Millis inNow);
-	void WriteProgress();
+	void Write(Millis inNow);
+	void SendDuty(const HostDuty &inDuty);
 	void WriteStatus(int64 inWave, bool inCompleted);
 	template <class F>
 	auto Guard(F inCall)
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -9,7 +9,9 @@
 inline constexpr Millis cAskOwnerMs = 400;
 inline constexpr Millis cDemandsEveryMs = 200; ///< Pools' needs are asked for this often; a move takes 1.5 s.
 inline constexpr uint32 cMostSpared = 40;      ///< Names of workers that fit one datagram.
+inline constexpr Millis cDutyGoodMs = 1200;   ///< An order to a host leaves within this, or not at all: the host is trusted empty about as long.
 inline constexpr char cWaveKey = 'w';
+inline constexpr char cDutyKey = 'd';
 
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
@@ -20,15 +22,16 @@
 }
 
 template <class Hub>
-void FleetSeat<Hub>::Claim(OnSeat inDone)
+void FleetSeat<Hub>::Claim(uint64 inBeatNumber, OnSeat inDone)
 {
 	this->on_seat = std::move(inDone);
 	this->log.Claim(
+		inBeatNumber,
 		[this](const ClaimRecord &inSeen)
 		{
 			const Millis now = NowMillis();
 			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
-				this->context.owners.OnClaimSeen(cFleetCell, inSeen.host, inSeen.epoch, now);
+				this->context.owners.OnClaimSeen(cFleetCell, inSeen, now);
 			return this->context.lease.MayAct(now) && this->context.owners.IsFree(cFleetCell, now);
 		},
 		this->Guard(
@@ -71,8 +74,7 @@
 		this->ListHosts();
 	this->AskToEmpty(now);
 	this->AskDemands(now);
-	this->SendDuties(now);
-	this->WriteProgress();
+	this->Write(now);
 }
 
 template <class Hub>
@@ -150,33 +152,24 @@
 }
 
 template <class Hub>
-void FleetSeat<Hub>::SendDuties(Millis inNow)
+void FleetSeat<Hub>::SendDuty(const HostDuty &inDuty)
 {
-	std::vector<HostDuty> duties = this->planner.TakeDuties(inNow);
-	for (HostDuty &move : this->balancer.TakeMoves(inNow))
-		duties.push_back(std::move(move));
-	for (HostDuty &duty : duties)
+	const auto tell = [this, duty = inDuty](EDutyResult inResult)
 	{
-		duty.holder = this->context.config.name;
-		duty.token = this->log.Epoch();
-		duty.not_after = this->context.lease.Until();
-		const auto tell = [this, duty](EDutyResult inResult)
-		{
-			this->context.metrics.Count(ECounter::Duties, NameOf(cDutyResultNames, inResult));
-			if (duty.kind == EDuty::Move)
-				this->balancer.OnMove(duty, inResult, NowMillis());
-			else
-				this->planner.OnDuty(duty, inResult, NowMillis());
-		};
-		if (this->context.lease.MayAct(NowMillis()))
-			this->hub.machines.Send(duty, this->Guard(tell));
+		this->context.metrics.Count(ECounter::Duties, NameOf(cDutyResultNames, inResult));
+		if (duty.kind == EDuty::Move)
+			this->balancer.OnMove(duty, inResult, NowMillis());
 		else
-			tell(EDutyResult::Refused);
-	}
+			this->planner.OnDuty(duty, inResult, NowMillis());
+	};
+	if (this->held && this->context.lease.MayAct(NowMillis()))
+		this->hub.machines.Send(inDuty, this->Guard(tell));
+	else
+		tell(EDutyResult::Refused);
 }
 
 template <class Hub>
-void FleetSeat<Hub>::WriteProgress()
+void FleetSeat<Hub>::Write(Millis inNow)
 {
 	if (this->log.IsBusy())
 		return;
@@ -189,15 +182,29 @@
 		records.push_back({cWaveKey + std::to_string(wave), EncodeValue(done), 0});
 		this->logged[wave] = std::move(done);
 	}
+	std::vector<HostDuty> duties = this->planner.TakeDuties(inNow);
+	for (HostDuty &move : this->balancer.TakeMoves(inNow))
+		duties.push_back(std::move(move));
+	for (HostDuty &duty : duties)
+	{
+		duty.holder = this->context.config.name;
+		duty.token = this->log.Epoch();
+		duty.not_after = std::min(this->context.lease.Until(), inNow + cDutyGoodMs);
+		records.push_back({cDutyKey + duty.host, duty.pool, 0});
+	}
 	if (records.empty())
 		return;
+	// The platform does not check tokens here: an append that comes through proves that nobody else has claimed the fleet
 	this->log.Append(std::move(records), this->Guard(
-											 [this](bool inDone)
+											 [this, duties](bool inDone)
 											 {
+												 if (!inDone)
+													 this->held = false;
+												 for (const HostDuty &duty : duties)
+													 this->SendDuty(duty);
 												 if (inDone)
 													 return;
 												 LogPlain(ELogLevel::Warning, "fleet_lost");
-												 this->held = false;
 												 const OnSeat lost = this->on_seat;
 												 lost(false);
 											 }));
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -52,6 +52,7 @@
 	// Ownership
 	void PollHosts();
 	void Beat();
+	void DropSuperseded();
 	void ConsiderClaims();
 	void ClaimCell(uint32 inCell);
 	void ClaimFleet();
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -211,6 +211,7 @@
 									   if (beat.has_value())
 										   this->owners.OnBeat(*beat, now);
 								   }
+								   this->DropSuperseded();
 								   this->ConsiderClaims();
 							   }
 							   const bool close = this->cells_free || !inAnswer.good;
@@ -218,6 +219,18 @@
 						   });
 }
 
+template <class Hub>
+void JobHost<Hub>::DropSuperseded()
+{
+	for (const auto &[cell, seat] : this->seats)
+		if (seat->IsHeld() && this->owners.IsSuperseded(cell, seat->Epoch()))
+			this->lost_seats.push_back(cell);
+	if (this->fleet != nullptr && this->fleet->IsHeld() && this->owners.IsSuperseded(cFleetCell, this->fleet->Epoch()))
+		this->lost_seats.push_back(cFleetCell);
+	for (uint32 cell : this->lost_seats)
+		LogEvent(ELogLevel::Warning, "cell_superseded").Field("cell", cell);
+}
+
 template <class Hub>
 void JobHost<Hub>::ConsiderClaims()
 {
@@ -253,6 +266,7 @@
 	CellSeat<Hub> *claimed = seat.get();
 	this->seats[inCell] = std::move(seat);
 	claimed->Claim(
+		this->beat_number,
 		[this, inCell](bool inHeld)
 		{
 			this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
@@ -276,6 +290,7 @@
 												   });
 	this->fleet->SetCatalogue(this->catalogue);
 	this->fleet->Claim(
+		this->beat_number,
 		[this](bool inHeld)
 		{
 			this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -7,6 +7,7 @@
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Ownership/LogTypes.h>
+#include <Loomreach/Ownership/OwnerTable.h>
 
 namespace Loomreach::Jobs
 {
@@ -20,20 +21,6 @@
 	ioLog.Newest(inName, [](NewestAnswer) {});
 };
 
-/// The record of a claim.
-struct ClaimRecord
-{
-	std::string host;
-	uint64 life = 0;
-	uint64 epoch = 0;
-
-	template <class Archive>
-	void serialize(Archive &ioArchive)
-	{
-		ioArchive(this->host, this->life, this->epoch);
-	}
-};
-
 /// The key of the claim in every cell's log.
 inline constexpr std::string_view cClaimKey = "o";
 
@@ -51,8 +38,8 @@
 
 	OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife);
 
-	/// Reads the log and claims it.
-	void Claim(Judge inJudge, OnClaimed inDone);
+	/// Reads the log and claims it. `inBeatNumber`: of the host's newest heartbeat.
+	void Claim(uint64 inBeatNumber, Judge inJudge, OnClaimed inDone);
 	/// Appends, again and again until the outcome is certain. `inDone(false)`: the log has another owner.
 	void Append(std::vector<LogRecord> inRecords, OnAppended inDone);
 	bool IsBusy() const { return this->busy; }
@@ -79,6 +66,7 @@
 	LogName name;
 	std::string host;
 	uint64 life;
+	uint64 beat_number = 0;
 	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 	Judge judge;
 	OnClaimed on_claimed;
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -42,8 +42,9 @@
 }
 
 template <JobLog Log>
-void OwnedLog<Log>::Claim(Judge inJudge, OnClaimed inDone)
+void OwnedLog<Log>::Claim(uint64 inBeatNumber, Judge inJudge, OnClaimed inDone)
 {
+	this->beat_number = inBeatNumber;
 	this->judge = std::move(inJudge);
 	this->on_claimed = std::move(inDone);
 	this->records.clear();
@@ -90,7 +91,7 @@
 	AppendCall call;
 	call.log = this->name;
 	call.keyed = true;
-	call.records.push_back({std::string(cClaimKey), EncodeValue(ClaimRecord{this->host, this->life, this->epoch}), 0});
+	call.records.push_back({std::string(cClaimKey), EncodeValue(ClaimRecord{this->host, this->life, this->epoch, this->beat_number}), 0});
 	call.at = this->end;
 	call.producer = Producer{"owner", this->epoch, 0};
 	call.timeout_ms = cAppendTimeoutMs;
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -18,12 +18,21 @@
 	heard.at = inNow;
 }
 
-void OwnerTable::OnClaimSeen(uint32 inCell, const std::string &inHost, uint64 inEpoch, Millis inNow)
+void OwnerTable::OnClaimSeen(uint32 inCell, const ClaimRecord &inClaim, Millis inNow)
 {
-	ClaimSeen &claim = this->claims[inCell];
-	if (claim.epoch >= inEpoch && claim.epoch != 0)
+	ClaimSeen &seen = this->claims[inCell];
+	if (seen.claim.epoch >= inClaim.epoch && seen.claim.epoch != 0)
 		return;
-	claim = {inHost, inEpoch, inNow};
+	seen = {inClaim, inNow};
+}
+
+bool OwnerTable::IsSuperseded(uint32 inCell, uint64 inEpoch) const
+{
+	for (const auto &[name, heard] : this->hosts)
+		for (const OwnedCell &cell : heard.beat.cells)
+			if (name != this->self && cell.cell == inCell && cell.epoch > inEpoch)
+				return true;
+	return false;
 }
 
 std::optional<CellOwner> OwnerTable::OwnerOf(uint32 inCell, Millis inNow) const
@@ -53,12 +62,14 @@
 				return false;
 		}
 	// A claim that no heartbeat has told of may be a moment old
-	auto claim = this->claims.find(inCell);
-	if (claim == this->claims.end() || claim->second.host == this->self)
+	auto seen = this->claims.find(inCell);
+	if (seen == this->claims.end() || seen->second.claim.host == this->self)
 		return true;
-	auto claimer = this->hosts.find(claim->second.host);
-	const bool heard_later = claimer != this->hosts.end() && claimer->second.at > claim->second.at;
-	return beaten >= claim->second.epoch || heard_later || inNow - claim->second.at > this->tuning.lease_ms;
+	const ClaimRecord &claim = seen->second.claim;
+	auto claimer = this->hosts.find(claim.host);
+	const bool told_later = claimer != this->hosts.end() &&
+							(claimer->second.beat.life != claim.life ? claimer->second.at > seen->second.at : claimer->second.beat.number > claim.beat_number);
+	return beaten >= claim.epoch || told_later || inNow - seen->second.at > this->tuning.lease_ms;
 }
 
 std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -51,6 +51,21 @@
 	}
 };
 
+/// The record of a claim in a cell's own log.
+struct ClaimRecord
+{
+	std::string host;
+	uint64 life = 0;
+	uint64 epoch = 0;
+	uint64 beat_number = 0; ///< Of the host's newest heartbeat when it claimed: only later ones can tell of the cell.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->host, this->life, this->epoch, this->beat_number);
+	}
+};
+
 /// Where to ask about a cell.
 struct CellOwner
 {
@@ -68,7 +83,9 @@
 	/// A heartbeat was read.
 	void OnBeat(const HostBeat &inBeat, Millis inNow);
 	/// A claim record of a cell was read in the cell's own log.
-	void OnClaimSeen(uint32 inCell, const std::string &inHost, uint64 inEpoch, Millis inNow);
+	void OnClaimSeen(uint32 inCell, const ClaimRecord &inClaim, Millis inNow);
+	/// Whether another host is known to own a cell with a higher epoch than this.
+	bool IsSuperseded(uint32 inCell, uint64 inEpoch) const;
 	/// The owner of a cell, if its lease has not run out here.
 	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
 	/// Whether a cell's last owner must have stopped acting.
@@ -89,8 +106,7 @@
 	/// A claim and when it was first read.
 	struct ClaimSeen
 	{
-		std::string host;
-		uint64 epoch = 0;
+		ClaimRecord claim;
 		Millis at = 0;
 	};
 
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -24,7 +24,7 @@
 
 	void Claim(uint64 inMostEpoch = 100)
 	{
-		this->log.Claim([inMostEpoch](const ClaimRecord &inSeen) { return inSeen.epoch < inMostEpoch; },
+		this->log.Claim(1, [inMostEpoch](const ClaimRecord &inSeen) { return inSeen.epoch < inMostEpoch; },
 						[this](bool inWon, const OwnedLog<FakeLog>::Records &inRecords)
 						{
 							this->settled = true;
@@ -156,11 +156,34 @@
 {
 	LeaseTuning tuning;
 	OwnerTable table("me", tuning);
-	table.OnClaimSeen(7, "other", 4, 1000);
+	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
 	EXPECT_FALSE(table.IsFree(7, 1500));
 	EXPECT_TRUE(table.IsFree(7, 1001 + tuning.lease_ms));
 }
 
+TEST(OwnerTable, AClaimHoldsThoughAnOlderHeartbeatIsReadAfterIt)
+{
+	// Failed first: on kkt-loom (hunt, scale-2 seed 680132069017) a second host claimed the fleet between the first one's claim and its next
+	// heartbeat, because a heartbeat from before the claim was read after it
+	LeaseTuning tuning;
+	OwnerTable table("me", tuning);
+	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
+	table.OnBeat(Beat("other", 5, {}), 1100);
+	EXPECT_FALSE(table.IsFree(7, 1200));
+	// The next one was sent after the claim: without the cell in it, the claim was given back
+	table.OnBeat(Beat("other", 6, {}), 1300);
+	EXPECT_TRUE(table.IsFree(7, 1300));
+}
+
+TEST(OwnerTable, AHigherEpochElsewhereEndsAnOwnership)
+{
+	OwnerTable table("me", LeaseTuning{});
+	table.OnBeat(Beat("other", 1, {{7, 4}}), 1000);
+	EXPECT_TRUE(table.IsSuperseded(7, 3));
+	EXPECT_FALSE(table.IsSuperseded(7, 4));
+	EXPECT_FALSE(table.IsSuperseded(8, 1));
+}
+
 TEST(OwnerTable, AnEarlierLifeOfThisHostHoldsNothing)
 {
 	OwnerTable table("me", LeaseTuning{});
