--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -25,11 +25,17 @@
 
 /// A worker's agent as a seat needs it.
 template <class T>
-concept WorkerAgent = requires(T &ioAgent, const Order &inOrder) { ioAgent.Send(inOrder, [](const OrderAnswer &) {}); };
+concept WorkerAgent = requires(T &ioAgent, const Order &inOrder)
+{
+	ioAgent.Send(inOrder, [](const OrderAnswer &) {});
+};
 
 /// An adviser as a seat needs it.
 template <class T>
-concept Adviser = requires(T &ioAdviser, const AdviceQuestion &inQuestion) { ioAdviser.Ask(inQuestion, [](const AdviceAnswer &) {}); };
+concept Adviser = requires(T &ioAdviser, const AdviceQuestion &inQuestion)
+{
+	ioAdviser.Ask(inQuestion, [](const AdviceAnswer &) {});
+};
 
 /// See the head of the file.
 template <class Hub>
@@ -42,7 +48,7 @@
 	CellSeat(Hub &inHub, const SeatContext &inContext, uint32 inCell);
 
 	/// `inBeatNumber`: of the host's newest heartbeat.
-	void Claim(uint64 inBeatNumber, OnSeat inDone);
+	void Claim(uint64 inBeatNumber, const OnSeat &inDone);
 	/// Whether the claim has been won and nothing has been lost since.
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -5,9 +5,9 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cStepGapMs = 10;    ///< News that comes together is decided on together.
-inline constexpr Millis cTickMs = 50;       ///< Timers of the cell are this coarse.
-inline constexpr Millis cAppendGapMs = 25;  ///< Between two appends: each is a call that is paid for.
+inline constexpr Millis cStepGapMs = 10;     ///< News that comes together is decided on together.
+inline constexpr Millis cTickMs = 50;        ///< Timers of the cell are this coarse.
+inline constexpr Millis cAppendGapMs = 25;   ///< Between two appends: each is a call that is paid for.
 inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
 inline constexpr Millis cInboxAgainMs = 150;
 
@@ -33,9 +33,9 @@
 }
 
 template <class Hub>
-void CellSeat<Hub>::Claim(uint64 inBeatNumber, OnSeat inDone)
+void CellSeat<Hub>::Claim(uint64 inBeatNumber, const OnSeat &inDone)
 {
-	this->on_seat = std::move(inDone);
+	this->on_seat = inDone;
 	this->log.Claim(
 		inBeatNumber,
 		[this](const ClaimRecord &inSeen)
@@ -118,7 +118,10 @@
 	}
 	if (inAnswer.result == ERead::Gone)
 	{
-		LogEvent(ELogLevel::Error, "inbox_gone").Field("cell", this->number).Field("from", this->cell.InboxNext()).Field("first", inAnswer.first);
+		LogEvent(ELogLevel::Error, "inbox_gone")
+			.Field("cell", this->number)
+			.Field("from", this->cell.InboxNext())
+			.Field("first", inAnswer.first);
 		this->cell.SkipInbox(inAnswer.first);
 	}
 	if (!inAnswer.records.empty())
@@ -167,20 +170,22 @@
 		records.push_back({std::move(record.key), std::move(record.value), 0});
 	if (records.empty())
 		return this->SendOrders();
-	this->log.Append(std::move(records), this->Guard(
-											 [this](bool inDone)
-											 {
-												 if (!inDone)
-												 {
-													 LogEvent(ELogLevel::Warning, "cell_lost").Field("cell", this->number).Field("why", "another owner's epoch");
-													 this->held = false;
-													 const OnSeat lost = this->on_seat;
-													 return lost(false);
-												 }
-												 this->cell.OnAppended(NowMillis());
-												 this->SendOrders();
-												 this->Soon(cStepGapMs);
-											 }));
+	this->log.Append(
+		std::move(records),
+		this->Guard(
+			[this](bool inDone)
+			{
+				if (!inDone)
+				{
+					LogEvent(ELogLevel::Warning, "cell_lost").Field("cell", this->number).Field("why", "another owner's epoch");
+					this->held = false;
+					const OnSeat lost = this->on_seat;
+					return lost(false);
+				}
+				this->cell.OnAppended(NowMillis());
+				this->SendOrders();
+				this->Soon(cStepGapMs);
+			}));
 }
 
 template <class Hub>
@@ -227,9 +232,7 @@
 		break;
 	}
 	case EQuestion::Count: answer.waiting = this->cell.Waiting(inQuestion.queue); break;
-	case EQuestion::Demand:
-		answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis());
-		break;
+	case EQuestion::Demand: answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis()); break;
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
 	}
 	return answer;
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -21,12 +21,12 @@
 	FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk);
 
 	/// `inBeatNumber`: of the host's newest heartbeat.
-	void Claim(uint64 inBeatNumber, OnSeat inDone);
+	void Claim(uint64 inBeatNumber, const OnSeat &inDone);
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
 	/// The waves that the operator has asked for.
 	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
-	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->balancer.SetPools(*inCatalogue); }
+	void SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue) { this->balancer.SetPools(*inCatalogue); }
 	bool IsQuiet() const { return !this->log.IsBusy(); }
 
 private:
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -4,27 +4,28 @@
 {
 
 inline constexpr Millis cFleetTickMs = 100;
-inline constexpr Millis cListEveryMs = 400;   ///< While a wave is open; the service takes tens of reads a second.
-inline constexpr Millis cEmptyForMs = 1500;   ///< An emptied worker is kept empty this long after each question.
+inline constexpr Millis cListEveryMs = 400; ///< While a wave is open; the service takes tens of reads a second.
+inline constexpr Millis cEmptyForMs = 1500; ///< An emptied worker is kept empty this long after each question.
 inline constexpr Millis cAskOwnerMs = 400;
 inline constexpr Millis cDemandsEveryMs = 200; ///< Pools' needs are asked for this often; a move takes 1.5 s.
 inline constexpr uint32 cMostSpared = 40;      ///< Names of workers that fit one datagram.
-inline constexpr Millis cDutyGoodMs = 1200;   ///< An order to a host leaves within this, or not at all: the host is trusted empty about as long.
+inline constexpr Millis cDutyGoodMs =
+	1200; ///< An order to a host leaves within this, or not at all: the host is trusted empty about as long.
 inline constexpr char cWaveKey = 'w';
 inline constexpr char cDutyKey = 'd';
 
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
 	: hub(inHub), context(inContext), ask(std::move(inAsk)),
-	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life), planner(UpkeepTuning{inContext.config.maintenance_ms}),
-	  balancer(BalanceTuning{})
+	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life),
+	  planner(UpkeepTuning{inContext.config.maintenance_ms}), balancer(BalanceTuning{})
 {
 }
 
 template <class Hub>
-void FleetSeat<Hub>::Claim(uint64 inBeatNumber, OnSeat inDone)
+void FleetSeat<Hub>::Claim(uint64 inBeatNumber, const OnSeat &inDone)
 {
-	this->on_seat = std::move(inDone);
+	this->on_seat = inDone;
 	this->log.Claim(
 		inBeatNumber,
 		[this](const ClaimRecord &inSeen)
@@ -221,15 +222,16 @@
 	call.log = Hub::StatusLog();
 	call.keyed = true;
 	call.records.push_back(Hub::EncodeWaveStatus(inWave, inCompleted));
-	this->hub.store.Append(call, this->Guard(
-									 [this, inWave, inCompleted](const AppendAnswer &inAnswer)
-									 {
-										 this->telling.erase(inWave);
-										 if (inAnswer.result != EAppend::Done)
-											 return;
-										 this->told[inWave] = inCompleted;
-										 LogEvent(ELogLevel::Info, "wave_state").Field("wave", inWave).Field("completed", inCompleted ? 1 : 0);
-									 }));
+	this->hub.store.Append(call,
+						   this->Guard(
+							   [this, inWave, inCompleted](const AppendAnswer &inAnswer)
+							   {
+								   this->telling.erase(inWave);
+								   if (inAnswer.result != EAppend::Done)
+									   return;
+								   this->told[inWave] = inCompleted;
+								   LogEvent(ELogLevel::Info, "wave_state").Field("wave", inWave).Field("completed", inCompleted ? 1 : 0);
+							   }));
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -3,20 +3,21 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cOperatorWaitMs = 900;   ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
+inline constexpr Millis cOperatorWaitMs =
+	900; ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
 inline constexpr Millis cFollowAgainMs = 200;
-inline constexpr Millis cWorkersEveryMs = 400;   ///< An owner looks for news of workers this often: drains count within 2 s.
-inline constexpr Millis cWorkersIdleMs = 1500;   ///< A host without cells.
-inline constexpr Millis cHostsEveryMs = 500;     ///< Reads of the hosts' heartbeats.
-inline constexpr Millis cHostsClaimMs = 120;     ///< While a cell seems free.
+inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
+inline constexpr Millis cWorkersIdleMs = 1500; ///< A host without cells.
+inline constexpr Millis cHostsEveryMs = 500;   ///< Reads of the hosts' heartbeats.
+inline constexpr Millis cHostsClaimMs = 120;   ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
-inline constexpr Millis cEnterAgainMs = 60;      ///< A submission without an answer is appended again after this; one id stays one job.
-inline constexpr Millis cEnterMarginMs = 250;    ///< Before the caller's deadline the last word is said.
+inline constexpr Millis cEnterAgainMs = 60;   ///< A submission without an answer is appended again after this; one id stays one job.
+inline constexpr Millis cEnterMarginMs = 250; ///< Before the caller's deadline the last word is said.
 inline constexpr Millis cEnterTimeoutMs = 700;
 inline constexpr Millis cAskTimeoutMs = 700;
-inline constexpr Millis cStoreSilentMs = 1800;   ///< Without an answer of the store for this long, callers are sent elsewhere.
-inline constexpr Millis cStopGiveBackMs = 400;   ///< A planned stop waits this long for appends under way.
-inline constexpr Millis cStopServeMs = 3200;     ///< And goes on answering this long: the balancer needs two missed questions, a second apart.
+inline constexpr Millis cStoreSilentMs = 1800; ///< Without an answer of the store for this long, callers are sent elsewhere.
+inline constexpr Millis cStopGiveBackMs = 400; ///< A planned stop waits this long for appends under way.
+inline constexpr Millis cStopServeMs = 3200; ///< And goes on answering this long: the balancer needs two missed questions, a second apart.
 
 inline LeaseTuning LeaseTuningOf(const JobHostConfig &inConfig)
 {
@@ -265,16 +266,15 @@
 	seat->SetCatalogue(this->catalogue);
 	CellSeat<Hub> *claimed = seat.get();
 	this->seats[inCell] = std::move(seat);
-	claimed->Claim(
-		this->beat_number,
-		[this, inCell](bool inHeld)
-		{
-			this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
-			if (!inHeld)
-				return this->lost_seats.push_back(inCell);
-			this->Beat();
-			this->LoadWorkers();
-		});
+	claimed->Claim(this->beat_number,
+				   [this, inCell](bool inHeld)
+				   {
+					   this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
+					   if (!inHeld)
+						   return this->lost_seats.push_back(inCell);
+					   this->Beat();
+					   this->LoadWorkers();
+				   });
 }
 
 template <class Hub>
@@ -289,16 +289,15 @@
 													   this->AskCell(cell, inQuestion, cAskOwnerMs, std::move(inDone));
 												   });
 	this->fleet->SetCatalogue(this->catalogue);
-	this->fleet->Claim(
-		this->beat_number,
-		[this](bool inHeld)
-		{
-			this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
-			if (!inHeld)
-				return this->lost_seats.push_back(cFleetCell);
-			this->Beat();
-			this->fleet->SetWaves(this->waves);
-		});
+	this->fleet->Claim(this->beat_number,
+					   [this](bool inHeld)
+					   {
+						   this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
+						   if (!inHeld)
+							   return this->lost_seats.push_back(cFleetCell);
+						   this->Beat();
+						   this->fleet->SetWaves(this->waves);
+					   });
 }
 
 template <class Hub>
@@ -438,39 +437,38 @@
 	call.log = InboxLog(inEntering->cell, this->Parts());
 	call.records.push_back({"", EncodeValue(inEntering->record), 0});
 	call.timeout_ms = std::clamp<Millis>(inEntering->give_up_at - NowMillis(), 1, cEnterTimeoutMs);
-	this->hub.store.Append(
-		call,
-		[this, entering = std::move(inEntering)](const AppendAnswer &inAnswer)
-		{
-			const bool is_cancel = entering->record.kind == EInbox::Cancel;
-			JobOutcome outcome;
-			if (inAnswer.result == EAppend::Done)
-			{
-				LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
-					.Field("request", entering->record.spec.id)
-					.Field("queue", entering->record.spec.queue)
-					.Field("version", this->catalogue->version)
-					.Field("cell", entering->cell)
-					.Field("offset", inAnswer.offset);
-				return this->Answer(entering->reply, outcome);
-			}
-			entering->in_doubt = entering->in_doubt || inAnswer.result == EAppend::Unknown;
-			// What may have been appended is appended again: the id makes it one job, and only then is the answer known
-			const bool time_left = NowMillis() + cEnterAgainMs < entering->give_up_at;
-			if ((entering->in_doubt || is_cancel) && time_left)
-			{
-				auto timer = std::make_shared<Timer>();
-				timer->Once(cEnterAgainMs, [this, entering, timer] { this->Enter(entering); });
-				return;
-			}
-			outcome.error = entering->in_doubt ? EError::VerdictLost : EError::PlatformDown;
-			LogEvent(ELogLevel::Warning, "job_not_accepted")
-				.Field("request", entering->record.spec.id)
-				.Field("queue", entering->record.spec.queue)
-				.Field("outcome", AnswerOf(outcome.error).name)
-				.Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
-			this->Answer(entering->reply, outcome);
-		});
+	this->hub.store.Append(call,
+						   [this, entering = std::move(inEntering)](const AppendAnswer &inAnswer)
+						   {
+							   const bool is_cancel = entering->record.kind == EInbox::Cancel;
+							   JobOutcome outcome;
+							   if (inAnswer.result == EAppend::Done)
+							   {
+								   LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
+									   .Field("request", entering->record.spec.id)
+									   .Field("queue", entering->record.spec.queue)
+									   .Field("version", this->catalogue->version)
+									   .Field("cell", entering->cell)
+									   .Field("offset", inAnswer.offset);
+								   return this->Answer(entering->reply, outcome);
+							   }
+							   entering->in_doubt = entering->in_doubt || inAnswer.result == EAppend::Unknown;
+							   // What may have been appended is appended again: the id makes it one job, and only then is the answer known
+							   const bool time_left = NowMillis() + cEnterAgainMs < entering->give_up_at;
+							   if ((entering->in_doubt || is_cancel) && time_left)
+							   {
+								   auto timer = std::make_shared<Timer>();
+								   timer->Once(cEnterAgainMs, [this, entering, timer] { this->Enter(entering); });
+								   return;
+							   }
+							   outcome.error = entering->in_doubt ? EError::VerdictLost : EError::PlatformDown;
+							   LogEvent(ELogLevel::Warning, "job_not_accepted")
+								   .Field("request", entering->record.spec.id)
+								   .Field("queue", entering->record.spec.queue)
+								   .Field("outcome", AnswerOf(outcome.error).name)
+								   .Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
+							   this->Answer(entering->reply, outcome);
+						   });
 }
 
 template <class Hub>
@@ -514,7 +512,8 @@
 						  outcome.phase = inAnswer->phase;
 					  LogEvent(ELogLevel::Info, "job_asked")
 						  .Field("request", id)
-						  .Field("answer", outcome.phase.has_value() ? NameOf(cJobPhaseNames, *outcome.phase) : AnswerOf(outcome.error).name);
+						  .Field("answer",
+								 outcome.phase.has_value() ? NameOf(cJobPhaseNames, *outcome.phase) : AnswerOf(outcome.error).name);
 					  this->Answer(reply, outcome);
 				  });
 }
@@ -556,7 +555,8 @@
 		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
 	}
 	this->metrics.Gauge("loomreach_cells_owned", static_cast<double>(this->Owned()));
-	this->metrics.Gauge("loomreach_configuration_version", this->catalogue == nullptr ? 0.0 : static_cast<double>(this->catalogue->version));
+	this->metrics.Gauge("loomreach_configuration_version",
+						this->catalogue == nullptr ? 0.0 : static_cast<double>(this->catalogue->version));
 	this->metrics.Gauge("loomreach_broken_invariants", static_cast<double>(BrokenInvariants()));
 	return this->metrics.Prometheus();
 }
--- a/Loomreach/Fleet/PoolBalancer.cpp
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -18,7 +18,8 @@
 				  [&](const auto &inMove)
 				  {
 					  auto host = this->hosts.find(inMove.first);
-					  const bool there = host != this->hosts.end() && host->second.pool == inMove.second.to && host->second.state == EHostState::Up;
+					  const bool there =
+						  host != this->hosts.end() && host->second.pool == inMove.second.to && host->second.state == EHostState::Up;
 					  return there || inNow - inMove.second.since > this->tuning.moving_ms;
 				  });
 }
@@ -101,7 +102,8 @@
 {
 	for (const auto &[name, host] : this->hosts)
 	{
-		const bool free = this->IsSpare(host.pool) && host.state == EHostState::Up && !this->moves.contains(name) && !this->busy.contains(name);
+		const bool free =
+			this->IsSpare(host.pool) && host.state == EHostState::Up && !this->moves.contains(name) && !this->busy.contains(name);
 		if (free && this->CanGo(host, inPool))
 			return &host;
 	}
@@ -140,7 +142,8 @@
 	// The pool that lacks most is served first, host by host
 	for (;;)
 	{
-		auto worst = std::max_element(ioDeficits.begin(), ioDeficits.end(), [](const auto &inA, const auto &inB) { return inA.second < inB.second; });
+		auto worst = std::max_element(ioDeficits.begin(), ioDeficits.end(),
+									  [](const auto &inA, const auto &inB) { return inA.second < inB.second; });
 		if (worst == ioDeficits.end() || worst->second <= 0)
 			return;
 		const HostEntry *host = this->SpareHost(worst->first, inNow);
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -57,7 +57,7 @@
 {
 	Done,
 	StaleToken,
-	Busy,       ///< Not up, or leaving.
+	Busy, ///< Not up, or leaving.
 	NotOfWave,
 	Impossible, ///< No such host, or a pool of other hosts.
 	Refused,    ///< Certainly not done; later perhaps.
@@ -65,9 +65,12 @@
 };
 
 inline constexpr std::array cDutyResultNames = {
-	EnumName<EDutyResult>{EDutyResult::Done, "done"},           EnumName<EDutyResult>{EDutyResult::StaleToken, "stale-token"},
-	EnumName<EDutyResult>{EDutyResult::Busy, "busy"},           EnumName<EDutyResult>{EDutyResult::NotOfWave, "not-of-wave"},
-	EnumName<EDutyResult>{EDutyResult::Impossible, "impossible"}, EnumName<EDutyResult>{EDutyResult::Refused, "refused"},
+	EnumName<EDutyResult>{EDutyResult::Done, "done"},
+	EnumName<EDutyResult>{EDutyResult::StaleToken, "stale-token"},
+	EnumName<EDutyResult>{EDutyResult::Busy, "busy"},
+	EnumName<EDutyResult>{EDutyResult::NotOfWave, "not-of-wave"},
+	EnumName<EDutyResult>{EDutyResult::Impossible, "impossible"},
+	EnumName<EDutyResult>{EDutyResult::Refused, "refused"},
 	EnumName<EDutyResult>{EDutyResult::Unknown, "unknown"},
 };
 
--- a/Loomreach/Job/JobRecord.h
+++ b/Loomreach/Job/JobRecord.h
@@ -46,10 +46,10 @@
 struct TaskRecord
 {
 	bool done = false;
-	uint32 last_run = 0; ///< Highest run number ever written.
-	uint32 failures = 0; ///< Runs that ended as failed; counted once each.
-	uint32 failed_run = 0; ///< Gang only: the highest run whose failure has been counted.
-	std::string checkpoint; ///< The newest that was reported.
+	uint32 last_run = 0;         ///< Highest run number ever written.
+	uint32 failures = 0;         ///< Runs that ended as failed; counted once each.
+	uint32 failed_run = 0;       ///< Gang only: the highest run whose failure has been counted.
+	std::string checkpoint;      ///< The newest that was reported.
 	std::vector<RunRecord> runs; ///< Runs that may exist. Invariant: at most one, unless the step may be copied.
 
 	template <class Archive>
@@ -75,8 +75,8 @@
 struct JobRecord
 {
 	EJobPhase phase = EJobPhase::Queued;
-	bool begun = false;             ///< Whether any task has ever been started.
-	int64 ended_wall_ms = 0;        ///< Time of day at which the phase became final.
+	bool begun = false;            ///< Whether any task has ever been started.
+	int64 ended_wall_ms = 0;       ///< Time of day at which the phase became final.
 	std::vector<StepRecord> steps; ///< Round by round: round x number of steps + step.
 
 	template <class Archive>
--- a/Loomreach/Job/JobSpec.h
+++ b/Loomreach/Job/JobSpec.h
@@ -42,23 +42,23 @@
 /// One step of a job.
 struct StepSpec
 {
-	uint32 count = 0; ///< Tasks; at least 1.
-	Resources need;   ///< Of each task.
-	Millis estimate_ms = 0; ///< The caller's guess of a task's run time; often far off.
-	std::vector<uint32> after; ///< Earlier steps whose tasks must all be done first.
-	bool checkpoints = false;  ///< Tasks save their progress.
-	bool gang = false;         ///< Tasks run only together.
-	bool one_rack = false;     ///< Tasks are slower when on more than one rack.
-	bool may_copy = false;     ///< Copies of a task may run side by side.
-	bool lasting = false;      ///< Tasks run until the job is cancelled.
-	bool fills = false;        ///< Tasks use processor time that others leave; only their memory counts.
-	std::string needs_label;   ///< A label that the worker must have; empty: any.
-	std::string data_rack;     ///< Tasks are slower on other racks; empty: none.
-	std::string image;         ///< Tasks of one image behave alike.
-	uint32 max_per_worker = 0; ///< Tasks of the step on one worker; 0: no limit.
-	uint32 may_miss = 0;       ///< Lasting tasks that may be away at once through our own doing.
+	uint32 count = 0;           ///< Tasks; at least 1.
+	Resources need;             ///< Of each task.
+	Millis estimate_ms = 0;     ///< The caller's guess of a task's run time; often far off.
+	std::vector<uint32> after;  ///< Earlier steps whose tasks must all be done first.
+	bool checkpoints = false;   ///< Tasks save their progress.
+	bool gang = false;          ///< Tasks run only together.
+	bool one_rack = false;      ///< Tasks are slower when on more than one rack.
+	bool may_copy = false;      ///< Copies of a task may run side by side.
+	bool lasting = false;       ///< Tasks run until the job is cancelled.
+	bool fills = false;         ///< Tasks use processor time that others leave; only their memory counts.
+	std::string needs_label;    ///< A label that the worker must have; empty: any.
+	std::string data_rack;      ///< Tasks are slower on other racks; empty: none.
+	std::string image;          ///< Tasks of one image behave alike.
+	uint32 max_per_worker = 0;  ///< Tasks of the step on one worker; 0: no limit.
+	uint32 may_miss = 0;        ///< Lasting tasks that may be away at once through our own doing.
 	bool limits_misses = false; ///< Whether `may_miss` was given.
-	Millis target_ms = 0;      ///< The tail of the task's own answers is to stay below; 0: none.
+	Millis target_ms = 0;       ///< The tail of the task's own answers is to stay below; 0: none.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
@@ -77,14 +77,14 @@
 	std::string pool;    ///< The pool that runs it. Stays, even if the queue moves to another pool.
 	std::string payload; ///< Handed to every task unread.
 	std::vector<StepSpec> steps;
-	uint32 times = 0;          ///< How often the steps run; 0: once, at once.
-	int64 first_wall_ms = 0;   ///< Time of day at which time 0 is due, ms since 1970.
-	int64 interval_ms = 0;     ///< Between two times.
-	uint32 max_attempts = 1;   ///< Failed runs of a task after which the job has failed.
-	uint32 priority = 0;       ///< 0 goes first.
-	double stretch = 1.0;      ///< Objective: stretch x longest chain + target.
+	uint32 times = 0;        ///< How often the steps run; 0: once, at once.
+	int64 first_wall_ms = 0; ///< Time of day at which time 0 is due, ms since 1970.
+	int64 interval_ms = 0;   ///< Between two times.
+	uint32 max_attempts = 1; ///< Failed runs of a task after which the job has failed.
+	uint32 priority = 0;     ///< 0 goes first.
+	double stretch = 1.0;    ///< Objective: stretch x longest chain + target.
 	Millis target_ms = 0;
-	bool advised = false;      ///< Only workers that the adviser names may run it.
+	bool advised = false;       ///< Only workers that the adviser names may run it.
 	int64 accepted_wall_ms = 0; ///< Time of day at which the entry host took it.
 
 	/// How often the steps run in all.
--- a/Loomreach/Ownership/CellNames.h
+++ b/Loomreach/Ownership/CellNames.h
@@ -15,7 +15,10 @@
 inline constexpr uint32 cFleetCell = 0xffffffff;
 
 /// The cell of a pool. Two pools may share a cell; they then share an owner.
-inline uint32 CellOf(std::string_view inPool, uint32 inParts) { return static_cast<uint32>(HashBytes(inPool) % (cCellTopics * inParts)); }
+inline uint32 CellOf(std::string_view inPool, uint32 inParts)
+{
+	return static_cast<uint32>(HashBytes(inPool) % (static_cast<uint64>(cCellTopics) * inParts));
+}
 
 /// The log of a cell's records, by key.
 inline LogName CellLog(uint32 inCell, uint32 inParts)
--- a/Loomreach/Ownership/LogTypes.h
+++ b/Loomreach/Ownership/LogTypes.h
@@ -29,11 +29,11 @@
 enum class EAppend : uint8
 {
 	Done,
-	Fenced,   ///< A higher epoch has been seen: the log has another owner.
-	NotAtEnd, ///< The partition does not end where the caller thought.
+	Fenced,     ///< A higher epoch has been seen: the log has another owner.
+	NotAtEnd,   ///< The partition does not end where the caller thought.
 	OutOfOrder, ///< The producer's number is not the next one.
-	Refused,  ///< Certainly not appended; later perhaps.
-	Unknown   ///< No answer: appended, or not, or to be appended yet.
+	Refused,    ///< Certainly not appended; later perhaps.
+	Unknown     ///< No answer: appended, or not, or to be appended yet.
 };
 
 /// Who appends, so that a repeat is known and an earlier owner is shut out.
@@ -66,7 +66,7 @@
 enum class ERead : uint8
 {
 	Done,
-	Gone,  ///< The records asked for have been removed; `first` says what is kept.
+	Gone, ///< The records asked for have been removed; `first` says what is kept.
 	Failed
 };
 
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -17,8 +17,8 @@
 concept JobLog = requires(T &ioLog, const AppendCall &inCall, const LogName &inName)
 {
 	ioLog.Append(inCall, [](const AppendAnswer &) {});
-	ioLog.Read(inName, true, uint64(0), Millis(0), [](ReadAnswer) {});
-	ioLog.Newest(inName, [](NewestAnswer) {});
+	ioLog.Read(inName, true, uint64(0), Millis(0), [](const ReadAnswer &) {});
+	ioLog.Newest(inName, [](const NewestAnswer &) {});
 };
 
 /// The key of the claim in every cell's log.
@@ -39,9 +39,9 @@
 	OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife);
 
 	/// Reads the log and claims it. `inBeatNumber`: of the host's newest heartbeat.
-	void Claim(uint64 inBeatNumber, Judge inJudge, OnClaimed inDone);
+	void Claim(uint64 inBeatNumber, const Judge &inJudge, const OnClaimed &inDone);
 	/// Appends, again and again until the outcome is certain. `inDone(false)`: the log has another owner.
-	void Append(std::vector<LogRecord> inRecords, OnAppended inDone);
+	void Append(const std::vector<LogRecord> &inRecords, const OnAppended &inDone);
 	bool IsBusy() const { return this->busy; }
 	uint64 Epoch() const { return this->epoch; }
 	Millis LastSentAt() const { return this->last_sent_at; }
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -7,7 +7,7 @@
 
 /// A claim that does not come through in this many tries is given up; others may try.
 inline constexpr uint32 cClaimTries = 8;
-inline constexpr Millis cLogAgainMs = 60;      ///< After a refusal or a lost answer.
+inline constexpr Millis cLogAgainMs = 60;       ///< After a refusal or a lost answer.
 inline constexpr Millis cAppendTimeoutMs = 700; ///< The store's slow answers take 240 ms; a lost one costs this.
 
 template <JobLog Log>
@@ -42,11 +42,11 @@
 }
 
 template <JobLog Log>
-void OwnedLog<Log>::Claim(uint64 inBeatNumber, Judge inJudge, OnClaimed inDone)
+void OwnedLog<Log>::Claim(uint64 inBeatNumber, const Judge &inJudge, const OnClaimed &inDone)
 {
 	this->beat_number = inBeatNumber;
-	this->judge = std::move(inJudge);
-	this->on_claimed = std::move(inDone);
+	this->judge = inJudge;
+	this->on_claimed = inDone;
 	this->records.clear();
 	this->log.Newest(this->name, this->Guard(
 									 [this](NewestAnswer inAnswer)
@@ -62,17 +62,18 @@
 void OwnedLog<Log>::ReadRest(uint64 inFrom)
 {
 	// The pages are no snapshot: what was written meanwhile is read in order
-	this->log.Read(this->name, true, inFrom, 0, this->Guard(
-													[this](ReadAnswer inAnswer)
-													{
-														if (inAnswer.result != ERead::Done)
-															return this->Lose("log not readable to its end");
-														this->Apply(inAnswer.records);
-														this->end = inAnswer.next;
-														if (inAnswer.next < inAnswer.end)
-															return this->ReadRest(inAnswer.next);
-														this->TryClaim();
-													}));
+	this->log.Read(this->name, true, inFrom, 0,
+				   this->Guard(
+					   [this](ReadAnswer inAnswer)
+					   {
+						   if (inAnswer.result != ERead::Done)
+							   return this->Lose("log not readable to its end");
+						   this->Apply(inAnswer.records);
+						   this->end = inAnswer.next;
+						   if (inAnswer.next < inAnswer.end)
+							   return this->ReadRest(inAnswer.next);
+						   this->TryClaim();
+					   }));
 }
 
 template <JobLog Log>
@@ -105,10 +106,10 @@
 }
 
 template <JobLog Log>
-void OwnedLog<Log>::Append(std::vector<LogRecord> inRecords, OnAppended inDone)
+void OwnedLog<Log>::Append(const std::vector<LogRecord> &inRecords, const OnAppended &inDone)
 {
-	this->batch = std::move(inRecords);
-	this->on_appended = std::move(inDone);
+	this->batch = inRecords;
+	this->on_appended = inDone;
 	this->busy = true;
 	this->SendAppend();
 }
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -67,8 +67,9 @@
 		return true;
 	const ClaimRecord &claim = seen->second.claim;
 	auto claimer = this->hosts.find(claim.host);
-	const bool told_later = claimer != this->hosts.end() &&
-							(claimer->second.beat.life != claim.life ? claimer->second.at > seen->second.at : claimer->second.beat.number > claim.beat_number);
+	const bool told_later =
+		claimer != this->hosts.end() &&
+		(claimer->second.beat.life != claim.life ? claimer->second.at > seen->second.at : claimer->second.beat.number > claim.beat_number);
 	return beaten >= claim.epoch || told_later || inNow - seen->second.at > this->tuning.lease_ms;
 }
 
@@ -89,6 +90,7 @@
 		}
 		using Place = std::tuple<double, uint64, std::string>;
 		std::vector<Place> order;
+		order.reserve(load.size());
 		for (const auto &[name, cells] : load)
 			order.emplace_back(static_cast<double>(cells + 1) / std::max<uint32>(this->hosts.at(name).beat.weight, 1),
 							   RendezvousWeight(std::to_string(cell), name), name);
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -14,10 +14,10 @@
 /// Times of the ownership lease, ms.
 struct LeaseTuning
 {
-	Millis lease_ms = 2000;   ///< Setting `owner_lease_ms`.
-	Millis slack_ms = 300;    ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
-	Millis beat_ms = 500;     ///< Between heartbeats of an owner.
-	Millis rank_ms = 350;     ///< A challenger waits this long for each host that comes before it.
+	Millis lease_ms = 2000; ///< Setting `owner_lease_ms`.
+	Millis slack_ms = 300;  ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
+	Millis beat_ms = 500;   ///< Between heartbeats of an owner.
+	Millis rank_ms = 350;   ///< A challenger waits this long for each host that comes before it.
 };
 
 /// A cell that a host owns.
@@ -37,10 +37,10 @@
 struct HostBeat
 {
 	std::string host;
-	uint64 life = 0;   ///< Differs from start to start of a process.
-	uint64 number = 0; ///< Rises within a life.
-	Address address;   ///< For questions of other entry hosts.
-	uint32 weight = 1; ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
+	uint64 life = 0;    ///< Differs from start to start of a process.
+	uint64 number = 0;  ///< Rises within a life.
+	Address address;    ///< For questions of other entry hosts.
+	uint32 weight = 1;  ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
 	bool claims = true; ///< Whether it takes cells at all; not when it is stopping.
 	std::vector<OwnedCell> cells;
 
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -204,7 +204,12 @@
 	if (!inCall.body.empty())
 		ioPending.headers = curl_slist_append(ioPending.headers, ("Content-Type: " + inCall.content_type).c_str());
 	for (const auto &[name, value] : inCall.headers)
-		ioPending.headers = curl_slist_append(ioPending.headers, (name + ": " + value).c_str());
+	{
+		std::string line = name;
+		line += ": ";
+		line += value;
+		ioPending.headers = curl_slist_append(ioPending.headers, line.c_str());
+	}
 	curl_easy_setopt(easy, CURLOPT_URL, ioPending.url.c_str());
 	curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, inCall.method.c_str());
 	if (inCall.method != "GET" || !inCall.body.empty())
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -70,9 +70,9 @@
 	HttpResult ResultOf(Pending &ioPending, CURLcode inCode);
 
 	CURLM *multi = nullptr;
-	int epoll = -1;          ///< All sockets of this client.
+	int epoll = -1; ///< All sockets of this client.
 	guint epoll_source = 0;
-	Timer timer;             ///< The one that libcurl asks for.
+	Timer timer; ///< The one that libcurl asks for.
 	std::map<CURL *, std::unique_ptr<Pending>> under_way;
 	std::vector<std::unique_ptr<Pending>> idle; ///< Finished handles, to be used again.
 	std::shared_ptr<bool> alive;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -139,7 +139,8 @@
 	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
 	void OnAbsent(CellWorker &ioWorker, Millis inSentAt, Millis inNow);
 	void OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow);
-	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy, Millis inNow);
+	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy,
+				Millis inNow);
 	void FinishTask(CellJob &ioJob, const TaskId &inTask);
 	void CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun);
 	void CloseIfEnded(CellJob &ioJob);
@@ -155,11 +156,11 @@
 	uint64 epoch = 0;
 	std::shared_ptr<const Catalogue> catalogue;
 	std::map<std::string, CellJob> jobs;
-	std::set<std::string> active; ///< Jobs whose phase is not final.
-	std::set<std::string> dirty;  ///< Jobs that the log does not hold as they are.
-	std::set<std::string> in_batch; ///< Jobs in the append under way.
+	std::set<std::string> active;    ///< Jobs whose phase is not final.
+	std::set<std::string> dirty;     ///< Jobs that the log does not hold as they are.
+	std::set<std::string> in_batch;  ///< Jobs in the append under way.
 	std::vector<PlanReject> rejects; ///< Of the planning under way.
-	int64 forgot_wall_ms = 0;     ///< When ended jobs were last looked through.
+	int64 forgot_wall_ms = 0;        ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
 	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -325,11 +325,15 @@
 	const bool helps = inRow.end == ERunEnd::Done && task != nullptr && !task->done && !IsFinal(job->record.phase);
 	if (!helps || job->spec.steps[inRow.task.step].lasting)
 		return;
-	LogEvent(ELogLevel::Info, "run_ended_late").Field("request", inRow.task.job).Field("task", TaskText(inRow.task)).Field("run", inRow.run);
+	LogEvent(ELogLevel::Info, "run_ended_late")
+		.Field("request", inRow.task.job)
+		.Field("task", TaskText(inRow.task))
+		.Field("run", inRow.run);
 	this->FinishTask(*job, inRow.task);
 }
 
-void Cell::EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy, Millis inNow)
+void Cell::EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy,
+				  Millis inNow)
 {
 	auto found = ioWorker.runs.find(inRun);
 	if (found == ioWorker.runs.end())
@@ -359,7 +363,9 @@
 		if (ioWorker.failures_in_row >= cFailuresToQuarantine)
 		{
 			ioWorker.quarantine_until = inNow + this->tuning.quarantine_ms;
-			LogEvent(ELogLevel::Warning, "worker_quarantined").Field("worker", ioWorker.entry.id).Field("failures", ioWorker.failures_in_row);
+			LogEvent(ELogLevel::Warning, "worker_quarantined")
+				.Field("worker", ioWorker.entry.id)
+				.Field("failures", ioWorker.failures_in_row);
 		}
 	}
 	if (inEnd == ERunEnd::Done)
@@ -388,7 +394,8 @@
 			{
 				auto other = this->workers.find(member.worker);
 				if (other != this->workers.end())
-					this->StopRun(other->second, {{inRun.task.job, inRun.task.round, inRun.task.step, index}, member.run}, "gang broke", inNow);
+					this->StopRun(other->second, {{inRun.task.job, inRun.task.round, inRun.task.step, index}, member.run}, "gang broke",
+								  inNow);
 			}
 		}
 	}
@@ -518,7 +525,10 @@
 void Cell::OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow)
 {
 	if (!ioWorker.gone)
-		LogEvent(ELogLevel::Warning, "worker_gone").Field("worker", ioWorker.entry.id).Field("why", inWhy).Field("runs", ioWorker.runs.size());
+		LogEvent(ELogLevel::Warning, "worker_gone")
+			.Field("worker", ioWorker.entry.id)
+			.Field("why", inWhy)
+			.Field("runs", ioWorker.runs.size());
 	ioWorker.gone = true;
 	std::vector<RunId> runs;
 	for (const auto &[id, run] : ioWorker.runs)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -318,7 +318,10 @@
 	if (queue != nullptr && queue->advice.has_value())
 		question.expect_ms = queue->advice->decide_ms + queue->advice->each_ms * static_cast<Millis>(question.workers.size());
 	advice.asked = true;
-	LogEvent(ELogLevel::Info, "advice_asked").Field("request", question.job).Field("step", question.step).Field("workers", question.workers.size());
+	LogEvent(ELogLevel::Info, "advice_asked")
+		.Field("request", question.job)
+		.Field("step", question.step)
+		.Field("workers", question.workers.size());
 	this->questions.push_back(std::move(question));
 }
 
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -43,9 +43,9 @@
 
 inline constexpr std::array cRunStateNames = {
 	EnumName<ERunState>{ERunState::Planned, "planned"},     EnumName<ERunState>{ERunState::Writing, "writing"},
-	EnumName<ERunState>{ERunState::Logged, "logged"},       EnumName<ERunState>{ERunState::Starting, "starting"},   EnumName<ERunState>{ERunState::Confirmed, "confirmed"},
-	EnumName<ERunState>{ERunState::Doubtful, "doubtful"},   EnumName<ERunState>{ERunState::Inherited, "inherited"},
-	EnumName<ERunState>{ERunState::Stopping, "stopping"},
+	EnumName<ERunState>{ERunState::Logged, "logged"},       EnumName<ERunState>{ERunState::Starting, "starting"},
+	EnumName<ERunState>{ERunState::Confirmed, "confirmed"}, EnumName<ERunState>{ERunState::Doubtful, "doubtful"},
+	EnumName<ERunState>{ERunState::Inherited, "inherited"}, EnumName<ERunState>{ERunState::Stopping, "stopping"},
 };
 
 /// Whether a worker may have heard of a run.
@@ -65,8 +65,8 @@
 struct Run
 {
 	ERunState state = ERunState::Planned;
-	Resources room;            ///< What it takes; no processor time for a task that fills.
-	bool serves = false;       ///< Lasting and with a target.
+	Resources room;      ///< What it takes; no processor time for a task that fills.
+	bool serves = false; ///< Lasting and with a target.
 	bool fills = false;
 	bool lasting = false;
 	Millis since = 0;          ///< When it came into its state.
@@ -74,10 +74,10 @@
 	bool stop_sent = false;    ///< An order to stop is under way.
 	Millis stop_acked_at = -1; ///< When the worker took the stop; -1: not yet.
 	Millis next_stop_at = 0;
-	bool told_by_us = false;   ///< Whether its loss was our own act (a stop of ours).
+	bool told_by_us = false; ///< Whether its loss was our own act (a stop of ours).
 	int64 percent = 0;
-	int64 figure = 0;          ///< See RunningRow.
-	int64 pace = 100;          ///< Share at which it was told to work.
+	int64 figure = 0; ///< See RunningRow.
+	int64 pace = 100; ///< Share at which it was told to work.
 	bool pace_sent = false;
 	std::string ticket;
 };
@@ -86,8 +86,8 @@
 struct CellWorker
 {
 	WorkerEntry entry;
-	bool listed = true;   ///< Whether the host list shows it now.
-	bool gone = false;    ///< Its life is known to be over.
+	bool listed = true;        ///< Whether the host list shows it now.
+	bool gone = false;         ///< Its life is known to be over.
 	std::map<RunId, Run> runs; ///< Invariant: every run here is in its task's record and the other way round.
 	Resources used;            ///< Sum of the runs' room.
 	Millis clock_ms = -1;      ///< Its clock when last heard,
@@ -96,11 +96,11 @@
 	bool hold_sent = false;
 	Millis next_hold_at = 0;
 	Millis last_answer_at = -1;
-	bool reachable = false; ///< Whether the last order was answered.
-	uint64 noted = 0;     ///< Highest end that the jobs' records have taken in.
-	uint64 writing = 0;   ///< As much of it as the append under way holds.
-	uint64 last_seen = 0; ///< As much of it as the log holds: may be told to the worker.
-	Millis refuse_until = 0;    ///< It refused; nothing new until then.
+	bool reachable = false;  ///< Whether the last order was answered.
+	uint64 noted = 0;        ///< Highest end that the jobs' records have taken in.
+	uint64 writing = 0;      ///< As much of it as the append under way holds.
+	uint64 last_seen = 0;    ///< As much of it as the log holds: may be told to the worker.
+	Millis refuse_until = 0; ///< It refused; nothing new until then.
 	Millis quarantine_until = 0;
 	uint32 failures_in_row = 0; ///< Runs ended as failed there with none done in between.
 	Millis vacate_until = 0;    ///< It is being emptied for maintenance; nothing new until then.
@@ -120,10 +120,10 @@
 /// What is remembered of a task beside its record.
 struct TaskMemory
 {
-	Millis not_before = 0;      ///< Nothing is started earlier.
-	Millis away_since = 0;      ///< Lasting: since when it is not at work.
-	bool away_by_us = false;    ///< Lasting: whether that was our act.
-	std::string last_worker;    ///< Where it failed last.
+	Millis not_before = 0;   ///< Nothing is started earlier.
+	Millis away_since = 0;   ///< Lasting: since when it is not at work.
+	bool away_by_us = false; ///< Lasting: whether that was our act.
+	std::string last_worker; ///< Where it failed last.
 };
 
 /// One job of the cell.
@@ -132,8 +132,8 @@
 	JobSpec spec;
 	JobRecord record;
 	std::vector<std::vector<TaskMemory>> memory; ///< As record.steps.
-	EJobPhase shown = EJobPhase::Queued;   ///< The phase that the log holds: what callers are told.
-	EJobPhase writing = EJobPhase::Queued; ///< The phase in the append under way.
+	EJobPhase shown = EJobPhase::Queued;         ///< The phase that the log holds: what callers are told.
+	EJobPhase writing = EJobPhase::Queued;       ///< The phase in the append under way.
 	bool spec_logged = false;
 	bool spec_writing = false;
 	Millis arrived_at = 0;
--- a/Loomreach/Schedule/PoolDemand.h
+++ b/Loomreach/Schedule/PoolDemand.h
@@ -10,8 +10,8 @@
 /// See the head of the file.
 struct PoolDemand
 {
-	Resources need; ///< Of jobs that can be in time: what runs, what could start, what comes in; the highest of the last moments.
-	Resources late; ///< Of jobs that can only be late.
+	Resources need;         ///< Of jobs that can be in time: what runs, what could start, what comes in; the highest of the last moments.
+	Resources late;         ///< Of jobs that can only be late.
 	uint32 least_hosts = 0; ///< Tasks that must be apart from one another need this many.
 	std::vector<std::string> spared; ///< Workers that are empty and stay so for the time asked for.
 
--- a/Loomreach/Schedule/RunTimes.h
+++ b/Loomreach/Schedule/RunTimes.h
@@ -32,8 +32,8 @@
 	}
 
 private:
-	static constexpr uint32 cEnough = 5;     ///< Samples before a mean is believed: the spread of run times is half their mean.
-	static constexpr double cShare = 0.05;   ///< Weight of a new sample once there are many.
+	static constexpr uint32 cEnough = 5;   ///< Samples before a mean is believed: the spread of run times is half their mean.
+	static constexpr double cShare = 0.05; ///< Weight of a new sample once there are many.
 
 	/// A mean that forgets slowly.
 	struct Mean
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -39,9 +39,9 @@
 };
 
 inline constexpr std::array cRunEndNames = {
-	EnumName<ERunEnd>{ERunEnd::Done, "done"},     EnumName<ERunEnd>{ERunEnd::Failed, "failed"},
+	EnumName<ERunEnd>{ERunEnd::Done, "done"},       EnumName<ERunEnd>{ERunEnd::Failed, "failed"},
 	EnumName<ERunEnd>{ERunEnd::Stopped, "stopped"}, EnumName<ERunEnd>{ERunEnd::Lapsed, "lapsed"},
-	EnumName<ERunEnd>{ERunEnd::Broken, "broken"}, EnumName<ERunEnd>{ERunEnd::Alone, "alone"},
+	EnumName<ERunEnd>{ERunEnd::Broken, "broken"},   EnumName<ERunEnd>{ERunEnd::Alone, "alone"},
 };
 
 /// A run that a worker has now.
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -56,8 +56,8 @@
 };
 
 constexpr std::array cAddressKeys = {
-	AddressKey{"callers", &JobHostConfig::callers}, AddressKey{"ready", &JobHostConfig::ready},
-	AddressKey{"peers", &JobHostConfig::peers},     AddressKey{"store", &JobHostConfig::store},
+	AddressKey{"callers", &JobHostConfig::callers},   AddressKey{"ready", &JobHostConfig::ready},
+	AddressKey{"peers", &JobHostConfig::peers},       AddressKey{"store", &JobHostConfig::store},
 	AddressKey{"machines", &JobHostConfig::machines},
 };
 
@@ -128,8 +128,8 @@
 		const std::optional<double> number = inValue.value<double>();
 		const bool fits = number.has_value() && *number >= static_cast<double>(inKey.min) && *number <= static_cast<double>(inKey.max);
 		if (!fits)
-			return this->Wrong(inValue.source(), std::string(inKey.name) + " must be from " + std::to_string(inKey.min) + " to " +
-													 std::to_string(inKey.max));
+			return this->Wrong(inValue.source(),
+							   std::string(inKey.name) + " must be from " + std::to_string(inKey.min) + " to " + std::to_string(inKey.max));
 		this->config.*inKey.member = static_cast<int64>(*number);
 		return true;
 	}
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -18,12 +18,12 @@
 	Address store;    ///< The platform's log.
 	Address machines; ///< The platform's machine service.
 	std::optional<Address> adviser;
-	int64 metrics_port = 0;       ///< 0: none.
-	int64 log_parts = 8;          ///< Partitions of a topic.
-	int64 worker_lease_ms = 4000; ///< Lease given to workers' runs.
+	int64 metrics_port = 0;             ///< 0: none.
+	int64 log_parts = 8;                ///< Partitions of a topic.
+	int64 worker_lease_ms = 4000;       ///< Lease given to workers' runs.
 	int64 worker_most_lease_ms = 10000; ///< The longest that workers grant.
 	int64 notice_ms = 4500;
-	int64 maintenance_ms = 2000;  ///< A host's maintenance takes this.
+	int64 maintenance_ms = 2000; ///< A host's maintenance takes this.
 	int64 owner_lease_ms = 2000;
 	int64 owner_slack_ms = 300;
 	int64 keep_ended_ms = 120000; ///< Ended jobs are shown at least this long.
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -16,7 +16,8 @@
 #include <glib-unix.h>
 
 DEFINE_string(config, "", "The daemon's configuration file (TOML).");
-DEFINE_string(jobs_config_env, "", "Take jobs on the platform; the named variable of the environment holds the path of the configuration (TOML).");
+DEFINE_string(jobs_config_env, "",
+			  "Take jobs on the platform; the named variable of the environment holds the path of the configuration (TOML).");
 DEFINE_bool(check_config, false, "Check the configuration and exit.");
 
 namespace
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -135,7 +135,7 @@
 	this->workers_told_at = this->now;
 }
 
-void CellWorld::Trouble_()
+void CellWorld::MakeTrouble()
 {
 	// Chances are per second
 	if (this->now % 1000 != 0)
@@ -165,7 +165,7 @@
 void CellWorld::Step()
 {
 	this->now += cStepMs;
-	this->Trouble_();
+	this->MakeTrouble();
 	for (auto &[id, worker] : this->workers)
 		this->Pass(worker);
 	if (this->cell == nullptr && this->now >= this->owner_back_at)
@@ -375,7 +375,7 @@
 	for (const auto &[id, worker] : this->workers)
 		for (const auto &[run, work] : worker.running)
 			if (run.task == inOrder.task && !worker.crashed)
-				this->Break("two runs at once: " + what + " and run " + std::to_string(run.run) + " on " + id);
+				this->Break("two runs at once: " + what);
 	if (this->done_noted.contains(inOrder.task))
 		this->Break("start after done: " + what);
 	if (!step.lasting && this->failures_noted[inOrder.task] >= spec.max_attempts)
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -12,14 +12,14 @@
 /// What may go wrong, in percent or ms.
 struct Trouble
 {
-	uint64 lost_order = 0;  ///< An order never arrives.
-	uint64 lost_answer = 0; ///< It is carried out, the answer is lost.
-	uint64 late_order = 0;  ///< It is carried out 2 to 12 s later, without an answer.
-	uint64 failing = 0;     ///< A run ends as failed.
-	uint64 cut = 0;         ///< Per second and worker: cut off for some seconds.
-	uint64 crash = 0;       ///< Per second and worker: replaced by a new life.
-	uint64 kill = 0;        ///< Per second: the owner is killed, a new one comes after the lease.
-	uint64 slow_log = 0;    ///< An append takes a second instead of milliseconds.
+	uint64 lost_order = 0;          ///< An order never arrives.
+	uint64 lost_answer = 0;         ///< It is carried out, the answer is lost.
+	uint64 late_order = 0;          ///< It is carried out 2 to 12 s later, without an answer.
+	uint64 failing = 0;             ///< A run ends as failed.
+	uint64 cut = 0;                 ///< Per second and worker: cut off for some seconds.
+	uint64 crash = 0;               ///< Per second and worker: replaced by a new life.
+	uint64 kill = 0;                ///< Per second: the owner is killed, a new one comes after the lease.
+	uint64 slow_log = 0;            ///< An append takes a second instead of milliseconds.
 	int64 slow_clock_per_mille = 0; ///< Workers' clocks run up to this much slower.
 };
 
@@ -27,7 +27,10 @@
 class WorldWorker
 {
 public:
-	WorldWorker(std::string inId, Resources inCapacity, int64 inSlowPerMille) : id(std::move(inId)), capacity(inCapacity), slow(inSlowPerMille) {}
+	WorldWorker(std::string inId, Resources inCapacity, int64 inSlowPerMille)
+		: id(std::move(inId)), capacity(inCapacity), slow(inSlowPerMille)
+	{
+	}
 
 	Millis Clock(Millis inNow) const { return inNow * (1000 - this->slow) / 1000 + 5000; }
 
@@ -95,7 +98,7 @@
 	void Drive();
 	void StartOwner();
 	void KillOwner();
-	void Trouble_();
+	void MakeTrouble();
 	void Send(const Order &inOrder);
 	OrderAnswer CarryOut(WorldWorker &ioWorker, const Order &inOrder);
 	OrderAnswer CarryOutStart(WorldWorker &ioWorker, const Order &inOrder);
--- a/UnitTests/FakeLog.h
+++ b/UnitTests/FakeLog.h
@@ -87,7 +87,7 @@
 	{
 		std::vector<LogRecord> records;
 		uint64 epoch = 0;
-		uint64 next = 0;                       ///< Number that the producer must use next.
+		uint64 next = 0;                        ///< Number that the producer must use next.
 		std::map<uint64, AppendAnswer> answers; ///< First answers by number, of this epoch.
 	};
 
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -24,13 +24,14 @@
 
 	void Claim(uint64 inMostEpoch = 100)
 	{
-		this->log.Claim(1, [inMostEpoch](const ClaimRecord &inSeen) { return inSeen.epoch < inMostEpoch; },
-						[this](bool inWon, const OwnedLog<FakeLog>::Records &inRecords)
-						{
-							this->settled = true;
-							this->won = inWon;
-							this->records = inRecords;
-						});
+		this->log.Claim(
+			1, [inMostEpoch](const ClaimRecord &inSeen) { return inSeen.epoch < inMostEpoch; },
+			[this](bool inWon, const OwnedLog<FakeLog>::Records &inRecords)
+			{
+				this->settled = true;
+				this->won = inWon;
+				this->records = inRecords;
+			});
 	}
 
 	OwnedLog<FakeLog> log;
@@ -163,8 +164,8 @@
 
 TEST(OwnerTable, AClaimHoldsThoughAnOlderHeartbeatIsReadAfterIt)
 {
-	// Failed first: on kkt-loom (hunt, scale-2 seed 680132069017) a second host claimed the fleet between the first one's claim and its next
-	// heartbeat, because a heartbeat from before the claim was read after it
+	// Failed first: on kkt-loom (hunt, scale-2 seed 680132069017) a second host claimed the fleet between the first one's claim and its
+	// next heartbeat, because a heartbeat from before the claim was read after it
 	LeaseTuning tuning;
 	OwnerTable table("me", tuning);
 	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
