--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -7,7 +7,7 @@
 
 inline constexpr Millis cStepGapMs = 10;     ///< News that comes together is decided on together.
 inline constexpr Millis cTickMs = 50;        ///< Timers of the cell are this coarse.
-inline constexpr Millis cAppendGapMs = 25;   ///< Between two appends: each is a call that is paid for.
+inline constexpr Millis cAppendGapMs = 35;   ///< Between two appends: each is a call that is paid for.
 inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
 inline constexpr Millis cInboxAgainMs = 150;
 
@@ -20,6 +20,7 @@
 	tuning.lease_ms = inConfig.worker_lease_ms;
 	tuning.most_lease_ms = inConfig.worker_lease_ms;
 	tuning.notice_ms = inConfig.notice_ms;
+	tuning.demand_hold_ms = inConfig.demand_hold_ms;
 	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
 	return tuning;
 }
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -26,7 +26,7 @@
 	uint64 Epoch() const { return this->log.Epoch(); }
 	/// The waves that the operator has asked for.
 	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
-	void SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue) { this->balancer.SetPools(*inCatalogue); }
+	void SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue);
 	bool IsQuiet() const { return !this->log.IsBusy(); }
 
 private:
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -14,11 +14,21 @@
 inline constexpr char cWaveKey = 'w';
 inline constexpr char cDutyKey = 'd';
 
+/// The balancer's figures from the host's configuration.
+inline BalanceTuning BalanceOf(const JobHostConfig &inConfig)
+{
+	BalanceTuning tuning;
+	tuning.headroom_percent = inConfig.balance_headroom_percent;
+	tuning.margin = static_cast<uint32>(inConfig.balance_margin);
+	tuning.slack = static_cast<uint32>(inConfig.balance_slack);
+	return tuning;
+}
+
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
 	: hub(inHub), context(inContext), ask(std::move(inAsk)),
 	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life),
-	  planner(UpkeepTuning{inContext.config.maintenance_ms}), balancer(BalanceTuning{})
+	  planner(UpkeepTuning{inContext.config.maintenance_ms}), balancer(BalanceOf(inContext.config))
 {
 }
 
@@ -55,6 +65,17 @@
 			}));
 }
 
+template <class Hub>
+void FleetSeat<Hub>::SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue)
+{
+	this->balancer.SetPools(*inCatalogue);
+	std::set<std::string> spare;
+	for (const auto &[name, pool] : inCatalogue->pools)
+		if (pool.spare)
+			spare.insert(name);
+	this->planner.SetSpare(std::move(spare));
+}
+
 template <class Hub>
 void FleetSeat<Hub>::SetWaves(const std::map<int64, UpkeepWave> &inWaves)
 {
@@ -103,12 +124,6 @@
 	this->planner.SetTight(this->balancer.Tight(inNow));
 	for (const HostEntry &host : this->planner.ToEmpty(inNow))
 	{
-		// A host without a worker has nothing to empty
-		if (host.worker.empty())
-		{
-			this->planner.OnEmpty(host.name, inNow, inNow);
-			continue;
-		}
 		if (!this->asking.insert(host.name).second)
 			continue;
 		PeerQuestion question;
--- a/Loomreach/Fleet/Upkeep.cpp
+++ b/Loomreach/Fleet/Upkeep.cpp
@@ -88,7 +88,7 @@
 			{
 				auto host = this->hosts.find(name);
 				const bool is_up = host != this->hosts.end() && host->second.state == EHostState::Up;
-				if (!is_up || host->second.worker.empty() != idle)
+				if (!is_up || this->IsIdle(host->second) != idle)
 					continue;
 				const bool may_go = pressed || idle || !this->tight.contains(host->second.pool);
 				if (item.step == EUpkeepStep::Waiting && under_way < most && may_go)
@@ -97,7 +97,10 @@
 					item.since = inNow;
 					++under_way;
 				}
-				if (item.step == EUpkeepStep::Emptying)
+				// Nothing is to be asked about a host on which nothing runs
+				if (item.step == EUpkeepStep::Emptying && idle)
+					item.empty_until = inNow + this->tuning.ready_for_ms;
+				else if (item.step == EUpkeepStep::Emptying)
 					wanted.push_back(host->second);
 			}
 	}
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -120,6 +120,8 @@
 	std::vector<HostEntry> ToEmpty(Millis inNow);
 	/// Pools that lack hosts: theirs go down only when a wave's time demands it.
 	void SetTight(std::set<std::string> inPools) { this->tight = std::move(inPools); }
+	/// Spare pools: nothing runs on their hosts.
+	void SetSpare(std::set<std::string> inPools) { this->spare = std::move(inPools); }
 	/// A pool's owner was asked at `inAskedAt` and says that the host is empty.
 	void OnEmpty(const std::string &inHost, Millis inAskedAt, Millis inNow);
 	/// Orders to send now, each at once.
@@ -157,7 +159,10 @@
 	UpkeepTuning tuning;
 	std::map<int64, Wave> waves;
 	std::map<std::string, HostEntry> hosts;
+	bool IsIdle(const HostEntry &inHost) const { return inHost.worker.empty() || this->spare.contains(inHost.pool); }
+
 	std::set<std::string> tight;
+	std::set<std::string> spare;
 	bool listed = false; ///< Whether a host list was had.
 };
 
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -8,8 +8,6 @@
 namespace Loomreach::Jobs
 {
 
-/// A need counts this long after it was last seen: fetching a host back takes a move and a start, about as long.
-static constexpr Millis cDemandHoldMs = 1500;
 /// The rate of arrivals is taken over this time: short against a turn of load, long against the gap between two jobs.
 static constexpr Millis cArrivalsMs = 1000;
 
@@ -50,7 +48,7 @@
 	Resources in_time;
 	this->NeedNow(inPool, inWallNow, in_time, demand.late);
 	seen.emplace_back(inNow, in_time);
-	while (inNow - seen.front().first > cDemandHoldMs)
+	while (inNow - seen.front().first > this->tuning.demand_hold_ms)
 		seen.pop_front();
 	// What comes in each second must also be worked off each second, later steps included
 	std::deque<std::pair<Millis, int64>> &arrived = this->arrivals[inPool];
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -93,6 +93,9 @@
 
 void Cell::TakeHold(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
 {
+	// A waiting look that has just ended may be followed at once only if it waited
+	if (inNow < ioWorker.hold_at + this->tuning.hold_gap_ms)
+		return;
 	if (ioWorker.hold_sent || ioWorker.gone || ioWorker.entry.address.port == 0 || inNow < ioWorker.next_hold_at)
 		return;
 	bool told_runs = false;
@@ -126,6 +129,7 @@
 	if (!look_at_once)
 		order.wait_ms = watch ? this->tuning.watch_wait_ms : this->tuning.hold_wait_ms;
 	ioWorker.hold_sent = true;
+	ioWorker.hold_at = inNow;
 	ioWorker.next_hold_at = inNow + (look_at_once ? this->tuning.retry_hold_ms : 0);
 	outOrders.push_back(std::move(order));
 }
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -15,11 +15,13 @@
 	Millis most_lease_ms = 10000;  ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
 	Millis hold_wait_ms = 1500;    ///< A hold's answer waits this long for an end; well under the lease.
 	Millis watch_wait_ms = 500;    ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
+	Millis hold_gap_ms = 70;       ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
 	Millis retry_hold_ms = 400;    ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
 	Millis notice_ms = 4500;       ///< A lasting task that is away this long counts as away by itself.
 	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
 	Millis quarantine_ms = 4000;   ///< A worker that fails all gets no more than a trial within this.
+	Millis demand_hold_ms = 1500;  ///< A need counts this long after it was last seen. Setting.
 	Millis fail_pause_ms = 300;    ///< A lasting task that failed starts again after this.
 };
 
@@ -94,6 +96,7 @@
 	Millis clock_at = 0;       ///< and our clock when the answer came: the worker's has gone on since.
 	Millis lease_over_at = 0;  ///< By then, on our clock, everything told to it has lapsed unless extended anew.
 	bool hold_sent = false;
+	Millis hold_at = -1000; ///< When the last look was sent.
 	Millis next_hold_at = 0;
 	Millis last_answer_at = -1;
 	bool reachable = false;  ///< Whether the last order was answered.
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -46,6 +46,10 @@
 	NumberKey{"maintenance_ms", &JobHostConfig::maintenance_ms, 0, 86'400'000},
 	NumberKey{"owner_lease_ms", &JobHostConfig::owner_lease_ms, 500, 60'000},
 	NumberKey{"owner_slack_ms", &JobHostConfig::owner_slack_ms, 50, 10'000},
+	NumberKey{"balance_headroom_percent", &JobHostConfig::balance_headroom_percent, 100, 1000},
+	NumberKey{"balance_margin", &JobHostConfig::balance_margin, 0, 1000},
+	NumberKey{"balance_slack", &JobHostConfig::balance_slack, 0, 1000},
+	NumberKey{"demand_hold_ms", &JobHostConfig::demand_hold_ms, 0, 600'000},
 	NumberKey{"keep_ended_ms", &JobHostConfig::keep_ended_ms, 1000, 86'400'000},
 	NumberKey{"duties_per_s", &JobHostConfig::duties_per_s, 1, 10'000},
 };
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -26,6 +26,10 @@
 	int64 maintenance_ms = 2000; ///< A host's maintenance takes this.
 	int64 owner_lease_ms = 2000;
 	int64 owner_slack_ms = 300;
+	int64 balance_headroom_percent = 115; ///< A pool gets this share of its need.
+	int64 balance_margin = 1;             ///< And this many hosts more.
+	int64 balance_slack = 1;              ///< Hosts too many that a pool keeps.
+	int64 demand_hold_ms = 1500;          ///< A need counts this long after it was last seen.
 	int64 keep_ended_ms = 120000; ///< Ended jobs are shown at least this long.
 	int64 processor_milli = 1000; ///< Processor of this host, thousandths of a core.
 	int64 duties_per_s = 16;      ///< Orders to hosts a second, all entry hosts together.
