--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -315,10 +315,9 @@
 	if (!this->stopping)
 	{
 		for (const auto &[cell, seat] : this->seats)
-			if (seat->IsHeld())
-				beat.cells.push_back({cell, seat->Epoch()});
-		if (this->fleet != nullptr && this->fleet->IsHeld())
-			beat.cells.push_back({cFleetCell, this->fleet->Epoch()});
+			beat.cells.push_back({cell, seat->Epoch(), seat->IsHeld()});
+		if (this->fleet != nullptr)
+			beat.cells.push_back({cFleetCell, this->fleet->Epoch(), this->fleet->IsHeld()});
 	}
 	AppendCall call;
 	call.log = HostsLog();
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -30,7 +30,7 @@
 {
 	for (const auto &[name, heard] : this->hosts)
 		for (const OwnedCell &cell : heard.beat.cells)
-			if (name != this->self && cell.cell == inCell && cell.epoch > inEpoch)
+			if (name != this->self && cell.cell == inCell && cell.held && cell.epoch > inEpoch)
 				return true;
 	return false;
 }
@@ -42,7 +42,7 @@
 		for (const OwnedCell &cell : heard.beat.cells)
 		{
 			const bool fresh = inNow - heard.at <= this->tuning.lease_ms + this->tuning.beat_ms;
-			if (cell.cell == inCell && fresh && (!best.has_value() || cell.epoch > best->epoch))
+			if (cell.cell == inCell && cell.held && fresh && (!best.has_value() || cell.epoch > best->epoch))
 				best = CellOwner{name, heard.beat.address, cell.epoch};
 		}
 	return best;
@@ -56,7 +56,8 @@
 		{
 			if (cell.cell != inCell)
 				continue;
-			beaten = std::max(beaten, cell.epoch);
+			if (cell.held)
+				beaten = std::max(beaten, cell.epoch);
 			// An earlier life of this very host is over
 			if (name != this->self && inNow - heard.at <= this->tuning.lease_ms)
 				return false;
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -25,11 +25,12 @@
 {
 	uint32 cell = 0;
 	uint64 epoch = 0;
+	bool held = true; ///< False: it is only being claimed. Others leave it alone, but ask nothing of it.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->cell, this->epoch);
+		ioArchive(this->cell, this->epoch, this->held);
 	}
 };
 
@@ -57,7 +58,7 @@
 	std::string host;
 	uint64 life = 0;
 	uint64 epoch = 0;
-	uint64 beat_number = 0; ///< Of the host's newest heartbeat when it claimed: only later ones can tell of the cell.
+	uint64 beat_number = 0; ///< Of the host's newest heartbeat when it began to claim: every later one tells of the cell, until it is given back.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -176,6 +176,20 @@
 	EXPECT_TRUE(table.IsFree(7, 1300));
 }
 
+TEST(OwnerTable, ACellThatIsBeingClaimedIsNotFree)
+{
+	// Failed first: on msafiri-loom trouble-1 at 4.7 s a heartbeat sent while a claim was under way did not tell of it, so the cell looked
+	// given back as soon as the claim was read, and a second host claimed it
+	OwnerTable table("me", LeaseTuning{});
+	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
+	table.OnBeat(Beat("other", 6, {{7, 4, false}}), 1100);
+	EXPECT_FALSE(table.IsFree(7, 1200));
+	EXPECT_FALSE(table.OwnerOf(7, 1200).has_value());
+	EXPECT_FALSE(table.IsSuperseded(7, 1));
+	table.OnBeat(Beat("other", 7, {{7, 4, true}}), 1300);
+	EXPECT_TRUE(table.OwnerOf(7, 1400).has_value());
+}
+
 TEST(OwnerTable, AHigherEpochElsewhereEndsAnOwnership)
 {
 	OwnerTable table("me", LeaseTuning{});
