--- a/Loomreach/Core/GlibHandle.h
+++ b/Loomreach/Core/GlibHandle.h
@@ -89,4 +89,18 @@
 	bool repeats = false;
 };
 
+/// Calls once after `inMillis`, whoever started it.
+inline void After(Millis inMillis, std::function<void()> inCall)
+{
+	auto *held = new std::function<void()>(std::move(inCall));
+	g_timeout_add_full(
+		G_PRIORITY_DEFAULT, static_cast<guint>(std::max<Millis>(inMillis, 0)),
+		[](gpointer inHeld) -> gboolean
+		{
+			(*static_cast<std::function<void()> *>(inHeld))();
+			return G_SOURCE_REMOVE;
+		},
+		held, [](gpointer inHeld) { delete static_cast<std::function<void()> *>(inHeld); });
+}
+
 } // namespace Loomreach
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -234,6 +234,7 @@
 	}
 	case EQuestion::Count: answer.waiting = this->cell.Waiting(inQuestion.queue); break;
 	case EQuestion::Demand: answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis()); break;
+	case EQuestion::Enter: break; // The host's own matter: any host may enter a record
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
 	}
 	return answer;
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -61,6 +61,9 @@
 	size_t Owned() const;
 	// Callers
 	void Enter(std::shared_ptr<Entering> inEntering);
+	void EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper);
+	void EnterAgainOrRefuse(const std::shared_ptr<Entering> &inEntering);
+	void OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply);
 	void Answer(const JobReply &inReply, JobOutcome inOutcome);
 	void AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone);
 	PeerAnswer AnswerPeer(const PeerQuestion &inQuestion);
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -12,9 +12,13 @@
 inline constexpr Millis cHostsClaimMs = 120;   ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
 inline constexpr Millis cEnterAgainMs = 60;   ///< A submission without an answer is appended again after this; one id stays one job.
-inline constexpr Millis cEnterMarginMs = 250; ///< Before the caller's deadline the last word is said.
+inline constexpr Millis cEnterMarginMs = 150; ///< Before the caller's deadline the last word is said.
 inline constexpr Millis cEnterTimeoutMs = 700;
+inline constexpr Millis cEnterLeastMs =
+	200; ///< An append is never given up sooner: a caller with little time left is better answered late than in doubt.
 inline constexpr Millis cAskTimeoutMs = 700;
+inline constexpr size_t cMostHelpers = 2;      ///< Hosts asked to put a record into an inbox for this one.
+inline constexpr Millis cHelperMs = 500;       ///< Each of them has this long.
 inline constexpr Millis cStoreSilentMs = 1800; ///< Without an answer of the store for this long, callers are sent elsewhere.
 inline constexpr Millis cStopGiveBackMs = 400; ///< A planned stop waits this long for appends under way.
 inline constexpr Millis cStopServeMs = 3200; ///< And goes on answering this long: the balancer needs two missed questions, a second apart.
@@ -31,7 +35,9 @@
 JobHost<Hub>::JobHost(JobHostConfig inConfig)
 	: config(std::move(inConfig)), lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning),
 	  life(HashBytes(config.name, static_cast<uint64>(g_get_real_time()) ^ (static_cast<uint64>(g_random_int()) << 32))), hub(config),
-	  door(*this), peers(config.peers, metrics, [this](const PeerQuestion &inQuestion) { return this->AnswerPeer(inQuestion); })
+	  door(*this), peers(config.peers, metrics,
+						 [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
+						 { this->OnQuestion(inQuestion, std::move(inReply)); })
 {
 }
 
@@ -396,6 +402,12 @@
 	inReply(inOutcome);
 }
 
+/// When the last word is said to a caller: a little before its own deadline.
+inline Millis GiveUpAt(const JobCall &inCall)
+{
+	return NowMillis() + inCall.deadline_ms - std::min(cEnterMarginMs, inCall.deadline_ms / 4);
+}
+
 template <class Hub>
 void JobHost<Hub>::Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply)
 {
@@ -411,7 +423,7 @@
 	auto entering = std::make_shared<Entering>();
 	entering->record = {EInbox::Submit, std::move(inSpec)};
 	entering->cell = CellOf(queue.pool, this->Parts());
-	entering->give_up_at = NowMillis() + inCall.deadline_ms - cEnterMarginMs;
+	entering->give_up_at = GiveUpAt(inCall);
 	entering->reply = std::move(inReply);
 	this->Enter(std::move(entering));
 }
@@ -424,7 +436,7 @@
 	entering->record.spec.id = inCall.id;
 	entering->record.spec.queue = inCall.queue.name;
 	entering->cell = CellOf(inCall.queue.pool, this->Parts());
-	entering->give_up_at = NowMillis() + inCall.deadline_ms - cEnterMarginMs;
+	entering->give_up_at = GiveUpAt(inCall);
 	entering->reply = std::move(inReply);
 	this->Enter(std::move(entering));
 }
@@ -435,7 +447,7 @@
 	AppendCall call;
 	call.log = InboxLog(inEntering->cell, this->Parts());
 	call.records.push_back({"", EncodeValue(inEntering->record), 0});
-	call.timeout_ms = std::clamp<Millis>(inEntering->give_up_at - NowMillis(), 1, cEnterTimeoutMs);
+	call.timeout_ms = std::clamp<Millis>(inEntering->give_up_at - NowMillis(), cEnterLeastMs, cEnterTimeoutMs);
 	this->hub.store.Append(call,
 						   [this, entering = std::move(inEntering)](const AppendAnswer &inAnswer)
 						   {
@@ -452,21 +464,81 @@
 								   return this->Answer(entering->reply, outcome);
 							   }
 							   entering->in_doubt = entering->in_doubt || inAnswer.result == EAppend::Unknown;
-							   // What may have been appended is appended again: the id makes it one job, and only then is the answer known
-							   const bool time_left = NowMillis() + cEnterAgainMs < entering->give_up_at;
-							   if ((entering->in_doubt || is_cancel) && time_left)
-							   {
-								   auto timer = std::make_shared<Timer>();
-								   timer->Once(cEnterAgainMs, [this, entering, timer] { this->Enter(entering); });
-								   return;
-							   }
-							   outcome.error = entering->in_doubt ? EError::VerdictLost : EError::PlatformDown;
-							   LogEvent(ELogLevel::Warning, "job_not_accepted")
-								   .Field("request", entering->record.spec.id)
-								   .Field("queue", entering->record.spec.queue)
-								   .Field("outcome", AnswerOf(outcome.error).name)
-								   .Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
-							   this->Answer(entering->reply, outcome);
+							   this->EnterByHelper(entering, 0);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper)
+{
+	const std::vector<Address> helpers = this->owners.Helpers(inEntering->cell);
+	const Millis left = inEntering->give_up_at - NowMillis();
+	if (inHelper >= std::min(helpers.size(), cMostHelpers) || left < cHelperMs / 2)
+		return this->EnterAgainOrRefuse(inEntering);
+	// The store may turn away this host alone
+	PeerQuestion question;
+	question.kind = EQuestion::Enter;
+	question.cell = inEntering->cell;
+	question.record = EncodeValue(inEntering->record);
+	this->peers.Ask(helpers[inHelper], std::move(question), std::min(left, cHelperMs),
+					[this, inEntering, inHelper](const std::optional<PeerAnswer> &inAnswer)
+					{
+						const bool entered = inAnswer.has_value() && inAnswer->entered;
+						inEntering->in_doubt = inEntering->in_doubt || !inAnswer.has_value() || (!entered && !inAnswer->not_entered);
+						if (!entered)
+							return this->EnterByHelper(inEntering, inHelper + 1);
+						LogEvent(ELogLevel::Info, "job_accepted")
+							.Field("request", inEntering->record.spec.id)
+							.Field("queue", inEntering->record.spec.queue)
+							.Field("cell", inEntering->cell)
+							.Field("helper", inHelper);
+						this->Answer(inEntering->reply, JobOutcome{});
+					});
+}
+
+template <class Hub>
+void JobHost<Hub>::EnterAgainOrRefuse(const std::shared_ptr<Entering> &inEntering)
+{
+	const bool is_cancel = inEntering->record.kind == EInbox::Cancel;
+	// What may have been appended is appended again: the id makes it one job, and only then is the answer known
+	const bool time_left = NowMillis() + cEnterAgainMs < inEntering->give_up_at;
+	if ((inEntering->in_doubt || is_cancel) && time_left)
+	{
+		return After(cEnterAgainMs, [this, inEntering] { this->Enter(inEntering); });
+	}
+	JobOutcome outcome;
+	outcome.error = inEntering->in_doubt ? EError::VerdictLost : EError::PlatformDown;
+	LogEvent(ELogLevel::Warning, "job_not_accepted")
+		.Field("request", inEntering->record.spec.id)
+		.Field("queue", inEntering->record.spec.queue)
+		.Field("outcome", AnswerOf(outcome.error).name)
+		.Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
+	this->Answer(inEntering->reply, outcome);
+}
+
+template <class Hub>
+void JobHost<Hub>::OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
+{
+	if (inQuestion.kind != EQuestion::Enter)
+		return inReply(this->AnswerPeer(inQuestion));
+	// Only what decodes is passed on
+	if (!DecodeValue<InboxRecord>(inQuestion.record).has_value())
+	{
+		PeerAnswer refusal;
+		refusal.not_entered = true;
+		return inReply(refusal);
+	}
+	AppendCall call;
+	call.log = InboxLog(inQuestion.cell, this->Parts());
+	call.records.push_back({"", inQuestion.record, 0});
+	call.timeout_ms = cHelperMs;
+	this->hub.store.Append(call,
+						   [reply = std::move(inReply)](const AppendAnswer &inAnswer)
+						   {
+							   PeerAnswer answer;
+							   answer.entered = inAnswer.result == EAppend::Done;
+							   answer.not_entered = inAnswer.result == EAppend::Refused;
+							   reply(answer);
 						   });
 }
 
@@ -477,17 +549,33 @@
 	const PeerAnswer own = this->AnswerPeer(inQuestion);
 	if (own.owner)
 		return inDone(own);
-	const std::optional<CellOwner> owner = this->owners.OwnerOf(inCell, NowMillis());
+	const std::optional<CellOwner> owner = this->owners.LastOwnerOf(inCell);
 	if (!owner.has_value() || owner->host == this->config.name)
 		return inDone(std::nullopt);
-	this->peers.Ask(owner->address, std::move(inQuestion), inTimeoutMs, std::move(inDone));
+	this->peers.Ask(
+		owner->address, inQuestion, inTimeoutMs,
+		[this, inQuestion, inTimeoutMs, done = std::move(inDone), asked = owner->address](const std::optional<PeerAnswer> &inAnswer)
+		{
+			// What this host knows of owners may be old; whoever was asked may know better
+			const bool elsewhere =
+				inAnswer.has_value() && !inAnswer->owner && inAnswer->owner_address.port != 0 && inAnswer->owner_address != asked;
+			if (!elsewhere)
+				return done(inAnswer);
+			this->peers.Ask(inAnswer->owner_address, inQuestion, inTimeoutMs, done);
+		});
 }
 
 template <class Hub>
 PeerAnswer JobHost<Hub>::AnswerPeer(const PeerQuestion &inQuestion)
 {
 	auto seat = this->seats.find(inQuestion.cell);
-	return seat == this->seats.end() ? PeerAnswer{} : seat->second->Answer(inQuestion);
+	PeerAnswer answer;
+	if (seat != this->seats.end())
+		answer = seat->second->Answer(inQuestion);
+	const std::optional<CellOwner> owner = this->owners.OwnerOf(inQuestion.cell, NowMillis());
+	if (!answer.owner && owner.has_value() && owner->host != this->config.name)
+		answer.owner_address = owner->address;
+	return answer;
 }
 
 template <class Hub>
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -10,12 +10,19 @@
 namespace Loomreach::Jobs
 {
 
-static constexpr size_t cMostBytes = 2048;
+/// A record of a job is 1 to 6 KB; the largest is handed over in one datagram.
+static constexpr size_t cMostBytes = 32768;
 /// A round trip between zones is 2 ms; a lost datagram costs this much.
 static constexpr Millis cAskAgainMs = 60;
 static constexpr char cQuestionMark = 'Q';
 static constexpr char cAnswerMark = 'A';
 
+/// An address for the socket.
+static ObjectPtr<GSocketAddress> ToSocketAddress(const Address &inAddress)
+{
+	return ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(inAddress.ip.c_str(), inAddress.port));
+}
+
 PeerQuery::PeerQuery(const Address &inOwn, Metrics &inMetrics, Answerer inAnswerer)
 	: own(inOwn), metrics(inMetrics), answerer(std::move(inAnswerer)), next_nonce(static_cast<uint64>(g_get_real_time()))
 {
@@ -32,7 +39,7 @@
 bool PeerQuery::Open()
 {
 	ErrorPtr error;
-	const ObjectPtr<GSocketAddress> where(g_inet_socket_address_new_from_string(this->own.ip.c_str(), this->own.port));
+	const ObjectPtr<GSocketAddress> where = ToSocketAddress(this->own);
 	this->socket.reset(g_socket_new(G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_DATAGRAM, G_SOCKET_PROTOCOL_UDP, error.Out()));
 	if (this->socket == nullptr || where == nullptr || g_socket_bind(this->socket.get(), where.get(), TRUE, error.Out()) == FALSE)
 		return FailFalse(EError::BadConfig, "peers: " + this->own.Text() + ": " + error.Text());
@@ -53,7 +60,7 @@
 {
 	for (;;)
 	{
-		std::array<gchar, cMostBytes> buffer;
+		static std::array<gchar, cMostBytes> buffer;
 		GSocketAddress *from = nullptr;
 		const gssize got = g_socket_receive_from(this->socket.get(), &from, buffer.data(), buffer.size(), nullptr, nullptr);
 		const ObjectPtr<GSocketAddress> sender(from);
@@ -64,6 +71,16 @@
 	}
 }
 
+/// "ip:port" of a datagram's sender.
+static std::string SenderText(GSocketAddress *inFrom)
+{
+	GInetSocketAddress *address = G_INET_SOCKET_ADDRESS(inFrom);
+	gchar *ip = g_inet_address_to_string(g_inet_socket_address_get_address(address));
+	std::string text = std::string(ip) + ':' + std::to_string(g_inet_socket_address_get_port(address));
+	g_free(ip);
+	return text;
+}
+
 void PeerQuery::Handle(const std::string &inBytes, GSocketAddress *inFrom)
 {
 	const std::string_view body = std::string_view(inBytes).substr(1);
@@ -83,21 +100,27 @@
 	const std::optional<PeerQuestion> question = DecodeValue<PeerQuestion>(body);
 	if (inBytes[0] != cQuestionMark || !question.has_value())
 		return this->metrics.Count(ECounter::PeerRejects, "corrupt");
-	PeerAnswer answer = this->answerer(*question);
-	answer.nonce = question->nonce;
-	const std::string bytes = cAnswerMark + EncodeValue(answer);
-	this->metrics.Count(ECounter::PeerBytes, "out", bytes.size());
-	ErrorPtr error;
-	if (g_socket_send_to(this->socket.get(), inFrom, bytes.data(), bytes.size(), nullptr, error.Out()) < 0)
-		this->metrics.Count(ECounter::PeerRejects, "send-failed");
+	const std::string sender = SenderText(inFrom) + '/' + std::to_string(question->nonce);
+	if (!this->answering.insert(sender).second)
+		return;
+	std::shared_ptr<GSocketAddress> to(static_cast<GSocketAddress *>(g_object_ref(inFrom)),
+									   [](GSocketAddress *inOld) { g_object_unref(inOld); });
+	this->answerer(*question,
+				   [this, to, sender, nonce = question->nonce, alive = std::weak_ptr<bool>(this->alive)](PeerAnswer inAnswer)
+				   {
+					   if (alive.expired())
+						   return;
+					   this->answering.erase(sender);
+					   inAnswer.nonce = nonce;
+					   this->SendTo(to.get(), cAnswerMark + EncodeValue(inAnswer));
+				   });
 }
 
-void PeerQuery::SendTo(const Address &inTo, const std::string &inBytes)
+void PeerQuery::SendTo(GSocketAddress *inTo, const std::string &inBytes)
 {
-	const ObjectPtr<GSocketAddress> to(g_inet_socket_address_new_from_string(inTo.ip.c_str(), inTo.port));
 	this->metrics.Count(ECounter::PeerBytes, "out", inBytes.size());
 	ErrorPtr error;
-	if (g_socket_send_to(this->socket.get(), to.get(), inBytes.data(), inBytes.size(), nullptr, error.Out()) < 0)
+	if (g_socket_send_to(this->socket.get(), inTo, inBytes.data(), inBytes.size(), nullptr, error.Out()) < 0)
 		this->metrics.Count(ECounter::PeerRejects, "send-failed");
 }
 
@@ -110,7 +133,7 @@
 	asked.done = std::move(inDone);
 	asked.give_up_at = NowMillis() + inTimeoutMs;
 	asked.next_at = NowMillis() + cAskAgainMs;
-	this->SendTo(asked.to, asked.bytes);
+	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 	if (!this->repeat.IsRunning())
 		this->repeat.Every(cAskAgainMs / 2, [this] { this->Repeat(); });
 }
@@ -131,7 +154,7 @@
 		if (now >= asked.next_at)
 		{
 			asked.next_at = now + cAskAgainMs;
-			this->SendTo(asked.to, asked.bytes);
+			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 		}
 		++it;
 	}
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -14,10 +14,11 @@
 /// What is asked of a cell's owner.
 enum class EQuestion : uint8
 {
-	Show,  ///< A job's phase.
-	Count, ///< Jobs of a queue that have not begun.
-	Empty, ///< Empty a worker for maintenance; is it empty?
-	Demand ///< What does a pool need, and which workers can it spare?
+	Show,   ///< A job's phase.
+	Count,  ///< Jobs of a queue that have not begun.
+	Empty,  ///< Empty a worker for maintenance; is it empty?
+	Demand, ///< What does a pool need, and which workers can it spare?
+	Enter   ///< Put a record into a cell's inbox: the store turns the asking host away.
 };
 
 /// A question. Every field that the kind does not need is empty.
@@ -29,12 +30,13 @@
 	std::string queue;
 	std::string id; ///< A job, a worker or a pool.
 	int64 for_ms = 0;
-	uint32 count = 0; ///< Demand: workers that should be spared.
+	uint32 count = 0;   ///< Demand: workers that should be spared.
+	std::string record; ///< Enter: the encoded record.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count);
+		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count, this->record);
 	}
 };
 
@@ -42,8 +44,11 @@
 struct PeerAnswer
 {
 	uint64 nonce = 0;
-	bool owner = false; ///< Whether the host that answers owns the cell; without it nothing else counts.
-	bool sure = false;  ///< Whether the owner has read its inbox up to a moment ago.
+	bool owner = false;       ///< Whether the host that answers owns the cell; without it only the fields marked so count.
+	Address owner_address;    ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
+	bool entered = false;     ///< Counts always: the record is in the inbox.
+	bool not_entered = false; ///< Counts always: it certainly is not.
+	bool sure = false;        ///< Whether the owner has read its inbox up to a moment ago.
 	bool known = false;
 	EJobPhase phase = EJobPhase::Queued;
 	uint32 waiting = 0;
@@ -53,7 +58,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->owner, this->sure, this->known, this->phase, this->waiting, this->empty, this->demand);
+		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->sure, this->known, this->phase,
+				  this->waiting, this->empty, this->demand);
 	}
 };
 
@@ -62,7 +68,8 @@
 {
 public:
 	using OnAnswer = std::function<void(std::optional<PeerAnswer>)>;
-	using Answerer = std::function<PeerAnswer(const PeerQuestion &)>;
+	/// Answers now or later.
+	using Answerer = std::function<void(const PeerQuestion &, std::function<void(PeerAnswer)>)>;
 
 	PeerQuery(const Address &inOwn, Metrics &inMetrics, Answerer inAnswerer);
 	~PeerQuery();
@@ -87,7 +94,7 @@
 	static gboolean OnReadable(GSocket *, GIOCondition, gpointer inSelf);
 	void Receive();
 	void Handle(const std::string &inBytes, GSocketAddress *inFrom);
-	void SendTo(const Address &inTo, const std::string &inBytes);
+	void SendTo(GSocketAddress *inTo, const std::string &inBytes);
 	void Repeat();
 
 	Address own;
@@ -98,6 +105,8 @@
 	Timer repeat;
 	std::map<uint64, Pending> pending;
 	uint64 next_nonce = 1;
+	std::set<std::string> answering; ///< Questions under way here, by sender and nonce: they are asked again and again.
+	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -35,19 +35,39 @@
 	return false;
 }
 
-std::optional<CellOwner> OwnerTable::OwnerOf(uint32 inCell, Millis inNow) const
+std::optional<CellOwner> OwnerTable::LastOwnerOf(uint32 inCell) const
 {
 	std::optional<CellOwner> best;
 	for (const auto &[name, heard] : this->hosts)
 		for (const OwnedCell &cell : heard.beat.cells)
-		{
-			const bool fresh = inNow - heard.at <= this->tuning.lease_ms + this->tuning.beat_ms;
-			if (cell.cell == inCell && cell.held && fresh && (!best.has_value() || cell.epoch > best->epoch))
+			if (cell.cell == inCell && cell.held && (!best.has_value() || cell.epoch > best->epoch))
 				best = CellOwner{name, heard.beat.address, cell.epoch};
-		}
 	return best;
 }
 
+std::optional<CellOwner> OwnerTable::OwnerOf(uint32 inCell, Millis inNow) const
+{
+	std::optional<CellOwner> owner = this->LastOwnerOf(inCell);
+	if (owner.has_value() && inNow - this->hosts.at(owner->host).at > this->tuning.lease_ms + this->tuning.beat_ms)
+		return std::nullopt;
+	return owner;
+}
+
+std::vector<Address> OwnerTable::Helpers(uint32 inCell) const
+{
+	const std::optional<CellOwner> owner = this->LastOwnerOf(inCell);
+	std::vector<std::tuple<bool, Millis, Address>> order;
+	for (const auto &[name, heard] : this->hosts)
+		if (name != this->self && heard.beat.claims)
+			order.emplace_back(!owner.has_value() || owner->host != name, -heard.at, heard.beat.address);
+	std::sort(order.begin(), order.end());
+	std::vector<Address> helpers;
+	helpers.reserve(order.size());
+	for (const auto &[is_other, at, address] : order)
+		helpers.push_back(address);
+	return helpers;
+}
+
 bool OwnerTable::IsFree(uint32 inCell, Millis inNow) const
 {
 	uint64 beaten = 0;
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -58,7 +58,8 @@
 	std::string host;
 	uint64 life = 0;
 	uint64 epoch = 0;
-	uint64 beat_number = 0; ///< Of the host's newest heartbeat when it began to claim: every later one tells of the cell, until it is given back.
+	uint64 beat_number =
+		0; ///< Of the host's newest heartbeat when it began to claim: every later one tells of the cell, until it is given back.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
@@ -89,6 +90,10 @@
 	bool IsSuperseded(uint32 inCell, uint64 inEpoch) const;
 	/// The owner of a cell, if its lease has not run out here.
 	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
+	/// The newest owner that was ever heard of, however long ago: whom to ask when the store can't be read.
+	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
+	/// Other hosts, those heard of last first: who may help when the store turns this one away.
+	std::vector<Address> Helpers(uint32 inCell) const;
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
 	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -123,6 +123,8 @@
 	void PlanDraining(CellWorker &ioWorker, Millis inNow);
 	void PlanLapsed(CellWorker &ioWorker, Millis inNow);
 	void PlanPaces(CellWorker &ioWorker, Millis inNow);
+	void PlanStragglers(CellWorker &ioWorker, Millis inNow);
+	Millis ExpectRun(const CellJob &inJob, size_t inUnit) const;
 	bool MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const;
 	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
 	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
@@ -137,7 +139,8 @@
 	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
 	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
-	void OnAbsent(CellWorker &ioWorker, Millis inSentAt, Millis inNow);
+	void NoteProgress(CellWorker &ioWorker, const RunId &inRun, const Run &inProgress, Millis inNow);
+	void NoteSpeed(CellWorker &ioWorker, double inRatio, double inShare, Millis inNow);
 	void OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow);
 	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy,
 				Millis inNow);
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -13,6 +13,13 @@
 /// A stop that got no answer is sent again after this.
 static constexpr Millis cStopAgainMs = 500;
 static constexpr uint32 cFailuresToQuarantine = 3;
+/// A worker is slow when its runs take this many times what is expected, in a mean that an end moves by a fifth and a look at a run that
+/// is over its time by a tenth. Slow workers of the users' days work 4 to 6.5 times as long.
+static constexpr double cSlowRatio = 2.2;
+static constexpr double cMostRatio = 8.0; ///< One odd run must not decide.
+static constexpr double cEndShare = 0.2;
+static constexpr double cProgressShare = 0.1;
+static constexpr Millis cJudgeAfterMs = 300;
 
 /// How long after our sending a lease of `inLeaseMs` on a worker's clock may last on ours.
 static Millis LongestLease(Millis inLeaseMs) { return inLeaseMs * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs; }
@@ -281,6 +288,8 @@
 			run.confirmed_at = inNow;
 		}
 		run.percent = row.percent;
+		run.progress_at = inNow;
+		this->NoteProgress(ioWorker, id, run, inNow);
 		run.figure = row.figure;
 		TaskRecord *task = this->FindTask(row.task);
 		// Kept in memory at once; the log gets it with the record's next change
@@ -376,7 +385,11 @@
 	{
 		ioWorker.failures_in_row = 0;
 		if (run.confirmed_at >= 0)
+		{
+			const double expected = static_cast<double>(this->run_times.Expect(job->spec, job->spec.steps[inRun.task.step]));
+			this->NoteSpeed(ioWorker, static_cast<double>(inNow - run.confirmed_at) / expected, cEndShare, inNow);
 			this->run_times.Learn(job->spec, job->spec.steps[inRun.task.step], inNow - run.confirmed_at);
+		}
 	}
 	if (run.lasting && inEnd == ERunEnd::Failed)
 		memory.not_before = inNow + this->tuning.fail_pause_ms;
@@ -405,6 +418,32 @@
 	}
 }
 
+void Cell::NoteSpeed(CellWorker &ioWorker, double inRatio, double inShare, Millis inNow)
+{
+	ioWorker.slowness += inShare * (std::min(inRatio, cMostRatio) - ioWorker.slowness);
+	if (ioWorker.slowness < cSlowRatio || ioWorker.slow_until > inNow)
+		return;
+	ioWorker.slow_until = inNow + this->tuning.slow_ms;
+	// Afterwards it is judged anew
+	LogEvent(ELogLevel::Warning, "worker_slow").Field("worker", ioWorker.entry.id).Field("slowness", ioWorker.slowness);
+	ioWorker.slowness = 1.0;
+}
+
+void Cell::NoteProgress(CellWorker &ioWorker, const RunId &inRun, const Run &inProgress, Millis inNow)
+{
+	const CellJob *job = this->FindJob(inRun.task.job);
+	const bool counts = !inProgress.lasting && inProgress.confirmed_at >= 0 && job != nullptr;
+	if (!counts)
+		return;
+	const Millis expected = this->ExpectRun(*job, job->Unit(inRun.task.round, inRun.task.step));
+	const Millis elapsed = inNow - inProgress.confirmed_at;
+	// Early on, progress says nothing
+	if (elapsed < std::max(expected, cJudgeAfterMs))
+		return;
+	const double projected = static_cast<double>(elapsed) * 100.0 / static_cast<double>(std::max<int64>(inProgress.percent, 1));
+	this->NoteSpeed(ioWorker, projected / static_cast<double>(expected), cProgressShare, inNow);
+}
+
 void Cell::FinishTask(CellJob &ioJob, const TaskId &inTask)
 {
 	const size_t unit = ioJob.Unit(inTask.round, inTask.step);
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -29,6 +29,14 @@
 static constexpr double cLastingTogetherWeight = 0.5;
 static constexpr double cSameRackWeight = 1.5;
 static constexpr double cSameZoneWeight = 0.5;
+/// A run is far slower than expected after this many times the expected run time, and if what is left at its pace is worth this many fresh
+/// runs: run times of one kind spread by half their mean, so twice the mean alone says little.
+static constexpr Millis cStragglerTimes = 2;
+static constexpr Millis cStragglerGain = 2;
+static constexpr Millis cStragglerLeastMs = 400;
+static constexpr Millis cProgressFreshMs = 200;
+/// A worker that is avoided for its speed stands behind all others with room.
+static constexpr double cSlowWeight = 5.0;
 /// A ticket must be good for the append and the order: two store answers at their slow pace.
 static constexpr Millis cTicketSlackMs = 500;
 static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
@@ -123,6 +131,7 @@
 		this->PlanDraining(worker, inNow);
 		this->PlanVacating(worker, inNow);
 		this->PlanPaces(worker, inNow);
+		this->PlanStragglers(worker, inNow);
 	}
 	std::vector<PlanPlace> order;
 	this->rejects.clear();
@@ -249,7 +258,8 @@
 	const StepSpec &step = inJob.StepOf(inUnit);
 	const double cores = std::max<double>(1.0, static_cast<double>(inWorker.entry.capacity.cpu_milli));
 	// Work is packed, so that hosts come free for other pools and for maintenance
-	double score = -cFreeShareWeight * static_cast<double>(inWorker.Free().cpu_milli) / cores;
+	double score = inWorker.slow_until > this->now ? -cSlowWeight : 0.0;
+	score -= cFreeShareWeight * static_cast<double>(inWorker.Free().cpu_milli) / cores;
 	if (!step.data_rack.empty() && inWorker.entry.rack == step.data_rack)
 		score += cDataRackWeight;
 	const bool shares = step.target_ms > 0 || step.fills;
@@ -509,6 +519,40 @@
 	return worker.runs.empty();
 }
 
+Millis Cell::ExpectRun(const CellJob &inJob, size_t inUnit) const { return this->run_times.Expect(inJob.spec, inJob.StepOf(inUnit)); }
+
+void Cell::PlanStragglers(CellWorker &ioWorker, Millis inNow)
+{
+	// Only progress that was just reported counts
+	if (ioWorker.last_answer_at != inNow && inNow - ioWorker.last_answer_at > cProgressFreshMs)
+		return;
+	std::vector<RunId> slow;
+	for (const auto &[id, run] : ioWorker.runs)
+	{
+		const CellJob *job = this->FindJob(id.task.job);
+		const bool candidate =
+			run.state == ERunState::Confirmed && !run.lasting && run.percent >= 0 && run.confirmed_at >= 0 && job != nullptr;
+		if (!candidate || job->spec.steps[id.task.step].gang)
+			continue;
+		const Millis expected = this->ExpectRun(*job, job->Unit(id.task.round, id.task.step));
+		const Millis elapsed = run.progress_at - run.confirmed_at;
+		if (elapsed < expected * cStragglerTimes || elapsed < cStragglerLeastMs)
+			continue;
+		// What is left at its pace, against a fresh start elsewhere
+		const Millis left = elapsed * (100 - run.percent) / std::max<int64>(run.percent, 1);
+		if (left > expected * cStragglerGain + cStragglerLeastMs)
+			slow.push_back(id);
+	}
+	for (const RunId &id : slow)
+	{
+		const CellJob &job = *this->FindJob(id.task.job);
+		const size_t unit = job.Unit(id.task.round, id.task.step);
+		const CellWorker *other = this->ChooseWorker(job, unit, id.task.index, inNow, this->CountByWorker(job, unit));
+		if (other != nullptr && other != &ioWorker && other->slow_until <= inNow)
+			this->StopRun(ioWorker, id, "far slower than expected", inNow);
+	}
+}
+
 void Cell::PlanPaces(CellWorker &ioWorker, Millis inNow)
 {
 	// One decision an answer of the worker
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -11,17 +11,18 @@
 /// Times, limits and weights of one cell. All times in ms.
 struct CellTuning
 {
-	Millis lease_ms = 4000;        ///< Lease given to a worker's runs with each hold. Setting `worker_lease_ms`.
-	Millis most_lease_ms = 10000;  ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
-	Millis hold_wait_ms = 1500;    ///< A hold's answer waits this long for an end; well under the lease.
-	Millis watch_wait_ms = 500;    ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
-	Millis hold_gap_ms = 70;       ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
-	Millis retry_hold_ms = 400;    ///< Between holds that got no answer, and between holds while ends wait for the log.
+	Millis lease_ms = 4000;       ///< Lease given to a worker's runs with each hold. Setting `worker_lease_ms`.
+	Millis most_lease_ms = 10000; ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
+	Millis hold_wait_ms = 1500;   ///< A hold's answer waits this long for an end; well under the lease.
+	Millis watch_wait_ms = 500;   ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
+	Millis hold_gap_ms = 70;    ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
+	Millis retry_hold_ms = 400; ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
 	Millis notice_ms = 4500;       ///< A lasting task that is away this long counts as away by itself.
 	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
 	Millis quarantine_ms = 4000;   ///< A worker that fails all gets no more than a trial within this.
 	Millis demand_hold_ms = 1500;  ///< A need counts this long after it was last seen. Setting.
+	Millis slow_ms = 4000;         ///< A worker found slow is avoided this long, then tried again.
 	Millis fail_pause_ms = 300;    ///< A lasting task that failed starts again after this.
 };
 
@@ -78,8 +79,9 @@
 	Millis next_stop_at = 0;
 	bool told_by_us = false; ///< Whether its loss was our own act (a stop of ours).
 	int64 percent = 0;
-	int64 figure = 0; ///< See RunningRow.
-	int64 pace = 100; ///< Share at which it was told to work.
+	Millis progress_at = 0; ///< When `percent` was reported.
+	int64 figure = 0;       ///< See RunningRow.
+	int64 pace = 100;       ///< Share at which it was told to work.
 	bool pace_sent = false;
 	std::string ticket;
 };
@@ -105,6 +107,8 @@
 	uint64 last_seen = 0;    ///< As much of it as the log holds: may be told to the worker.
 	Millis refuse_until = 0; ///< It refused; nothing new until then.
 	Millis quarantine_until = 0;
+	double slowness = 1.0;      ///< Run times here against what is expected, a mean that forgets.
+	Millis slow_until = 0;      ///< Others are preferred until then.
 	uint32 failures_in_row = 0; ///< Runs ended as failed there with none done in between.
 	Millis vacate_until = 0;    ///< It is being emptied for maintenance; nothing new until then.
 	Millis paced_at = 0;
--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -134,13 +134,29 @@
 	Trouble trouble;
 	trouble.failing = 100;
 	CellWorld world(5, trouble, 3);
-	world.Submit(MakeJob("a", 1, 1, 1000, 300));
+	world.Submit(MakeJob("a", 1, 1, 1000, 1200));
 	world.Run(60000);
 	EXPECT_EQ(world.Shown("a").phase, EJobPhase::Failed);
 	EXPECT_EQ(world.Starts(), 3u);
 	EXPECT_EQ(All(world.broken), "");
 }
 
+TEST(Cell, AStragglerIsStartedElsewhere)
+{
+	// One worker works twenty times as long; its runs are taken over by others
+	CellWorld world(5, Trouble{}, 3);
+	world.Run(200);
+	world.Workers().begin()->second.slow_factor = 20;
+	for (int i = 0; i < 12; ++i)
+	{
+		world.Submit(MakeJob("job" + std::to_string(i), 1, 4, 2000, 1000));
+		world.Run(400);
+	}
+	world.Run(8000);
+	EXPECT_EQ(All(world.broken), "");
+	EXPECT_EQ(world.Open(), "");
+}
+
 TEST(Cell, WhatFitsNowhereWaits)
 {
 	CellWorld world(5, Trouble{}, 3);
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -316,7 +316,11 @@
 				++this->failures_noted[row.task];
 		std::erase_if(ioWorker.ended, [&](const EndedRow &inRow) { return inRow.number <= inOrder.last_seen; });
 		for (const auto &[run, work] : ioWorker.running)
-			answer.running.push_back({run.task, run.run, "", work.ends_at < 0 ? 100 : 50, 0});
+		{
+			const Millis whole = std::max<Millis>(1, work.ends_at - work.began_at);
+			const int64 percent = work.ends_at < 0 ? 100 : (this->now - work.began_at) * 100 / whole;
+			answer.running.push_back({run.task, run.run, "", percent, 0});
+		}
 		answer.ended = ioWorker.ended;
 		break;
 	case EOrder::Pace: break;
@@ -348,7 +352,8 @@
 	const StepSpec &step = this->specs.at(inOrder.task.job).steps[inOrder.task.step];
 	WorldWorker::Work work;
 	work.room = step.need;
-	work.ends_at = step.lasting ? -1 : this->now + 200 + static_cast<Millis>(this->random.Below(2000));
+	work.began_at = this->now;
+	work.ends_at = step.lasting ? -1 : this->now + (200 + static_cast<Millis>(this->random.Below(2000))) * ioWorker.slow_factor;
 	work.fails = this->random.Chance(this->trouble.failing);
 	ioWorker.running.emplace(id, work);
 	return answer;
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -43,6 +43,7 @@
 	struct Work
 	{
 		Resources room;
+		Millis began_at = 0;
 		Millis ends_at = 0; ///< -1: lasts.
 		bool fails = false;
 	};
@@ -53,6 +54,7 @@
 	uint64 void_below = 1; ///< Ends with lower numbers were followed by a lapse of the lease: noting them binds nobody.
 	Millis cut_until = 0;
 	bool crashed = false;
+	Millis slow_factor = 1; ///< Its runs take this many times as long.
 };
 
 /// The world.
--- a/UnitTests/FakeLog.h
+++ b/UnitTests/FakeLog.h
@@ -137,18 +137,7 @@
 		return answer;
 	}
 
-	void Later(std::function<void()> inCall)
-	{
-		auto *call = new std::function<void()>(std::move(inCall));
-		g_timeout_add_full(
-			G_PRIORITY_DEFAULT, 1,
-			[](gpointer inHeld) -> gboolean
-			{
-				(*static_cast<std::function<void()> *>(inHeld))();
-				return G_SOURCE_REMOVE;
-			},
-			call, [](gpointer inHeld) { delete static_cast<std::function<void()> *>(inHeld); });
-	}
+	static void Later(std::function<void()> inCall) { After(1, std::move(inCall)); }
 
 	std::map<LogName, Part> parts;
 };
