--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -8,7 +8,7 @@
 inline constexpr Millis cFollowAgainMs = 200;
 inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
 inline constexpr Millis cWorkersIdleMs = 1500; ///< A host without cells.
-inline constexpr Millis cHostsEveryMs = 500;   ///< Reads of the hosts' heartbeats.
+inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 inline constexpr Millis cHostsClaimMs = 120;   ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
 inline constexpr Millis cEnterAgainMs = 60;   ///< A submission without an answer is appended again after this; one id stays one job.
@@ -28,6 +28,7 @@
 	LeaseTuning tuning;
 	tuning.lease_ms = inConfig.owner_lease_ms;
 	tuning.slack_ms = inConfig.owner_slack_ms;
+	tuning.beat_ms = inConfig.owner_lease_ms / cBeatsOfLease;
 	return tuning;
 }
 
@@ -222,7 +223,7 @@
 								   this->ConsiderClaims();
 							   }
 							   const bool close = this->cells_free || !inAnswer.good;
-							   this->hosts_timer.Once(close ? cHostsClaimMs : cHostsEveryMs, [this] { this->PollHosts(); });
+							   this->hosts_timer.Once(close ? cHostsClaimMs : this->lease_tuning.beat_ms, [this] { this->PollHosts(); });
 						   });
 }
 
