--- /dev/null
+++ b/Scripts/test_jobs.sh
@@ -0,0 +1,172 @@
+#!/usr/bin/env bash
+# Jobs on the platform with real processes under faults: the platform's stand-in and three entry hosts on loopback.
+# Usage: test_jobs.sh BUILD. No check depends on timing beyond generous limits. Prints one line a check.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BUILD=${1:-build/release}
+DIR=$(mktemp -d)
+PORT=$((20000 + ($$ % 200) * 100))
+CONTROL="http://127.0.0.1:$((PORT + 2))"
+PASSED=0
+FAILED=0
+declare -A PIDS
+
+finish() {
+	local pid
+	for pid in "${PIDS[@]}"; do kill -9 "$pid" 2>/dev/null; done
+	rm -rf "$DIR"
+}
+trap finish EXIT
+
+check() {
+	local name=$1; shift
+	if "$@"; then PASSED=$((PASSED + 1)); echo "passed: $name"; else FAILED=$((FAILED + 1)); echo "FAILED: $name"; fi
+}
+
+# within SECONDS COMMAND...: whether the command comes true in time.
+within() {
+	local end=$((SECONDS + $1)); shift
+	until "$@"; do [ $SECONDS -lt $end ] || return 1; sleep 0.1; done
+}
+
+start_entry() {
+	local number=$1 base=$((PORT + 40 + $1 * 10))
+	cat >"$DIR/e$number.toml" <<TOML
+name = "entry-$number"
+availability_zone = "z"
+callers = "127.0.0.1:$base"
+ready = "127.0.0.1:$((base + 1))"
+peers = "127.0.0.1:$((base + 2))"
+metrics_port = $((base + 3))
+store = "127.0.0.1:$PORT"
+machines = "127.0.0.1:$((PORT + 1))"
+maintenance_ms = 800
+TOML
+	LOOM_JOBS="$DIR/e$number.toml" "$BUILD/loomreachd" --jobs_config_env=LOOM_JOBS >>"$DIR/e$number.log" 2>&1 &
+	PIDS[$number]=$!
+}
+
+url() { echo "http://127.0.0.1:$((PORT + 40 + $1 * 10))"; }
+metrics() { curl -s --max-time 5 "http://127.0.0.1:$((PORT + 43 + $1 * 10))/metrics"; }
+# job ENTRY ID PAYLOAD COUNT CPU [extra fields of the step]: status of handing in a job of one step.
+job() {
+	curl -s -o /dev/null -w '%{http_code}' --max-time 8 -H 'Host: jobs.example' -X POST "$(url "$1")/fast/$2" \
+		-d "{\"spec\":\"$3 cpu=$5\",\"steps\":[{\"count\":$4,\"cpu\":$5,\"memMb\":100,\"estimateMs\":300${6:-}}]}"
+}
+state() { curl -s --max-time 8 -H 'Host: jobs.example' "$(url "$1")/fast/$2"; }
+is() { [ "$(state "$1" "$2")" = "{\"state\":\"$3\"}" ]; }
+report() { curl -s "$CONTROL/report"; }
+count_of() { report | sed "s/.*\"$1\":\([0-9]*\).*/\1/"; }
+unbroken() { report | grep -q '"broken":\[\]' || { report; return 1; }; }
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 "http://127.0.0.1:$((PORT + 41 + $1 * 10))/ready")" = 200 ]; }
+running() { report | sed 's/.*"running":{\([^}]*\)}.*/\1/' | grep -o "$1[^,]*" | wc -l; }
+# owner: number of the entry host that owns the cell of the jobs' pool, by its log's last word.
+owner() {
+	local number
+	for number in 1 2 3; do
+		[ -n "${PIDS[$number]:-}" ] && metrics $number | grep -qE '_workers [1-9]' && { echo $number; return; }
+	done
+}
+
+"$BUILD/loomreach-platform" --port=$PORT >"$DIR/platform.log" 2>&1 &
+PIDS[0]=$!
+within 10 curl -s -o /dev/null "$CONTROL/report" || { echo "stand-in did not start"; exit 1; }
+for number in 1 2 3; do start_entry $number; done
+
+not_ready_yet() { within 10 curl -s -o /dev/null "$(url 1)/" && [ "$(job 1 00000000000000aa ms=100 1 1000)" = 503 ]; }
+check "without a configuration a job is refused as not ready" not_ready_yet
+
+curl -s -X PUT "$CONTROL/operator/config" -d '{"version":3,"routes":[
+ {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600},
+ {"name":"q-slow","host":"jobs.example","pathPrefix":"/slow/","service":"slow","maxAttempts":2,"priority":1}],
+ "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+all_ready() { ready 1 && ready 2 && ready 3; }
+check "all entry hosts are ready once there is a configuration" within 15 all_ready
+has_owner() { [ -n "$(owner)" ]; }
+check "an owner is found" within 15 has_owner
+
+check "a job is accepted" test "$(job 1 0000000000000001 ms=200 4 1000)" = 200
+check "and ends, as every entry host says" within 15 is 2 0000000000000001 completed
+check "the third one too" within 5 is 3 0000000000000001 completed
+check "a repeat of its id is accepted and runs nothing" test "$(job 2 0000000000000001 ms=200 4 1000)" = 200
+check "an unknown id is gone" test "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "$(url 1)/fast/00000000000000ff")" = 410
+check "no such queue" test "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "$(url 1)/none/1")" = 404
+check "what is no job is refused" test "$(curl -s -o /dev/null -w '%{http_code}' -X POST -H 'Host: jobs.example' "$(url 1)/fast/00000000000000fe" -d '{"steps":[]}')" = 400
+job 1 0000000000000002 "fail ms=100" 1 1000 >/dev/null
+check "a job whose attempts are used up has failed" within 20 is 1 0000000000000002 failed
+check "more than there is room for is accepted" test "$(job 3 0000000000000003 ms=300 60 4000)" = 200
+check "and runs in turn" within 60 is 1 0000000000000003 completed
+check "no rule was broken" unbroken
+
+# --- A lasting job, and its owner killed
+job 1 0000000000000004 lasts 2 1000 ',"longRunning":true,"antiAffinity":1,"may_miss":1' >/dev/null
+lasting_runs() { [ "$(running 0000000000000004)" = 2 ]; }
+check "a lasting job runs" within 15 lasting_runs
+job 1 0000000000000005 ms=3000 6 2000 >/dev/null
+OLD=$(owner)
+kill -9 "${PIDS[$OLD]}"; unset "PIDS[$OLD]"
+OTHER=$((OLD % 3 + 1))
+check "a job is accepted while its pool has no owner" test "$(job $OTHER 0000000000000006 ms=200 2 1000)" = 200
+check "a successor ends it" within 30 is $OTHER 0000000000000006 completed
+check "and what was under way" within 30 is $OTHER 0000000000000005 completed
+check "the lasting job still runs" lasting_runs
+check "no rule was broken by the change of owner" unbroken
+start_entry "$OLD"
+check "the killed host is back" within 20 ready "$OLD"
+
+# --- Every process killed right after an acceptance
+job 1 0000000000000007 ms=300 4 1000 >/dev/null
+for number in 1 2 3; do kill -9 "${PIDS[$number]}"; done
+for number in 1 2 3; do start_entry $number; done
+check "what was accepted just before all were killed is done" within 40 is 1 0000000000000007 completed
+check "no rule was broken by it" unbroken
+
+# --- The store
+curl -s -X PUT "$CONTROL/fault/busy" >/dev/null
+check "while the store turns everybody away a job is refused, with a time to come back" test "$(job 1 0000000000000008 ms=100 1 1000)" = 503
+curl -s -X PUT "$CONTROL/fault/none" >/dev/null
+accepted_again() { [ "$(job 1 0000000000000008 ms=100 1 1000)" = 200 ]; }
+check "and accepted afterwards" within 20 accepted_again
+check "and done" within 30 is 1 0000000000000008 completed
+curl -s -X PUT "$CONTROL/fault/lost" >/dev/null
+LOST=$(job 1 0000000000000009 ms=100 1 1000)
+check "an answer that was lost is not called refused" test "$LOST" = 502
+curl -s -X PUT "$CONTROL/fault/none" >/dev/null
+check "and the job is done, once" within 40 is 1 0000000000000009 completed
+check "no rule was broken by the store's faults" unbroken
+
+# --- A worker falls silent
+DARK=$(report | sed 's/.*"0000000000000004.0.0.0":"\([^"]*\)".*/\1/')
+curl -s -X PUT "$CONTROL/dark/$DARK" >/dev/null
+moved_on() { local at; at=$(report | sed 's/.*"0000000000000004.0.0.0":"\([^"]*\)".*/\1/'); [ -n "$at" ] && [ "$at" != "$DARK" ] && lasting_runs; }
+check "what ran on a silent worker runs elsewhere after its lease" within 30 moved_on
+curl -s -X PUT "$CONTROL/light/$DARK" >/dev/null
+check "no rule was broken by it" unbroken
+
+# --- A wave of maintenance
+curl -s -X PUT "$CONTROL/operator/wave/1" -d '{"wave":1,"machines":["m0","m1","m2","m3","m4","m5"],"withinS":20,"atMost":2}' >/dev/null
+wave_done() { curl -s "$CONTROL/status/wave/1" | grep -q '"completed"'; }
+check "a wave over all hosts ends" within 60 wave_done
+check "never more down than allowed" test "$(count_of most_down)" -le 2
+check "the lasting job still runs after it" within 20 lasting_runs
+check "nothing ran on a host that was taken" unbroken
+
+# --- Cancel and a planned stop
+check "a cancel is accepted" test "$(curl -s -o /dev/null -w '%{http_code}' -X DELETE -H 'Host: jobs.example' "$(url 2)/fast/0000000000000004")" = 200
+gone() { [ "$(running 0000000000000004)" = 0 ] && is 3 0000000000000004 canceled; }
+check "and ends every run" within 20 gone
+OLD=$(owner)
+kill -TERM "${PIDS[$OLD]}"
+ends() { ! kill -0 "${PIDS[$OLD]}" 2>/dev/null; }
+check "a planned stop ends by itself" within 15 ends
+unset "PIDS[$OLD]"
+OTHER=$((OLD % 3 + 1))
+job $OTHER 000000000000000a ms=100 2 1000 >/dev/null
+check "and its cells go on" within 20 is $OTHER 000000000000000a completed
+check "no rule was broken at all" unbroken
+no_invariant() { local number; for number in 1 2 3; do [ -z "${PIDS[$number]:-}" ] || metrics $number | grep -q 'loomreach_broken_invariants 0' || return 1; done; }
+check "no invariant was seen broken" no_invariant
+
+[ $FAILED = 0 ] || { tail -n 40 "$DIR"/e*.log; }
+echo "$PASSED passed, $FAILED failed"
+[ $FAILED = 0 ]
--- /dev/null
+++ b/TestSupport/Platform/FakeFleet.cpp
@@ -0,0 +1,298 @@
+// Plays hosts and workers.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Clock.h>
+#include <Loomreach/Entry/HttpListener.h>
+#include <TestSupport/Platform/FakeFleet.h>
+
+namespace Loomreach
+{
+
+using Json = nlohmann::json;
+
+static constexpr int64 cHostCpu = 16000;
+static constexpr Millis cPassMs = 10;
+static constexpr Millis cBeatMs = 500;
+static constexpr Millis cUpkeepMs = 800;
+static constexpr Millis cMoveMs = 500;
+
+bool FakeFleet::Open(const Address &inMachines, uint16 inFirstPort, const std::vector<std::string> &inPools)
+{
+	this->machines = OpenServer(inMachines, "machines");
+	if (this->machines == nullptr)
+		return false;
+	soup_server_add_handler(this->machines.get(), nullptr, &FakeFleet::OnMachines, this, nullptr);
+	for (size_t i = 0; i < inPools.size(); ++i)
+	{
+		auto host = std::make_unique<FakeHost>();
+		host->name = "m" + std::to_string(i);
+		host->pool = inPools[i];
+		host->port = static_cast<uint16>(inFirstPort + i);
+		host->server = OpenServer({inMachines.ip, host->port}, "worker");
+		if (host->server == nullptr)
+			return false;
+		soup_server_add_handler(host->server.get(), nullptr, &FakeFleet::OnWorker, this, nullptr);
+		this->hosts.push_back(std::move(host));
+	}
+	this->pass.Every(cPassMs, [this] { this->Pass(); });
+	this->beat.Every(cBeatMs, [this] { this->Beat(); });
+	this->Beat();
+	return true;
+}
+
+Json FakeFleet::Report() const
+{
+	Json running = Json::object();
+	Json pools = Json::object();
+	for (const auto &host : this->hosts)
+	{
+		pools[host->name] = host->pool;
+		for (const FakeRun &run : host->running)
+			running[run.task] = host->name;
+	}
+	return {{"broken", this->broken}, {"starts", this->starts},       {"done", this->done.size()},
+			{"duties", this->duties}, {"most_down", this->most_down}, {"running", running},
+			{"pools", pools}};
+}
+
+void FakeFleet::SetDark(const std::string &inHost, bool inDark)
+{
+	for (auto &host : this->hosts)
+		if (host->name == inHost)
+			host->dark = inDark;
+}
+
+void FakeFleet::Beat()
+{
+	for (const auto &host : this->hosts)
+	{
+		if (host->state != "up" || host->dark)
+			continue;
+		const Json entry = {{"service", host->pool},
+							{"address", "127.0.0.1:" + std::to_string(host->port)},
+							{"zone", "z"},
+							{"state", "ready"},
+							{"capacity", {{"cpu", cHostCpu}, {"memMb", 32768}, {"gpu", 0}}},
+							{"labels", {"a", "r"}},
+							{"machine", host->name},
+							{"clockMs", NowMillis()}};
+		this->store.Put("keyed.servers", host->Id(), entry.dump());
+	}
+}
+
+void FakeFleet::Answer(SoupServerMessage *inMessage, const FakeHost &, uint32 inStatus, Json inBody)
+{
+	inBody["clockMs"] = NowMillis();
+	Reply(inMessage, inStatus, inBody.dump());
+}
+
+void FakeFleet::OnWorker(SoupServer *inServer, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
+{
+	FakeFleet *self = static_cast<FakeFleet *>(inSelf);
+	for (auto &host : self->hosts)
+		if (host->server.get() == inServer)
+			return self->Handle(*host, inMessage, inPath);
+}
+
+void FakeFleet::Handle(FakeHost &ioHost, SoupServerMessage *inMessage, std::string_view inPath)
+{
+	if (ioHost.dark || ioHost.state != "up")
+	{
+		soup_server_message_pause(inMessage);
+		ioHost.silent.push_back(Share(inMessage));
+		return;
+	}
+	const char *target = soup_message_headers_get_one(soup_server_message_get_request_headers(inMessage), "Loomreach-Target-Instance");
+	if (target == nullptr || ioHost.Id() != target)
+		return Reply(inMessage, 421, "{}");
+	const Json body = Json::parse(BodyOf(inMessage), nullptr, false);
+	const uint64 token = body.value("fencingToken", uint64(0));
+	if (token < ioHost.token)
+		return this->Answer(inMessage, ioHost, 409, {{"reason", "fence"}});
+	ioHost.token = token;
+	ioHost.until = std::max<Millis>(ioHost.until, body.value("untilMs", int64(0)));
+	uint32 status = 200;
+	Json answer = Json::object();
+	if (inPath == "/run-start")
+		answer = this->Start(ioHost, body, status);
+	else if (inPath == "/run-stop")
+		this->Stop(ioHost, body);
+	else if (inPath == "/hold")
+		answer = this->Hold(ioHost, body);
+	// A look without news waits a moment, as a real worker's does
+	const bool waits = inPath == "/hold" && body.value("waitMs", 0) > 0 && ioHost.ended.empty();
+	if (!waits)
+		return this->Answer(inMessage, ioHost, status, std::move(answer));
+	soup_server_message_pause(inMessage);
+	const std::shared_ptr<SoupServerMessage> message(Share(inMessage).release(), [](SoupServerMessage *inOld) { g_object_unref(inOld); });
+	After(std::min(50, body.value("waitMs", 0)),
+		  [this, message, &ioHost, body]
+		  {
+			  this->Answer(message.get(), ioHost, 200, this->Hold(ioHost, body));
+			  soup_server_message_unpause(message.get());
+		  });
+}
+
+/// The number behind a word of a payload, or the default.
+static int64 PayloadNumber(const std::string &inPayload, const std::string &inWord, int64 inDefault)
+{
+	const size_t at = inPayload.find(inWord + "=");
+	return at == std::string::npos ? inDefault : std::strtoll(inPayload.c_str() + at + inWord.size() + 1, nullptr, 10);
+}
+
+Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, uint32 &outStatus)
+{
+	const std::string task = inBody.value("task", "");
+	const uint32 number = inBody.value("run", 0U);
+	const std::string payload = inBody.value("spec", "");
+	for (const FakeRun &run : ioHost.running)
+		if (run.task == task && run.run == number)
+			return Json::object();
+	outStatus = 409;
+	if (number <= ioHost.highest_over[task])
+		return {{"reason", "old"}};
+	if (inBody.value("untilMs", int64(0)) <= NowMillis())
+		return {{"reason", "late"}};
+	outStatus = 200;
+	FakeRun started;
+	started.task = task;
+	started.run = number;
+	started.cpu = PayloadNumber(payload, "cpu", 1000);
+	started.began_at = NowMillis();
+	started.fails = payload.find("fail") != std::string::npos;
+	if (payload.find("lasts") == std::string::npos)
+		started.ends_at = started.began_at + PayloadNumber(payload, "ms", 300);
+	int64 used = started.cpu;
+	for (const FakeRun &run : ioHost.running)
+		used += run.cpu;
+	if (used > cHostCpu)
+		this->Break("no room on " + ioHost.name + " for " + task);
+	if (this->done.contains(task))
+		this->Break("started after it was done: " + task);
+	for (const auto &host : this->hosts)
+		for (const FakeRun &run : host->running)
+			if (run.task == task)
+				this->Break("two runs at once: " + task);
+	++this->starts;
+	ioHost.running.push_back(std::move(started));
+	return Json::object();
+}
+
+void FakeFleet::Stop(FakeHost &ioHost, const Json &inBody)
+{
+	const std::string task = inBody.value("task", "");
+	const uint32 number = inBody.value("run", 0U);
+	uint32 &highest = ioHost.highest_over[task];
+	highest = std::max(highest, number);
+	for (size_t i = 0; i < ioHost.running.size(); ++i)
+		if (ioHost.running[i].task == task && ioHost.running[i].run == number)
+			return this->End(ioHost, i, "stopped");
+}
+
+Json FakeFleet::Hold(FakeHost &ioHost, const Json &inBody)
+{
+	const uint64 seen = inBody.value("lastSeen", uint64(0));
+	std::erase_if(ioHost.ended, [seen](const Json &inRow) { return inRow[0].get<uint64>() <= seen; });
+	Json running = Json::array();
+	for (const FakeRun &run : ioHost.running)
+	{
+		const Millis whole = std::max<Millis>(1, run.ends_at - run.began_at);
+		const int64 percent = run.ends_at < 0 ? 100 : (NowMillis() - run.began_at) * 100 / whole;
+		running.push_back({run.task, run.run, "", percent});
+	}
+	return {{"running", running}, {"ended", ioHost.ended}};
+}
+
+void FakeFleet::End(FakeHost &ioHost, size_t inRun, const char *inHow)
+{
+	const FakeRun run = ioHost.running[inRun];
+	ioHost.running.erase(ioHost.running.begin() + static_cast<std::ptrdiff_t>(inRun));
+	uint32 &highest = ioHost.highest_over[run.task];
+	highest = std::max(highest, run.run);
+	ioHost.ended.push_back({ioHost.next_number++, run.task, run.run, inHow, ""});
+	if (std::string_view(inHow) == "done")
+		this->done.insert(run.task);
+}
+
+void FakeFleet::Pass()
+{
+	const Millis now = NowMillis();
+	for (auto &host : this->hosts)
+		for (size_t i = host->running.size(); i > 0; --i)
+		{
+			const FakeRun &run = host->running[i - 1];
+			if (now > host->until)
+				this->End(*host, i - 1, "lapsed");
+			else if (run.ends_at >= 0 && now >= run.ends_at)
+				this->End(*host, i - 1, run.fails ? "failed" : "done");
+		}
+}
+
+void FakeFleet::OnMachines(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
+{
+	FakeFleet *self = static_cast<FakeFleet *>(inSelf);
+	const std::string_view path = inPath;
+	if (path == "/machine-move" || path == "/machine-upkeep")
+		return self->Duty(inMessage, path == "/machine-move");
+	Json rows = Json::array();
+	for (const auto &host : self->hosts)
+		rows.push_back({{"machine", host->name},
+						{"pool", host->pool},
+						{"state", host->state},
+						{"zone", "z"},
+						{"labels", {"a", "r"}},
+						{"capacity", {{"cpu", cHostCpu}, {"memMb", 32768}, {"gpu", 0}}},
+						{"id", host->state == "up" ? Json(host->Id()) : Json()}});
+	Reply(inMessage, 200, Json{{"machines", rows}, {"nextToken", nullptr}}.dump());
+}
+
+void FakeFleet::Duty(SoupServerMessage *inMessage, bool inMoves)
+{
+	const Json body = Json::parse(BodyOf(inMessage), nullptr, false);
+	const char *token_text = soup_message_headers_get_one(soup_server_message_get_request_headers(inMessage), "Loomreach-Fencing-Token");
+	const uint64 token = token_text == nullptr ? 0 : g_ascii_strtoull(token_text, nullptr, 10);
+	for (auto &host : this->hosts)
+	{
+		if (host->name != body.value("machine", ""))
+			continue;
+		if (token < host->duty_token)
+			this->Break("a lower token for " + host->name);
+		host->duty_token = std::max(host->duty_token, token);
+		if (host->state != "up")
+			return Reply(inMessage, 409, R"({"reason":"busy"})");
+		for (const FakeRun &run : host->running)
+			this->Break(run.task + " was on " + host->name + " when it was taken");
+		++this->duties;
+		this->Down(*host, inMoves ? "moving" : "upkeep", inMoves ? body.value("pool", host->pool) : host->pool,
+				   inMoves ? cMoveMs : cUpkeepMs);
+		return Reply(inMessage, 200, "{}");
+	}
+	Reply(inMessage, 400, "{}");
+}
+
+void FakeFleet::Down(FakeHost &ioHost, const char *inState, const std::string &inPool, Millis inForMs)
+{
+	const bool counts = std::string_view(inState) == "upkeep";
+	this->store.Put("keyed.servers", ioHost.Id(), "");
+	ioHost.state = inState;
+	ioHost.pool = inPool;
+	ioHost.running.clear();
+	this->down_now += counts ? 1 : 0;
+	this->most_down = std::max(this->most_down, this->down_now);
+	After(inForMs,
+		  [this, &ioHost, counts]
+		  {
+			  this->down_now -= counts ? 1 : 0;
+			  ++ioHost.life;
+			  ioHost.token = 0;
+			  ioHost.until = 0;
+			  ioHost.ended.clear();
+			  ioHost.highest_over.clear();
+			  ioHost.next_number = 1;
+			  ioHost.state = "up";
+			  this->Beat();
+		  });
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/TestSupport/Platform/FakeStore.cpp
@@ -0,0 +1,237 @@
+// Plays the store.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Entry/HttpListener.h>
+#include <TestSupport/Platform/FakeStore.h>
+
+#include <nlohmann/json.hpp>
+
+namespace Loomreach
+{
+
+using Json = nlohmann::json;
+
+std::string QueryField(GHashTable *inQuery, const char *inName)
+{
+	const char *value = inQuery == nullptr ? nullptr : static_cast<const char *>(g_hash_table_lookup(inQuery, inName));
+	return value == nullptr ? std::string() : value;
+}
+
+uint64 QueryNumber(GHashTable *inQuery, const char *inName, uint64 inDefault)
+{
+	const std::string text = QueryField(inQuery, inName);
+	return text.empty() ? inDefault : g_ascii_strtoull(text.c_str(), nullptr, 10);
+}
+
+void Reply(SoupServerMessage *inMessage, uint32 inStatus, const std::string &inBody)
+{
+	soup_server_message_set_status(inMessage, inStatus, nullptr);
+	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, inBody.data(), inBody.size());
+}
+
+std::string BodyOf(SoupServerMessage *inMessage)
+{
+	GBytes *bytes = soup_message_body_flatten(soup_server_message_get_request_body(inMessage));
+	gsize size = 0;
+	const void *data = g_bytes_get_data(bytes, &size);
+	std::string body(static_cast<const char *>(data), data == nullptr ? 0 : size);
+	g_bytes_unref(bytes);
+	return body;
+}
+
+static std::string BigEndian(uint64 inValue, int inBytes)
+{
+	std::string bytes;
+	for (int shift = (inBytes - 1) * 8; shift >= 0; shift -= 8)
+		bytes += static_cast<char>((inValue >> shift) & 0xff);
+	return bytes;
+}
+
+static void CutConnection(SoupServerMessage *inMessage)
+{
+	const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(inMessage));
+	if (stream != nullptr)
+		g_io_stream_close(stream.get(), nullptr, nullptr);
+}
+
+bool FakeStore::Open(const Address &inAddress)
+{
+	this->server = OpenServer(inAddress, "store");
+	if (this->server == nullptr)
+		return false;
+	soup_server_add_handler(this->server.get(), nullptr, &FakeStore::OnCall, this, nullptr);
+	return true;
+}
+
+void FakeStore::OnCall(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *inQuery, gpointer inSelf)
+{
+	FakeStore *self = static_cast<FakeStore *>(inSelf);
+	const std::string_view path = inPath;
+	if (self->fault == EStoreFault::Busy)
+		return Reply(inMessage, 503, "{}");
+	if (self->fault == EStoreFault::Silent)
+	{
+		soup_server_message_pause(inMessage);
+		self->silent.push_back(Share(inMessage));
+		return;
+	}
+	if (path == "/log-append")
+		self->Append(inMessage, inQuery);
+	else if (path == "/log-read")
+		self->Read(inMessage, inQuery);
+	else if (path == "/log-newest")
+		self->NewestOf(inMessage, inQuery);
+	else
+		Reply(inMessage, 404, "{}");
+}
+
+void FakeStore::Append(SoupServerMessage *inMessage, GHashTable *inQuery)
+{
+	Part &part = this->parts[{QueryField(inQuery, "topic"), static_cast<uint32>(QueryNumber(inQuery, "part", 0))}];
+	const auto [status, body] = this->DoAppend(part, inQuery, BodyOf(inMessage));
+	this->Wake(part);
+	if (this->fault == EStoreFault::Lost)
+		return CutConnection(inMessage);
+	Reply(inMessage, status, body);
+}
+
+std::pair<uint32, std::string> FakeStore::DoAppend(Part &ioPart, GHashTable *inQuery, const std::string &inBody)
+{
+	const bool produced = !QueryField(inQuery, "producer").empty();
+	const uint64 epoch = QueryNumber(inQuery, "epoch", 0);
+	const uint64 number = QueryNumber(inQuery, "callSeq", 0);
+	ProducerState &producer = ioPart.producer;
+	if (produced && epoch < producer.epoch)
+		return {409, R"({"reason":"fenced"})"};
+	// The first answer again, to whoever asks
+	if (produced && epoch == producer.epoch && producer.answers.contains(number))
+		return {200, producer.answers[number]};
+	if (produced && epoch == producer.epoch && number != producer.next)
+		return {409, R"({"reason":"seq"})"};
+	if (!QueryField(inQuery, "at").empty() && QueryNumber(inQuery, "at", 0) != ioPart.records.size())
+		return {412, Json{{"end", ioPart.records.size()}}.dump()};
+	const size_t offset = ioPart.records.size();
+	for (size_t at = 0; at + 4 <= inBody.size();)
+	{
+		uint64 length = 0;
+		for (size_t i = 0; i < 4; ++i)
+			length = (length << 8) | static_cast<uint8>(inBody[at + i]);
+		ioPart.records.push_back(inBody.substr(at + 4, length));
+		at += 4 + length;
+	}
+	const std::string answer = Json{{"offset", offset}, {"end", ioPart.records.size()}}.dump();
+	if (produced)
+	{
+		if (epoch > producer.epoch)
+			producer.answers.clear();
+		producer.epoch = epoch;
+		producer.next = number + 1;
+		producer.answers[number] = answer;
+	}
+	return {200, answer};
+}
+
+void FakeStore::AnswerRead(SoupServerMessage *inMessage, const Part &inPart, uint64 inFrom)
+{
+	std::string body = BigEndian(inPart.records.size(), 8) + BigEndian(0, 8);
+	for (uint64 i = inFrom; i < inPart.records.size(); ++i)
+	{
+		body += BigEndian(inPart.records[i].size(), 4);
+		body += inPart.records[i];
+	}
+	Reply(inMessage, 200, body);
+}
+
+void FakeStore::Read(SoupServerMessage *inMessage, GHashTable *inQuery)
+{
+	Part &part = this->parts[{QueryField(inQuery, "topic"), static_cast<uint32>(QueryNumber(inQuery, "part", 0))}];
+	const uint64 from = QueryNumber(inQuery, "from", 0);
+	const uint64 wait = QueryNumber(inQuery, "waitMs", 0);
+	if (from < part.records.size() || wait == 0)
+		return AnswerRead(inMessage, part, from);
+	soup_server_message_pause(inMessage);
+	auto waiting = std::make_shared<Waiting>();
+	waiting->message = Share(inMessage);
+	waiting->from = from;
+	part.waiting.push_back(waiting);
+	After(static_cast<Millis>(wait),
+		  [this, waiting, &part]
+		  {
+			  if (std::erase(part.waiting, waiting) == 0)
+				  return;
+			  AnswerRead(waiting->message.get(), part, waiting->from);
+			  soup_server_message_unpause(waiting->message.get());
+		  });
+}
+
+void FakeStore::Wake(Part &ioPart)
+{
+	std::vector<std::shared_ptr<Waiting>> still;
+	for (const std::shared_ptr<Waiting> &waiting : ioPart.waiting)
+	{
+		if (waiting->from >= ioPart.records.size())
+		{
+			still.push_back(waiting);
+			continue;
+		}
+		AnswerRead(waiting->message.get(), ioPart, waiting->from);
+		soup_server_message_unpause(waiting->message.get());
+	}
+	ioPart.waiting = std::move(still);
+}
+
+/// Key and value of a keyed record.
+static std::pair<std::string, std::string> SplitKeyed(const std::string &inRecord)
+{
+	const size_t length = inRecord.empty() ? 0 : static_cast<uint8>(inRecord[0]);
+	return {inRecord.substr(std::min<size_t>(1, inRecord.size()), length), inRecord.substr(std::min(1 + length, inRecord.size()))};
+}
+
+void FakeStore::NewestOf(SoupServerMessage *inMessage, GHashTable *inQuery)
+{
+	const Part &part = this->parts[{QueryField(inQuery, "topic"), static_cast<uint32>(QueryNumber(inQuery, "part", 0))}];
+	std::map<std::string, std::pair<std::string, size_t>> newest;
+	for (size_t i = 0; i < part.records.size(); ++i)
+	{
+		const auto [key, value] = SplitKeyed(part.records[i]);
+		newest[key] = {value, i};
+	}
+	Json items = Json::array();
+	for (const auto &[key, entry] : newest)
+	{
+		if (entry.first.empty())
+			continue;
+		gchar *encoded = g_base64_encode(reinterpret_cast<const guchar *>(entry.first.data()), entry.first.size());
+		items.push_back({{"privateKey", key}, {"value", encoded}, {"offset", entry.second}});
+		g_free(encoded);
+	}
+	Reply(inMessage, 200, Json{{"items", items}, {"more", false}, {"end", part.records.size()}}.dump());
+}
+
+void FakeStore::Put(const std::string &inTopic, const std::string &inKey, const std::string &inValue)
+{
+	Part &part = this->parts[{inTopic, 0}];
+	std::string record(1, static_cast<char>(inKey.size()));
+	record += inKey;
+	record += inValue;
+	part.records.push_back(std::move(record));
+	this->Wake(part);
+}
+
+std::string FakeStore::Newest(const std::string &inTopic, const std::string &inKey) const
+{
+	std::string newest;
+	auto part = this->parts.find({inTopic, 0});
+	if (part == this->parts.end())
+		return newest;
+	for (const Record &record : part->second.records)
+	{
+		const auto [key, value] = SplitKeyed(record);
+		if (key == inKey)
+			newest = value;
+	}
+	return newest;
+}
+
+} // namespace Loomreach
--- /dev/null
+++ b/TestSupport/Platform/Main.cpp
@@ -0,0 +1,100 @@
+// loomreach-platform: plays the users' platform on loopback for the tests of jobs with real processes: store, machine service, workers.
+// Its control listener takes PUT /operator/KEY, GET /status/KEY, PUT /fault/WORD, PUT /dark/HOST, PUT /light/HOST, GET /report.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/Error.h>
+#include <Loomreach/Entry/HttpListener.h>
+#include <TestSupport/Platform/FakeFleet.h>
+
+#include <cstdio>
+
+#include <gflags/gflags.h>
+#include <glib-unix.h>
+
+DEFINE_int32(port, 7300, "First port: store, machine service, control, then one for each host.");
+DEFINE_string(pools, "fast,fast,fast,slow,slow,spare", "Pool of each host, in order.");
+
+namespace
+{
+
+using namespace Loomreach;
+
+/// What the control listener works on.
+struct Control
+{
+	FakeStore *store = nullptr;
+	FakeFleet *fleet = nullptr;
+};
+
+EStoreFault FaultOf(std::string_view inWord)
+{
+	if (inWord == "busy")
+		return EStoreFault::Busy;
+	if (inWord == "silent")
+		return EStoreFault::Silent;
+	return inWord == "lost" ? EStoreFault::Lost : EStoreFault::None;
+}
+
+void OnControl(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inControl)
+{
+	const Control &control = *static_cast<Control *>(inControl);
+	const std::string path = inPath;
+	const size_t slash = path.find('/', 1);
+	const std::string verb = path.substr(1, slash == std::string::npos ? std::string::npos : slash - 1);
+	const std::string rest = slash == std::string::npos ? "" : path.substr(slash + 1);
+	if (verb == "report")
+		return Reply(inMessage, 200, control.fleet->Report().dump());
+	if (verb == "status")
+		return Reply(inMessage, 200, control.store->Newest("keyed.status", rest));
+	if (verb == "operator")
+		control.store->Put("keyed.op", rest, BodyOf(inMessage));
+	else if (verb == "fault")
+		control.store->SetFault(FaultOf(rest));
+	else if (verb == "dark" || verb == "light")
+		control.fleet->SetDark(rest, verb == "dark");
+	else
+		return Reply(inMessage, 404, "{}");
+	Reply(inMessage, 200, "{}");
+}
+
+std::vector<std::string> Split(const std::string &inText)
+{
+	std::vector<std::string> parts;
+	for (size_t at = 0; at <= inText.size();)
+	{
+		const size_t comma = std::min(inText.find(',', at), inText.size());
+		parts.push_back(inText.substr(at, comma - at));
+		at = comma + 1;
+	}
+	return parts;
+}
+
+gboolean OnSignal(gpointer inLoop)
+{
+	g_main_loop_quit(static_cast<GMainLoop *>(inLoop));
+	return G_SOURCE_CONTINUE;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+	gflags::ParseCommandLineFlags(&argc, &argv, true);
+	const auto address = [](int inOffset) { return Address{"127.0.0.1", static_cast<uint16>(FLAGS_port + inOffset)}; };
+	FakeStore store;
+	FakeFleet fleet(store);
+	Control control{&store, &fleet};
+	const ObjectPtr<SoupServer> listener = OpenServer(address(2), "control");
+	if (listener == nullptr || !store.Open(address(0)) || !fleet.Open(address(1), static_cast<uint16>(FLAGS_port + 3), Split(FLAGS_pools)))
+	{
+		std::fprintf(stderr, "loomreach-platform: %s\n", LastReasonText().c_str());
+		return 1;
+	}
+	soup_server_add_handler(listener.get(), nullptr, &OnControl, &control, nullptr);
+	GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
+	g_unix_signal_add(SIGTERM, &OnSignal, loop);
+	g_main_loop_run(loop);
+	g_main_loop_unref(loop);
+	return 0;
+}
--- a/UnitTests/SettingsTests.cpp
+++ b/UnitTests/SettingsTests.cpp
@@ -24,6 +24,9 @@
 	const char *word;
 };
 
+/// The test's name holds the text, not the bytes of the pointers to it.
+static void PrintTo(const BadText &inText, std::ostream *outStream) { *outStream << inText.text; }
+
 class BadSettings : public testing::TestWithParam<BadText>
 {
 };
