Let idle hosts beat and read more seldom the more there are

Change: a host without cells beats and reads once in 10 ms for each host there is (0.5 to 4 s), reads heartbeats from where it was instead of all of them, and leaves workers' entries alone until it owns a cell.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -46,11 +46,14 @@
 	void FollowOperator(uint64 inFrom);
 	void OnOperatorRecord(const LogRecord &inRecord);
 	void LoadWorkers();
-	void FollowWorkers(uint64 inFrom);
+	void FollowWorkers(uint64 inFrom, uint64 inReading);
 	void OnWorkerRecord(const LogRecord &inRecord);
 	void TellWorkers();
 	// Ownership
-	void PollHosts();
+	void LoadHosts();
+	void FollowHosts(uint64 inFrom);
+	void OnHostRecords(const std::vector<LogRecord> &inRecords);
+	Millis BeatInterval(Millis inNow) const;
 	void Beat();
 	void DropSuperseded();
 	void ConsiderClaims();
@@ -85,7 +88,8 @@
 	std::unique_ptr<FleetSeat<Hub>> fleet;
 	std::vector<uint32> lost_seats; ///< Dropped at the next tick, not within their own calls.
 	bool beat_under_way = false;
-	bool cells_free = false; ///< Whether any cell seemed free at the last look.
+	bool cells_free = false;    ///< Whether any cell seemed free at the last look.
+	uint64 workers_reading = 0; ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
 	Millis store_heard_at = -1; ///< When the store last answered a read.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -7,7 +7,6 @@
 	900; ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
 inline constexpr Millis cFollowAgainMs = 200;
 inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
-inline constexpr Millis cWorkersIdleMs = 1500; ///< A host without cells.
 inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 inline constexpr Millis cHostsClaimMs = 120;   ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
@@ -54,8 +53,7 @@
 		.Field("worker_lease_ms", this->config.worker_lease_ms)
 		.Field("owner_lease_ms", this->config.owner_lease_ms);
 	this->LoadOperator();
-	this->LoadWorkers();
-	this->PollHosts();
+	this->LoadHosts();
 	this->tick.Every(cHostTickMs, [this] { this->Tick(); });
 	return true;
 }
@@ -132,38 +130,40 @@
 template <class Hub>
 void JobHost<Hub>::LoadWorkers()
 {
+	// Only owners need the workers, and one reading at a time is enough
+	const uint64 reading = ++this->workers_reading;
 	this->hub.store.Newest(Hub::WorkersLog(),
-						   [this](const NewestAnswer &inAnswer)
+						   [this, reading](const NewestAnswer &inAnswer)
 						   {
+							   if (reading != this->workers_reading)
+								   return;
 							   if (!inAnswer.good)
 								   return this->workers_timer.Once(cFollowAgainMs, [this] { this->LoadWorkers(); });
 							   this->workers.clear();
 							   for (const LogRecord &record : inAnswer.records)
 								   this->OnWorkerRecord(record);
 							   this->TellWorkers();
-							   this->FollowWorkers(inAnswer.end);
+							   this->FollowWorkers(inAnswer.end, reading);
 						   });
 }
 
 template <class Hub>
-void JobHost<Hub>::FollowWorkers(uint64 inFrom)
+void JobHost<Hub>::FollowWorkers(uint64 inFrom, uint64 inReading)
 {
-	const Millis gap = this->seats.empty() ? cWorkersIdleMs : cWorkersEveryMs;
-	this->workers_timer.Once(gap,
-							 [this, inFrom]
-							 {
-								 this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0,
-													  [this, inFrom](const ReadAnswer &inAnswer)
-													  {
-														  if (inAnswer.result == ERead::Gone)
-															  return this->LoadWorkers();
-														  for (const LogRecord &record : inAnswer.records)
-															  this->OnWorkerRecord(record);
-														  if (!inAnswer.records.empty())
-															  this->TellWorkers();
-														  this->FollowWorkers(inAnswer.result == ERead::Done ? inAnswer.next : inFrom);
-													  });
-							 });
+	const auto on_read = [this, inFrom, inReading](const ReadAnswer &inAnswer)
+	{
+		if (inReading != this->workers_reading || this->seats.empty())
+			return;
+		if (inAnswer.result == ERead::Gone)
+			return this->LoadWorkers();
+		for (const LogRecord &record : inAnswer.records)
+			this->OnWorkerRecord(record);
+		if (!inAnswer.records.empty())
+			this->TellWorkers();
+		this->FollowWorkers(inAnswer.result == ERead::Done ? inAnswer.next : inFrom, inReading);
+	};
+	this->workers_timer.Once(cWorkersEveryMs,
+							 [this, inFrom, on_read] { this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0, on_read); });
 }
 
 template <class Hub>
@@ -204,29 +204,53 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::PollHosts()
+void JobHost<Hub>::LoadHosts()
 {
 	this->hub.store.Newest(HostsLog(),
 						   [this](const NewestAnswer &inAnswer)
 						   {
-							   const Millis now = NowMillis();
-							   if (inAnswer.good)
-							   {
-								   this->store_heard_at = now;
-								   for (const LogRecord &record : inAnswer.records)
-								   {
-									   const std::optional<HostBeat> beat = DecodeValue<HostBeat>(record.value);
-									   if (beat.has_value())
-										   this->owners.OnBeat(*beat, now);
-								   }
-								   this->DropSuperseded();
-								   this->ConsiderClaims();
-							   }
-							   const bool close = this->cells_free || !inAnswer.good;
-							   this->hosts_timer.Once(close ? cHostsClaimMs : this->lease_tuning.beat_ms, [this] { this->PollHosts(); });
+							   if (!inAnswer.good)
+								   return this->hosts_timer.Once(cHostsClaimMs, [this] { this->LoadHosts(); });
+							   this->OnHostRecords(inAnswer.records);
+							   this->FollowHosts(inAnswer.end);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::FollowHosts(uint64 inFrom)
+{
+	// A host that could take a free cell looks again soon
+	const Millis gap = this->cells_free ? cHostsClaimMs : this->BeatInterval(NowMillis());
+	this->hosts_timer.Once(gap,
+						   [this, inFrom]
+						   {
+							   this->hub.store.Read(HostsLog(), true, inFrom, 0,
+													[this, inFrom](const ReadAnswer &inAnswer)
+													{
+														if (inAnswer.result == ERead::Gone)
+															return this->LoadHosts();
+														if (inAnswer.result == ERead::Done)
+															this->OnHostRecords(inAnswer.records);
+														this->FollowHosts(inAnswer.result == ERead::Done ? inAnswer.next : inFrom);
+													});
 						   });
 }
 
+template <class Hub>
+void JobHost<Hub>::OnHostRecords(const std::vector<LogRecord> &inRecords)
+{
+	const Millis now = NowMillis();
+	this->store_heard_at = now;
+	for (const LogRecord &record : inRecords)
+	{
+		const std::optional<HostBeat> beat = DecodeValue<HostBeat>(record.value);
+		if (beat.has_value())
+			this->owners.OnBeat(*beat, now);
+	}
+	this->DropSuperseded();
+	this->ConsiderClaims();
+}
+
 template <class Hub>
 void JobHost<Hub>::DropSuperseded()
 {
@@ -307,6 +331,12 @@
 					   });
 }
 
+template <class Hub>
+Millis JobHost<Hub>::BeatInterval(Millis inNow) const
+{
+	return this->Owned() > 0 ? this->lease_tuning.beat_ms : this->owners.IdleInterval(inNow);
+}
+
 template <class Hub>
 void JobHost<Hub>::Beat()
 {
@@ -319,6 +349,7 @@
 	beat.address = this->config.peers;
 	beat.weight = static_cast<uint32>(this->config.processor_milli);
 	beat.claims = !this->stopping;
+	beat.every_ms = this->BeatInterval(NowMillis());
 	if (!this->stopping)
 	{
 		for (const auto &[cell, seat] : this->seats)
@@ -369,7 +400,7 @@
 	if (this->Owned() > 0 && !this->lease.MayAct(now))
 		this->DropSeats("lease over");
 	// Also without cells: a host that is heard of may take over at once
-	if (now - this->beat_sent_at >= this->lease_tuning.beat_ms)
+	if (now - this->beat_sent_at >= this->BeatInterval(now))
 		this->Beat();
 	const bool heard = this->store_heard_at >= 0 && now - this->store_heard_at <= cStoreSilentMs;
 	if (heard != this->store_heard)
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -68,6 +68,26 @@
 	return helpers;
 }
 
+bool OwnerTable::IsAtWork(const Heard &inHeard, Millis inNow) const
+{
+	// Three heartbeats may be lost, or a lease be over
+	return inNow - inHeard.at <= std::max(this->tuning.lease_ms, 3 * inHeard.beat.every_ms);
+}
+
+size_t OwnerTable::HostsAtWork(Millis inNow) const
+{
+	size_t count = 0;
+	for (const auto &[name, heard] : this->hosts)
+		count += this->IsAtWork(heard, inNow) ? 1 : 0;
+	return std::max<size_t>(count, 1);
+}
+
+Millis OwnerTable::IdleInterval(Millis inNow) const
+{
+	const Millis spread = static_cast<Millis>(this->HostsAtWork(inNow)) * this->tuning.idle_each_ms;
+	return std::clamp(spread, this->tuning.beat_ms, std::max(this->tuning.beat_ms, this->tuning.idle_most_ms));
+}
+
 bool OwnerTable::IsFree(uint32 inCell, Millis inNow) const
 {
 	uint64 beaten = 0;
@@ -99,7 +119,7 @@
 	// Cells of each host that is at work, and what free cells would add to it
 	std::map<std::string, uint64> load;
 	for (const auto &[name, heard] : this->hosts)
-		if (heard.beat.claims && inNow - heard.at <= this->tuning.lease_ms)
+		if (heard.beat.claims && this->IsAtWork(heard, inNow))
 			load[name] = heard.beat.cells.size();
 	std::vector<uint32> wanted;
 	for (uint32 cell : inCells)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -14,10 +14,12 @@
 /// Times of the ownership lease, ms.
 struct LeaseTuning
 {
-	Millis lease_ms = 2000; ///< Setting `owner_lease_ms`.
-	Millis slack_ms = 300;  ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
-	Millis beat_ms = 500;   ///< Between heartbeats of an owner.
-	Millis rank_ms = 350;   ///< A challenger waits this long for each host that comes before it.
+	Millis lease_ms = 2000;     ///< Setting `owner_lease_ms`.
+	Millis slack_ms = 300;      ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
+	Millis beat_ms = 500;       ///< Between heartbeats of an owner.
+	Millis idle_each_ms = 10;   ///< A host without cells beats and reads at most once in this many ms for each host there is,
+	Millis idle_most_ms = 4000; ///< but at least once in this: takeovers wait for the first of them that reads.
+	Millis rank_ms = 350;       ///< A challenger waits this long for each host that comes before it.
 };
 
 /// A cell that a host owns.
@@ -38,17 +40,18 @@
 struct HostBeat
 {
 	std::string host;
-	uint64 life = 0;    ///< Differs from start to start of a process.
-	uint64 number = 0;  ///< Rises within a life.
-	Address address;    ///< For questions of other entry hosts.
-	uint32 weight = 1;  ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
-	bool claims = true; ///< Whether it takes cells at all; not when it is stopping.
+	uint64 life = 0;     ///< Differs from start to start of a process.
+	uint64 number = 0;   ///< Rises within a life.
+	Address address;     ///< For questions of other entry hosts.
+	uint32 weight = 1;   ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
+	bool claims = true;  ///< Whether it takes cells at all; not when it is stopping.
+	Millis every_ms = 0; ///< Its next heartbeat is due after this.
 	std::vector<OwnedCell> cells;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->host, this->life, this->number, this->address, this->weight, this->claims, this->cells);
+		ioArchive(this->host, this->life, this->number, this->address, this->weight, this->claims, this->every_ms, this->cells);
 	}
 };
 
@@ -94,6 +97,10 @@
 	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
 	/// Other hosts, those heard of last first: who may help when the store turns this one away.
 	std::vector<Address> Helpers(uint32 inCell) const;
+	/// Hosts that are at work as far as is known, this one included.
+	size_t HostsAtWork(Millis inNow) const;
+	/// How often a host without cells reads and tells: with many hosts more seldom, so that all together stay within the store's rates.
+	Millis IdleInterval(Millis inNow) const;
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
 	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
@@ -109,6 +116,7 @@
 		HostBeat beat;
 		Millis at = 0;
 	};
+	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
 	/// A claim and when it was first read.
 	struct ClaimSeen
 	{
--- a/UnitTests/SettingsTests.cpp
+++ b/UnitTests/SettingsTests.cpp
@@ -25,7 +25,7 @@
 };
 
 /// The test's name holds the text, not the bytes of the pointers to it.
-static void PrintTo(const BadText &inText, std::ostream *outStream) { *outStream << inText.text; }
+static void PrintTo(const BadText &inText, std::ostream *outStream) { *outStream << testing::PrintToString(std::string(inText.text)); }
 
 class BadSettings : public testing::TestWithParam<BadText>
 {
