Persist learned run times; log to standard output; take fractions and missing services in the settings

Cause: after all hosts lost power run times were learned anew from estimates off by 0.9; maintenance_ms = upkeep_s followed by 000 read 1.5 s as 1.5 ms; a platform that grants leases under 4 s, or has no machine service, would have kept every process from starting. Change: key t in the cell's log every 3 s; maintenance_s; longer leases are cut down; machines may be empty.

--- a/Loomreach/Core/LogEvent.cpp
+++ b/Loomreach/Core/LogEvent.cpp
@@ -4,6 +4,8 @@
 
 #include <Loomreach/Core/LogEvent.h>
 
+#include <cstdio>
+
 #include <glog/logging.h>
 
 namespace Loomreach
@@ -45,9 +47,13 @@
 	return *this;
 }
 
-void StartLogging(const char *inProgram)
+void StartLogging(const char *inProgram, ELogTo inTo)
 {
-	FLAGS_logtostderr = true;
+	FLAGS_logtostderr = inTo == ELogTo::StandardError;
+	FLAGS_logtostdout = inTo == ELogTo::StandardOutput;
+	// Line by line: what is still buffered is lost when the process is killed
+	if (inTo == ELogTo::StandardOutput)
+		setvbuf(stdout, nullptr, _IOLBF, 0);
 	google::InitGoogleLogging(inProgram);
 }
 
--- a/Loomreach/Core/LogEvent.h
+++ b/Loomreach/Core/LogEvent.h
@@ -45,7 +45,14 @@
 /// Writes an event that has no fields.
 inline void LogPlain(ELogLevel inLevel, std::string_view inEvent) { const LogEvent event(inLevel, inEvent); }
 
-/// Starts glog for a program: to standard error, from the given level on.
-void StartLogging(const char *inProgram);
+/// Where a program's log goes.
+enum class ELogTo : uint8
+{
+	StandardError,
+	StandardOutput
+};
+
+/// Starts glog for a program.
+void StartLogging(const char *inProgram, ELogTo inTo = ELogTo::StandardError);
 
 } // namespace Loomreach
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -270,7 +270,9 @@
 	if (this->catalogue == nullptr || this->stopping)
 		return;
 	const Millis now = NowMillis();
-	std::set<uint32> cells{cFleetCell};
+	std::set<uint32> cells;
+	if (this->config.machines.has_value())
+		cells.insert(cFleetCell);
 	for (const auto &[name, pool] : this->catalogue->pools)
 		cells.insert(CellOf(name, this->Parts()));
 	std::erase_if(cells, [this](uint32 inCell) { return inCell == cFleetCell ? this->fleet != nullptr : this->seats.contains(inCell); });
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -15,6 +15,9 @@
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
 static constexpr std::string_view cCursorKey = "c";
+static constexpr std::string_view cTimesKey = "t";
+/// Learned run times are written this often, with whatever is written anyway.
+static constexpr int64 cTimesEveryMs = 3000;
 /// Ended jobs are looked through this often.
 static constexpr int64 cForgetEveryMs = 5000;
 
@@ -29,6 +32,13 @@
 		this->inbox_logged = *next;
 		return true;
 	}
+	if (inKey == cTimesKey)
+	{
+		std::optional<RunTimes> times = DecodeValue<RunTimes>(inValue);
+		if (times.has_value())
+			this->run_times = std::move(*times);
+		return times.has_value();
+	}
 	if (inKey.size() < 2)
 		return true;
 	const std::string id(inKey.substr(1));
@@ -276,6 +286,11 @@
 	this->ForgetEnded(inWallNow, batch);
 	if (this->inbox_next != this->inbox_logged)
 		batch.push_back({std::string(cCursorKey), EncodeValue(this->inbox_next)});
+	if (!batch.empty() && inWallNow - this->times_wall_ms >= cTimesEveryMs)
+	{
+		this->times_wall_ms = inWallNow;
+		batch.push_back({std::string(cTimesKey), EncodeValue(this->run_times)});
+	}
 	this->inbox_writing = this->inbox_next;
 	this->news = false;
 	for (auto &[id, worker] : this->workers)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -169,6 +169,7 @@
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	RunTimes run_times;
+	int64 times_wall_ms = 0;                                              ///< When they were last written.
 	std::map<std::string, std::deque<std::pair<Millis, int64>>> arrivals; ///< Core-milliseconds handed in of late, by pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -531,7 +531,6 @@
 		.Field("why", inWhy);
 	run.state = ERunState::Stopping;
 	run.since = inNow;
-	run.told_by_us = true;
 }
 
 void Cell::StopAll(CellJob &ioJob, std::string_view inWhy, Millis inNow)
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -18,7 +18,6 @@
 	Millis hold_gap_ms = 70;    ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
 	Millis retry_hold_ms = 400; ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
-	Millis notice_ms = 4500;       ///< A lasting task that is away this long counts as away by itself.
 	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
 	Millis quarantine_ms = 4000;   ///< A worker that fails all gets no more than a trial within this.
 	Millis demand_hold_ms = 1500;  ///< A need counts this long after it was last seen. Setting.
@@ -77,7 +76,6 @@
 	bool stop_sent = false;    ///< An order to stop is under way.
 	Millis stop_acked_at = -1; ///< When the worker took the stop; -1: not yet.
 	Millis next_stop_at = 0;
-	bool told_by_us = false; ///< Whether its loss was our own act (a stop of ours).
 	int64 percent = 0;
 	Millis progress_at = 0; ///< When `percent` was reported.
 	int64 figure = 0;       ///< See RunningRow.
@@ -128,8 +126,6 @@
 struct TaskMemory
 {
 	Millis not_before = 0;   ///< Nothing is started earlier.
-	Millis away_since = 0;   ///< Lasting: since when it is not at work.
-	bool away_by_us = false; ///< Lasting: whether that was our act.
 	std::string last_worker; ///< Where it failed last.
 };
 
--- a/Loomreach/Schedule/RunTimes.h
+++ b/Loomreach/Schedule/RunTimes.h
@@ -31,6 +31,12 @@
 		return std::max<Millis>(inStep.estimate_ms, 1);
 	}
 
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->by_image, this->by_queue);
+	}
+
 private:
 	static constexpr uint32 cEnough = 5;   ///< Samples before a mean is believed: the spread of run times is half their mean.
 	static constexpr double cShare = 0.05; ///< Weight of a new sample once there are many.
@@ -47,6 +53,11 @@
 			const double share = std::max(cShare, 1.0 / this->count);
 			this->mean += share * (static_cast<double>(inValue) - this->mean);
 		}
+		template <class Archive>
+		void serialize(Archive &ioArchive)
+		{
+			ioArchive(this->mean, this->count);
+		}
 	};
 
 	std::map<std::string, Mean> by_image;
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -13,6 +13,7 @@
 {
 
 constexpr double cMostCores = 1024.0;
+constexpr double cMostSeconds = 86'400.0;
 
 /// A key whose value is a whole number.
 struct NumberKey
@@ -42,8 +43,6 @@
 	NumberKey{"log_parts", &JobHostConfig::log_parts, 1, 1024},
 	NumberKey{"worker_lease_ms", &JobHostConfig::worker_lease_ms, 500, 60'000},
 	NumberKey{"worker_most_lease_ms", &JobHostConfig::worker_most_lease_ms, 500, 600'000},
-	NumberKey{"notice_ms", &JobHostConfig::notice_ms, 0, 600'000},
-	NumberKey{"maintenance_ms", &JobHostConfig::maintenance_ms, 0, 86'400'000},
 	NumberKey{"owner_lease_ms", &JobHostConfig::owner_lease_ms, 500, 60'000},
 	NumberKey{"owner_slack_ms", &JobHostConfig::owner_slack_ms, 50, 10'000},
 	NumberKey{"balance_headroom_percent", &JobHostConfig::balance_headroom_percent, 100, 1000},
@@ -51,7 +50,6 @@
 	NumberKey{"balance_slack", &JobHostConfig::balance_slack, 0, 1000},
 	NumberKey{"demand_hold_ms", &JobHostConfig::demand_hold_ms, 0, 600'000},
 	NumberKey{"keep_ended_ms", &JobHostConfig::keep_ended_ms, 1000, 86'400'000},
-	NumberKey{"duties_per_s", &JobHostConfig::duties_per_s, 1, 10'000},
 };
 
 constexpr std::array cTextKeys = {
@@ -60,9 +58,10 @@
 };
 
 constexpr std::array cAddressKeys = {
-	AddressKey{"callers", &JobHostConfig::callers},   AddressKey{"ready", &JobHostConfig::ready},
-	AddressKey{"peers", &JobHostConfig::peers},       AddressKey{"store", &JobHostConfig::store},
-	AddressKey{"machines", &JobHostConfig::machines},
+	AddressKey{"callers", &JobHostConfig::callers},
+	AddressKey{"ready", &JobHostConfig::ready},
+	AddressKey{"peers", &JobHostConfig::peers},
+	AddressKey{"store", &JobHostConfig::store},
 };
 
 /// Reads one document.
@@ -82,8 +81,8 @@
 		for (const AddressKey &key : cAddressKeys)
 			if ((this->config.*key.member).port == 0)
 				return Fail(EError::BadConfig, std::string(this->file) + ": '" + std::string(key.name) + "' is missing");
-		if (this->config.worker_lease_ms > this->config.worker_most_lease_ms)
-			return Fail(EError::BadConfig, std::string(this->file) + ": worker_lease_ms is above worker_most_lease_ms");
+		// Workers cut down what is longer, so nothing is gained by asking for it
+		this->config.worker_lease_ms = std::min(this->config.worker_lease_ms, this->config.worker_most_lease_ms);
 		if (this->config.owner_slack_ms * 2 >= this->config.owner_lease_ms)
 			return Fail(EError::BadConfig, std::string(this->file) + ": owner_slack_ms leaves no lease");
 		return this->config;
@@ -116,14 +115,24 @@
 				return address.has_value() || this->Wrong(inValue.source(), std::string(name) + " must be \"ip:port\"");
 			}
 		if (name == "processor_share")
-			return this->ReadShare(inValue);
-		if (name != "adviser")
-			return this->Wrong(inKey.source(), "unknown key '" + std::string(name) + "'");
-		// Empty: there is none
-		if (text.value_or("").empty())
+			return this->ReadThousandths(inValue, name, cMostCores, this->config.processor_milli);
+		if (name == "maintenance_s")
+			return this->ReadThousandths(inValue, name, cMostSeconds, this->config.maintenance_ms);
+		if (name == "adviser")
+			return this->ReadOptional(inValue, name, this->config.adviser);
+		if (name == "machines")
+			return this->ReadOptional(inValue, name, this->config.machines);
+		return this->Wrong(inKey.source(), "unknown key '" + std::string(name) + "'");
+	}
+
+	/// An address that may be empty: there is no such service.
+	bool ReadOptional(const toml::node &inValue, std::string_view inName, std::optional<Address> &outAddress)
+	{
+		const std::string text = inValue.value<std::string>().value_or("");
+		if (text.empty())
 			return true;
-		this->config.adviser = ParseAddress(*text);
-		return this->config.adviser.has_value() || this->Wrong(inValue.source(), "adviser must be \"ip:port\"");
+		outAddress = ParseAddress(text);
+		return outAddress.has_value() || this->Wrong(inValue.source(), std::string(inName) + " must be \"ip:port\"");
 	}
 
 	bool ReadNumber(const NumberKey &inKey, const toml::node &inValue)
@@ -138,13 +147,13 @@
 		return true;
 	}
 
-	/// A share of a core, as a fraction.
-	bool ReadShare(const toml::node &inValue)
+	/// A number of cores or seconds, as a fraction, kept in thousandths.
+	bool ReadThousandths(const toml::node &inValue, std::string_view inName, double inMost, int64 &outThousandths)
 	{
-		const std::optional<double> share = inValue.value<double>();
-		if (!share.has_value() || *share <= 0.0 || *share > cMostCores)
-			return this->Wrong(inValue.source(), "processor_share must be above 0, in cores");
-		this->config.processor_milli = std::max<int64>(1, static_cast<int64>(*share * 1000.0));
+		const std::optional<double> number = inValue.value<double>();
+		if (!number.has_value() || *number <= 0.0 || *number > inMost)
+			return this->Wrong(inValue.source(), std::string(inName) + " must be above 0 and at most " + std::to_string(inMost));
+		outThousandths = std::max<int64>(1, static_cast<int64>(*number * 1000.0));
 		return true;
 	}
 
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -96,7 +96,7 @@
 		return PrintError();
 	if (FLAGS_check_config)
 		return 0;
-	StartLogging(inProgram);
+	StartLogging(inProgram, ELogTo::StandardOutput);
 	std::signal(SIGPIPE, SIG_IGN);
 	Jobs::JobHost<Jobs::Platform::PlatformHub> host(std::move(*config));
 	if (!host.Start())
--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -40,7 +40,7 @@
 metrics_port = $((base + 3))
 store = "127.0.0.1:$PORT"
 machines = "127.0.0.1:$((PORT + 1))"
-maintenance_ms = 800
+maintenance_s = 0.8
 TOML
 	LOOM_JOBS="$DIR/e$number.toml" "$BUILD/loomreachd" --jobs_config_env=LOOM_JOBS >>"$DIR/e$number.log" 2>&1 &
 	PIDS[$number]=$!
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -90,14 +90,18 @@
 log_parts = 8
 machines = "10.0.0.2:2"
 adviser = ""
-duties_per_s = 64.0
 worker_most_lease_ms = 10000
-maintenance_ms = 2000
+maintenance_s = 1.5
 processor_share = 0.25
 )";
 	const std::optional<JobHostConfig> config = ParseJobHostConfig(text, "f");
 	ASSERT_TRUE(config.has_value()) << LastReasonText();
 	EXPECT_EQ(config->processor_milli, 250);
+	EXPECT_EQ(config->maintenance_ms, 1500);
+	// A platform that grants shorter leases than the default still starts
+	const std::optional<JobHostConfig> brief = ParseJobHostConfig(text + "worker_lease_ms = 20000\n", "f");
+	ASSERT_TRUE(brief.has_value());
+	EXPECT_EQ(brief->worker_lease_ms, 10000);
 	EXPECT_FALSE(config->adviser.has_value());
 	EXPECT_FALSE(ParseJobHostConfig(text + "colour = 3\n", "f").has_value());
 	EXPECT_NE(LastReasonText().find("unknown key 'colour'"), std::string::npos);
