--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -39,7 +39,7 @@
 
 /// See the head of the file.
 template <class Hub>
-class CellSeat
+class CellSeat : private Guarded
 {
 public:
 	/// Called once when the claim is settled, and when the seat is lost.
@@ -72,20 +72,10 @@
 	void Soon(Millis inDelayMs);
 	void Write();
 	void SendOrders();
-	template <class F>
-	auto Guard(F inCall)
-	{
-		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
-		{
-			if (!alive.expired())
-				call(std::forward<decltype(inArguments)>(inArguments)...);
-		};
-	}
 
 	Hub &hub;
 	SeatContext context;
 	uint32 number;
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 	OwnedLog<Store> log;
 	Cell cell;
 	OnSeat on_seat;
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -11,7 +11,7 @@
 
 /// See the head of the file.
 template <class Hub>
-class FleetSeat
+class FleetSeat : private Guarded
 {
 public:
 	using OnSeat = std::function<void(bool inHeld)>;
@@ -39,20 +39,10 @@
 	void Write(Millis inNow);
 	void SendDuty(const HostDuty &inDuty);
 	void WriteStatus(int64 inWave, bool inCompleted);
-	template <class F>
-	auto Guard(F inCall)
-	{
-		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
-		{
-			if (!alive.expired())
-				call(std::forward<decltype(inArguments)>(inArguments)...);
-		};
-	}
 
 	Hub &hub;
 	SeatContext context;
 	AskOwner ask;
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 	OwnedLog<Store> log;
 	UpkeepPlanner planner;
 	PoolBalancer balancer;
--- /dev/null
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -0,0 +1,280 @@
+// What callers ask of an entry host, and what other entry hosts ask on their behalf.
+
+namespace Loomreach::Jobs
+{
+
+// ---- Callers ----
+
+template <class Hub>
+std::optional<Queue> JobHost<Hub>::FindQueue(std::string_view inHost, std::string_view inPath, EError &outError)
+{
+	outError = this->catalogue == nullptr ? EError::NotReady : EError::NoSuchService;
+	const Queue *queue = this->catalogue == nullptr ? nullptr : this->catalogue->Find(inHost, inPath);
+	if (queue == nullptr)
+		return Fail(outError, std::string(inHost) + std::string(inPath));
+	return *queue;
+}
+
+template <class Hub>
+void JobHost<Hub>::Answer(const JobReply &inReply, JobOutcome inOutcome)
+{
+	inOutcome.close_connection = this->stopping;
+	this->metrics.Count(ECounter::JobCalls, AnswerOf(inOutcome.error).name);
+	if (inOutcome.error != EError::None)
+		this->metrics.Count(ECounter::Refusals, AnswerOf(inOutcome.error).name);
+	inReply(inOutcome);
+}
+
+/// When the last word is said to a caller: a little before its own deadline.
+inline Millis GiveUpAt(const JobCall &inCall)
+{
+	return NowMillis() + inCall.deadline_ms - std::min(cEnterMarginMs, inCall.deadline_ms / 4);
+}
+
+template <class Hub>
+void JobHost<Hub>::Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply)
+{
+	const Queue &queue = inCall.queue;
+	inSpec.queue = queue.name;
+	inSpec.pool = queue.pool;
+	inSpec.max_attempts = queue.max_attempts;
+	inSpec.priority = queue.priority;
+	inSpec.stretch = queue.stretch;
+	inSpec.target_ms = queue.target_ms;
+	inSpec.advised = queue.advice.has_value();
+	inSpec.accepted_wall_ms = WallMillis();
+	auto entering = std::make_shared<Entering>();
+	entering->record = {EInbox::Submit, std::move(inSpec)};
+	entering->cell = CellOf(queue.pool, this->Parts());
+	entering->give_up_at = GiveUpAt(inCall);
+	entering->reply = std::move(inReply);
+	this->Enter(std::move(entering));
+}
+
+template <class Hub>
+void JobHost<Hub>::Cancel(const JobCall &inCall, JobReply inReply)
+{
+	auto entering = std::make_shared<Entering>();
+	entering->record.kind = EInbox::Cancel;
+	entering->record.spec.id = inCall.id;
+	entering->record.spec.queue = inCall.queue.name;
+	entering->cell = CellOf(inCall.queue.pool, this->Parts());
+	entering->give_up_at = GiveUpAt(inCall);
+	entering->reply = std::move(inReply);
+	this->Enter(std::move(entering));
+}
+
+template <class Hub>
+void JobHost<Hub>::Enter(std::shared_ptr<Entering> inEntering)
+{
+	// A store that has been silent to this host for long is not waited for again; once no helper has helped, it is
+	if (!this->store_heard && !std::exchange(inEntering->helped, true))
+		return this->EnterByHelper(inEntering, 0);
+	inEntering->tried = true;
+	AppendCall call;
+	call.log = InboxLog(inEntering->cell, this->Parts());
+	call.records.push_back({"", EncodeValue(inEntering->record), 0});
+	call.timeout_ms = std::clamp<Millis>(inEntering->give_up_at - NowMillis(), cEnterLeastMs, cEnterTimeoutMs);
+	this->hub.store.Append(call,
+						   [this, entering = std::move(inEntering)](const AppendAnswer &inAnswer)
+						   {
+							   const bool is_cancel = entering->record.kind == EInbox::Cancel;
+							   JobOutcome outcome;
+							   if (inAnswer.result == EAppend::Done)
+							   {
+								   LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
+									   .Field("request", entering->record.spec.id)
+									   .Field("queue", entering->record.spec.queue)
+									   .Field("version", this->catalogue->version)
+									   .Field("cell", entering->cell)
+									   .Field("offset", inAnswer.offset);
+								   return this->Answer(entering->reply, outcome);
+							   }
+							   entering->in_doubt = entering->in_doubt || inAnswer.result == EAppend::Unknown;
+							   if (std::exchange(entering->helped, true))
+								   return this->EnterAgainOrRefuse(entering);
+							   this->EnterByHelper(entering, 0);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper)
+{
+	const std::vector<Address> helpers = this->owners.Helpers(inEntering->cell);
+	const Millis left = inEntering->give_up_at - NowMillis();
+	if (inHelper >= std::min(helpers.size(), cMostHelpers) || left < cHelperMs / 2)
+		return inEntering->tried ? this->EnterAgainOrRefuse(inEntering) : this->Enter(inEntering);
+	// The store may turn away this host alone
+	PeerQuestion question;
+	question.kind = EQuestion::Enter;
+	question.cell = inEntering->cell;
+	question.record = EncodeValue(inEntering->record);
+	this->peers.Ask(helpers[inHelper], std::move(question), std::min(left, cHelperMs),
+					[this, inEntering, inHelper](const std::optional<PeerAnswer> &inAnswer)
+					{
+						const bool entered = inAnswer.has_value() && inAnswer->entered;
+						inEntering->in_doubt = inEntering->in_doubt || !inAnswer.has_value() || (!entered && !inAnswer->not_entered);
+						if (!entered)
+							return this->EnterByHelper(inEntering, inHelper + 1);
+						LogEvent(ELogLevel::Info, "job_accepted")
+							.Field("request", inEntering->record.spec.id)
+							.Field("queue", inEntering->record.spec.queue)
+							.Field("cell", inEntering->cell)
+							.Field("helper", inHelper);
+						this->Answer(inEntering->reply, JobOutcome{});
+					});
+}
+
+template <class Hub>
+void JobHost<Hub>::EnterAgainOrRefuse(const std::shared_ptr<Entering> &inEntering)
+{
+	const bool is_cancel = inEntering->record.kind == EInbox::Cancel;
+	// What may have been appended is appended again: the id makes it one job, and only then is the answer known
+	const bool time_left = NowMillis() + cEnterAgainMs < inEntering->give_up_at;
+	if ((inEntering->in_doubt || is_cancel) && time_left)
+	{
+		return After(cEnterAgainMs, [this, inEntering] { this->Enter(inEntering); });
+	}
+	JobOutcome outcome;
+	outcome.error = inEntering->in_doubt ? EError::VerdictLost : EError::PlatformDown;
+	LogEvent(ELogLevel::Warning, "job_not_accepted")
+		.Field("request", inEntering->record.spec.id)
+		.Field("queue", inEntering->record.spec.queue)
+		.Field("outcome", AnswerOf(outcome.error).name)
+		.Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
+	this->Answer(inEntering->reply, outcome);
+}
+
+template <class Hub>
+void JobHost<Hub>::OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
+{
+	if (inQuestion.kind != EQuestion::Enter)
+		return inReply(this->AnswerPeer(inQuestion));
+	// Only what decodes is passed on
+	if (!DecodeValue<InboxRecord>(inQuestion.record).has_value())
+	{
+		PeerAnswer refusal;
+		refusal.not_entered = true;
+		return inReply(refusal);
+	}
+	AppendCall call;
+	call.log = InboxLog(inQuestion.cell, this->Parts());
+	call.records.push_back({"", inQuestion.record, 0});
+	call.timeout_ms = cHelperMs;
+	this->hub.store.Append(call,
+						   [reply = std::move(inReply)](const AppendAnswer &inAnswer)
+						   {
+							   PeerAnswer answer;
+							   answer.entered = inAnswer.result == EAppend::Done;
+							   answer.not_entered = inAnswer.result == EAppend::Refused;
+							   reply(answer);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone)
+{
+	inQuestion.cell = inCell;
+	const PeerAnswer own = this->AnswerPeer(inQuestion);
+	if (own.owner)
+		return inDone(own);
+	const std::optional<CellOwner> owner = this->owners.LastOwnerOf(inCell);
+	if (!owner.has_value() || owner->host == this->config.name)
+		return inDone(std::nullopt);
+	this->peers.Ask(
+		owner->address, inQuestion, inTimeoutMs,
+		[this, inQuestion, inTimeoutMs, done = std::move(inDone), asked = owner->address](const std::optional<PeerAnswer> &inAnswer)
+		{
+			// What this host knows of owners may be old; whoever was asked may know better
+			const bool elsewhere =
+				inAnswer.has_value() && !inAnswer->owner && inAnswer->owner_address.port != 0 && inAnswer->owner_address != asked;
+			if (!elsewhere)
+				return done(inAnswer);
+			this->peers.Ask(inAnswer->owner_address, inQuestion, inTimeoutMs, done);
+		});
+}
+
+template <class Hub>
+PeerAnswer JobHost<Hub>::AnswerPeer(const PeerQuestion &inQuestion)
+{
+	auto seat = this->seats.find(inQuestion.cell);
+	PeerAnswer answer;
+	if (seat != this->seats.end())
+		answer = seat->second->Answer(inQuestion);
+	const std::optional<CellOwner> owner = this->owners.OwnerOf(inQuestion.cell, NowMillis());
+	if (!answer.owner && owner.has_value() && owner->host != this->config.name)
+		answer.owner_address = owner->address;
+	return answer;
+}
+
+template <class Hub>
+void JobHost<Hub>::Show(const JobCall &inCall, JobReply inReply)
+{
+	PeerQuestion question;
+	question.kind = EQuestion::Show;
+	question.queue = inCall.queue.name;
+	question.id = inCall.id;
+	const uint32 cell = CellOf(inCall.queue.pool, this->Parts());
+	this->AskCell(cell, question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
+				  [this, reply = std::move(inReply), id = inCall.id](const std::optional<PeerAnswer> &inAnswer)
+				  {
+					  JobOutcome outcome;
+					  // Without an owner that has read all, nobody can say that there is no such job
+					  if (!inAnswer.has_value() || !inAnswer->owner || (!inAnswer->known && !inAnswer->sure))
+						  outcome.error = EError::NotReady;
+					  else if (!inAnswer->known)
+						  outcome.error = EError::JobGone;
+					  else
+						  outcome.phase = inAnswer->phase;
+					  LogEvent(ELogLevel::Info, "job_asked")
+						  .Field("request", id)
+						  .Field("answer",
+								 outcome.phase.has_value() ? NameOf(cJobPhaseNames, *outcome.phase) : AnswerOf(outcome.error).name);
+					  this->Answer(reply, outcome);
+				  });
+}
+
+template <class Hub>
+void JobHost<Hub>::Count(const JobCall &inCall, JobReply inReply)
+{
+	PeerQuestion question;
+	question.kind = EQuestion::Count;
+	question.queue = inCall.queue.name;
+	this->AskCell(CellOf(inCall.queue.pool, this->Parts()), question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
+				  [this, reply = std::move(inReply)](const std::optional<PeerAnswer> &inAnswer)
+				  {
+					  JobOutcome outcome;
+					  if (inAnswer.has_value() && inAnswer->owner)
+						  outcome.waiting = inAnswer->waiting;
+					  else
+						  outcome.error = EError::NotReady;
+					  this->Answer(reply, outcome);
+				  });
+}
+
+template <class Hub>
+bool JobHost<Hub>::IsReady()
+{
+	return this->catalogue != nullptr && !this->stopping && this->store_heard;
+}
+
+template <class Hub>
+std::string JobHost<Hub>::MetricsText()
+{
+	for (const auto &[cell, seat] : this->seats)
+	{
+		const CellFigures figures = seat->Figures();
+		const std::string name = "loomreach_cell" + std::to_string(cell);
+		this->metrics.Gauge(name + "_jobs", static_cast<double>(figures.jobs));
+		this->metrics.Gauge(name + "_active", static_cast<double>(figures.active));
+		this->metrics.Gauge(name + "_runs", static_cast<double>(figures.runs));
+		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
+	}
+	this->metrics.Gauge("loomreach_cells_owned", static_cast<double>(this->Owned()));
+	this->metrics.Gauge("loomreach_configuration_version",
+						this->catalogue == nullptr ? 0.0 : static_cast<double>(this->catalogue->version));
+	this->metrics.Gauge("loomreach_broken_invariants", static_cast<double>(BrokenInvariants()));
+	return this->metrics.Prometheus();
+}
+
+} // namespace Loomreach::Jobs
--- /dev/null
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -0,0 +1,143 @@
+// What an entry host reads of the platform: the operator's records and the workers' entries.
+
+namespace Loomreach::Jobs
+{
+
+// ---- The operator's records ----
+
+template <class Hub>
+void JobHost<Hub>::LoadOperator()
+{
+	this->hub.store.Newest(Hub::OperatorLog(),
+						   [this](const NewestAnswer &inAnswer)
+						   {
+							   if (!inAnswer.good)
+								   return this->operator_timer.Once(cFollowAgainMs, [this] { this->LoadOperator(); });
+							   this->store_heard_at = NowMillis();
+							   for (const LogRecord &record : inAnswer.records)
+								   this->OnOperatorRecord(record);
+							   this->FollowOperator(inAnswer.end);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::FollowOperator(uint64 inFrom)
+{
+	this->hub.store.Read(Hub::OperatorLog(), true, inFrom, cOperatorWaitMs,
+						 [this, inFrom](const ReadAnswer &inAnswer)
+						 {
+							 if (inAnswer.result == ERead::Gone)
+								 return this->LoadOperator();
+							 if (inAnswer.result == ERead::Failed)
+								 return this->operator_timer.Once(cFollowAgainMs, [this, inFrom] { this->FollowOperator(inFrom); });
+							 this->store_heard_at = NowMillis();
+							 for (const LogRecord &record : inAnswer.records)
+								 this->OnOperatorRecord(record);
+							 this->FollowOperator(inAnswer.next);
+						 });
+}
+
+template <class Hub>
+void JobHost<Hub>::OnOperatorRecord(const LogRecord &inRecord)
+{
+	if (Hub::IsCatalogueKey(inRecord.key))
+	{
+		std::optional<Catalogue> read = Hub::DecodeCatalogue(inRecord.value);
+		if (!read.has_value())
+		{
+			LogEvent(ELogLevel::Error, "configuration_refused").Field("why", LastReasonText());
+			return;
+		}
+		// Never back: pages and records may overlap
+		if (this->catalogue != nullptr && read->version <= this->catalogue->version)
+			return;
+		LogEvent(ELogLevel::Info, "configuration")
+			.Field("version", read->version)
+			.Field("queues", read->queues.size())
+			.Field("pools", read->pools.size());
+		this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
+		for (auto &[cell, seat] : this->seats)
+			seat->SetCatalogue(this->catalogue);
+		if (this->fleet != nullptr)
+			this->fleet->SetCatalogue(this->catalogue);
+		return;
+	}
+	const std::optional<UpkeepWave> wave = inRecord.value.empty() ? std::nullopt : Hub::DecodeWave(inRecord.key, inRecord.value);
+	if (!wave.has_value())
+		return;
+	this->waves[wave->number] = *wave;
+	if (this->fleet != nullptr && this->fleet->IsHeld())
+		this->fleet->SetWaves(this->waves);
+}
+
+// ---- The workers' entries ----
+
+template <class Hub>
+void JobHost<Hub>::LoadWorkers()
+{
+	// Only owners need the workers, and one reading at a time is enough
+	const uint64 reading = ++this->workers_reading;
+	this->hub.store.Newest(Hub::WorkersLog(),
+						   [this, reading](const NewestAnswer &inAnswer)
+						   {
+							   if (reading != this->workers_reading)
+								   return;
+							   if (!inAnswer.good)
+								   return this->workers_timer.Once(cFollowAgainMs, [this] { this->LoadWorkers(); });
+							   this->workers.clear();
+							   for (const LogRecord &record : inAnswer.records)
+								   this->OnWorkerRecord(record);
+							   this->TellWorkers();
+							   this->FollowWorkers(inAnswer.end, reading);
+						   });
+}
+
+template <class Hub>
+void JobHost<Hub>::FollowWorkers(uint64 inFrom, uint64 inReading)
+{
+	const auto on_read = [this, inFrom, inReading](const ReadAnswer &inAnswer)
+	{
+		if (inReading != this->workers_reading || this->seats.empty())
+			return;
+		if (inAnswer.result == ERead::Gone)
+			return this->LoadWorkers();
+		for (const LogRecord &record : inAnswer.records)
+			this->OnWorkerRecord(record);
+		if (!inAnswer.records.empty())
+			this->TellWorkers();
+		this->FollowWorkers(inAnswer.result == ERead::Done ? inAnswer.next : inFrom, inReading);
+	};
+	this->workers_timer.Once(cWorkersEveryMs,
+							 [this, inFrom, on_read] { this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0, on_read); });
+}
+
+template <class Hub>
+void JobHost<Hub>::OnWorkerRecord(const LogRecord &inRecord)
+{
+	// An empty record takes the worker off the list
+	if (inRecord.value.empty())
+	{
+		this->workers.erase(inRecord.key);
+		return;
+	}
+	std::optional<WorkerEntry> entry = Hub::DecodeWorker(inRecord.key, inRecord.value);
+	if (entry.has_value())
+		this->workers[inRecord.key] = std::move(*entry);
+	else
+		LogEvent(ELogLevel::Warning, "worker_entry_refused").Field("worker", inRecord.key).Field("why", LastReasonText());
+}
+
+template <class Hub>
+void JobHost<Hub>::TellWorkers()
+{
+	if (this->seats.empty())
+		return;
+	std::vector<WorkerEntry> all;
+	for (const auto &[id, entry] : this->workers)
+		all.push_back(entry);
+	for (auto &[cell, seat] : this->seats)
+		if (seat->IsHeld())
+			seat->SetWorkers(all);
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -5,6 +5,7 @@
 
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Core/Guarded.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Ownership/LogTypes.h>
 #include <Loomreach/Ownership/OwnerTable.h>
@@ -26,7 +27,7 @@
 
 /// See the head of the file.
 template <JobLog Log>
-class OwnedLog
+class OwnedLog : private Guarded
 {
 public:
 	/// All records of the log by key, without the claim.
@@ -52,22 +53,12 @@
 	void SendAppend();
 	void Lose(std::string_view inWhy);
 	void Apply(const std::vector<LogRecord> &inRecords);
-	template <class F>
-	auto Guard(F inCall)
-	{
-		return [alive = std::weak_ptr<bool>(this->alive), call = std::move(inCall)](auto &&...inArguments)
-		{
-			if (!alive.expired())
-				call(std::forward<decltype(inArguments)>(inArguments)...);
-		};
-	}
 
 	Log &log;
 	LogName name;
 	std::string host;
 	uint64 life;
 	uint64 beat_number = 0;
-	std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 	Judge judge;
 	OnClaimed on_claimed;
 	Records records;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -133,9 +133,13 @@
 							 const std::map<std::string, uint32> &inOnWorker);
 	double ScoreOf(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit) const;
 	std::map<std::string, uint32> CountByWorker(const CellJob &inJob, size_t inUnit) const;
-	void AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow);
 	void AddRun(CellJob &ioJob, size_t inUnit, uint32 inTask, uint32 inRun, CellWorker &ioWorker, Millis inNow);
 
+	// CellAdvice.cpp
+	void AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow);
+	/// Whether a worker may run a step of a queue with a policy, for long enough to reach it.
+	static bool HasTicket(const CellJob &inJob, size_t inUnit, const std::string &inWorker, Millis inNow);
+
 	// CellOrders.cpp: answers
 	void OnStartAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
--- /dev/null
+++ b/Loomreach/Schedule/CellAdvice.cpp
@@ -0,0 +1,92 @@
+// Which workers may run the steps of queues with a policy: questions to the adviser, and tickets.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/Cell.h>
+
+namespace Loomreach::Jobs
+{
+
+/// A ticket must be good for the append and the order: two store answers at their slow pace.
+static constexpr Millis cTicketSlackMs = 500;
+static constexpr size_t cMostAdvised = 10; ///< Workers named in one question: each costs time.
+static constexpr Millis cAskAgainMs = 250; ///< After a question that got no answer.
+
+bool Cell::HasTicket(const CellJob &inJob, size_t inUnit, const std::string &inWorker, Millis inNow)
+{
+	auto advice = inJob.advice.find(inUnit);
+	if (advice == inJob.advice.end())
+		return false;
+	auto ticket = advice->second.tickets.find(inWorker);
+	return ticket != advice->second.tickets.end() && inNow + cTicketSlackMs < ticket->second.good_until;
+}
+
+void Cell::AskAdvice(CellJob &ioJob, size_t inUnit, Millis inNow)
+{
+	if (!ioJob.spec.advised)
+		return;
+	StepAdvice &advice = ioJob.advice[inUnit];
+	if (advice.asked || inNow < advice.ask_after)
+		return;
+	std::vector<std::pair<double, std::string>> likely;
+	for (const auto &[id, worker] : this->workers)
+	{
+		const bool possible = worker.entry.pool == ioJob.spec.pool && this->CanTake(worker, inNow) && !advice.refused.contains(id);
+		if (possible && !HasTicket(ioJob, inUnit, id, inNow))
+			likely.emplace_back(-this->ScoreOf(worker, ioJob, inUnit), id);
+	}
+	if (likely.empty())
+		return;
+	std::sort(likely.begin(), likely.end());
+	AdviceQuestion question;
+	question.job = ioJob.spec.id;
+	question.round = static_cast<uint32>(inUnit / ioJob.spec.steps.size());
+	question.step = static_cast<uint32>(inUnit % ioJob.spec.steps.size());
+	for (const auto &[score, id] : likely)
+		if (question.workers.size() < cMostAdvised)
+			question.workers.push_back(id);
+	const Queue *queue = nullptr;
+	if (this->catalogue != nullptr)
+		for (const Queue &candidate : this->catalogue->queues)
+			if (candidate.name == ioJob.spec.queue)
+				queue = &candidate;
+	if (queue != nullptr && queue->advice.has_value())
+		question.expect_ms = queue->advice->decide_ms + queue->advice->each_ms * static_cast<Millis>(question.workers.size());
+	advice.asked = true;
+	LogEvent(ELogLevel::Info, "advice_asked")
+		.Field("request", question.job)
+		.Field("step", question.step)
+		.Field("workers", question.workers.size());
+	this->questions.push_back(std::move(question));
+}
+
+void Cell::OnAdvice(const AdviceQuestion &inQuestion, const AdviceAnswer &inAnswer, Millis inNow)
+{
+	CellJob *job = this->FindJob(inQuestion.job);
+	if (job == nullptr)
+		return;
+	StepAdvice &advice = job->advice[job->Unit(inQuestion.round, inQuestion.step)];
+	advice.asked = false;
+	LogEvent(ELogLevel::Info, "advice")
+		.Field("request", inQuestion.job)
+		.Field("step", inQuestion.step)
+		.Field("answered", inAnswer.answered ? 1 : 0)
+		.Field("good", inAnswer.tickets.size())
+		.Field("named", inQuestion.workers.size());
+	if (!inAnswer.answered)
+	{
+		advice.ask_after = inNow + cAskAgainMs;
+		return;
+	}
+	for (const std::string &worker : inQuestion.workers)
+	{
+		auto ticket = inAnswer.tickets.find(worker);
+		if (ticket == inAnswer.tickets.end())
+			advice.refused.insert(worker);
+		else
+			advice.tickets[worker] = {ticket->second, inNow + inAnswer.valid_ms};
+	}
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -12,7 +12,6 @@
 
 /// A stop that got no answer is sent again after this.
 static constexpr Millis cStopAgainMs = 500;
-static constexpr uint32 cFailuresToQuarantine = 3;
 /// A worker is slow when its runs take this many times what is expected, in a mean that an end moves by a fifth and a look at a run that
 /// is over its time by a tenth. Slow workers of the users' days work 4 to 6.5 times as long.
 static constexpr double cSlowRatio = 2.2;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -30,6 +30,9 @@
 /// And a lease is trusted to be over only this much later: two message delays and a timer's lateness.
 inline constexpr Millis cLeaseSlackMs = 150;
 
+/// Failures in a row on one worker after which it only gets one trial at a time: a chance failure (0.2 to 3%) hardly repeats thrice.
+inline constexpr uint32 cFailuresToQuarantine = 3;
+
 /// Where a run stands, as far as the cell knows. Up to Logged, no worker has heard of it.
 enum class ERunState : uint8
 {
--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -22,14 +22,22 @@
 	return text;
 }
 
+/// A job of one step of tasks that last, each on another worker.
+JobSpec LastingJob(uint32 inCount)
+{
+	JobSpec lasting = MakeJob("lasting", 1, inCount, 1500, 500);
+	lasting.steps[0].lasting = true;
+	lasting.steps[0].max_per_worker = 1;
+	lasting.steps[0].limits_misses = true;
+	lasting.steps[0].may_miss = 1;
+	return lasting;
+}
+
 /// Hands in jobs over some seconds, some of which are cancelled, then lets everything settle.
 void PlayMixedDay(CellWorld &ioWorld, Random &ioRandom)
 {
 	SetInvariantsAbort(true);
-	JobSpec lasting = MakeJob("lasting", 1, 4, 1500, 500);
-	lasting.steps[0].lasting = true;
-	lasting.steps[0].max_per_worker = 1;
-	ioWorld.Submit(lasting);
+	ioWorld.Submit(LastingJob(4));
 	for (int i = 0; i < 30; ++i)
 	{
 		const std::string id = "job" + std::to_string(i);
@@ -169,10 +177,7 @@
 TEST(Cell, SparesOnlyEmptyWorkers)
 {
 	CellWorld world(5, Trouble{}, 4);
-	JobSpec lasting = MakeJob("lasting", 1, 2, 1500, 500);
-	lasting.steps[0].lasting = true;
-	lasting.steps[0].max_per_worker = 1;
-	world.Submit(lasting);
+	world.Submit(LastingJob(2));
 	world.Run(3000);
 	const PoolDemand demand = world.Core().Demand("pool", 4, 1500, 4000, 0);
 	EXPECT_EQ(demand.spared.size(), 2u);
@@ -186,12 +191,7 @@
 	// Failed first (kkt-loom hunt, scale-1 seed 404415668067, AVAIL): a task on a worker that had gone dark counted as at work, as it last
 	// said
 	CellWorld world(5, Trouble{}, 5);
-	JobSpec lasting = MakeJob("lasting", 1, 3, 1500, 500);
-	lasting.steps[0].lasting = true;
-	lasting.steps[0].max_per_worker = 1;
-	lasting.steps[0].limits_misses = true;
-	lasting.steps[0].may_miss = 1;
-	world.Submit(lasting);
+	world.Submit(LastingJob(3));
 	world.Run(3000);
 	std::vector<std::string> busy;
 	for (const auto &[id, worker] : world.Workers())
@@ -212,12 +212,7 @@
 TEST(Cell, MovesLastingTasksOffAnEmptiedWorker)
 {
 	CellWorld world(5, Trouble{}, 4);
-	JobSpec lasting = MakeJob("lasting", 1, 2, 1500, 500);
-	lasting.steps[0].lasting = true;
-	lasting.steps[0].max_per_worker = 1;
-	lasting.steps[0].limits_misses = true;
-	lasting.steps[0].may_miss = 1;
-	world.Submit(lasting);
+	world.Submit(LastingJob(2));
 	world.Run(3000);
 	std::string busy;
 	for (const auto &[id, worker] : world.Workers())
