Forecast a pool's arriving work by counts and trend

Cause: a host needs about two seconds from a pool's need to work in it, and the need was what came in the last second (or, in a surge, 0.3 s), by the sizes of the very jobs: late when a load turns, and noisy (sizes spread by 0.6, so 25 jobs a second gave needs 24% apart). Change: ArrivalRate counts jobs, takes a significant trend 2 s ahead, and weighs by the mean size. Ruled out: overshoot as the cause of missing hosts (the peak of minutes-tx needs about 215 of 293 hosts by its own work).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -228,7 +228,7 @@
 	for (size_t unit = 0; unit < job.memory.size(); ++unit)
 		job.memory[unit].resize(job.record.steps[unit].tasks.size());
 	job.arrived_at = inNow;
-	this->arrivals[job.spec.pool].emplace_back(inNow, this->WorkLeft(job));
+	this->arrivals[job.spec.pool].Note(inNow, this->WorkLeft(job));
 	this->Touch(job);
 	LogEvent(ELogLevel::Info, "job_taken")
 		.Field("request", id)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -9,6 +9,7 @@
 
 #pragma once
 
+#include <Loomreach/Schedule/ArrivalRate.h>
 #include <Loomreach/Schedule/Catalogue.h>
 #include <Loomreach/Schedule/CellTypes.h>
 #include <Loomreach/Schedule/PoolDemand.h>
@@ -178,7 +179,7 @@
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	RunTimes run_times;
 	int64 times_wall_ms = 0;                                              ///< When they were last written.
-	std::map<std::string, std::deque<std::pair<Millis, int64>>> arrivals; ///< Core-milliseconds handed in of late, by pool.
+	std::map<std::string, ArrivalRate> arrivals; ///< By pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
 	uint64 inbox_next = 0;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -8,9 +8,8 @@
 namespace Loomreach::Jobs
 {
 
-/// The rate of arrivals is taken over this time: short against a turn of load, long against the gap between two jobs.
-static constexpr Millis cArrivalsMs = 1000;
-static constexpr Millis cSurgeMs = 300;
+/// From a need to a host at work in the pool: asked within 0.2 s, moved within 1.5 s (users' figure), its worker found within 0.4 s.
+static constexpr Millis cMoveLeadMs = 2000;
 /// A worker that has gone stays in the worker list for three of its heartbeats (users' figure, 1.5 s each), and a moment.
 static constexpr Millis cListLagMs = 5000;
 static constexpr size_t cSurgeJobs = 5;
@@ -69,23 +68,7 @@
 	while (inNow - seen.front().first > this->tuning.demand_hold_ms)
 		seen.pop_front();
 	// What comes in each second must also be worked off each second, later steps included
-	std::deque<std::pair<Millis, int64>> &arrived = this->arrivals[inPool];
-	while (!arrived.empty() && inNow - arrived.front().first > cArrivalsMs)
-		arrived.pop_front();
-	int64 work_lately = 0;
-	int64 work_just_now = 0;
-	size_t jobs_just_now = 0;
-	for (const auto &[at, work] : arrived)
-	{
-		work_lately += work;
-		const bool just_now = inNow - at <= cSurgeMs;
-		work_just_now += just_now ? work : 0;
-		jobs_just_now += just_now ? 1 : 0;
-	}
-	demand.need.cpu_milli += work_lately * 1000 / cArrivalsMs;
-	// A turn of load shows first as many jobs at once; one large job alone is none
-	if (jobs_just_now >= cSurgeJobs)
-		demand.need.cpu_milli = std::max(demand.need.cpu_milli, work_just_now * 1000 / cSurgeMs);
+	demand.need.cpu_milli = this->arrivals[inPool].Forecast(cMoveLeadMs, inNow);
 	for (const auto &[at, need] : seen)
 		RaiseTo(demand.need, need);
 	for (const std::string &id : this->active)
