Trust workers whose entries lapsed with the store; move lasting tasks off workers that left the list

An entry that went made its worker unusable at once, also right after an outage, and its tasks that last stayed until it ended. Change: an entry that goes within 2 s of the store's return leaves its worker usable while it answers; any other that goes counts as leaving: nothing new, and tasks that last are moved off it one by one after 2 s. Tests: Cell.WorkersWhoseEntriesLapsedGoOnWorking, MovesLastingTasksOffAWorkerThatLeftTheList (each fails without its guard), AWorkerThatLeftTheListGetsNothingNew.

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -53,7 +53,7 @@
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->cell.SetCatalogue(std::move(inCatalogue)); }
-	void SetWorkers(const std::vector<WorkerEntry> &inWorkers);
+	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil);
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
 	/// Decides and acts soon, or at once when nothing happened for a while.
 	void Step();
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -78,13 +78,13 @@
 }
 
 template <class Hub>
-void CellSeat<Hub>::SetWorkers(const std::vector<WorkerEntry> &inWorkers)
+void CellSeat<Hub>::SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil)
 {
 	std::vector<WorkerEntry> mine;
 	for (const WorkerEntry &worker : inWorkers)
 		if (CellOf(worker.pool, static_cast<uint32>(this->context.config.log_parts)) == this->number)
 			mine.push_back(worker);
-	this->cell.SetWorkers(mine, NowMillis());
+	this->cell.SetWorkers(mine, NowMillis(), inTrustUntil);
 	this->Soon(cStepGapMs);
 }
 
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -96,6 +96,7 @@
 	Millis beat_sent_at = 0;
 	Millis store_heard_at = -1; ///< When the store last answered a read.
 	bool store_heard = true;
+	Millis store_back_at = std::numeric_limits<Millis>::min() / 2; ///< When it was last heard again after a silence.
 	bool stopping = false;
 	Millis stop_at = 0;
 	std::function<void()> on_stopped;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -20,6 +20,7 @@
 inline constexpr size_t cMostHelpers = 2;      ///< Hosts asked to put a record into an inbox for this one.
 inline constexpr Millis cHelperMs = 500;       ///< Each of them has this long.
 inline constexpr Millis cStoreSilentMs = 1800; ///< Without an answer of the store for this long, callers are sent elsewhere.
+inline constexpr Millis cRelistedMs = 2000;    ///< Workers whose entries lapsed with the store are listed again this soon (users' figure).
 inline constexpr Millis cStopGiveBackMs = 400; ///< A planned stop waits this long for appends under way.
 inline constexpr Millis cStopServeMs = 3200; ///< And goes on answering this long: the balancer needs two missed questions, a second apart.
 
@@ -272,6 +273,8 @@
 	if (heard != this->store_heard)
 	{
 		this->store_heard = heard;
+		if (heard)
+			this->store_back_at = now;
 		LogEvent(ELogLevel::Warning, heard ? "store_back" : "store_silent").Field("heard_ms_ago", now - this->store_heard_at);
 	}
 	if (this->stopping)
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -137,7 +137,7 @@
 		all.push_back(entry);
 	for (auto &[cell, seat] : this->seats)
 		if (seat->IsHeld())
-			seat->SetWorkers(all);
+			seat->SetWorkers(all, this->store_back_at + cRelistedMs);
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -103,6 +103,7 @@
 				CellWorker &worker = this->workers[run.worker];
 				worker.entry.id = run.worker;
 				worker.listed = false;
+				worker.unlisted_at = inNow;
 				// A predecessor may have extended the lease right up to now
 				worker.lease_over_at = inNow + this->tuning.most_lease_ms * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs;
 				const size_t steps = ioJob.spec.steps.size();
@@ -122,7 +123,7 @@
 	}
 }
 
-void Cell::SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow)
+void Cell::SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow, Millis inTrustUntil)
 {
 	std::set<std::string> present;
 	for (const WorkerEntry &entry : inWorkers)
@@ -154,10 +155,15 @@
 		if (worker.listed && !present.contains(it->first))
 		{
 			worker.listed = false;
-			LogEvent(ELogLevel::Info, "worker_unlisted").Field("worker", it->first).Field("runs", worker.runs.size());
+			worker.unlisted_at = inNow;
+			worker.trusted_until = inTrustUntil;
+			LogEvent(ELogLevel::Info, "worker_unlisted")
+				.Field("worker", it->first)
+				.Field("runs", worker.runs.size())
+				.Field("trusted_ms", std::max<Millis>(inTrustUntil - inNow, 0));
 		}
 		// Nothing is remembered of a worker that left and has nothing
-		const bool forget = !worker.listed && worker.runs.empty() && !worker.hold_sent;
+		const bool forget = !worker.IsPresent(inNow) && worker.runs.empty() && !worker.hold_sent;
 		it = forget ? this->workers.erase(it) : std::next(it);
 	}
 }
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -59,8 +59,9 @@
 	bool Restore(std::string_view inKey, std::string_view inValue);
 	/// Starts to act, as the owner with this epoch. Runs found in the log are asked for before anything else happens to them.
 	void Begin(uint64 inEpoch, Millis inNow);
-	/// The host list as it is now: workers of this cell's pools.
-	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow);
+	/// The worker list as it is now: workers of this cell's pools. `inTrustUntil`: the store has just come back, so an entry that went may
+	/// only have lapsed; until then its worker is taken for present while it answers.
+	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow, Millis inTrustUntil = 0);
 	/// Whether a pool's workers guard their room themselves. Unknown pools do not.
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->catalogue = std::move(inCatalogue); }
 	/// Takes in one record of the inbox. `inOffset` is its place there.
@@ -178,7 +179,7 @@
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	RunTimes run_times;
-	int64 times_wall_ms = 0;                                              ///< When they were last written.
+	int64 times_wall_ms = 0;                     ///< When they were last written.
 	std::map<std::string, ArrivalRate> arrivals; ///< By pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -39,6 +39,9 @@
 /// counts a task as away by itself after 4.5 s.
 static constexpr Millis cAtWorkFreshMs = 1200;
 
+/// An entry that has only lapsed is back within this (the users' figure).
+static constexpr Millis cRelistMs = 2000;
+
 /// A job's place in the order of planning.
 struct PlanPlace
 {
@@ -242,7 +245,7 @@
 
 bool Cell::CanTake(const CellWorker &inWorker, Millis inNow) const
 {
-	if (!inWorker.listed || inWorker.gone || inWorker.entry.draining || !inWorker.reachable || inWorker.clock_ms < 0)
+	if (!inWorker.IsPresent(inNow) || inWorker.gone || inWorker.entry.draining || !inWorker.reachable || inWorker.clock_ms < 0)
 		return false;
 	if (inNow < inWorker.refuse_until || inNow < inWorker.vacate_until || inNow < inWorker.quarantine_until || inNow < inWorker.left_until)
 		return false;
@@ -374,7 +377,10 @@
 
 void Cell::PlanDraining(CellWorker &ioWorker, Millis inNow)
 {
-	if (!ioWorker.entry.draining || ioWorker.runs.empty())
+	// Some workers never say that they leave: their entry goes, and they serve on for a while
+	const bool silent =
+		!ioWorker.listed && ioWorker.reachable && inNow >= std::max(ioWorker.trusted_until, ioWorker.unlisted_at + cRelistMs);
+	if ((!ioWorker.entry.draining && !silent) || ioWorker.runs.empty())
 		return;
 	// What lasts dies with the worker: better restarted now than missed until a lease is over
 	std::vector<RunId> leaving;
@@ -382,7 +388,14 @@
 		if (run.lasting && run.state == ERunState::Confirmed)
 			leaving.push_back(id);
 	for (const RunId &id : leaving)
-		this->StopRun(ioWorker, id, "worker drains", inNow);
+	{
+		const CellJob *job = this->FindJob(id.task.job);
+		// It has not said so: one by one, as if it were emptied
+		if (!ioWorker.entry.draining &&
+			(job == nullptr || !this->MayMiss(*job, job->Unit(id.task.round, id.task.step), id.task.index, inNow)))
+			continue;
+		this->StopRun(ioWorker, id, ioWorker.entry.draining ? "worker drains" : "worker left the list", inNow);
+	}
 }
 
 bool Cell::MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -91,7 +91,9 @@
 struct CellWorker
 {
 	WorkerEntry entry;
-	bool listed = true;        ///< Whether the host list shows it now.
+	bool listed = true;        ///< Whether the worker list shows it now.
+	Millis unlisted_at = 0;    ///< When the list was first seen without it.
+	Millis trusted_until = 0;  ///< Unlisted only since the store was away: until then it is taken for present while it answers.
 	bool gone = false;         ///< Its life is known to be over.
 	std::map<RunId, Run> runs; ///< Invariant: every run here is in its task's record and the other way round.
 	Resources used;            ///< Sum of the runs' room.
@@ -115,6 +117,8 @@
 	Millis left_until = 0;      ///< Its host was moved or taken down: the list may show it until then.
 	Millis paced_at = 0;
 
+	/// Whether it is there for new work, as far as the list tells.
+	bool IsPresent(Millis inNow) const { return this->listed || inNow < this->trusted_until; }
 	/// What is free.
 	Resources Free() const
 	{
--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -206,6 +206,61 @@
 		EXPECT_TRUE(world.Workers().at(id).running.empty()) << id;
 }
 
+TEST(Cell, WorkersWhoseEntriesLapsedGoOnWorking)
+{
+	// The store was away longer than three heartbeats of the workers: all entries went, and come back within two seconds
+	CellWorld world(5, Trouble{}, 3);
+	world.Run(1000);
+	world.StoreBack(2000);
+	for (auto &[id, worker] : world.Workers())
+		worker.unlisted = true;
+	world.Run(500);
+	world.Submit(MakeJob("job", 1, 4, 1000, 500));
+	world.Run(400);
+	EXPECT_EQ(world.Starts(), 4u);
+	// One that is still missing then is gone
+	world.Run(1500);
+	world.Submit(MakeJob("late", 1, 4, 1000, 500));
+	world.Run(3000);
+	EXPECT_EQ(world.Starts(), 4u);
+	EXPECT_EQ(All(world.broken), "");
+}
+
+TEST(Cell, AWorkerThatLeftTheListGetsNothingNew)
+{
+	// Without an outage an entry that goes means that its worker leaves, also when it never said so
+	CellWorld world(5, Trouble{}, 2);
+	world.Run(1000);
+	WorldWorker &leaving = world.Workers().begin()->second;
+	leaving.unlisted = true;
+	world.Run(500);
+	world.Submit(MakeJob("job", 1, 8, 1000, 500));
+	world.Run(300);
+	EXPECT_TRUE(leaving.running.empty());
+	EXPECT_EQ(world.Starts(), 8u);
+}
+
+TEST(Cell, MovesLastingTasksOffAWorkerThatLeftTheList)
+{
+	// Failed first: such tasks stayed until the worker ended, and were away until its lease was over
+	CellWorld world(5, Trouble{}, 4);
+	world.Submit(LastingJob(2));
+	world.Run(3000);
+	WorldWorker *leaving = nullptr;
+	for (auto &[id, worker] : world.Workers())
+		if (!worker.running.empty())
+			leaving = &worker;
+	ASSERT_NE(leaving, nullptr);
+	leaving->unlisted = true;
+	world.Run(5000);
+	EXPECT_TRUE(leaving->running.empty());
+	size_t at_work = 0;
+	for (const auto &[id, worker] : world.Workers())
+		at_work += worker.running.size();
+	EXPECT_EQ(at_work, 2u);
+	EXPECT_EQ(All(world.broken), "");
+}
+
 TEST(Cell, StopsNothingThatLastsWhileAnotherIsOnASilentWorker)
 {
 	// Failed first (kkt-loom hunt, scale-1 seed 404415668067, AVAIL): a task on a worker that had gone dark counted as at work, as it last
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -121,7 +121,7 @@
 	std::vector<WorkerEntry> entries;
 	for (const auto &[id, worker] : this->workers)
 	{
-		if (worker.crashed)
+		if (worker.crashed || worker.unlisted)
 			continue;
 		WorkerEntry entry;
 		entry.id = id;
@@ -131,7 +131,7 @@
 		entry.capacity = worker.capacity;
 		entries.push_back(entry);
 	}
-	this->cell->SetWorkers(entries, this->now);
+	this->cell->SetWorkers(entries, this->now, this->trust_until);
 	this->workers_told_at = this->now;
 }
 
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -54,6 +54,7 @@
 	uint64 void_below = 1; ///< Ends with lower numbers were followed by a lapse of the lease: noting them binds nobody.
 	Millis cut_until = 0;
 	bool crashed = false;
+	bool unlisted = false;  ///< It lives, but the worker list does not show it.
 	Millis slow_factor = 1; ///< Its runs take this many times as long.
 };
 
@@ -70,6 +71,8 @@
 	void Run(Millis inMillis);
 	/// Ends all trouble: what is open can finish.
 	void Calm();
+	/// The store has just come back: entries that go now may only have lapsed.
+	void StoreBack(Millis inTrustMs) { this->trust_until = this->now + inTrustMs; }
 
 	/// Rules that were broken, in words.
 	std::vector<std::string> broken;
@@ -129,6 +132,7 @@
 	uint64 epoch = 0;
 	Millis owner_back_at = 0;
 	Millis workers_told_at = 0;
+	Millis trust_until = 0;
 	size_t next_worker = 0;
 	uint64 starts = 0;
 	uint64 takeovers = 0;
