Let no worker go before its ends are in the log

Cause: a worker counted as empty once its runs had ended in memory. Its ends may not be logged yet, and the worker's own list of them dies with its host's move. Change: a worker is clear only when the log holds every end that it told of; both Vacate and Demand ask that. Test: Cell.LetsNoWorkerGoBeforeItsEndsAreInTheLog, failing with the old condition.

--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -454,7 +454,7 @@
 	worker.vacate_until = std::max(worker.vacate_until, inNow + inForMs);
 	if (!worker.runs.empty())
 		this->emptying_until = worker.vacate_until;
-	return worker.runs.empty();
+	return worker.IsClear();
 }
 
 Millis Cell::ExpectRun(const CellJob &inJob, size_t inUnit) const { return this->run_times.Expect(inJob.spec, inJob.StepOf(inUnit)); }
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -117,6 +117,8 @@
 	Millis left_until = 0;      ///< Its host was moved or taken down: the list may show it until then.
 	Millis paced_at = 0;
 
+	/// Whether it may be let go: nothing is on it, and the log holds every end that it told of. Its own list of them goes with it.
+	bool IsClear() const { return this->runs.empty() && this->noted <= this->last_seen; }
 	/// Whether it is there for new work, as far as the list tells.
 	bool IsPresent(Millis inNow) const { return this->listed || inNow < this->trusted_until; }
 	/// What is free.
--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -186,6 +186,29 @@
 		EXPECT_TRUE(world.Workers().at(id).running.empty());
 }
 
+TEST(Cell, LetsNoWorkerGoBeforeItsEndsAreInTheLog)
+{
+	// Failed first (kkt-loom-grown, trouble-3, TWICE): a good end was known but not yet logged when its worker was promised empty and its host
+	// moved. The owner lost its lease; the next one found the run in the log, its worker gone, and started the task again.
+	Trouble trouble;
+	trouble.slow_log = 100;
+	CellWorld world(3, trouble, 1);
+	world.Submit(MakeJob("a", 1, 1, 1000, 300));
+	world.Run(1500);
+	const std::string id = world.Workers().begin()->first;
+	bool began = false;
+	bool let_go = false;
+	for (int i = 0; i < 200 && !let_go; ++i)
+	{
+		world.Run(20);
+		began = began || world.Starts() > 0;
+		const Millis now = 2500 + i * 20;
+		let_go = began && (world.Core().Vacate(id, 1500, now) || !world.Core().Demand("pool", 1, 1500, now, 0).spared.empty());
+		EXPECT_TRUE(!let_go || world.Shown("a").phase == EJobPhase::Completed);
+	}
+	EXPECT_TRUE(let_go);
+}
+
 TEST(Cell, SparesNoWorkerThatHasLeft)
 {
 	// Failed first (kkt-loom-grown, quiet-1): the worker list shows a worker 4.5 s after its host has moved, and those that had gone took
