Tell of slow steps and of standing still

Cause: an owner that lost its lease under load left no line that says why. Change: step_slow and stood_still, with their parts.

--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -8,6 +8,7 @@
 inline constexpr Millis cStepGapMs = 10;     ///< News that comes together is decided on together.
 inline constexpr Millis cTickMs = 50;        ///< Timers of the cell are this coarse.
 inline constexpr Millis cAppendGapMs = 35;   ///< Between two appends: each is a call that is paid for.
+inline constexpr double cSlowStepMs = 200.0; ///< A step that takes longer is told of: half of what a lease leaves between two heartbeats.
 inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
 inline constexpr Millis cInboxAgainMs = 150;
 
@@ -145,9 +146,18 @@
 		return;
 	const double began = NowMillisExact();
 	this->cell.Plan(now, WallMillis());
-	this->context.metrics.Time(ETiming::Plan, NowMillisExact() - began);
+	const double planned = NowMillisExact();
+	this->context.metrics.Time(ETiming::Plan, planned - began);
 	this->SendOrders();
+	const double sent = NowMillisExact();
 	this->Write();
+	const double written = NowMillisExact();
+	if (written - began > cSlowStepMs)
+		LogEvent(ELogLevel::Warning, "step_slow")
+			.Field("cell", this->number)
+			.Field("plan_ms", static_cast<int64>(planned - began))
+			.Field("send_ms", static_cast<int64>(sent - planned))
+			.Field("write_ms", static_cast<int64>(written - sent));
 	for (const AdviceQuestion &question : this->cell.TakeAdvice())
 		this->hub.adviser.Ask(question, this->Guard(
 											[this, question](const AdviceAnswer &inAnswer)
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -98,6 +98,7 @@
 	uint64 workers_reading = 0; ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
+	Millis tick_at = 0; ///< Of the last tick.
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	bool store_heard = true;
 	Millis store_back_at = std::numeric_limits<Millis>::min() / 2; ///< When it was last heard again after a silence.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -11,6 +11,7 @@
 inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 inline constexpr Millis cHostsClaimMs = 120;   ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
+inline constexpr Millis cStoodStillMs = 400; ///< A later tick is told of: the process was frozen, or out of processor time.
 inline constexpr Millis cEnterAgainMs = 60;   ///< A submission without an answer is appended again after this; one id stays one job.
 inline constexpr Millis cEnterMarginMs = 150; ///< Before the caller's deadline the last word is said.
 inline constexpr Millis cEnterTimeoutMs = 700;
@@ -56,6 +57,7 @@
 		.Field("owner_lease_ms", this->config.owner_lease_ms);
 	this->LoadOperator();
 	this->LoadHosts();
+	this->tick_at = NowMillis();
 	this->tick.Every(cHostTickMs, [this] { this->Tick(); });
 	return true;
 }
@@ -257,6 +259,9 @@
 void JobHost<Hub>::Tick()
 {
 	const Millis now = NowMillis();
+	if (now - this->tick_at > cStoodStillMs)
+		LogEvent(ELogLevel::Warning, "stood_still").Field("ms", now - this->tick_at).Field("cells", this->Owned());
+	this->tick_at = now;
 	for (uint32 cell : std::exchange(this->lost_seats, {}))
 	{
 		if (cell == cFleetCell)
