Plan only unsettled jobs, judge each report once, write log lines together without waiting

Cause: at 2,000 starts a second an owner on half a core ran out of processor time (stood still up to 1.4 s, lost its lease). A third of its time was planning, of which most went over jobs with nothing to start and over progress already judged, every 10 ms; each log line was a write, and a line a task; a reader that does not read would have stopped the process. Change: jobs that wait for nothing are left out until they change, a place in the order is kept 100 ms, stragglers are looked for once an answer, steps are 20 ms apart, runs planned together share a line, and lines go through a bounded buffer (LogStream) that never waits and counts what it drops.

--- a/Loomreach/Core/LogEvent.cpp
+++ b/Loomreach/Core/LogEvent.cpp
@@ -3,24 +3,65 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Core/LogStream.h>
 
-#include <cstdio>
+#include <unistd.h>
 
 #include <glog/logging.h>
 
 namespace Loomreach
 {
 
+/// Hands glog's lines to a stream, with their time and severity before them.
+class StreamSink final : public google::LogSink
+{
+public:
+	explicit StreamSink(int inDescriptor) : stream(inDescriptor) {}
+
+	void send(google::LogSeverity inSeverity, const char *, const char *, int, const google::LogMessageTime &inTime, const char *inMessage,
+			  size_t inLength) override
+	{
+		// Day and time of day with microseconds: "I20261202 15:16:18.123456 "
+		std::array<char, 32> head;
+		const std::tm &day = inTime.tm();
+		const int length =
+			std::snprintf(head.data(), head.size(), "%c%04d%02d%02d %02d:%02d:%02d.%06d ", google::GetLogSeverityName(inSeverity)[0],
+						  day.tm_year + 1900, day.tm_mon + 1, day.tm_mday, day.tm_hour, day.tm_min, day.tm_sec, inTime.usec());
+		this->line.assign(head.data(), static_cast<size_t>(std::clamp(length, 0, static_cast<int>(head.size()) - 1)));
+		this->line.append(inMessage, inLength);
+		this->stream.Write(this->line);
+		// An error may be a process's last word
+		if (inSeverity >= google::GLOG_ERROR)
+			this->stream.Flush();
+	}
+	using google::LogSink::send;
+
+	LogStream &Stream() { return this->stream; }
+
+private:
+	LogStream stream;
+	std::string line; ///< Kept for its room.
+};
+
+/// glog's severities, in the order of ELogLevel.
+static constexpr std::array cSeverities = {google::GLOG_INFO, google::GLOG_WARNING, google::GLOG_ERROR};
+
+/// The one sink of the process; empty while glog itself writes.
+static std::unique_ptr<StreamSink> &SinkOfProcess()
+{
+	static std::unique_ptr<StreamSink> sink;
+	return sink;
+}
+
 LogEvent::LogEvent(ELogLevel inLevel, std::string_view inEvent) : level(inLevel), line("event=") { this->line += inEvent; }
 
 LogEvent::~LogEvent()
 {
-	switch (this->level)
-	{
-	case ELogLevel::Info: LOG(INFO) << this->line; break;
-	case ELogLevel::Warning: LOG(WARNING) << this->line; break;
-	case ELogLevel::Error: LOG(ERROR) << this->line; break;
-	}
+	// Without a sink glog writes by itself
+	StreamSink *sink = SinkOfProcess().get();
+	const bool by_glog = sink == nullptr;
+	const google::LogSeverity severity = cSeverities[static_cast<size_t>(this->level)];
+	google::LogMessage(__FILE__, __LINE__, severity, sink, by_glog).stream() << this->line;
 }
 
 LogEvent &LogEvent::Field(std::string_view inKey, std::string_view inValue)
@@ -50,11 +91,15 @@
 void StartLogging(const char *inProgram, ELogTo inTo)
 {
 	FLAGS_logtostderr = inTo == ELogTo::StandardError;
-	FLAGS_logtostdout = inTo == ELogTo::StandardOutput;
-	// Line by line: what is still buffered is lost when the process is killed
-	if (inTo == ELogTo::StandardOutput)
-		setvbuf(stdout, nullptr, _IOLBF, 0);
 	google::InitGoogleLogging(inProgram);
+	if (inTo == ELogTo::StandardOutput)
+		SinkOfProcess() = std::make_unique<StreamSink>(STDOUT_FILENO);
+}
+
+void StopLogging()
+{
+	if (SinkOfProcess() != nullptr)
+		SinkOfProcess()->Stream().Flush();
 }
 
 } // namespace Loomreach
--- a/Loomreach/Core/LogEvent.h
+++ b/Loomreach/Core/LogEvent.h
@@ -52,7 +52,9 @@
 	StandardOutput
 };
 
-/// Starts glog for a program.
+/// Starts glog for a program. On standard output a line never waits for its reader (LogStream.h).
 void StartLogging(const char *inProgram, ELogTo inTo = ELogTo::StandardError);
+/// Writes what is still buffered, as far as it is taken.
+void StopLogging();
 
 } // namespace Loomreach
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -5,7 +5,7 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cStepGapMs = 10;     ///< News that comes together is decided on together.
+inline constexpr Millis cStepGapMs = 20;     ///< News that comes together is decided on together.
 inline constexpr Millis cTickMs = 50;        ///< Timers of the cell are this coarse.
 inline constexpr Millis cAppendGapMs = 35;   ///< Between two appends: each is a call that is paid for.
 inline constexpr double cSlowStepMs = 200.0; ///< A step that takes longer is told of: half of what a lease leaves between two heartbeats.
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -84,7 +84,10 @@
 		job.arrived_at = inNow;
 		this->InheritRuns(job, inNow);
 		if (!IsFinal(job.record.phase))
+		{
 			this->active.insert(it->first);
+			this->unsettled.insert(it->first);
+		}
 		++it;
 	}
 }
@@ -194,10 +197,17 @@
 void Cell::Touch(CellJob &ioJob)
 {
 	this->dirty.insert(ioJob.spec.id);
+	ioJob.rated_at = -1;
 	if (IsFinal(ioJob.record.phase))
+	{
 		this->active.erase(ioJob.spec.id);
+		this->unsettled.erase(ioJob.spec.id);
+	}
 	else
+	{
 		this->active.insert(ioJob.spec.id);
+		this->unsettled.insert(ioJob.spec.id);
+	}
 	this->news = true;
 }
 
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -34,14 +34,6 @@
 	size_t workers = 0;
 };
 
-/// How likely a job is to earn its credit still.
-enum class EHope : uint8
-{
-	InTime, ///< It can be done by its objective.
-	Late,   ///< It can only be late.
-	None    ///< Even three objectives are over.
-};
-
 /// A task that found no place in the planning under way: no task of the pool that asks for as much will find one.
 struct PlanReject
 {
@@ -117,7 +109,11 @@
 	void NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: decisions
+	void PlanJobs(Millis inNow, int64 inWallNow);
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	void Rate(CellJob &ioJob, Millis inNow, int64 inWallNow) const;
+	bool HasWaiting(const CellJob &inJob, int64 inWallNow) const;
+	void LogPlanned(const CellJob &inJob, size_t inUnit);
 	EHope HopeOf(const CellJob &inJob, int64 inWallNow) const;
 	int64 WorkLeft(const CellJob &inJob) const;
 	Millis ChainLeft(const CellJob &inJob) const;
@@ -170,11 +166,14 @@
 	std::shared_ptr<const Catalogue> catalogue;
 	std::map<std::string, CellJob> jobs;
 	std::set<std::string> active;    ///< Jobs whose phase is not final.
+	std::set<std::string> unsettled; ///< Of these, the ones that have something to start now, or that changed since the last planning.
 	std::set<std::string> dirty;     ///< Jobs that the log does not hold as they are.
 	std::set<std::string> in_batch;  ///< Jobs in the append under way.
 	std::vector<PlanReject> rejects; ///< Of the planning under way.
 	int64 forgot_wall_ms = 0;        ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
+	std::string planned;         ///< Runs planned for the step in hand, for the log: task, run and worker.
+	Millis planned_age = 0;      ///< How old the oldest news of their workers is.
 	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -42,6 +42,9 @@
 /// An entry that has only lapsed is back within this (the users' figure).
 static constexpr Millis cRelistMs = 2000;
 
+/// A job's place in the order is worked out anew this often, and whenever the job changes.
+static constexpr Millis cRateEveryMs = 100;
+
 /// A job's place in the order of planning.
 struct PlanPlace
 {
@@ -133,22 +136,54 @@
 		this->PlanPaces(worker, inNow);
 		this->PlanStragglers(worker, inNow);
 	}
+	this->PlanJobs(inNow, inWallNow);
+}
+
+void Cell::Rate(CellJob &ioJob, Millis inNow, int64 inWallNow) const
+{
+	// Over a whole queue this is most of a planning's work, and moves slowly
+	if (ioJob.rated_at >= 0 && inNow - ioJob.rated_at < cRateEveryMs)
+		return;
+	ioJob.rated_at = inNow;
+	ioJob.hope = this->HopeOf(ioJob, inWallNow);
+	ioJob.due_key = this->DueWall(ioJob) + this->WorkLeft(ioJob) * cKeyMsPerCoreSecond / 1000;
+}
+
+bool Cell::HasWaiting(const CellJob &inJob, int64 inWallNow) const
+{
+	for (size_t unit = 0; unit < inJob.record.steps.size(); ++unit)
+	{
+		// A time that has not come yet comes without any other change
+		if (!this->IsDue(inJob, unit, inWallNow))
+		{
+			if (inJob.spec.times > 0)
+				return true;
+			continue;
+		}
+		for (const TaskRecord &task : inJob.record.steps[unit].tasks)
+			if (!task.done && task.runs.empty())
+				return true;
+	}
+	return false;
+}
+
+void Cell::PlanJobs(Millis inNow, int64 inWallNow)
+{
 	std::vector<PlanPlace> order;
 	this->rejects.clear();
-	for (const std::string &id : this->active)
+	for (const std::string &id : this->unsettled)
 	{
 		CellJob &job = *this->FindJob(id);
-		PlanPlace place;
-		place.hope = this->HopeOf(job, inWallNow);
-		place.priority = job.spec.priority;
-		place.job = &job;
-		// When room is short, small jobs first: each earns nearly as much as a large one
-		place.key = this->DueWall(job) + this->WorkLeft(job) * cKeyMsPerCoreSecond / 1000;
-		order.push_back(place);
+		this->Rate(job, inNow, inWallNow);
+		order.push_back({job.hope, job.spec.priority, job.due_key, &job});
 	}
 	std::sort(order.begin(), order.end());
 	for (const PlanPlace &place : order)
+	{
 		this->PlanJob(*place.job, inNow, inWallNow);
+		if (!this->HasWaiting(*place.job, inWallNow))
+			this->unsettled.erase(place.job->spec.id);
+	}
 }
 
 bool Cell::IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const
@@ -174,6 +209,7 @@
 			this->PlanGang(ioJob, unit, inNow);
 		else
 			this->PlanUnit(ioJob, unit, inNow);
+		this->LogPlanned(ioJob, unit);
 	}
 }
 
@@ -353,13 +389,21 @@
 	ioWorker.used.Add(run.room);
 	ioWorker.runs.emplace(id, std::move(run));
 	this->Touch(ioJob);
-	LogEvent(ELogLevel::Info, "run_planned")
-		.Field("request", ioJob.spec.id)
-		.Field("task", TaskText(id.task))
-		.Field("run", inRun)
-		.Field("worker", ioWorker.entry.id)
-		.Field("free_cpu_milli", ioWorker.Free().cpu_milli)
-		.Field("worker_heard_ms_ago", inNow - ioWorker.last_answer_at);
+	this->planned += (this->planned.empty() ? "" : " ") + std::to_string(inTask) + "." + std::to_string(inRun) + "@" + ioWorker.entry.id;
+	this->planned_age = std::max(this->planned_age, inNow - ioWorker.last_answer_at);
+}
+
+void Cell::LogPlanned(const CellJob &inJob, size_t inUnit)
+{
+	if (this->planned.empty())
+		return;
+	const size_t steps = inJob.spec.steps.size();
+	LogEvent(ELogLevel::Info, "runs_planned")
+		.Field("request", inJob.spec.id)
+		.Field("round", inUnit / steps)
+		.Field("step", inUnit % steps)
+		.Field("runs", std::exchange(this->planned, {}))
+		.Field("oldest_news_ms", std::exchange(this->planned_age, 0));
 }
 
 void Cell::PlanLapsed(CellWorker &ioWorker, Millis inNow)
@@ -461,9 +505,10 @@
 
 void Cell::PlanStragglers(CellWorker &ioWorker, Millis inNow)
 {
-	// Only progress that was just reported counts
-	if (ioWorker.last_answer_at != inNow && inNow - ioWorker.last_answer_at > cProgressFreshMs)
+	// Only progress that was just reported counts, and each report once
+	if (ioWorker.judged_at == ioWorker.last_answer_at || inNow - ioWorker.last_answer_at > cProgressFreshMs)
 		return;
+	ioWorker.judged_at = ioWorker.last_answer_at;
 	std::vector<RunId> slow;
 	for (const auto &[id, run] : ioWorker.runs)
 	{
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -116,6 +116,7 @@
 	Millis vacate_until = 0;    ///< It is being emptied for maintenance; nothing new until then.
 	Millis left_until = 0;      ///< Its host was moved or taken down: the list may show it until then.
 	Millis paced_at = 0;
+	Millis judged_at = -1; ///< The answer whose progress was last looked through for stragglers.
 
 	/// Whether it may be let go: nothing is on it, and the log holds every end that it told of. Its own list of them goes with it.
 	bool IsClear() const { return this->runs.empty() && this->noted <= this->last_seen; }
@@ -139,6 +140,14 @@
 	std::string last_worker; ///< Where it failed last.
 };
 
+/// How likely a job is to earn its credit still.
+enum class EHope : uint8
+{
+	InTime, ///< It can be done by its objective.
+	Late,   ///< It can only be late.
+	None    ///< Even three objectives are over.
+};
+
 /// One job of the cell.
 struct CellJob
 {
@@ -150,6 +159,9 @@
 	bool spec_logged = false;
 	bool spec_writing = false;
 	Millis arrived_at = 0;
+	Millis rated_at = -1; ///< When hope and due_key were worked out; -1: the job has changed since.
+	EHope hope = EHope::InTime;
+	int64 due_key = 0;                   ///< When it is due, later for larger jobs: small ones go first where room is short.
 	std::map<size_t, StepAdvice> advice; ///< By number of a step's record; queues with a policy only.
 
 	/// Number of a step's record.
--- a/Loomreachd/Main.cpp
+++ b/Loomreachd/Main.cpp
@@ -100,13 +100,17 @@
 	std::signal(SIGPIPE, SIG_IGN);
 	Jobs::JobHost<Jobs::Platform::PlatformHub> host(std::move(*config));
 	if (!host.Start())
+	{
+		StopLogging();
 		return PrintError();
+	}
 	JobProgram program{&host, g_main_loop_new(nullptr, FALSE), false};
 	g_unix_signal_add(SIGTERM, &OnJobSignal, &program);
 	g_unix_signal_add(SIGINT, &OnJobSignal, &program);
 	g_unix_signal_add(SIGHUP, &OnJobReload, &program);
 	g_main_loop_run(program.loop);
 	g_main_loop_unref(program.loop);
+	StopLogging();
 	return 0;
 }
 
