Look at a worker at most every 120 ms

Cause: at the peak a busy owner made about as many looks as starts; each is a call. Change: 120 ms instead of 70 between two looks.

--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -15,7 +15,7 @@
 	Millis most_lease_ms = 10000; ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
 	Millis hold_wait_ms = 1500;   ///< A hold's answer waits this long for an end; well under the lease.
 	Millis watch_wait_ms = 500;   ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
-	Millis hold_gap_ms = 70;    ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
+	Millis hold_gap_ms = 120;   ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
 	Millis retry_hold_ms = 400; ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
 	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
