Add a soak of real processes under random faults

Cause: properties play a cell in a made-up world and test_jobs.sh plays one fault after another; nothing played real processes under overlapping faults. Change: loomreach-proxy between an entry host and the stand-in (delay, reset, one way, silence), Scripts/soak_jobs.sh SEED: signals (kill, freeze, planned stop, restart), ways to the store, the store's own faults, silent workers, at once, while jobs come in; then everything accepted must end, what was refused as not taken must be unknown, no rule and no invariant broken.

--- /dev/null
+++ b/Scripts/soak_jobs.sh
@@ -0,0 +1,152 @@
+#!/usr/bin/env bash
+# A randomised soak of real processes: three entry hosts, each behind its own proxy to the platform's stand-in. The seed decides what goes wrong:
+# a host's way to the store is delayed, cut, silent or open one way; processes are killed, frozen, stopped and started again; the store turns
+# all away, is silent or loses answers; workers fall silent; several at once. Jobs go on coming in. Then calm: everything accepted must end,
+# no rule may have been broken (the stand-in's workers judge), and no invariant.
+# Usage: soak_jobs.sh BUILD SEED [SECONDS]. The seed repeats the order of faults, not the processes' timing.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BUILD=$1
+SEED=$2
+LENGTH=${3:-25}
+RANDOM=$SEED
+DIR=$(mktemp -d)
+declare -A PIDS
+
+finish() {
+	local pid
+	for pid in "${PIDS[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -9 "$pid" 2>/dev/null; done
+	rm -rf "$DIR"
+}
+trap finish EXIT
+
+within() {
+	local end=$((SECONDS + $1)); shift
+	until "$@"; do [ $SECONDS -lt $end ] || return 1; sleep 0.2; done
+}
+
+base() { echo $((PORT + 40 + $1 * 10)); }
+start_entry() {
+	local base
+	base=$(base "$1")
+	cat >"$DIR/e$1.toml" <<TOML
+name = "entry-$1"
+availability_zone = "z"
+callers = "127.0.0.1:$base"
+ready = "127.0.0.1:$((base + 1))"
+peers = "127.0.0.1:$((base + 2))"
+metrics_port = $((base + 3))
+store = "127.0.0.1:$((base + 4))"
+machines = "127.0.0.1:$((PORT + 1))"
+maintenance_s = 0.8
+TOML
+	LOOM_JOBS="$DIR/e$1.toml" "$BUILD/loomreachd" --jobs_config_env=LOOM_JOBS >>"$DIR/e$1.log" 2>&1 &
+	PIDS[e$1]=$!
+}
+start_proxy() {
+	local base
+	base=$(base "$1")
+	"$BUILD/loomreach-proxy" --port=$((base + 4)) --to=$PORT >>"$DIR/proxy.log" 2>&1 &
+	PIDS[p$1]=$!
+}
+way() { echo -n "$2" >"/dev/udp/127.0.0.1/$(($(base "$1") + 5))"; }
+report() { curl -s --max-time 5 "$CONTROL/report"; }
+fault() { curl -s --max-time 5 -X PUT "$CONTROL/fault/$1" >/dev/null; }
+call() { curl -s --max-time 5 -H 'Host: jobs.example' "$@"; }
+
+# Ports below the range from which the system takes callers' own; another block if something listens there.
+start_platform() {
+	PORT=$((10000 + (($$ + $1 * 37) % 200) * 100))
+	CONTROL="http://127.0.0.1:$((PORT + 2))"
+	"$BUILD/loomreach-platform" --port=$PORT >"$DIR/platform.log" 2>&1 &
+	PIDS[platform]=$!
+	answers() { report >/dev/null || ! kill -0 "${PIDS[platform]}" 2>/dev/null; }
+	within 30 answers
+	kill -0 "${PIDS[platform]}" 2>/dev/null && return
+	cat "$DIR/platform.log"
+	return 1
+}
+start_platform 1 || start_platform 2 || start_platform 3 || { echo "stand-in did not start"; exit 1; }
+for number in 1 2 3; do start_proxy $number; done
+for number in 1 2 3; do start_entry $number; done
+curl -s -X PUT "$CONTROL/operator/config" -d '{"version":3,"routes":[
+ {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":4,"stretch":1.6,"targetLatencyMs":600}],
+ "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 "http://127.0.0.1:$(($(base "$1") + 1))/ready")" = 200 ]; }
+all_ready() { ready 1 && ready 2 && ready 3; }
+within 30 all_ready || { echo "seed $SEED: entry hosts did not become ready"; exit 1; }
+
+# submit ID ENTRY: a job; notes what the caller was told.
+submit() {
+	local status
+	status=$(call -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(base "$2")/fast/$1" \
+		-d "{\"spec\":\"ms=$3 cpu=1000\",\"steps\":[{\"count\":$4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300}]}")
+	echo "$1 $status" >>"$DIR/told"
+}
+
+# One fault of the seed's choice on entry host $1, ended by itself; they overlap.
+strike() {
+	local number=$1 kind=$2 length=$3 pid
+	case $kind in
+	0) way "$number" delay; sleep "$length"; way "$number" pass ;;
+	1) way "$number" reset; sleep "$length"; way "$number" pass ;;
+	2) way "$number" silent; sleep "$length"; way "$number" pass ;;
+	3) way "$number" oneway; sleep "$length"; way "$number" pass ;;
+	4) fault busy; sleep "$length"; fault none ;;
+	5) fault lost; sleep "$length"; fault none ;;
+	6) fault silent; sleep "$length"; fault none ;;
+	7) curl -s -X PUT "$CONTROL/dark/m$number" >/dev/null; sleep "$length"; curl -s -X PUT "$CONTROL/light/m$number" >/dev/null ;;
+	8) pid=${PIDS[e$number]}; kill -STOP "$pid" 2>/dev/null; sleep "$length"; kill -CONT "$pid" 2>/dev/null ;;
+	esac
+}
+
+ID=0
+END=$((SECONDS + LENGTH))
+STRIKES=()
+while [ $SECONDS -lt $END ]; do
+	number=$((RANDOM % 3 + 1))
+	kind=$((RANDOM % 11))
+	length=$((RANDOM % 4)).$((RANDOM % 10))
+	case $kind in
+	9) kill -9 "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number ;;
+	10) kill -TERM "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number ;;
+	*) strike $number $kind $length & STRIKES+=($!) ;;
+	esac
+	for _ in 1 2 3; do
+		ID=$((ID + 1))
+		submit "$(printf '%016x' $ID)" $((RANDOM % 3 + 1)) $((RANDOM % 800 + 50)) $((RANDOM % 4 + 1)) & STRIKES+=($!)
+		sleep 0.3
+	done
+done
+wait "${STRIKES[@]}"
+
+# Calm
+fault none
+for number in 1 2 3; do
+	way $number pass
+	curl -s -X PUT "$CONTROL/light/m$number" >/dev/null
+	kill -CONT "${PIDS[e$number]}" 2>/dev/null
+	kill -0 "${PIDS[e$number]}" 2>/dev/null || start_entry $number
+done
+FAILED=0
+fail() { FAILED=1; echo "seed $SEED: $*"; }
+within 40 all_ready || fail "entry hosts are not ready again"
+is_over() { call "http://127.0.0.1:$(base 1)/fast/$1" | grep -q completed; }
+ACCEPTED=0
+while read -r id status; do
+	[ "$status" = 200 ] || continue
+	ACCEPTED=$((ACCEPTED + 1))
+	within 60 is_over "$id" || fail "job $id was accepted and did not complete: $(call "http://127.0.0.1:$(base 1)/fast/$id")"
+done <"$DIR/told"
+# A refusal that says "not taken" must be true
+while read -r id status; do
+	[ "$status" = 503 ] || [ "$status" = 429 ] || continue
+	[ "$(call -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(base 1)/fast/$id")" = 410 ] || fail "job $id was refused with $status and is known"
+done <"$DIR/told"
+report | grep -q '"broken":\[\]' || fail "broken: $(report)"
+for number in 1 2 3; do
+	curl -s --max-time 5 "http://127.0.0.1:$(($(base $number) + 3))/metrics" | grep -q 'loomreach_broken_invariants 0' || fail "an invariant on entry host $number"
+done
+[ $FAILED = 0 ] || { mkdir -p /tmp/loomreach-soak; cp -r "$DIR" "/tmp/loomreach-soak/seed-$SEED"; echo "logs kept in /tmp/loomreach-soak/seed-$SEED"; }
+echo "seed $SEED: $ACCEPTED of $ID jobs accepted, $([ $FAILED = 0 ] && echo passed || echo failed)"
+exit $FAILED
