Count a host's own cells at once when it claims

Cause: a host's load was what its last read heartbeat told. Heartbeats are now read half a second after they are sent, so a host claimed a second cell meanwhile while others as large had none; there is no moving of cells afterwards. Change: ToClaim takes what the host owns or claims now; what an earlier process of it owned no longer counts against it. Test: OwnerTable.AHostKnowsItsOwnCellsBeforeItsHeartbeatTellsOfThem, failing before.

--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -198,7 +198,7 @@
 	// A lease of one's own comes first
 	if (!this->lease.MayAct(now))
 		return;
-	for (uint32 cell : this->owners.ToClaim(cells, now))
+	for (uint32 cell : this->owners.ToClaim(cells, now, this->Owned()))
 	{
 		this->owners.PutOff(cell, now);
 		if (cell == cFleetCell)
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -156,13 +156,13 @@
 	return beaten >= claim.epoch || told_later || inNow - seen->second.at > this->tuning.lease_ms;
 }
 
-std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow)
+std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn)
 {
 	// Cells of each host that is at work, and what free cells would add to it
 	std::map<std::string, uint64> load;
 	for (const auto &[name, heard] : this->hosts)
 		if (heard.beat.claims && this->IsAtWork(heard, inNow))
-			load[name] = heard.beat.cells.size();
+			load[name] = name == this->self ? inOwn : heard.beat.cells.size();
 	std::vector<uint32> wanted;
 	for (uint32 cell : inCells)
 	{
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -117,7 +117,8 @@
 	bool IsFree(uint32 inCell, Millis inNow) const;
 	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
 	/// with the fewest cells for their size first. The first claims at once, each next one a little later.
-	std::vector<uint32> ToClaim(const std::set<uint32> &inCells, Millis inNow);
+	/// `inOwn`: cells that this host owns or is claiming now; its own heartbeat in the log may not tell of them yet.
+	std::vector<uint32> ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn = 0);
 	/// Waits anew for a cell, after a claim was lost.
 	void PutOff(uint32 inCell, Millis inNow) { this->free_since[inCell] = inNow; }
 
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -217,11 +217,27 @@
 		table->OnBeat(Beat("large", 1, {{1, 1}}, 500), 1000);
 	}
 	EXPECT_TRUE(small.ToClaim({7}, 1000).empty());
-	EXPECT_EQ(large.ToClaim({7}, 1000), std::vector<uint32>{7});
+	EXPECT_EQ(large.ToClaim({7}, 1000, 1), std::vector<uint32>{7});
 	// The first does nothing: the next one does, a little later
 	EXPECT_EQ(small.ToClaim({7}, 1000 + tuning.rank_ms), std::vector<uint32>{7});
 }
 
+TEST(OwnerTable, AHostKnowsItsOwnCellsBeforeItsHeartbeatTellsOfThem)
+{
+	// Failed first (msafiri-loom-grown, quiet-1): heartbeats are read half a second after they are sent; a host claimed a second cell
+	// meanwhile, while others as large had none, and ran out of processor time for the rest of the day
+	OwnerTable table("me", LeaseTuning{});
+	table.OnBeat(Beat("me", 1, {}), 1000);
+	table.OnBeat(Beat("other", 1, {}), 1000);
+	EXPECT_TRUE(table.ToClaim({7}, 1000, 1).empty());
+	// What an earlier process of this host owned does not count against it
+	HostBeat earlier = Beat("me", 9, {{1, 1}, {2, 1}});
+	earlier.life = 77;
+	table.OnBeat(earlier, 1100);
+	table.OnBeat(Beat("other", 2, {{3, 1}}), 1100);
+	EXPECT_EQ(table.ToClaim({8}, 1100, 0), std::vector<uint32>{8});
+}
+
 TEST(OwnLease, EndsBeforeAnyChallengersWait)
 {
 	LeaseTuning tuning;
