--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -7,6 +7,7 @@
 
 #include <glib-unix.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace Loomreach
@@ -42,7 +43,7 @@
 	static_cast<void>(started);
 }
 
-HttpClient::HttpClient(int inPerHost) : alive(std::make_shared<bool>(true))
+HttpClient::HttpClient(int inPerHost, EClose inClose) : close_by(inClose), alive(std::make_shared<bool>(true))
 {
 	StartCurl();
 	this->multi = curl_multi_init();
@@ -123,6 +124,13 @@
 	this->Finish();
 }
 
+int HttpClient::OnSocketMade(void *, curl_socket_t inSocket, curlsocktype)
+{
+	const linger at_once{1, 0};
+	setsockopt(inSocket, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+	return CURL_SOCKOPT_OK;
+}
+
 int HttpClient::OnBeforeSend(void *inPending, char *, char *, int, int)
 {
 	Pending *pending = static_cast<Pending *>(inPending);
@@ -227,6 +235,8 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, &ioPending);
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &HttpClient::OnBeforeSend);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, &ioPending);
+	if (this->close_by == EClose::Discard)
+		curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, &HttpClient::OnSocketMade);
 	// libcurl repeats by itself on a kept connection that turns out closed, which only repeatable calls may risk
 	if (!inCall.repeatable && inCall.method != "GET")
 		curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, 1L);
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -46,8 +46,15 @@
 public:
 	using Callback = std::function<void(HttpResult)>;
 
+	/// What happens to bytes of a call that was given up and that the network still holds.
+	enum class EClose : uint8
+	{
+		Deliver, ///< They may arrive whenever a cut heals.
+		Discard  ///< They are lost: the connection is reset.
+	};
+
 	/// `inPerHost`: connections to one address at once, at most; further calls wait.
-	explicit HttpClient(int inPerHost = 16);
+	explicit HttpClient(int inPerHost = 16, EClose inClose = EClose::Deliver);
 	~HttpClient();
 	HttpClient(const HttpClient &) = delete;
 	HttpClient &operator=(const HttpClient &) = delete;
@@ -61,6 +68,7 @@
 	struct Pending;
 	static int OnSocket(CURL *inEasy, curl_socket_t inSocket, int inWhat, void *inSelf, void *inKnown);
 	static int OnTimer(CURLM *inMulti, long inMillis, void *inSelf);
+	static int OnSocketMade(void *, curl_socket_t inSocket, curlsocktype);
 	static int OnBeforeSend(void *inPending, char *, char *, int, int);
 	static size_t OnBody(char *inData, size_t inSize, size_t inCount, void *inPending);
 	static gboolean OnReadable(gint inDescriptor, GIOCondition inCondition, gpointer inSelf);
@@ -69,6 +77,7 @@
 	void SetUp(Pending &ioPending, const HttpCall &inCall);
 	HttpResult ResultOf(Pending &ioPending, CURLcode inCode);
 
+	EClose close_by;
 	CURLM *multi = nullptr;
 	int epoll = -1; ///< All sockets of this client.
 	guint epoll_source = 0;
