Take a claim whose process was succeeded on its own host for void

A claim in a cell's log names a process by a random number; whoever had read its host's newer heartbeat before the claim could not tell which came first and waited a whole lease. Change: claims name the start of the process, as heartbeats do; a later start's heartbeat ends them at once.

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -20,7 +20,7 @@
 	Metrics &metrics;
 	OwnLease &lease;
 	OwnerTable &owners;
-	uint64 life = 0;
+	HostProcess process;
 };
 
 /// A worker's agent as a seat needs it.
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -28,7 +28,7 @@
 template <class Hub>
 CellSeat<Hub>::CellSeat(Hub &inHub, const SeatContext &inContext, uint32 inCell)
 	: hub(inHub), context(inContext), number(inCell),
-	  log(inHub.store, CellLog(inCell, static_cast<uint32>(inContext.config.log_parts)), inContext.config.name, inContext.life),
+	  log(inHub.store, CellLog(inCell, static_cast<uint32>(inContext.config.log_parts)), inContext.process),
 	  cell(TuningOf(inContext.config))
 {
 }
@@ -42,7 +42,7 @@
 		[this](const ClaimRecord &inSeen)
 		{
 			const Millis now = NowMillis();
-			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
+			if (inSeen.epoch != 0 && inSeen.by.life != this->context.process.life)
 				this->context.owners.OnClaimSeen(this->number, inSeen, now);
 			return this->context.lease.MayAct(now) && this->context.owners.IsFree(this->number, now);
 		},
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -29,7 +29,7 @@
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
 	: hub(inHub), context(inContext), ask(std::move(inAsk)),
-	  log(inHub.store, CellLog(cFleetCell, 1), inContext.config.name, inContext.life),
+	  log(inHub.store, CellLog(cFleetCell, 1), inContext.process),
 	  planner(UpkeepTuning{inContext.config.maintenance_ms}), balancer(BalanceOf(inContext.config))
 {
 }
@@ -43,7 +43,7 @@
 		[this](const ClaimRecord &inSeen)
 		{
 			const Millis now = NowMillis();
-			if (inSeen.epoch != 0 && inSeen.life != this->context.life)
+			if (inSeen.epoch != 0 && inSeen.by.life != this->context.process.life)
 				this->context.owners.OnClaimSeen(cFleetCell, inSeen, now);
 			return this->context.lease.MayAct(now) && this->context.owners.IsFree(cFleetCell, now);
 		},
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -211,7 +211,7 @@
 template <class Hub>
 void JobHost<Hub>::ClaimCell(uint32 inCell)
 {
-	const SeatContext context{this->config, this->metrics, this->lease, this->owners, this->life};
+	const SeatContext context{this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}};
 	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, context, inCell);
 	seat->SetCatalogue(this->catalogue);
 	CellSeat<Hub> *claimed = seat.get();
@@ -230,7 +230,7 @@
 template <class Hub>
 void JobHost<Hub>::ClaimFleet()
 {
-	const SeatContext context{this->config, this->metrics, this->lease, this->owners, this->life};
+	const SeatContext context{this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}};
 	this->fleet = std::make_unique<FleetSeat<Hub>>(this->hub, context,
 												   [this](const std::string &inPool, PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
 												   {
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -37,7 +37,7 @@
 	/// Told of the claim found in the log before ours; says whether to go on.
 	using Judge = std::function<bool(const ClaimRecord &)>;
 
-	OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife);
+	OwnedLog(Log &inLog, LogName inName, HostProcess inProcess);
 
 	/// Reads the log and claims it. `inBeatNumber`: of the host's newest heartbeat.
 	void Claim(uint64 inBeatNumber, const Judge &inJudge, const OnClaimed &inDone);
@@ -56,8 +56,7 @@
 
 	Log &log;
 	LogName name;
-	std::string host;
-	uint64 life;
+	HostProcess process; ///< This one.
 	uint64 beat_number = 0;
 	Judge judge;
 	OnClaimed on_claimed;
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -11,8 +11,8 @@
 inline constexpr Millis cAppendTimeoutMs = 700; ///< The store's slow answers take 240 ms; a lost one costs this.
 
 template <JobLog Log>
-OwnedLog<Log>::OwnedLog(Log &inLog, LogName inName, std::string inHost, uint64 inLife)
-	: log(inLog), name(std::move(inName)), host(std::move(inHost)), life(inLife)
+OwnedLog<Log>::OwnedLog(Log &inLog, LogName inName, HostProcess inProcess)
+	: log(inLog), name(std::move(inName)), process(std::move(inProcess))
 {
 }
 
@@ -80,7 +80,7 @@
 void OwnedLog<Log>::TryClaim()
 {
 	// Our own claim is in the log
-	if (this->epoch != 0 && this->seen.life == this->life && this->seen.epoch == this->epoch)
+	if (this->epoch != 0 && this->seen.by.life == this->process.life && this->seen.epoch == this->epoch)
 	{
 		this->number = 1;
 		const OnClaimed done = std::move(this->on_claimed);
@@ -92,7 +92,7 @@
 	AppendCall call;
 	call.log = this->name;
 	call.keyed = true;
-	call.records.push_back({std::string(cClaimKey), EncodeValue(ClaimRecord{this->host, this->life, this->epoch, this->beat_number}), 0});
+	call.records.push_back({std::string(cClaimKey), EncodeValue(ClaimRecord{this->process, this->epoch, this->beat_number}), 0});
 	call.at = this->end;
 	call.producer = Producer{"owner", this->epoch, 0};
 	call.timeout_ms = cAppendTimeoutMs;
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -144,16 +144,29 @@
 			if (name != this->self && inNow - heard.at <= this->tuning.lease_ms)
 				return false;
 		}
-	// A claim that no heartbeat has told of may be a moment old
 	auto seen = this->claims.find(inCell);
-	if (seen == this->claims.end() || seen->second.claim.host == this->self)
-		return true;
-	const ClaimRecord &claim = seen->second.claim;
-	auto claimer = this->hosts.find(claim.host);
-	const bool told_later =
-		claimer != this->hosts.end() &&
-		(claimer->second.beat.life != claim.life ? claimer->second.at > seen->second.at : claimer->second.beat.number > claim.beat_number);
-	return beaten >= claim.epoch || told_later || inNow - seen->second.at > this->tuning.lease_ms;
+	return seen == this->claims.end() || !this->MayStand(seen->second, beaten, inNow);
+}
+
+bool OwnerTable::MayStand(const ClaimSeen &inSeen, uint64 inToldEpoch, Millis inNow) const
+{
+	const ClaimRecord &claim = inSeen.claim;
+	// Whoever told of it holds it by its heartbeats alone
+	if (claim.by.host == this->self || inToldEpoch >= claim.epoch)
+		return false;
+	auto found = this->hosts.find(claim.by.host);
+	if (found != this->hosts.end())
+	{
+		const HostBeat &newest = found->second.beat;
+		// A later process of the host is at work: the claimer has ended
+		if (newest.start > claim.by.start)
+			return false;
+		// Sent after the claim, and without the cell: it was given back
+		if (newest.life == claim.by.life && newest.number > claim.beat_number)
+			return false;
+	}
+	// A claim that no heartbeat has told of may be a moment old
+	return inNow - inSeen.at <= this->tuning.lease_ms;
 }
 
 std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -60,11 +60,24 @@
 	}
 };
 
+/// One process of an entry host.
+struct HostProcess
+{
+	std::string host;
+	uint64 life = 0;  ///< As in its heartbeats.
+	uint64 start = 0; ///< Likewise. A heartbeat of a later start of the host tells that this process has ended.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->host, this->life, this->start);
+	}
+};
+
 /// The record of a claim in a cell's own log.
 struct ClaimRecord
 {
-	std::string host;
-	uint64 life = 0;
+	HostProcess by;
 	uint64 epoch = 0;
 	uint64 beat_number =
 		0; ///< Of the host's newest heartbeat when it began to claim: every later one tells of the cell, until it is given back.
@@ -72,7 +85,7 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->host, this->life, this->epoch, this->beat_number);
+		ioArchive(this->by, this->epoch, this->beat_number);
 	}
 };
 
@@ -129,15 +142,17 @@
 		HostBeat beat;
 		Millis at = 0;
 	};
-	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
-	/// Whether this host is among the first that would take over a cell.
-	bool IsHeir(Millis inNow) const;
 	/// A claim and when it was first read.
 	struct ClaimSeen
 	{
 		ClaimRecord claim;
 		Millis at = 0;
 	};
+	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
+	/// Whether this host is among the first that would take over a cell.
+	bool IsHeir(Millis inNow) const;
+	/// Whether a claim may still be acted on. `inToldEpoch`: the highest epoch of the cell that any heartbeat has told of.
+	bool MayStand(const ClaimSeen &inSeen, uint64 inToldEpoch, Millis inNow) const;
 
 	std::string self;
 	LeaseTuning tuning;
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -20,7 +20,7 @@
 /// One claimant and what came of its claim.
 struct Claimant
 {
-	Claimant(FakeLog &ioLog, const std::string &inHost, uint64 inLife) : log(ioLog, cName, inHost, inLife) {}
+	Claimant(FakeLog &ioLog, const std::string &inHost, uint64 inLife) : log(ioLog, cName, HostProcess{inHost, inLife, 1}) {}
 
 	void Claim(uint64 inMostEpoch = 100)
 	{
@@ -157,7 +157,7 @@
 {
 	LeaseTuning tuning;
 	OwnerTable table("me", tuning);
-	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
+	table.OnClaimSeen(7, {{"other", HashBytes("other"), 1}, 4, 5}, 1000);
 	EXPECT_FALSE(table.IsFree(7, 1500));
 	EXPECT_TRUE(table.IsFree(7, 1001 + tuning.lease_ms));
 }
@@ -168,7 +168,7 @@
 	// next heartbeat, because a heartbeat from before the claim was read after it
 	LeaseTuning tuning;
 	OwnerTable table("me", tuning);
-	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
+	table.OnClaimSeen(7, {{"other", HashBytes("other"), 1}, 4, 5}, 1000);
 	table.OnBeat(Beat("other", 5, {}), 1100);
 	EXPECT_FALSE(table.IsFree(7, 1200));
 	// The next one was sent after the claim: without the cell in it, the claim was given back
@@ -176,12 +176,32 @@
 	EXPECT_TRUE(table.IsFree(7, 1300));
 }
 
+TEST(OwnerTable, AClaimOfAProcessThatWasSucceededHoldsNothing)
+{
+	// Failed first (parkline-addis, trouble-3): after all processes were killed at once, the fleet's claim of an ended process held for a
+	// whole lease in the eyes of whoever had read its successor's heartbeat before the claim; nobody moved hosts for 2.3 s
+	LeaseTuning tuning;
+	OwnerTable table("me", tuning);
+	HostBeat successor = Beat("other", 1, {});
+	successor.life = 77;
+	successor.start = 2;
+	table.OnBeat(successor, 1000);
+	table.OnClaimSeen(7, {{"other", HashBytes("other"), 1}, 4, 5}, 1100);
+	EXPECT_TRUE(table.IsFree(7, 1100));
+	// The successor's own claim stands
+	table.OnClaimSeen(7, {{"other", 77, 2}, 5, 1}, 1200);
+	EXPECT_FALSE(table.IsFree(7, 1200));
+	// And so does a claim of a process later than any that was heard of
+	table.OnClaimSeen(7, {{"other", 78, 3}, 6, 1}, 1300);
+	EXPECT_FALSE(table.IsFree(7, 1300));
+}
+
 TEST(OwnerTable, ACellThatIsBeingClaimedIsNotFree)
 {
 	// Failed first: on msafiri-loom trouble-1 at 4.7 s a heartbeat sent while a claim was under way did not tell of it, so the cell looked
 	// given back as soon as the claim was read, and a second host claimed it
 	OwnerTable table("me", LeaseTuning{});
-	table.OnClaimSeen(7, {"other", HashBytes("other"), 4, 5}, 1000);
+	table.OnClaimSeen(7, {{"other", HashBytes("other"), 1}, 4, 5}, 1000);
 	table.OnBeat(Beat("other", 6, {{7, 4, false}}), 1100);
 	EXPECT_FALSE(table.IsFree(7, 1200));
 	EXPECT_FALSE(table.OwnerOf(7, 1200).has_value());
