--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -246,7 +246,8 @@
 		this->cell.NoteLeft(inQuestion.left, now);
 		answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis());
 		break;
-	case EQuestion::Enter: break; // The host's own matter: any host may enter a record
+	case EQuestion::Enter: // The host's own matters: any host may enter a record
+	case EQuestion::Reach: break;
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
 	}
 	return answer;
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -28,8 +28,7 @@
 
 template <class Hub>
 FleetSeat<Hub>::FleetSeat(Hub &inHub, const SeatContext &inContext, AskOwner inAsk)
-	: hub(inHub), context(inContext), ask(std::move(inAsk)),
-	  log(inHub.store, CellLog(cFleetCell, 1), inContext.process),
+	: hub(inHub), context(inContext), ask(std::move(inAsk)), log(inHub.store, CellLog(cFleetCell, 1), inContext.process),
 	  planner(UpkeepTuning{inContext.config.maintenance_ms}), balancer(BalanceOf(inContext.config))
 {
 }
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <Loomreach/Entry/FleetSeat.h>
+#include <Loomreach/Entry/HelperSearch.h>
 #include <Loomreach/Entry/InboxWriter.h>
 #include <Loomreach/Entry/JobCalls.h>
+#include <Loomreach/Entry/StoreWatch.h>
 
 namespace Loomreach::Jobs
 {
@@ -78,7 +80,11 @@
 	/// Whether the store is slow to take what this host appends to a cell's inbox, and another host could do it better.
 	bool IsSlowFor(uint32 inCell);
 	void EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper);
+	/// Hosts that may put a record into a cell's inbox for this one, the best first.
+	std::vector<Address> HelpersFor(uint32 inCell) const;
 	void EnterAgainOrRefuse(const std::shared_ptr<Entering> &inEntering);
+	/// Asks other hosts whether they reach the store.
+	void SearchHelpers(Millis inNow);
 	void OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply);
 	void Answer(const JobReply &inReply, JobOutcome inOutcome);
 	void AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone);
@@ -114,6 +120,8 @@
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	Millis store_read_ms = 0;   ///< How long it took to.
 	bool store_heard = true;
+	StoreWatch store_watch;                                        ///< Of calls that are answered at once.
+	HelperSearch helper_search;                                    ///< While the store is late.
 	Millis store_back_at = std::numeric_limits<Millis>::min() / 2; ///< When it was last heard again after a silence.
 	bool stopping = false;
 	Millis stop_at = 0;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -26,6 +26,7 @@
 	200; ///< An append is never given up sooner: a caller with little time left is better answered late than in doubt.
 inline constexpr Millis cAskTimeoutMs = 700;
 inline constexpr size_t cMostHelpers = 2;      ///< Hosts asked to put a record into an inbox for this one.
+inline constexpr Millis cReachMs = 200;        ///< A host that does not say within this that it reaches the store is no helper.
 inline constexpr Millis cHelperMs = 500;       ///< Each of them has this long,
 inline constexpr Millis cHelperSlowMs = 1200;  ///< and this long while the store is slow: its own call takes half a second.
 inline constexpr Millis cStoreSilentMs = 1800; ///< Without an answer of the store for this long, callers are sent elsewhere.
@@ -125,6 +126,7 @@
 	auto round = std::make_shared<HostsRound>();
 	round->open = this->HostParts();
 	const Millis sent_at = NowMillis();
+	this->store_watch.OnSent(sent_at);
 	for (uint32 part = 0; part < this->HostParts(); ++part)
 		this->hub.store.Read(HostsLog(part), true, this->hosts_next[part], 0,
 							 [this, round, part, sent_at](const ReadAnswer &inAnswer)
@@ -134,6 +136,7 @@
 								 round->gone = round->gone || inAnswer.result == ERead::Gone;
 								 if (inAnswer.result == ERead::Done)
 								 {
+									 this->store_watch.OnAnswered(sent_at, NowMillis());
 									 this->OnHostRecords(inAnswer.records);
 									 this->hosts_next[part] = inAnswer.next;
 								 }
@@ -293,6 +296,7 @@
 	call.timeout_ms = cBeatTimeoutMs;
 	this->beat_sent_at = sent_at;
 	++this->beats_under_way;
+	this->store_watch.OnSent(sent_at);
 	this->hub.store.Append(call, [this, sent_at](const AppendAnswer &inAnswer) { this->OnBeatAnswer(inAnswer, sent_at); });
 }
 
@@ -313,6 +317,7 @@
 		this->beat_shift += this->Owned() > 0 || took < cSlowStoreMs ? 1 : 0;
 		return;
 	}
+	this->store_watch.OnAnswered(inSentAt, now);
 	const bool kept = this->lease.OnAcknowledged(inSentAt, now);
 	if (!kept && this->Owned() > 0)
 		this->DropSeats("heartbeat acknowledged too late");
@@ -354,10 +359,26 @@
 			this->store_back_at = now;
 		LogEvent(ELogLevel::Warning, heard ? "store_back" : "store_silent").Field("heard_ms_ago", now - this->store_heard_at);
 	}
+	this->SearchHelpers(now);
 	if (this->stopping)
 		this->FinishStop();
 }
 
+template <class Hub>
+void JobHost<Hub>::SearchHelpers(Millis inNow)
+{
+	if (!this->store_watch.IsLate(inNow))
+		return;
+	for (const Address &host : this->helper_search.ToAsk(this->owners.Helpers(cFleetCell), inNow))
+	{
+		PeerQuestion question;
+		question.kind = EQuestion::Reach;
+		this->peers.Ask(host, std::move(question), cReachMs,
+						[this, host](const std::optional<PeerAnswer> &inAnswer)
+						{ this->helper_search.OnAnswer(host, inAnswer.has_value() && inAnswer->reaches, NowMillis()); });
+	}
+}
+
 // ---- Stop ----
 
 template <class Hub>
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -73,11 +73,12 @@
 		inEntering->tried = true;
 		return this->EnterByHelper(inEntering, 0);
 	}
-	// A store that has been silent to this host for long is not waited for again; once no helper has helped, it is
-	if (!this->store_heard && !std::exchange(inEntering->helped, true))
-		return this->EnterByHelper(inEntering, 0);
-	inEntering->tried = true;
 	const Millis sent_at = NowMillis();
+	inEntering->tried = true;
+	// What is sent into a silent store ends in doubt; another host may reach it, and if none does, the caller is told at once
+	if (this->store_watch.IsSilent(sent_at))
+		return this->EnterByHelper(inEntering, 0);
+	this->store_watch.OnSent(sent_at);
 	const Millis time_left = std::clamp<Millis>(inEntering->give_up_at - sent_at, cEnterLeastMs, cEnterTimeoutMs);
 	InboxWriter<decltype(Hub::store)> &writer = this->WriterOf(inEntering->cell);
 	std::string record = EncodeValue(inEntering->record);
@@ -107,6 +108,7 @@
 	if (inAnswer.result == EAppend::Done)
 	{
 		this->store_heard_at = NowMillis();
+		this->store_watch.OnAnswered(inSentAt, this->store_heard_at);
 		const bool is_cancel = inEntering->record.kind == EInbox::Cancel;
 		LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
 			.Field("request", inEntering->record.spec.id)
@@ -124,10 +126,17 @@
 	this->EnterByHelper(inEntering, 0);
 }
 
+template <class Hub>
+std::vector<Address> JobHost<Hub>::HelpersFor(uint32 inCell) const
+{
+	const Millis now = NowMillis();
+	return this->store_watch.IsSilent(now) ? this->helper_search.Known(now) : this->owners.Helpers(inCell);
+}
+
 template <class Hub>
 void JobHost<Hub>::EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper)
 {
-	const std::vector<Address> helpers = this->owners.Helpers(inEntering->cell);
+	const std::vector<Address> helpers = this->HelpersFor(inEntering->cell);
 	const Millis left = inEntering->give_up_at - NowMillis();
 	const bool slow = this->IsSlowFor(inEntering->cell);
 	const Millis patience = slow ? cHelperSlowMs : cHelperMs;
@@ -160,9 +169,12 @@
 void JobHost<Hub>::EnterAgainOrRefuse(const std::shared_ptr<Entering> &inEntering)
 {
 	const bool is_cancel = inEntering->record.kind == EInbox::Cancel;
+	const Millis now = NowMillis();
+	// Nobody who reaches the store is known: the caller finds another way sooner than this host does
+	const bool hopeless = this->store_watch.IsSilent(now) && this->helper_search.Known(now).empty();
 	// What may have been appended is appended again: the id makes it one job, and only then is the answer known
-	const bool time_left = NowMillis() + cEnterAgainMs < inEntering->give_up_at;
-	if ((inEntering->in_doubt || is_cancel) && time_left)
+	const bool time_left = now + cEnterAgainMs < inEntering->give_up_at;
+	if ((inEntering->in_doubt || is_cancel) && time_left && !hopeless)
 	{
 		return After(cEnterAgainMs, [this, inEntering] { this->Enter(inEntering); });
 	}
@@ -172,7 +184,9 @@
 		.Field("request", inEntering->record.spec.id)
 		.Field("queue", inEntering->record.spec.queue)
 		.Field("outcome", AnswerOf(outcome.error).name)
-		.Field("store_heard_ms_ago", NowMillis() - this->store_heard_at);
+		.Field("store_heard_ms_ago", now - this->store_heard_at)
+		.Field("store_silent", this->store_watch.IsSilent(now) ? 1 : 0)
+		.Field("helpers", this->helper_search.Known(now).size());
 	this->Answer(inEntering->reply, outcome);
 }
 
@@ -181,8 +195,8 @@
 {
 	if (inQuestion.kind != EQuestion::Enter)
 		return inReply(this->AnswerPeer(inQuestion));
-	// Only what decodes is passed on
-	if (!DecodeValue<InboxRecord>(inQuestion.record).has_value())
+	// Only what decodes is passed on, and only to a store that answers
+	if (!DecodeValue<InboxRecord>(inQuestion.record).has_value() || this->store_watch.IsSilent(NowMillis()))
 	{
 		PeerAnswer refusal;
 		refusal.not_entered = true;
@@ -229,6 +243,7 @@
 	PeerAnswer answer;
 	if (seat != this->seats.end())
 		answer = seat->second->Answer(inQuestion);
+	answer.reaches = !this->stopping && !this->store_watch.IsSilent(NowMillis());
 	const std::optional<CellOwner> owner = this->owners.OwnerOf(inQuestion.cell, NowMillis());
 	if (!answer.owner && owner.has_value() && owner->host != this->config.name)
 		answer.owner_address = owner->address;
@@ -283,7 +298,7 @@
 template <class Hub>
 bool JobHost<Hub>::IsReady()
 {
-	return this->catalogue != nullptr && !this->stopping && this->store_heard;
+	return this->catalogue != nullptr && !this->stopping && !this->store_watch.IsSilent(NowMillis());
 }
 
 template <class Hub>
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -18,7 +18,8 @@
 	Count,  ///< Jobs of a queue that have not begun.
 	Empty,  ///< Empty a worker for maintenance; is it empty?
 	Demand, ///< What does a pool need, and which workers can it spare?
-	Enter   ///< Put a record into a cell's inbox: the store turns the asking host away.
+	Enter,  ///< Put a record into a cell's inbox: the store turns the asking host away.
+	Reach   ///< Does the store answer the host that is asked?
 };
 
 /// A question. Every field that the kind does not need is empty.
@@ -49,6 +50,7 @@
 	Address owner_address;    ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
 	bool entered = false;     ///< Counts always: the record is in the inbox.
 	bool not_entered = false; ///< Counts always: it certainly is not.
+	bool reaches = false;     ///< Counts always: the store answers the host that answers.
 	bool sure = false;        ///< Whether the owner has read its inbox up to a moment ago.
 	bool known = false;
 	EJobPhase phase = EJobPhase::Queued;
@@ -59,8 +61,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->sure, this->known, this->phase,
-				  this->waiting, this->empty, this->demand);
+		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->reaches, this->sure, this->known,
+				  this->phase, this->waiting, this->empty, this->demand);
 	}
 };
 
--- /dev/null
+++ b/UnitTests/HelperSearchTests.cpp
@@ -0,0 +1,54 @@
+// Which hosts are asked for help, and which are known to give it.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Entry/HelperSearch.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+const Address cA{"10.0.0.1", 1};
+const Address cB{"10.0.0.2", 1};
+const Address cC{"10.0.0.3", 1};
+const Address cD{"10.0.0.4", 1};
+const Address cE{"10.0.0.5", 1};
+
+} // namespace
+
+TEST(HelperSearch, AsksEveryHostInItsTurn)
+{
+	HelperSearch search;
+	EXPECT_TRUE(search.ToAsk({}, 0).empty());
+	EXPECT_EQ(search.ToAsk({cA, cB, cC, cD, cE}, 1000), (std::vector<Address>{cA, cB, cC}));
+	EXPECT_TRUE(search.ToAsk({cA, cB, cC, cD, cE}, 1100).empty());
+	EXPECT_EQ(search.ToAsk({cA, cB, cC, cD, cE}, 1300), (std::vector<Address>{cD, cE, cA}));
+	// Each once, also when there are few
+	EXPECT_EQ(search.ToAsk({cA, cB}, 1600).size(), 2u);
+}
+
+TEST(HelperSearch, KnowsWhoReachedTheStoreAMomentAgo)
+{
+	HelperSearch search;
+	search.OnAnswer(cB, true, 1000);
+	search.OnAnswer(cA, true, 1100);
+	search.OnAnswer(cC, false, 1100);
+	EXPECT_EQ(search.Known(1200), (std::vector<Address>{cA, cB}));
+	// A host that lost the store itself helps no longer; nor does one that was not heard of
+	search.OnAnswer(cA, false, 1300);
+	EXPECT_EQ(search.Known(1300), std::vector<Address>{cB});
+	EXPECT_TRUE(search.Known(2000).empty());
+}
+
+TEST(HelperSearch, AsksKnownHelpersEveryTime)
+{
+	HelperSearch search;
+	search.OnAnswer(cE, true, 900);
+	EXPECT_EQ(search.ToAsk({cA, cB, cC, cD, cE}, 1000), (std::vector<Address>{cE, cA, cB, cC}));
+}
+
+} // namespace Loomreach::Jobs
