Expect run times from callers' estimates as far as they prove true, and a step's time from its longest task

Callers' estimates do tell something (correlation of the logarithms 0.5 to 0.7), tasks of one step are alike (they differ by 0.24 of their mean, steps by 0.45), steps of one job are not (0.0). Workers are judged against the larger of both expectations: judged by quick neighbours alone two good workers of a test counted as slow (Cell.AStragglerIsStartedElsewhere).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -95,6 +95,7 @@
 void Cell::InheritRuns(CellJob &ioJob, Millis inNow)
 {
 	ioJob.memory.resize(ioJob.record.steps.size());
+	ioJob.seen.resize(ioJob.record.steps.size());
 	for (size_t unit = 0; unit < ioJob.record.steps.size(); ++unit)
 	{
 		const StepSpec &step = ioJob.StepOf(unit);
@@ -212,6 +213,15 @@
 	this->news = true;
 }
 
+/// The caller's guesses of the steps' run times, for the log.
+static std::string EstimatesText(const JobSpec &inSpec)
+{
+	std::string text;
+	for (const StepSpec &step : inSpec.steps)
+		text += (text.empty() ? "" : ",") + std::to_string(step.estimate_ms);
+	return text;
+}
+
 void Cell::Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow)
 {
 	// Reading goes on where the log says, so a record may come twice
@@ -242,6 +252,7 @@
 	job.spec = inRecord.spec;
 	job.record = NewRecord(job.spec);
 	job.memory.resize(job.record.steps.size());
+	job.seen.resize(job.record.steps.size());
 	for (size_t unit = 0; unit < job.memory.size(); ++unit)
 		job.memory[unit].resize(job.record.steps[unit].tasks.size());
 	job.arrived_at = inNow;
@@ -255,6 +266,8 @@
 		.Field("tasks", job.spec.steps[0].count)
 		.Field("cpu_milli", job.spec.steps[0].need.cpu_milli)
 		.Field("memory_mb", job.spec.steps[0].need.memory_mb)
+		.Field("estimates_ms", EstimatesText(job.spec))
+		.Field("due_ms", this->DueWall(job) - job.spec.accepted_wall_ms)
 		.Field("lasting", job.spec.steps[0].lasting ? 1 : 0)
 		.Field("fills", job.spec.steps.back().fills ? 1 : 0)
 		.Field("target_ms", job.spec.steps[0].target_ms)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -117,6 +117,8 @@
 	EHope HopeOf(const CellJob &inJob, int64 inWallNow) const;
 	int64 WorkLeft(const CellJob &inJob) const;
 	Millis ChainLeft(const CellJob &inJob) const;
+	/// What the longest task of a step takes or took, as far as can be told.
+	Millis StepSpan(const CellJob &inJob, size_t inUnit) const;
 	int64 DueWall(const CellJob &inJob) const;
 	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
 	void PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow);
@@ -126,7 +128,10 @@
 	void PlanLapsed(CellWorker &ioWorker, Millis inNow);
 	void PlanPaces(CellWorker &ioWorker, Millis inNow);
 	void PlanStragglers(CellWorker &ioWorker, Millis inNow);
+	/// What a task of a step is likely to take.
 	Millis ExpectRun(const CellJob &inJob, size_t inUnit) const;
+	/// What a worker may take for it without being called slow: quick neighbours alone don't make one slow.
+	Millis UsualRun(const CellJob &inJob, size_t inUnit) const;
 	bool MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const;
 	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
 	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
@@ -146,6 +151,8 @@
 	void OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
 	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
 	void NoteProgress(CellWorker &ioWorker, const RunId &inRun, const Run &inProgress, Millis inNow);
+	/// A task's whole run was seen.
+	void LearnRun(CellWorker &ioWorker, CellJob &ioJob, const TaskId &inTask, Millis inTook, Millis inNow);
 	void NoteSpeed(CellWorker &ioWorker, double inRatio, double inShare, Millis inNow);
 	void OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow);
 	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy,
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -20,6 +20,8 @@
 static constexpr double cProgressShare = 0.1;
 static constexpr Millis cJudgeAfterMs = 300;
 
+static constexpr uint32 cTasksForSpread = 3; ///< Fewer tasks say little of how far those of a step differ.
+
 /// How long after our sending a lease of `inLeaseMs` on a worker's clock may last on ours.
 static Millis LongestLease(Millis inLeaseMs) { return inLeaseMs * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs; }
 
@@ -66,6 +68,7 @@
 		order.payload = job->spec.payload;
 		const TaskRecord *task = this->FindTask(id.task);
 		order.checkpoint = task->checkpoint;
+		run.resumed = !task->checkpoint.empty();
 		order.ticket = run.ticket;
 		order.until_ms = worker.ClockAt(inNow) + this->tuning.lease_ms;
 		worker.lease_over_at = std::max(worker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
@@ -386,12 +389,8 @@
 	if (inEnd == ERunEnd::Done)
 	{
 		ioWorker.failures_in_row = 0;
-		if (run.confirmed_at >= 0)
-		{
-			const double expected = static_cast<double>(this->run_times.Expect(job->spec, job->spec.steps[inRun.task.step]));
-			this->NoteSpeed(ioWorker, static_cast<double>(inNow - run.confirmed_at) / expected, cEndShare, inNow);
-			this->run_times.Learn(job->spec, job->spec.steps[inRun.task.step], inNow - run.confirmed_at);
-		}
+		if (run.confirmed_at >= 0 && !run.resumed)
+			this->LearnRun(ioWorker, *job, inRun.task, inNow - run.confirmed_at, inNow);
 	}
 	if (run.lasting && inEnd == ERunEnd::Failed)
 		memory.not_before = inNow + this->tuning.fail_pause_ms;
@@ -420,6 +419,18 @@
 	}
 }
 
+void Cell::LearnRun(CellWorker &ioWorker, CellJob &ioJob, const TaskId &inTask, Millis inTook, Millis inNow)
+{
+	const size_t unit = ioJob.Unit(inTask.round, inTask.step);
+	const auto expected = static_cast<double>(this->UsualRun(ioJob, unit));
+	this->NoteSpeed(ioWorker, static_cast<double>(inTook) / expected, cEndShare, inNow);
+	this->run_times.Learn(ioJob.spec, ioJob.StepOf(unit), inTook);
+	StepSeen &seen = ioJob.seen[unit];
+	seen.Add(inTook);
+	if (seen.Count() == ioJob.record.steps[unit].tasks.size() && seen.Count() >= cTasksForSpread)
+		this->run_times.LearnSpread(ioJob.spec, seen.Spread());
+}
+
 void Cell::NoteSpeed(CellWorker &ioWorker, double inRatio, double inShare, Millis inNow)
 {
 	ioWorker.slowness += inShare * (std::min(inRatio, cMostRatio) - ioWorker.slowness);
@@ -437,7 +448,7 @@
 	const bool counts = !inProgress.lasting && inProgress.confirmed_at >= 0 && job != nullptr;
 	if (!counts)
 		return;
-	const Millis expected = this->ExpectRun(*job, job->Unit(inRun.task.round, inRun.task.step));
+	const Millis expected = this->UsualRun(*job, job->Unit(inRun.task.round, inRun.task.step));
 	const Millis elapsed = inNow - inProgress.confirmed_at;
 	// Early on, progress says nothing
 	if (elapsed < std::max(expected, cJudgeAfterMs))
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -21,6 +21,8 @@
 static constexpr double cNeighbourWeight = 2.0; ///< For each serving neighbour of a task that serves or fills.
 /// A job that ends later than this many times its objective earns nothing (the users' rule).
 static constexpr int64 cObjectivesLate = 3;
+/// Weight of a task's run time against what was expected of its step: tasks of a step differ by a quarter of their mean, steps by half.
+static constexpr Millis cSeenWeight = 3;
 /// Each second of a core that a job still needs puts it this much later in the order.
 static constexpr int64 cKeyMsPerCoreSecond = 30;
 static constexpr double cFreeShareWeight = 1.0;
@@ -85,7 +87,7 @@
 		int64 left = 0;
 		for (const TaskRecord &task : inJob.record.steps[unit].tasks)
 			left += task.done ? 0 : 1;
-		work += left * step.need.cpu_milli * this->run_times.Expect(inJob.spec, step) / 1000;
+		work += left * step.need.cpu_milli * this->ExpectRun(inJob, unit) / 1000;
 	}
 	return work;
 }
@@ -103,7 +105,7 @@
 		bool open = false;
 		for (const TaskRecord &task : inJob.record.steps[i].tasks)
 			open = open || !task.done;
-		ends[i] = begin + (open ? this->run_times.Expect(inJob.spec, inJob.spec.steps[i]) : 0);
+		ends[i] = begin + (open ? this->StepSpan(inJob, i) : 0);
 		longest = std::max(longest, ends[i]);
 	}
 	return longest;
@@ -122,7 +124,7 @@
 		Millis begin = 0;
 		for (uint32 before : inJob.spec.steps[i].after)
 			begin = std::max(begin, ends[before]);
-		ends[i] = begin + this->run_times.Expect(inJob.spec, inJob.spec.steps[i]);
+		ends[i] = begin + this->StepSpan(inJob, i);
 		longest = std::max(longest, ends[i]);
 	}
 	return from + inJob.spec.target_ms + static_cast<int64>(static_cast<double>(longest) * inJob.spec.stretch);
@@ -509,7 +511,30 @@
 	return worker.IsClear();
 }
 
-Millis Cell::ExpectRun(const CellJob &inJob, size_t inUnit) const { return this->run_times.Expect(inJob.spec, inJob.StepOf(inUnit)); }
+Millis Cell::ExpectRun(const CellJob &inJob, size_t inUnit) const
+{
+	const Millis before = this->run_times.Expect(inJob.spec, inJob.StepOf(inUnit));
+	const StepSeen &seen = inJob.seen[inUnit];
+	if (seen.Count() == 0)
+		return before;
+	// Tasks of one step are alike: each that has ended tells more than all that was known before
+	const Millis weight = cSeenWeight * static_cast<Millis>(seen.Count());
+	return (before + weight * seen.Mean()) / (1 + weight);
+}
+
+Millis Cell::UsualRun(const CellJob &inJob, size_t inUnit) const
+{
+	return std::max(this->ExpectRun(inJob, inUnit), this->run_times.Expect(inJob.spec, inJob.StepOf(inUnit)));
+}
+
+Millis Cell::StepSpan(const CellJob &inJob, size_t inUnit) const
+{
+	const size_t tasks = inJob.record.steps[inUnit].tasks.size();
+	const StepSeen &seen = inJob.seen[inUnit];
+	if (seen.Count() == tasks)
+		return seen.Longest();
+	return std::max(seen.Longest(), this->run_times.Longest(inJob.spec, this->ExpectRun(inJob, inUnit), tasks));
+}
 
 void Cell::PlanStragglers(CellWorker &ioWorker, Millis inNow)
 {
@@ -525,7 +550,7 @@
 			run.state == ERunState::Confirmed && !run.lasting && run.percent >= 0 && run.confirmed_at >= 0 && job != nullptr;
 		if (!candidate || job->spec.steps[id.task.step].gang)
 			continue;
-		const Millis expected = this->ExpectRun(*job, job->Unit(id.task.round, id.task.step));
+		const Millis expected = this->UsualRun(*job, job->Unit(id.task.round, id.task.step));
 		const Millis elapsed = run.progress_at - run.confirmed_at;
 		if (elapsed < expected * cStragglerTimes || elapsed < cStragglerLeastMs)
 			continue;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Loomreach/Schedule/Advice.h>
+#include <Loomreach/Schedule/StepSeen.h>
 #include <Loomreach/Schedule/Worker.h>
 
 namespace Loomreach::Jobs
@@ -74,6 +75,7 @@
 	bool serves = false; ///< Lasting and with a target.
 	bool fills = false;
 	bool lasting = false;
+	bool resumed = false;      ///< Begun from a checkpoint: its time tells nothing of a whole run's.
 	bool inherited = false;    ///< Found in the log at take-over: a predecessor may have ordered it to stop.
 	Millis since = 0;          ///< When it came into its state.
 	Millis confirmed_at = -1;  ///< When the worker was known to have it.
@@ -156,6 +158,7 @@
 	JobSpec spec;
 	JobRecord record;
 	std::vector<std::vector<TaskMemory>> memory; ///< As record.steps.
+	std::vector<StepSeen> seen;                  ///< Likewise.
 	EJobPhase shown = EJobPhase::Queued;         ///< The phase that the log holds: what callers are told.
 	EJobPhase writing = EJobPhase::Queued;       ///< The phase in the append under way.
 	bool spec_logged = false;
