--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -119,6 +119,8 @@
 	Millis ChainLeft(const CellJob &inJob) const;
 	/// What the longest task of a step takes or took, as far as can be told.
 	Millis StepSpan(const CellJob &inJob, size_t inUnit) const;
+	/// How long a step takes from now if what waits of it starts now; 0: it is done.
+	Millis StepLeft(const CellJob &inJob, size_t inUnit) const;
 	int64 DueWall(const CellJob &inJob) const;
 	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
 	void PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow);
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -60,6 +60,7 @@
 
 PoolDemand Cell::Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow)
 {
+	this->now = inNow;
 	PoolDemand demand;
 	std::deque<std::pair<Millis, Resources>> &seen = this->needs[inPool];
 	Resources in_time;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -21,6 +21,8 @@
 static constexpr double cNeighbourWeight = 2.0; ///< For each serving neighbour of a task that serves or fills.
 /// A job that ends later than this many times its objective earns nothing (the users' rule).
 static constexpr int64 cObjectivesLate = 3;
+/// A step whose time should be over has this part of it left.
+static constexpr Millis cLeastLeft = 5;
 /// Weight of a task's run time against what was expected of its step: tasks of a step differ by a quarter of their mean, steps by half.
 static constexpr Millis cSeenWeight = 3;
 /// Each second of a core that a job still needs puts it this much later in the order.
@@ -102,10 +104,7 @@
 		Millis begin = 0;
 		for (uint32 before : inJob.spec.steps[i].after)
 			begin = std::max(begin, ends[before]);
-		bool open = false;
-		for (const TaskRecord &task : inJob.record.steps[i].tasks)
-			open = open || !task.done;
-		ends[i] = begin + (open ? this->StepSpan(inJob, i) : 0);
+		ends[i] = begin + this->StepLeft(inJob, i);
 		longest = std::max(longest, ends[i]);
 	}
 	return longest;
@@ -389,6 +388,7 @@
 	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time");
 	if (ioJob.spec.advised)
 		run.ticket = ioJob.advice[inUnit].tickets[ioWorker.entry.id].text;
+	ioJob.seen[inUnit].NotePlanned(inNow);
 	task.last_run = inRun;
 	task.runs.push_back({inRun, ioWorker.entry.id});
 	ioWorker.used.Add(run.room);
@@ -536,6 +536,25 @@
 	return std::max(seen.Longest(), this->run_times.Longest(inJob.spec, this->ExpectRun(inJob, inUnit), tasks));
 }
 
+Millis Cell::StepLeft(const CellJob &inJob, size_t inUnit) const
+{
+	bool open = false;
+	bool waits = false;
+	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+	{
+		open = open || !task.done;
+		waits = waits || (!task.done && task.runs.empty());
+	}
+	if (!open)
+		return 0;
+	const Millis span = this->StepSpan(inJob, inUnit);
+	const Millis planned_at = inJob.seen[inUnit].PlannedAt();
+	if (waits || planned_at < 0)
+		return span;
+	// All of it is under way; what takes longer than expected is not known to be nearly done
+	return std::max(span - (this->now - planned_at), span / cLeastLeft);
+}
+
 void Cell::PlanStragglers(CellWorker &ioWorker, Millis inNow)
 {
 	// Only progress that was just reported counts, and each report once
--- a/Loomreach/Schedule/StepSeen.h
+++ b/Loomreach/Schedule/StepSeen.h
@@ -11,6 +11,10 @@
 class StepSeen
 {
 public:
+	/// A run of a task was planned.
+	void NotePlanned(Millis inNow) { this->planned_at = inNow; }
+	/// When the last run was planned; -1: none was, or by an earlier owner.
+	Millis PlannedAt() const { return this->planned_at; }
 	/// A task's whole run took this long.
 	void Add(Millis inTook);
 	/// Tasks whose whole run was seen.
@@ -26,6 +30,7 @@
 	double sum = 0.0;
 	double sum_of_squares = 0.0;
 	Millis longest = 0;
+	Millis planned_at = -1;
 };
 
 } // namespace Loomreach::Jobs
