--- a/Loomreach/Fleet/PoolBalancer.cpp
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -8,6 +8,9 @@
 namespace Loomreach::Jobs
 {
 
+/// Sizes are told of at most this often: needs are heard five times a second.
+static constexpr Millis cLogSizesMs = 500;
+
 void PoolBalancer::SetHosts(const std::vector<HostEntry> &inHosts, const std::set<std::string> &inBusy, Millis inNow)
 {
 	this->hosts.clear();
@@ -35,10 +38,9 @@
 	return pool != this->pools.end() && pool->second.spare;
 }
 
-std::map<std::string, int64> PoolBalancer::Deficits(ECount inCount, Millis inNow) const
+std::map<std::string, PoolBalancer::PoolSize> PoolBalancer::Sizes(ECount inCount, Millis inNow) const
 {
 	std::map<std::string, int64> has;
-	std::map<std::string, Resources> room;
 	Resources total;
 	int64 hosts_up = 0;
 	for (const auto &[name, host] : this->hosts)
@@ -51,7 +53,7 @@
 		total.Add(host.capacity);
 		++hosts_up;
 	}
-	std::map<std::string, int64> deficits;
+	std::map<std::string, PoolSize> sizes;
 	for (const auto &[pool, known] : this->known)
 	{
 		if (inNow - known.asked_at > this->tuning.fresh_ms || this->IsSpare(pool) || !this->pools.contains(pool) || hosts_up == 0)
@@ -67,11 +69,40 @@
 			need.Add(known.demand.late);
 		int64 wanted = std::max(by(need.cpu_milli, total.cpu_milli), by(need.memory_mb, total.memory_mb));
 		wanted = std::max<int64>(wanted, known.demand.least_hosts) + this->tuning.margin;
-		deficits[pool] = wanted - has[pool];
+		sizes[pool] = {has[pool], wanted};
 	}
+	return sizes;
+}
+
+std::map<std::string, int64> PoolBalancer::Deficits(ECount inCount, Millis inNow) const
+{
+	std::map<std::string, int64> deficits;
+	for (const auto &[pool, size] : this->Sizes(inCount, inNow))
+		deficits[pool] = size.wanted - size.has;
 	return deficits;
 }
 
+void PoolBalancer::LogSizes(Millis inNow)
+{
+	if (inNow - this->logged_at < cLogSizesMs)
+		return;
+	this->logged_at = inNow;
+	const std::map<std::string, PoolSize> late = this->Sizes(ECount::All, inNow);
+	for (const auto &[pool, size] : this->Sizes(ECount::InTime, inNow))
+	{
+		if (this->logged[pool] == size)
+			continue;
+		this->logged[pool] = size;
+		LogEvent(ELogLevel::Info, "pool_sized")
+			.Field("pool", pool)
+			.Field("hosts", size.has)
+			.Field("wanted", size.wanted)
+			.Field("wanted_with_late", late.at(pool).wanted)
+			.Field("least", this->known.at(pool).demand.least_hosts)
+			.Field("asked_ms_ago", inNow - this->known.at(pool).asked_at);
+	}
+}
+
 std::vector<std::pair<std::string, uint32>> PoolBalancer::ToAsk(Millis inNow) const
 {
 	std::vector<std::pair<std::string, uint32>> ask;
@@ -172,6 +203,7 @@
 std::vector<HostDuty> PoolBalancer::TakeMoves(Millis inNow)
 {
 	std::vector<HostDuty> duties;
+	this->LogSizes(inNow);
 	std::map<std::string, int64> in_time = this->Deficits(ECount::InTime, inNow);
 	this->FillDeficits(in_time, inNow, duties);
 	std::map<std::string, int64> all = this->Deficits(ECount::All, inNow);
--- a/Loomreach/Fleet/PoolBalancer.h
+++ b/Loomreach/Fleet/PoolBalancer.h
@@ -61,8 +61,20 @@
 		InTime, ///< Jobs that can be in time.
 		All     ///< Late ones as well.
 	};
+	/// Hosts of a pool that can take its work, and how many it should have.
+	struct PoolSize
+	{
+		int64 has = 0;
+		int64 wanted = 0;
+
+		bool operator==(const PoolSize &) const = default;
+	};
+	/// Of pools whose need is known.
+	std::map<std::string, PoolSize> Sizes(ECount inCount, Millis inNow) const;
 	/// Hosts too few (above 0) or too many (below 0) by pool, of pools whose need is known.
 	std::map<std::string, int64> Deficits(ECount inCount, Millis inNow) const;
+	/// Tells of sizes that have changed, for whoever asks later why hosts moved.
+	void LogSizes(Millis inNow);
 	void FillDeficits(std::map<std::string, int64> &ioDeficits, Millis inNow, std::vector<HostDuty> &outDuties);
 	void Order(const HostEntry &inHost, const std::string &inTo, Millis inNow, std::vector<HostDuty> &outDuties);
 	bool IsSpare(const std::string &inPool) const;
@@ -76,6 +88,8 @@
 	std::set<std::string> busy;
 	std::map<std::string, Known> known;
 	std::map<std::string, Move> moves;
+	std::map<std::string, PoolSize> logged; ///< As last told of.
+	Millis logged_at = 0;
 	std::set<std::pair<std::string, std::string>> impossible; ///< Kind of host and pool that do not go together.
 };
 
