Remove the heartbeats of hosts that are gone; let none with a lower epoch hold a cell

Change: a heartbeat with an epoch below the highest known holds nothing; the fleet's owner removes the heartbeats of hosts silent for 12 s, unless the store was away meanwhile. A claim's own record still protects a host that comes back just then.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -78,6 +78,8 @@
 	void ClaimCell(uint32 inCell);
 	void ClaimFleet();
 	void DropSeats(std::string_view inWhy);
+	/// Removes the heartbeats of hosts that are gone: whoever starts anew would take them for news, and wait for their leases.
+	void SweepHosts(Millis inNow);
 	void Tick();
 	size_t Owned() const;
 	// Callers
@@ -123,6 +125,8 @@
 	uint64 workers_reading = 0;  ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
+	Millis started_at = 0;
+	Millis swept_at = 0;        ///< When hosts that are gone were last looked for.
 	Millis tick_at = 0;         ///< Of the last tick.
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	Millis store_read_ms = 0;   ///< How long it took to.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -15,6 +15,8 @@
 inline constexpr Millis cBeatLeastPatienceMs = 500; ///< Another heartbeat leaves this long after one without an answer,
 inline constexpr double cBeatPatience = 2.0;        ///< or after this many times the time that answers take.
 inline constexpr uint32 cMostBeats = 3;             ///< So many under way at once.
+inline constexpr Millis cSweepEveryMs = 2000;       ///< Hosts that are gone are looked for this often,
+inline constexpr Millis cHostGoneMs = 12000;        ///< and are gone after this: six leases, and longer than the users' cuts of a zone.
 inline constexpr Millis cTellAgainMs = 60;          ///< What must not be lost with a datagram is told twice.
 inline constexpr double cBeatAnswerShare = 0.4;     ///< Weight of a sooner answer in the time that answers take.
 inline constexpr Millis cHostsClaimMs = 120;        ///< While a cell seems free.
@@ -69,7 +71,8 @@
 		.Field("owner_lease_ms", this->config.owner_lease_ms);
 	this->LoadOperator();
 	this->LoadHosts();
-	this->tick_at = NowMillis();
+	this->started_at = NowMillis();
+	this->tick_at = this->started_at;
 	this->tick.Every(cHostTickMs, [this] { this->Tick(); });
 	return true;
 }
@@ -398,10 +401,38 @@
 		LogEvent(ELogLevel::Warning, heard ? "store_back" : "store_silent").Field("heard_ms_ago", now - this->store_heard_at);
 	}
 	this->SearchHelpers(now);
+	if (this->fleet != nullptr && now - this->swept_at >= cSweepEveryMs)
+		this->SweepHosts(now);
 	if (this->stopping)
 		this->FinishStop();
 }
 
+template <class Hub>
+void JobHost<Hub>::SweepHosts(Millis inNow)
+{
+	this->swept_at = inNow;
+	// While the store was away nobody could be heard of
+	const bool sure = this->fleet->IsHeld() && this->lease.MayAct(inNow) && this->store_heard &&
+					  inNow - std::max(this->store_back_at, this->started_at) > cHostGoneMs;
+	if (!sure)
+		return;
+	for (const std::string &host : this->owners.SilentFor(cHostGoneMs, inNow))
+	{
+		LogEvent(ELogLevel::Info, "host_gone").Field("host", host).Field("silent_for_ms_at_least", cHostGoneMs);
+		this->owners.Forget(host);
+		for (uint32 part = 0; part < this->HostParts(); ++part)
+		{
+			AppendCall call;
+			call.log = HostsLog(part);
+			call.keyed = true;
+			call.records.push_back({host, "", 0});
+			call.timeout_ms = cBeatTimeoutMs;
+			// What fails is done again by the next owner that starts, or does no harm
+			this->hub.store.Append(call, [](const AppendAnswer &) {});
+		}
+	}
+}
+
 template <class Hub>
 void JobHost<Hub>::SearchHelpers(Millis inNow)
 {
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -100,6 +100,15 @@
 	return inNow - inHeard.at <= std::max(this->tuning.lease_ms, 3 * inHeard.beat.every_ms);
 }
 
+std::vector<std::string> OwnerTable::SilentFor(Millis inMillis, Millis inNow) const
+{
+	std::vector<std::string> silent;
+	for (const auto &[name, heard] : this->hosts)
+		if (name != this->self && inNow - heard.at > inMillis)
+			silent.push_back(name);
+	return silent;
+}
+
 size_t OwnerTable::HostsAtWork(Millis inNow) const
 {
 	size_t count = 0;
@@ -139,22 +148,31 @@
 	return std::max(this->tuning.read_least_ms, static_cast<Millis>(this->HostsAtWork(inNow)) * this->tuning.read_each_ms);
 }
 
+uint64 OwnerTable::ToldEpoch(uint32 inCell) const
+{
+	uint64 told = 0;
+	for (const auto &[name, heard] : this->hosts)
+		for (const OwnedCell &cell : heard.beat.cells)
+			if (cell.cell == inCell && cell.held)
+				told = std::max(told, cell.epoch);
+	return told;
+}
+
 bool OwnerTable::IsFree(uint32 inCell, Millis inNow) const
 {
-	uint64 beaten = 0;
+	const uint64 told = this->ToldEpoch(inCell);
+	auto seen = this->claims.find(inCell);
+	const uint64 newest = std::max(told, seen == this->claims.end() ? 0 : seen->second.claim.epoch);
 	for (const auto &[name, heard] : this->hosts)
 		for (const OwnedCell &cell : heard.beat.cells)
 		{
-			if (cell.cell != inCell)
-				continue;
-			if (cell.held)
-				beaten = std::max(beaten, cell.epoch);
+			// Whoever claimed after it had waited for its lease. One without an epoch yet is only about to claim
+			const bool superseded = cell.epoch != 0 && cell.epoch < newest;
 			// An earlier life of this very host is over
-			if (name != this->self && inNow - heard.at <= this->tuning.lease_ms)
+			if (cell.cell == inCell && !superseded && name != this->self && inNow - heard.at <= this->tuning.lease_ms)
 				return false;
 		}
-	auto seen = this->claims.find(inCell);
-	return seen == this->claims.end() || !this->MayStand(seen->second, beaten, inNow);
+	return seen == this->claims.end() || !this->MayStand(seen->second, told, inNow);
 }
 
 bool OwnerTable::MayStand(const ClaimSeen &inSeen, uint64 inToldEpoch, Millis inNow) const
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -117,6 +117,10 @@
 	std::vector<Address> Helpers(uint32 inCell) const;
 	/// Addresses of all other hosts that were ever heard of.
 	std::vector<Address> Others() const;
+	/// Other hosts that have not been heard of for so long.
+	std::vector<std::string> SilentFor(Millis inMillis, Millis inNow) const;
+	/// A host's heartbeats have been removed from the log: it counts as never heard of until the next.
+	void Forget(const std::string &inHost) { this->hosts.erase(inHost); }
 	/// Hosts that are at work as far as is known, this one included.
 	size_t HostsAtWork(Millis inNow) const;
 	/// How many starts of a host's processes have told of themselves.
@@ -153,7 +157,9 @@
 	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
 	/// Whether this host is among the first that would take over a cell.
 	bool IsHeir(Millis inNow) const;
-	/// Whether a claim may still be acted on. `inToldEpoch`: the highest epoch of the cell that any heartbeat has told of.
+	/// The highest epoch of a cell that any heartbeat has told of.
+	uint64 ToldEpoch(uint32 inCell) const;
+	/// Whether a claim may still be acted on. `inToldEpoch`: see ToldEpoch.
 	bool MayStand(const ClaimSeen &inSeen, uint64 inToldEpoch, Millis inNow) const;
 
 	std::string self;
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -212,6 +212,35 @@
 	EXPECT_TRUE(table.IsFree(7, 5100));
 }
 
+TEST(OwnerTable, AHeartbeatWithALowerEpochHoldsNothing)
+{
+	// Failed first (parkline-addis, trouble-3): after all processes were killed, the last heartbeat of a host that had been removed 38 s
+	// before was read as if it were new; its cell, owned by two others since, had no owner for two seconds more
+	OwnerTable table("me", LeaseTuning{});
+	table.OnBeat(Beat("removed", 9, {{7, 1}}), 1000);
+	table.OnBeat(Beat("other", 5, {{7, 3}}), 1000);
+	// The later owner has let go
+	table.OnBeat(Beat("other", 6, {}), 1100);
+	EXPECT_FALSE(table.IsFree(7, 1100));
+	table.OnClaimSeen(7, {{"other", HashBytes("other"), 0}, 3, 4}, 1100);
+	EXPECT_TRUE(table.IsFree(7, 1100));
+	// Whoever is only about to claim has no epoch yet
+	table.OnBeat(Beat("third", 1, {{7, 0, false}}), 1200);
+	EXPECT_FALSE(table.IsFree(7, 1200));
+}
+
+TEST(OwnerTable, ForgetsHostsThatAreGone)
+{
+	OwnerTable table("me", LeaseTuning{});
+	table.OnBeat(Beat("me", 1, {}), 1000);
+	table.OnBeat(Beat("gone", 9, {{7, 1}}), 1000);
+	table.OnBeat(Beat("here", 9, {{8, 1}}), 9000);
+	EXPECT_EQ(table.SilentFor(5000, 10000), std::vector<std::string>{"gone"});
+	table.Forget("gone");
+	EXPECT_FALSE(table.LastOwnerOf(7).has_value());
+	EXPECT_TRUE(table.LastOwnerOf(8).has_value());
+}
+
 TEST(OwnerTable, ACellThatIsBeingClaimedIsNotFree)
 {
 	// Failed first: on msafiri-loom trouble-1 at 4.7 s a heartbeat sent while a claim was under way did not tell of it, so the cell looked
