Let an owner's lease be 1.5 s while store and host are quick, 2 s while either is slow

Change: each heartbeat names the lease that it renews; challengers wait for that long. A shorter promise ends a longer one when it is sent.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -65,6 +65,8 @@
 	Millis BeatInterval(Millis inNow) const;
 	/// `inAtOnce`: also while others are under way.
 	void Beat(bool inAtOnce = false);
+	/// The lease that a heartbeat should renew now.
+	Millis LeaseFor(Millis inNow) const;
 	/// What the next heartbeat says.
 	HostBeat NewBeat(Millis inNow);
 	/// Tells other hosts by datagram that this one has let its cells go: while the store is away its heartbeats can't. `inFleetCell`: the
@@ -72,7 +74,7 @@
 	void TellLetGo(const std::optional<OwnedCell> &inFleetCell);
 	/// Another host told of its heartbeat.
 	void OnNews(const std::string &inNews);
-	void OnBeatAnswer(const AppendAnswer &inAnswer, Millis inSentAt);
+	void OnBeatAnswer(const AppendAnswer &inAnswer, Millis inSentAt, Millis inLeaseMs);
 	void DropSuperseded();
 	void ConsiderClaims();
 	void ClaimCell(uint32 inCell);
@@ -126,8 +128,9 @@
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
 	Millis started_at = 0;
-	Millis swept_at = 0;        ///< When hosts that are gone were last looked for.
-	Millis tick_at = 0;         ///< Of the last tick.
+	Millis swept_at = 0; ///< When hosts that are gone were last looked for.
+	Millis tick_at = 0;  ///< Of the last tick.
+	Millis ticked_late_at = std::numeric_limits<Millis>::min() / 2;
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	Millis store_read_ms = 0;   ///< How long it took to.
 	bool store_heard = true;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -21,6 +21,8 @@
 inline constexpr double cBeatAnswerShare = 0.4;     ///< Weight of a sooner answer in the time that answers take.
 inline constexpr Millis cHostsClaimMs = 120;        ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
+inline constexpr Millis cLateTickMs = 200;    ///< A later tick shows a host short of processor time: four ticks have passed,
+inline constexpr Millis cSlowHostMs = 10000;  ///< and for this long it counts as such.
 inline constexpr Millis cStoodStillMs = 400;  ///< A later tick is told of: the process was frozen, or out of processor time.
 inline constexpr Millis cEnterAgainMs = 60;   ///< A submission without an answer is appended again after this; one id stays one job.
 inline constexpr Millis cEnterMarginMs = 150; ///< Before the caller's deadline the last word is said.
@@ -42,7 +44,7 @@
 	LeaseTuning tuning;
 	tuning.lease_ms = inConfig.owner_lease_ms;
 	tuning.slack_ms = inConfig.owner_slack_ms;
-	tuning.beat_ms = inConfig.owner_lease_ms / cBeatsOfLease;
+	tuning.beat_ms = inConfig.owner_short_lease_ms / cBeatsOfLease;
 	return tuning;
 }
 
@@ -269,6 +271,16 @@
 	return this->owners.IdleInterval(inNow) * (slow ? cIdleSlowTimes : 1);
 }
 
+template <class Hub>
+Millis JobHost<Hub>::LeaseFor(Millis inNow) const
+{
+	// While the store is slow heartbeats wait for each other: a short lease would be over before the next one is acknowledged
+	const bool slow_store = this->beat_answer_ms > cSlowStoreMs || this->store_read_ms > cSlowStoreMs || this->store_watch.IsLate(inNow);
+	// And a host that is short of processor time sends its own late
+	const bool slow_host = inNow - this->ticked_late_at < cSlowHostMs;
+	return slow_store || slow_host ? this->config.owner_lease_ms : this->config.owner_short_lease_ms;
+}
+
 template <class Hub>
 HostBeat JobHost<Hub>::NewBeat(Millis inNow)
 {
@@ -281,6 +293,7 @@
 	beat.weight = static_cast<uint32>(this->config.processor_milli);
 	beat.claims = !this->stopping;
 	beat.every_ms = this->BeatInterval(inNow);
+	beat.lease_ms = this->LeaseFor(inNow);
 	if (!this->stopping)
 	{
 		for (const auto &[cell, seat] : this->seats)
@@ -320,11 +333,13 @@
 	this->beat_sent_at = sent_at;
 	++this->beats_under_way;
 	this->store_watch.OnSent(sent_at);
-	this->hub.store.Append(call, [this, sent_at](const AppendAnswer &inAnswer) { this->OnBeatAnswer(inAnswer, sent_at); });
+	this->lease.OnSent(sent_at, beat.lease_ms);
+	this->hub.store.Append(call, [this, sent_at, lease_ms = beat.lease_ms](const AppendAnswer &inAnswer)
+						   { this->OnBeatAnswer(inAnswer, sent_at, lease_ms); });
 }
 
 template <class Hub>
-void JobHost<Hub>::OnBeatAnswer(const AppendAnswer &inAnswer, Millis inSentAt)
+void JobHost<Hub>::OnBeatAnswer(const AppendAnswer &inAnswer, Millis inSentAt, Millis inLeaseMs)
 {
 	--this->beats_under_way;
 	const Millis now = NowMillis();
@@ -341,7 +356,7 @@
 		return;
 	}
 	this->store_watch.OnAnswered(inSentAt, now);
-	const bool kept = this->lease.OnAcknowledged(inSentAt, now);
+	const bool kept = this->lease.OnAcknowledged(inSentAt, inLeaseMs, now);
 	if (!kept && this->Owned() > 0)
 		this->DropSeats("heartbeat acknowledged too late");
 }
@@ -379,6 +394,8 @@
 	const Millis now = NowMillis();
 	if (now - this->tick_at > cStoodStillMs)
 		LogEvent(ELogLevel::Warning, "stood_still").Field("ms", now - this->tick_at).Field("cells", this->Owned());
+	if (now - this->tick_at > cLateTickMs)
+		this->ticked_late_at = now;
 	this->tick_at = now;
 	for (uint32 cell : std::exchange(this->lost_seats, {}))
 	{
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -49,7 +49,7 @@
 std::optional<CellOwner> OwnerTable::OwnerOf(uint32 inCell, Millis inNow) const
 {
 	std::optional<CellOwner> owner = this->LastOwnerOf(inCell);
-	if (owner.has_value() && inNow - this->hosts.at(owner->host).at > this->tuning.lease_ms + this->tuning.beat_ms)
+	if (owner.has_value() && inNow - this->hosts.at(owner->host).at > this->LeaseOf(this->hosts.at(owner->host)) + this->tuning.beat_ms)
 		return std::nullopt;
 	return owner;
 }
@@ -97,7 +97,7 @@
 bool OwnerTable::IsAtWork(const Heard &inHeard, Millis inNow) const
 {
 	// Three heartbeats may be lost, or a lease be over
-	return inNow - inHeard.at <= std::max(this->tuning.lease_ms, 3 * inHeard.beat.every_ms);
+	return inNow - inHeard.at <= std::max(this->LeaseOf(inHeard), 3 * inHeard.beat.every_ms);
 }
 
 std::vector<std::string> OwnerTable::SilentFor(Millis inMillis, Millis inNow) const
@@ -169,7 +169,7 @@
 			// Whoever claimed after it had waited for its lease. One without an epoch yet is only about to claim
 			const bool superseded = cell.epoch != 0 && cell.epoch < newest;
 			// An earlier life of this very host is over
-			if (cell.cell == inCell && !superseded && name != this->self && inNow - heard.at <= this->tuning.lease_ms)
+			if (cell.cell == inCell && !superseded && name != this->self && inNow - heard.at <= this->LeaseOf(heard))
 				return false;
 		}
 	return seen == this->claims.end() || !this->MayStand(seen->second, told, inNow);
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -14,7 +14,7 @@
 /// Times of the ownership lease, ms.
 struct LeaseTuning
 {
-	Millis lease_ms = 2000;     ///< Setting `owner_lease_ms`.
+	Millis lease_ms = 2000;     ///< The longest that an owner may promise. Setting `owner_lease_ms`.
 	Millis slack_ms = 300;      ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
 	Millis beat_ms = 500;       ///< Between heartbeats of an owner.
 	Millis idle_each_ms = 30;   ///< A host without cells beats at most once in this many ms for each host there is,
@@ -50,13 +50,14 @@
 	uint32 weight = 1;   ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
 	bool claims = true;  ///< Whether it takes cells at all; not when it is stopping.
 	Millis every_ms = 0; ///< Its next heartbeat is due after this.
+	Millis lease_ms = 0; ///< The lease that this heartbeat renews; 0: the longest there is.
 	std::vector<OwnedCell> cells;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->host, this->life, this->start, this->number, this->address, this->weight, this->claims, this->every_ms,
-				  this->cells);
+				  this->lease_ms, this->cells);
 	}
 };
 
@@ -154,6 +155,8 @@
 		ClaimRecord claim;
 		Millis at = 0;
 	};
+	/// How long a challenger waits from when it first heard of this heartbeat.
+	Millis LeaseOf(const Heard &inHeard) const { return inHeard.beat.lease_ms > 0 ? inHeard.beat.lease_ms : this->tuning.lease_ms; }
 	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
 	/// Whether this host is among the first that would take over a cell.
 	bool IsHeir(Millis inNow) const;
@@ -177,18 +180,20 @@
 
 	/// Whether orders may be sent now.
 	bool MayAct(Millis inNow) const { return inNow < this->until; }
-	/// A heartbeat sent at `inSentAt` was acknowledged. False: too late, what was owned is lost; the lease begins anew.
-	bool OnAcknowledged(Millis inSentAt, Millis inNow)
+	/// A heartbeat leaves that renews the lease for `inLeaseMs`. Challengers may count from this one alone: a longer promise ends with it.
+	void OnSent(Millis inSentAt, Millis inLeaseMs) { this->until = std::min(this->until, inSentAt + inLeaseMs - this->tuning.slack_ms); }
+	/// The heartbeat sent at `inSentAt` was acknowledged. False: too late, what was owned is lost; the lease begins anew.
+	bool OnAcknowledged(Millis inSentAt, Millis inLeaseMs, Millis inNow)
 	{
 		const bool kept = this->until == 0 || inNow < this->until;
-		this->until = std::max(this->until, inSentAt + this->tuning.lease_ms - this->tuning.slack_ms);
+		this->until = std::max(this->until, inSentAt + inLeaseMs - this->tuning.slack_ms);
 		return kept;
 	}
 	Millis Until() const { return this->until; }
 
 private:
 	LeaseTuning tuning;
-	Millis until = 0; ///< Never moves back; 0: no heartbeat yet.
+	Millis until = 0; ///< 0: no heartbeat yet.
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -44,6 +44,7 @@
 	NumberKey{"worker_lease_ms", &JobHostConfig::worker_lease_ms, 500, 60'000},
 	NumberKey{"worker_most_lease_ms", &JobHostConfig::worker_most_lease_ms, 500, 600'000},
 	NumberKey{"owner_lease_ms", &JobHostConfig::owner_lease_ms, 500, 60'000},
+	NumberKey{"owner_short_lease_ms", &JobHostConfig::owner_short_lease_ms, 500, 60'000},
 	NumberKey{"owner_slack_ms", &JobHostConfig::owner_slack_ms, 50, 10'000},
 	NumberKey{"balance_headroom_percent", &JobHostConfig::balance_headroom_percent, 100, 1000},
 	NumberKey{"balance_margin", &JobHostConfig::balance_margin, 0, 1000},
@@ -83,7 +84,8 @@
 				return Fail(EError::BadConfig, std::string(this->file) + ": '" + std::string(key.name) + "' is missing");
 		// Workers cut down what is longer, so nothing is gained by asking for it
 		this->config.worker_lease_ms = std::min(this->config.worker_lease_ms, this->config.worker_most_lease_ms);
-		if (this->config.owner_slack_ms * 2 >= this->config.owner_lease_ms)
+		this->config.owner_short_lease_ms = std::min(this->config.owner_short_lease_ms, this->config.owner_lease_ms);
+		if (this->config.owner_slack_ms * 2 >= this->config.owner_short_lease_ms)
 			return Fail(EError::BadConfig, std::string(this->file) + ": owner_slack_ms leaves no lease");
 		return this->config;
 	}
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -23,7 +23,8 @@
 	int64 worker_lease_ms = 4000;       ///< Lease given to workers' runs.
 	int64 worker_most_lease_ms = 10000; ///< The longest that workers grant: `worker_lease_ms` is checked against it.
 	int64 maintenance_ms = 2000;        ///< A host's maintenance takes this.
-	int64 owner_lease_ms = 2000;
+	int64 owner_lease_ms = 2000;        ///< An owner's lease while the store is slow,
+	int64 owner_short_lease_ms = 1500;  ///< and while it answers soon: the time until a lost owner is replaced.
 	int64 owner_slack_ms = 300;
 	int64 balance_headroom_percent = 115; ///< A pool gets this share of its need.
 	int64 balance_margin = 1;             ///< And this many hosts more.
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -308,11 +308,38 @@
 	LeaseTuning tuning;
 	OwnLease lease(tuning);
 	EXPECT_FALSE(lease.MayAct(1000));
-	EXPECT_TRUE(lease.OnAcknowledged(1000, 1100));
+	EXPECT_TRUE(lease.OnAcknowledged(1000, tuning.lease_ms, 1100));
 	EXPECT_TRUE(lease.MayAct(1000 + tuning.lease_ms - tuning.slack_ms - 1));
 	EXPECT_FALSE(lease.MayAct(1000 + tuning.lease_ms - tuning.slack_ms));
 	// Acknowledged after its end: what was owned is lost
-	EXPECT_FALSE(lease.OnAcknowledged(2000, 5000));
+	EXPECT_FALSE(lease.OnAcknowledged(2000, tuning.lease_ms, 5000));
+}
+
+TEST(OwnLease, AShorterPromiseEndsALongerOne)
+{
+	// A challenger that reads only the second heartbeat counts its lease from there
+	LeaseTuning tuning;
+	OwnLease lease(tuning);
+	EXPECT_TRUE(lease.OnAcknowledged(1000, 2000, 1100));
+	lease.OnSent(1200, 1500);
+	EXPECT_EQ(lease.Until(), 1200 + 1500 - tuning.slack_ms);
+	// A longer one counts only once it is acknowledged
+	lease.OnSent(1300, 2000);
+	EXPECT_EQ(lease.Until(), 1200 + 1500 - tuning.slack_ms);
+	EXPECT_TRUE(lease.OnAcknowledged(1300, 2000, 1400));
+	EXPECT_EQ(lease.Until(), 1300 + 2000 - tuning.slack_ms);
+}
+
+TEST(OwnerTable, ALeaseIsAsLongAsItsHeartbeatSays)
+{
+	LeaseTuning tuning;
+	OwnerTable table("me", tuning);
+	HostBeat beat = Beat("other", 1, {{7, 3}});
+	beat.lease_ms = 1500;
+	table.OnBeat(beat, 1000);
+	EXPECT_FALSE(table.IsFree(7, 2500));
+	EXPECT_TRUE(table.IsFree(7, 2501));
+	EXPECT_LT(beat.lease_ms, tuning.lease_ms);
 }
 
 TEST(CellNames, AllPoolsFitTheStoresTopics)
