Look for new workers every 150 ms while something waits for room

Cause: a host that has moved (1.5 s) is of use only once its worker's entry is read: 0.2 s later on average, 0.4 s at most, just when room is short.

--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -107,7 +107,11 @@
 			this->TellWorkers();
 		this->FollowWorkers(inAnswer.result == ERead::Done ? inAnswer.next : inFrom, inReading);
 	};
-	this->workers_timer.Once(cWorkersEveryMs,
+	// A host that has moved is of use once its worker is seen
+	bool is_short = false;
+	for (const auto &[cell, seat] : this->seats)
+		is_short = is_short || seat->IsShort();
+	this->workers_timer.Once(is_short ? cWorkersShortMs : cWorkersEveryMs,
 							 [this, inFrom, on_read] { this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0, on_read); });
 }
 
