--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -64,6 +64,8 @@
 	Millis BeatInterval(Millis inNow) const;
 	/// `inAtOnce`: also while others are under way.
 	void Beat(bool inAtOnce = false);
+	/// How soon to look for news of workers.
+	Millis WorkersInterval() const;
 	/// The lease that a heartbeat should renew now.
 	Millis LeaseFor(Millis inNow) const;
 	/// What the next heartbeat says.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -7,7 +7,8 @@
 	900; ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
 inline constexpr Millis cFollowAgainMs = 200;
 inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
-inline constexpr Millis cWorkersShortMs = 150; ///< And this often while something waits for room.
+inline constexpr Millis cWorkersShortMs = 150; ///< And at most this often while something waits for room,
+inline constexpr Millis cWorkersEachMs = 3;    ///< as far as so long for each worker allows.
 inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 inline constexpr Millis cSlowBeatMs = 200;     ///< An owner's heartbeat that takes longer is told of.
 inline constexpr Millis cSlowStoreMs = 100;    ///< A store that answers later than this is slow: 4 ms is usual, 240 ms the users' slow one.
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -107,12 +107,19 @@
 			this->TellWorkers();
 		this->FollowWorkers(inAnswer.result == ERead::Done ? inAnswer.next : inFrom, inReading);
 	};
-	// A host that has moved is of use once its worker is seen
+	this->workers_timer.Once(this->WorkersInterval(),
+							 [this, inFrom, on_read] { this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0, on_read); });
+}
+
+template <class Hub>
+Millis JobHost<Hub>::WorkersInterval() const
+{
+	// A host that has moved is of use once its worker is seen; but going through all of them costs the busiest owners most
 	bool is_short = false;
 	for (const auto &[cell, seat] : this->seats)
 		is_short = is_short || seat->IsShort();
-	this->workers_timer.Once(is_short ? cWorkersShortMs : cWorkersEveryMs,
-							 [this, inFrom, on_read] { this->hub.store.Read(Hub::WorkersLog(), true, inFrom, 0, on_read); });
+	const Millis spread = static_cast<Millis>(this->workers.size()) * cWorkersEachMs;
+	return is_short ? std::clamp(spread, cWorkersShortMs, cWorkersEveryMs) : cWorkersEveryMs;
 }
 
 template <class Hub>
