Count a host that is down for one wave of maintenance not as done for another

The host list says only that a host is down, not for which wave, and each wave took it for its own; wave 2 was said to be completed at 33.4 s while five of its hosts had not had it. Change: the list counts for a wave only where no other wave names the host; else the order is given, which is safe to give again. Test failed first: UpkeepPlanner.EachWaveOfAHostIsItsOwn.

--- a/Loomreach/Fleet/Upkeep.cpp
+++ b/Loomreach/Fleet/Upkeep.cpp
@@ -30,6 +30,14 @@
 		.Field("within_ms", inWave.within_ms);
 }
 
+size_t UpkeepPlanner::WavesNaming(const std::string &inHost) const
+{
+	size_t naming = 0;
+	for (const auto &[number, wave] : this->waves)
+		naming += wave.items.contains(inHost) ? 1 : 0;
+	return naming;
+}
+
 void UpkeepPlanner::SetHosts(const std::vector<HostEntry> &inHosts, Millis inNow)
 {
 	this->listed = true;
@@ -40,8 +48,10 @@
 		for (auto &[name, item] : wave.items)
 		{
 			auto host = this->hosts.find(name);
-			// An earlier owner's order: the host is down all the same
-			const bool taken_down = host != this->hosts.end() && host->second.state == EHostState::Maintenance;
+			// An earlier owner's order: the host is down all the same. Where several waves name it, nobody knows for which: ordering it
+			// again is safe, and calling a wave done that has not had it is not
+			const bool taken_down =
+				host != this->hosts.end() && host->second.state == EHostState::Maintenance && this->WavesNaming(name) == 1;
 			if (taken_down && (item.step == EUpkeepStep::Waiting || item.step == EUpkeepStep::Emptying || item.step == EUpkeepStep::Done))
 			{
 				item.step = EUpkeepStep::Down;
--- a/Loomreach/Fleet/Upkeep.h
+++ b/Loomreach/Fleet/Upkeep.h
@@ -155,6 +155,8 @@
 		std::map<std::string, Item> items;
 	};
 
+	/// How many waves there are for a host, done ones included.
+	size_t WavesNaming(const std::string &inHost) const;
 	uint32 DownOf(const Wave &inWave) const;
 	bool IsPressed(const Wave &inWave, Millis inNow) const;
 
--- a/UnitTests/FleetDutyTests.cpp
+++ b/UnitTests/FleetDutyTests.cpp
@@ -63,6 +63,38 @@
 
 } // namespace
 
+TEST(UpkeepPlanner, EachWaveOfAHostIsItsOwn)
+{
+	// Failed first (parkline-addis, hunt mix seed 17678361649, MIXED): two waves at a time named the same hosts; a host that was down for
+	// the one counted as done for the other
+	UpkeepPlanner planner(UpkeepTuning{});
+	std::vector<HostEntry> hosts{Host("m0", "busy"), Host("m1", "busy"), Host("m2", "busy")};
+	planner.AddWave({1, {"m0", "m1"}, 26000, 1}, {}, 1000);
+	planner.AddWave({2, {"m1", "m2"}, 26000, 1}, {}, 1000);
+	std::map<int64, std::set<std::string>> ordered;
+	std::map<std::string, Millis> down_since;
+	for (Millis now = 1000; now < 60000 && !(planner.IsCompleted(1) && planner.IsCompleted(2)); now += 100)
+	{
+		for (HostEntry &host : hosts)
+		{
+			auto down = down_since.find(host.name);
+			host.state = down != down_since.end() && now - down->second <= 2000 ? EHostState::Maintenance : EHostState::Up;
+		}
+		planner.SetHosts(hosts, now);
+		for (const HostEntry &host : planner.ToEmpty(now))
+			planner.OnEmpty(host.name, now, now);
+		for (const HostDuty &duty : planner.TakeDuties(now))
+		{
+			down_since[duty.host] = now;
+			ordered[duty.wave].insert(duty.host);
+			planner.OnDuty(duty, EDutyResult::Done, now);
+		}
+	}
+	EXPECT_TRUE(planner.IsCompleted(1) && planner.IsCompleted(2));
+	EXPECT_EQ(ordered[1], (std::set<std::string>{"m0", "m1"}));
+	EXPECT_EQ(ordered[2], (std::set<std::string>{"m1", "m2"}));
+}
+
 TEST(UpkeepPlanner, NeverTakesMoreDownThanAllowed)
 {
 	std::vector<HostEntry> hosts;
