Wait to hear of all hosts before the first claims; count a host short of time as one cell more

Cause: on the large site the first hosts to start owned every cell (97 hosts, three owners, two of them with two or three cells); one that ran out of processor time lost its cells, ranked first again and took them back. Ruled out: the order of hosts itself, which was right once all were heard of.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -68,6 +68,8 @@
 	Millis WorkersInterval() const;
 	/// The lease that a heartbeat should renew now.
 	Millis LeaseFor(Millis inNow) const;
+	/// Whether this process has lately not run when it should have.
+	bool IsShortOfTime(Millis inNow) const;
 	/// What the next heartbeat says.
 	HostBeat NewBeat(Millis inNow);
 	/// Tells other hosts by datagram that this one has let its cells go: while the store is away its heartbeats can't. `inFleetCell`: the
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -10,6 +10,9 @@
 inline constexpr Millis cWorkersShortMs = 150; ///< And at most this often while something waits for room,
 inline constexpr Millis cWorkersEachMs = 3;    ///< as far as so long for each worker allows.
 inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
+/// A cell that nobody has owned is claimed this long after it was first seen free: all machines start within 0.3 s (users' figure), the
+/// smallest need half a second to begin, and are heard of at the next look. Sooner, the first few hosts to start own everything.
+inline constexpr Millis cFirstClaimMs = 1500;
 inline constexpr Millis cSlowBeatMs = 200;     ///< An owner's heartbeat that takes longer is told of.
 inline constexpr Millis cSlowStoreMs = 100;    ///< A store that answers later than this is slow: 4 ms is usual, 240 ms the users' slow one.
 inline constexpr Millis cIdleSlowTimes = 4;    ///< Hosts without cells then beat this many times as seldom.
@@ -48,6 +51,7 @@
 	tuning.lease_ms = inConfig.owner_lease_ms;
 	tuning.slack_ms = inConfig.owner_slack_ms;
 	tuning.beat_ms = inConfig.owner_short_lease_ms / cBeatsOfLease;
+	tuning.first_claim_ms = cFirstClaimMs;
 	return tuning;
 }
 
@@ -280,8 +284,13 @@
 	// While the store is slow heartbeats wait for each other: a short lease would be over before the next one is acknowledged
 	const bool slow_store = this->beat_answer_ms > cSlowStoreMs || this->store_read_ms > cSlowStoreMs || this->store_watch.IsLate(inNow);
 	// And a host that is short of processor time sends its own late
-	const bool slow_host = inNow - this->ticked_late_at < cSlowHostMs;
-	return slow_store || slow_host ? this->config.owner_lease_ms : this->config.owner_short_lease_ms;
+	return slow_store || this->IsShortOfTime(inNow) ? this->config.owner_lease_ms : this->config.owner_short_lease_ms;
+}
+
+template <class Hub>
+bool JobHost<Hub>::IsShortOfTime(Millis inNow) const
+{
+	return inNow - this->ticked_late_at < cSlowHostMs;
 }
 
 template <class Hub>
@@ -295,6 +304,8 @@
 	beat.address = this->config.peers;
 	beat.weight = static_cast<uint32>(this->config.processor_milli);
 	beat.claims = !this->stopping;
+	beat.short_of_time = this->IsShortOfTime(inNow);
+	beat.availability_zone = this->config.availability_zone;
 	beat.every_ms = this->BeatInterval(inNow);
 	beat.lease_ms = this->LeaseFor(inNow);
 	// Also in a planned stop: what is not told of counts as given back, and others begin on it
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -196,13 +196,28 @@
 	return inNow - inSeen.at <= this->tuning.lease_ms;
 }
 
+std::map<std::string, OwnerTable::Claimer> OwnerTable::Claimers(Millis inNow, size_t inOwn) const
+{
+	std::map<std::string, Claimer> claimers;
+	for (const auto &[name, heard] : this->hosts)
+	{
+		if (!heard.beat.claims || !this->IsAtWork(heard, inNow))
+			continue;
+		const uint64 cells = name == this->self ? inOwn : heard.beat.cells.size();
+		// A host that ran out of time would do so again with the cell it has just lost
+		const uint64 more = heard.beat.short_of_time ? 1 : 0;
+		claimers[name] = {cells + more, std::max<uint32>(heard.beat.weight, 1), heard.beat.availability_zone};
+	}
+	return claimers;
+}
+
 std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn)
 {
 	// Cells of each host that is at work, and what free cells would add to it
-	std::map<std::string, uint64> load;
-	for (const auto &[name, heard] : this->hosts)
-		if (heard.beat.claims && this->IsAtWork(heard, inNow))
-			load[name] = name == this->self ? inOwn : heard.beat.cells.size();
+	std::map<std::string, Claimer> claimers = this->Claimers(inNow, inOwn);
+	std::map<std::string, uint64> in_zone;
+	for (const auto &[name, claimer] : claimers)
+		in_zone[claimer.availability_zone] += claimer.cells;
 	std::vector<uint32> wanted;
 	for (uint32 cell : inCells)
 	{
@@ -211,20 +226,25 @@
 			this->free_since.erase(cell);
 			continue;
 		}
-		using Place = std::tuple<double, uint64, std::string>;
+		using Place = std::tuple<double, uint64, uint64, std::string>;
 		std::vector<Place> order;
-		order.reserve(load.size());
-		for (const auto &[name, cells] : load)
-			order.emplace_back(static_cast<double>(cells + 1) / std::max<uint32>(this->hosts.at(name).beat.weight, 1),
+		order.reserve(claimers.size());
+		for (const auto &[name, claimer] : claimers)
+			order.emplace_back(static_cast<double>(claimer.cells + 1) / claimer.weight, in_zone[claimer.availability_zone],
 							   RendezvousWeight(std::to_string(cell), name), name);
 		std::sort(order.begin(), order.end());
 		size_t rank = 0;
 		while (rank < order.size() && std::get<std::string>(order[rank]) != this->self)
 			++rank;
 		if (!order.empty())
-			++load[std::get<std::string>(order[0])];
+		{
+			Claimer &first = claimers[std::get<std::string>(order[0])];
+			++first.cells;
+			++in_zone[first.availability_zone];
+		}
 		const Millis since = this->free_since.try_emplace(cell, inNow).first->second;
-		if (rank < order.size() && inNow - since >= static_cast<Millis>(rank) * this->tuning.rank_ms)
+		const Millis wait = static_cast<Millis>(rank) * this->tuning.rank_ms + (this->WasOwned(cell) ? 0 : this->tuning.first_claim_ms);
+		if (rank < order.size() && inNow - since >= wait)
 			wanted.push_back(cell);
 	}
 	return wanted;
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -23,6 +23,7 @@
 	Millis read_least_ms = 500; ///< as owners do, or more seldom.
 	uint32 heirs = 4;           ///< So many hosts, the first to take over a cell, beat and read as often as owners.
 	Millis rank_ms = 350;       ///< A challenger waits this long for each host that comes before it.
+	Millis first_claim_ms = 0;  ///< And this long for a cell that nobody has owned: all hosts start together, and are heard of one by one.
 };
 
 /// A cell that a host owns.
@@ -49,6 +50,8 @@
 	Address address;     ///< For questions of other entry hosts.
 	uint32 weight = 1;   ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
 	bool claims = true;  ///< Whether it takes cells at all; not when it is stopping.
+	bool short_of_time = false; ///< Whether it has lately run out of processor time: it counts as owner of one cell more.
+	std::string availability_zone;
 	Millis every_ms = 0; ///< Its next heartbeat is due after this.
 	Millis lease_ms = 0; ///< The lease that this heartbeat renews; 0: the longest there is.
 	std::vector<OwnedCell> cells;
@@ -56,8 +59,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->host, this->life, this->start, this->number, this->address, this->weight, this->claims, this->every_ms,
-				  this->lease_ms, this->cells);
+		ioArchive(this->host, this->life, this->start, this->number, this->address, this->weight, this->claims,
+				  this->short_of_time, this->availability_zone, this->every_ms, this->lease_ms, this->cells);
 	}
 };
 
@@ -136,7 +139,8 @@
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
 	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
-	/// with the fewest cells for their size first. The first claims at once, each next one a little later.
+	/// with the fewest cells for their size first, among these the ones in zones with the fewest cells. The first claims at once, each next
+	/// one a little later.
 	/// `inOwn`: cells that this host owns or is claiming now; its own heartbeat in the log may not tell of them yet.
 	std::vector<uint32> ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn = 0);
 	/// Waits anew for a cell, after a claim was lost.
@@ -158,6 +162,16 @@
 	/// How long a challenger waits from when it first heard of this heartbeat.
 	Millis LeaseOf(const Heard &inHeard) const { return inHeard.beat.lease_ms > 0 ? inHeard.beat.lease_ms : this->tuning.lease_ms; }
 	bool IsAtWork(const Heard &inHeard, Millis inNow) const;
+	/// A host that takes cells, as the order of claims sees it.
+	struct Claimer
+	{
+		uint64 cells = 0; ///< What it owns, and one more while it is short of processor time.
+		uint32 weight = 1;
+		std::string availability_zone;
+	};
+	std::map<std::string, Claimer> Claimers(Millis inNow, size_t inOwn) const;
+	/// Whether anybody is known to have owned a cell.
+	bool WasOwned(uint32 inCell) const { return this->ToldEpoch(inCell) > 0 || this->claims.contains(inCell); }
 	/// Whether this host is among the first that would take over a cell.
 	bool IsHeir(Millis inNow) const;
 	/// The highest epoch of a cell that any heartbeat has told of.
