Spread owners over the largest hosts and all zones

Cause, seen in the log of claims that this adds: hosts that came first in the order had no lease when their turn came, since without cells they beat less often than a lease lasts; others counted their wait from up to 2.9 s later, since before the first configuration they looked seldom; and one look could claim three cells, each ranked as if it had got none of the others. Many first connections to the store were dropped, as each host opened five at once. Change: whoever is to claim beats at once; hosts look often until the first configuration; what a look claims counts for the next cell; the heartbeats' partitions are read in turn while the store is quick.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -56,8 +56,18 @@
 	void TellWorkers();
 	// Ownership
 	void LoadHosts();
+	/// One round of calls to all partitions of the heartbeats.
+	struct HostsRound
+	{
+		uint32 open = 0;      ///< Calls without an answer yet.
+		bool all = true;      ///< Whether every answer so far was good.
+		bool gone = false;    ///< Whether a partition's older records have been removed.
+		bool in_turn = false; ///< Whether each call waits for the one before.
+	};
+	void LoadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void FollowHosts();
 	void ReadHosts();
+	void ReadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void OnHostRecords(const std::vector<LogRecord> &inRecords);
 	void OnHostsRead(bool inAll);
 	uint32 HostParts() const { return std::min(cHostParts, this->Parts()); }
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -12,11 +12,12 @@
 inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 /// A cell that nobody has owned is claimed this long after it was first seen free: all machines start within 0.3 s (users' figure), the
 /// smallest need half a second to begin, and are heard of at the next look. Sooner, the first few hosts to start own everything.
-inline constexpr Millis cFirstClaimMs = 1500;
-inline constexpr Millis cSlowBeatMs = 200;     ///< An owner's heartbeat that takes longer is told of.
-inline constexpr Millis cSlowStoreMs = 100;    ///< A store that answers later than this is slow: 4 ms is usual, 240 ms the users' slow one.
-inline constexpr Millis cIdleSlowTimes = 4;    ///< Hosts without cells then beat this many times as seldom.
-inline constexpr Millis cBeatTimeoutMs = 1600; ///< Later than an owner's lease a heartbeat's answer is of no use.
+inline constexpr Millis cFirstClaimMs = 3000;
+inline constexpr Millis cSlowBeatMs = 200;  ///< An owner's heartbeat that takes longer is told of.
+inline constexpr Millis cSlowStoreMs = 100; ///< A store that answers later than this is slow: 4 ms is usual, 240 ms the users' slow one.
+inline constexpr Millis cQuickStoreMs = 40; ///< One that answers within this is quick: a round of four reads in turn takes 20 ms as a rule.
+inline constexpr Millis cIdleSlowTimes = 4; ///< Hosts without cells then beat this many times as seldom.
+inline constexpr Millis cBeatTimeoutMs = 1600;      ///< Later than an owner's lease a heartbeat's answer is of no use.
 inline constexpr Millis cBeatLeastPatienceMs = 500; ///< Another heartbeat leaves this long after one without an answer,
 inline constexpr double cBeatPatience = 2.0;        ///< or after this many times the time that answers take.
 inline constexpr uint32 cMostBeats = 3;             ///< So many under way at once.
@@ -94,37 +95,35 @@
 	return this->seats.size() + (this->fleet == nullptr ? 0 : 1);
 }
 
-/// One round of calls to all partitions of the heartbeats.
-struct HostsRound
-{
-	uint32 open = 0; ///< Calls without an answer yet.
-	bool all = true; ///< Whether every answer so far was good.
-	bool gone = false;
-};
-
 template <class Hub>
 void JobHost<Hub>::LoadHosts()
 {
 	auto round = std::make_shared<HostsRound>();
 	round->open = this->HostParts();
-	for (uint32 part = 0; part < this->HostParts(); ++part)
-		this->hub.store.Newest(HostsLog(part),
-							   [this, round, part](const NewestAnswer &inAnswer)
-							   {
-								   round->all = round->all && inAnswer.good;
-								   if (inAnswer.good)
-									   this->OnHostRecords(inAnswer.records);
-								   this->hosts_next[part] = inAnswer.end;
-								   if (--round->open > 0)
-									   return;
-								   if (!round->all)
-									   return this->hosts_timer.Once(cHostsClaimMs, [this] { this->LoadHosts(); });
-								   // Whatever earlier starts of this host left behind is known now
-								   if (this->start == 0)
-									   this->start = this->owners.StartsOf(this->config.name) + 1;
-								   this->OnHostsRead(true);
-								   this->FollowHosts();
-							   });
+	round->in_turn = true;
+	this->LoadHostPart(round, 0);
+}
+
+template <class Hub>
+void JobHost<Hub>::LoadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart)
+{
+	this->hub.store.Newest(HostsLog(inPart),
+						   [this, round = inRound, part = inPart](const NewestAnswer &inAnswer)
+						   {
+							   round->all = round->all && inAnswer.good;
+							   if (inAnswer.good)
+								   this->OnHostRecords(inAnswer.records);
+							   this->hosts_next[part] = inAnswer.end;
+							   if (--round->open > 0)
+								   return this->LoadHostPart(round, part + 1);
+							   if (!round->all)
+								   return this->hosts_timer.Once(cHostsClaimMs, [this] { this->LoadHosts(); });
+							   // Whatever earlier starts of this host left behind is known now
+							   if (this->start == 0)
+								   this->start = this->owners.StartsOf(this->config.name) + 1;
+							   this->OnHostsRead(true);
+							   this->FollowHosts();
+						   });
 }
 
 template <class Hub>
@@ -140,28 +139,40 @@
 {
 	auto round = std::make_shared<HostsRound>();
 	round->open = this->HostParts();
+	// While the store is quick one after the other, over one connection: hosts that all start at once would overrun its queue of new ones
+	round->in_turn = this->store_read_ms <= cQuickStoreMs;
+	for (uint32 part = 0; part < (round->in_turn ? 1 : this->HostParts()); ++part)
+		this->ReadHostPart(round, part);
+}
+
+template <class Hub>
+void JobHost<Hub>::ReadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart)
+{
 	const Millis sent_at = NowMillis();
 	this->store_watch.OnSent(sent_at);
-	for (uint32 part = 0; part < this->HostParts(); ++part)
-		this->hub.store.Read(HostsLog(part), true, this->hosts_next[part], 0,
-							 [this, round, part, sent_at](const ReadAnswer &inAnswer)
+	this->hub.store.Read(HostsLog(inPart), true, this->hosts_next[inPart], 0,
+						 [this, round = inRound, part = inPart, sent_at](const ReadAnswer &inAnswer)
+						 {
+							 round->all = round->all && inAnswer.result == ERead::Done;
+							 this->store_read_ms = NowMillis() - sent_at;
+							 round->gone = round->gone || inAnswer.result == ERead::Gone;
+							 if (inAnswer.result == ERead::Done)
 							 {
-								 round->all = round->all && inAnswer.result == ERead::Done;
-								 this->store_read_ms = NowMillis() - sent_at;
-								 round->gone = round->gone || inAnswer.result == ERead::Gone;
-								 if (inAnswer.result == ERead::Done)
-								 {
-									 this->store_watch.OnAnswered(sent_at, NowMillis());
-									 this->OnHostRecords(inAnswer.records);
-									 this->hosts_next[part] = inAnswer.next;
-								 }
-								 if (--round->open > 0)
-									 return;
-								 if (round->gone)
-									 return this->LoadHosts();
-								 this->OnHostsRead(round->all);
-								 this->FollowHosts();
-							 });
+								 this->store_watch.OnAnswered(sent_at, NowMillis());
+								 this->OnHostRecords(inAnswer.records);
+								 this->hosts_next[part] = inAnswer.next;
+							 }
+							 if (--round->open > 0)
+							 {
+								 if (round->in_turn)
+									 this->ReadHostPart(round, part + 1);
+								 return;
+							 }
+							 if (round->gone)
+								 return this->LoadHosts();
+							 this->OnHostsRead(round->all);
+							 this->FollowHosts();
+						 });
 }
 
 template <class Hub>
@@ -201,7 +212,8 @@
 template <class Hub>
 void JobHost<Hub>::ConsiderClaims()
 {
-	this->cells_free = false;
+	// Before the first configuration any cell may be free: all hosts should know each other when it comes
+	this->cells_free = this->catalogue == nullptr && !this->stopping;
 	if (this->catalogue == nullptr || this->stopping)
 		return;
 	const Millis now = NowMillis();
@@ -213,10 +225,14 @@
 	std::erase_if(cells, [this](uint32 inCell) { return inCell == cFleetCell ? this->fleet != nullptr : this->seats.contains(inCell); });
 	for (uint32 cell : cells)
 		this->cells_free = this->cells_free || this->owners.IsFree(cell, now);
-	// A lease of one's own comes first
-	if (!this->lease.MayAct(now))
+	const std::vector<uint32> claims = this->owners.ToClaim(cells, now, this->Owned());
+	if (claims.empty())
 		return;
-	for (uint32 cell : this->owners.ToClaim(cells, now, this->Owned()))
+	// A lease of one's own comes first: hosts without cells beat less often than a lease lasts, and a free cell must not wait for the next
+	if (!this->lease.MayAct(now))
+		return this->Beat();
+	LogEvent(ELogLevel::Info, "cells_claimed").Field("claims", this->owners.ClaimText()).Field("owned", this->Owned());
+	for (uint32 cell : claims)
 	{
 		this->owners.PutOff(cell, now);
 		if (cell == cFleetCell)
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -219,6 +219,7 @@
 	for (const auto &[name, claimer] : claimers)
 		in_zone[claimer.availability_zone] += claimer.cells;
 	std::vector<uint32> wanted;
+	this->claim_text.clear();
 	for (uint32 cell : inCells)
 	{
 		if (!this->IsFree(cell, inNow))
@@ -236,16 +237,22 @@
 		size_t rank = 0;
 		while (rank < order.size() && std::get<std::string>(order[rank]) != this->self)
 			++rank;
+		const Millis since = this->free_since.try_emplace(cell, inNow).first->second;
+		const Millis wait = static_cast<Millis>(rank) * this->tuning.rank_ms + (this->WasOwned(cell) ? 0 : this->tuning.first_claim_ms);
+		const bool wants = rank < order.size() && inNow - since >= wait;
 		if (!order.empty())
 		{
-			Claimer &first = claimers[std::get<std::string>(order[0])];
-			++first.cells;
-			++in_zone[first.availability_zone];
+			// Whoever takes it has one more when the next cell is looked at
+			Claimer &taker = claimers[wants ? this->self : std::get<std::string>(order[0])];
+			++taker.cells;
+			++in_zone[taker.availability_zone];
 		}
-		const Millis since = this->free_since.try_emplace(cell, inNow).first->second;
-		const Millis wait = static_cast<Millis>(rank) * this->tuning.rank_ms + (this->WasOwned(cell) ? 0 : this->tuning.first_claim_ms);
-		if (rank < order.size() && inNow - since >= wait)
-			wanted.push_back(cell);
+		if (!wants)
+			continue;
+		wanted.push_back(cell);
+		this->claim_text += (this->claim_text.empty() ? "" : " ") + std::to_string(cell) + ":rank" + std::to_string(rank) + "of" +
+							std::to_string(order.size()) + "/" + std::get<std::string>(order[0]) + "/" + std::to_string(inNow - since) +
+							"ms";
 	}
 	return wanted;
 }
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -44,12 +44,12 @@
 struct HostBeat
 {
 	std::string host;
-	uint64 life = 0;     ///< Differs from start to start of a process.
-	uint64 start = 0;    ///< Rises from start to start of the host's processes: its records lie in several partitions, in no order.
-	uint64 number = 0;   ///< Rises within a life.
-	Address address;     ///< For questions of other entry hosts.
-	uint32 weight = 1;   ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
-	bool claims = true;  ///< Whether it takes cells at all; not when it is stopping.
+	uint64 life = 0;            ///< Differs from start to start of a process.
+	uint64 start = 0;           ///< Rises from start to start of the host's processes: its records lie in several partitions, in no order.
+	uint64 number = 0;          ///< Rises within a life.
+	Address address;            ///< For questions of other entry hosts.
+	uint32 weight = 1;          ///< Processor that the host has, thousandths of a core: larger hosts take more cells.
+	bool claims = true;         ///< Whether it takes cells at all; not when it is stopping.
 	bool short_of_time = false; ///< Whether it has lately run out of processor time: it counts as owner of one cell more.
 	std::string availability_zone;
 	Millis every_ms = 0; ///< Its next heartbeat is due after this.
@@ -59,8 +59,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->host, this->life, this->start, this->number, this->address, this->weight, this->claims,
-				  this->short_of_time, this->availability_zone, this->every_ms, this->lease_ms, this->cells);
+		ioArchive(this->host, this->life, this->start, this->number, this->address, this->weight, this->claims, this->short_of_time,
+				  this->availability_zone, this->every_ms, this->lease_ms, this->cells);
 	}
 };
 
@@ -143,6 +143,8 @@
 	/// one a little later.
 	/// `inOwn`: cells that this host owns or is claiming now; its own heartbeat in the log may not tell of them yet.
 	std::vector<uint32> ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn = 0);
+	/// Why a cell was to be claimed, for the log: of the last ToClaim.
+	std::string_view ClaimText() const { return this->claim_text; }
 	/// Waits anew for a cell, after a claim was lost.
 	void PutOff(uint32 inCell, Millis inNow) { this->free_since[inCell] = inNow; }
 
@@ -184,6 +186,7 @@
 	std::map<std::string, Heard> hosts;
 	std::map<uint32, ClaimSeen> claims;
 	std::map<uint32, Millis> free_since;
+	std::string claim_text;
 };
 
 /// The own lease: until when this process may act.
