Have idle hosts send orders for owners

Cause: an owner's processor is what a pool's turn runs out of. A call to a worker costs 0.31 ms of a core; a turn asks for up to 3,500 a second, twice what the largest host has. Ruled out by perf: no single cause (libcurl 26%, libc 26%, our own code 19%). Change: an owner that sends many orders hands them by datagram to hosts without cells in the worker's zone. These say within 30 ms that they have them; what is not taken up within 200 ms the owner sends itself, and leaves that host out for 5 s. Orders are safe to send twice. An order's end is told on the other host's clock, no later than on the owner's. Ways rejected: a pool cut into several cells (moves of workers between cells, limits across them, a layout to agree on; may follow); fewer looks alone (half of the calls are starts).

--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -213,13 +213,13 @@
 			this->cell.OnAnswer(order, answer, sent_at, sent_at);
 			continue;
 		}
-		this->hub.workers.Send(order, this->Guard(
-										  [this, order, sent_at](const OrderAnswer &inAnswer)
-										  {
-											  this->context.metrics.Count(ECounter::Orders, NameOf(cOrderResultNames, inAnswer.result));
-											  this->cell.OnAnswer(order, inAnswer, sent_at, NowMillis());
-											  this->Soon(cStepGapMs);
-										  }));
+		this->context.send_order(order, this->Guard(
+											[this, order, sent_at](const OrderAnswer &inAnswer)
+											{
+												this->context.metrics.Count(ECounter::Orders, NameOf(cOrderResultNames, inAnswer.result));
+												this->cell.OnAnswer(order, inAnswer, sent_at, NowMillis());
+												this->Soon(cStepGapMs);
+											}));
 	}
 }
 
@@ -247,7 +247,8 @@
 		answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis());
 		break;
 	case EQuestion::Enter: // The host's own matters: any host may enter a record
-	case EQuestion::Reach: break;
+	case EQuestion::Reach:
+	case EQuestion::Forward: break;
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
 	}
 	return answer;
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -7,6 +7,7 @@
 #include <Loomreach/Entry/InboxWriter.h>
 #include <Loomreach/Entry/JobCalls.h>
 #include <Loomreach/Entry/StoreWatch.h>
+#include <Loomreach/Forward/OrderSender.h>
 
 namespace Loomreach::Jobs
 {
@@ -97,6 +98,7 @@
 	void SweepHosts(Millis inNow);
 	void Tick();
 	size_t Owned() const;
+	SeatContext ContextOfSeat();
 	// Callers
 	void Enter(std::shared_ptr<Entering> inEntering);
 	void OnEnterAnswer(const std::shared_ptr<Entering> &inEntering, const AppendAnswer &inAnswer, Millis inSentAt);
@@ -124,6 +126,7 @@
 	Hub hub;
 	typename Hub::Door door;
 	PeerQuery peers;
+	OrderSender<decltype(Hub::workers)> orders;
 	std::shared_ptr<const Catalogue> catalogue;
 	std::map<int64, UpkeepWave> waves;
 	std::map<std::string, WorkerEntry> workers;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -56,6 +56,13 @@
 	return tuning;
 }
 
+inline ForwardTuning ForwardTuningOf(const JobHostConfig &inConfig)
+{
+	ForwardTuning tuning;
+	tuning.processor_milli = inConfig.processor_milli;
+	return tuning;
+}
+
 template <class Hub>
 JobHost<Hub>::JobHost(JobHostConfig inConfig)
 	: config(std::move(inConfig)), lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning),
@@ -64,7 +71,8 @@
 					   config.peers, metrics,
 					   [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 					   { this->OnQuestion(inQuestion, std::move(inReply)); },
-					   [this](const std::string &inNews) { this->OnNews(inNews); })
+					   [this](const std::string &inNews) { this->OnNews(inNews); }),
+	  orders(hub.workers, peers, ForwardTuningOf(config))
 {
 }
 
@@ -192,6 +200,8 @@
 void JobHost<Hub>::OnHostsRead(bool inAll)
 {
 	this->DropSuperseded();
+	if (!this->seats.empty())
+		this->orders.SetHosts(this->owners.IdleHosts(NowMillis()));
 	// In a partition that was not read there may be the heartbeat of an owner at work
 	if (inAll)
 		this->ConsiderClaims();
@@ -242,11 +252,18 @@
 	}
 }
 
+template <class Hub>
+SeatContext JobHost<Hub>::ContextOfSeat()
+{
+	const auto send = [this](const Order &inOrder, std::function<void(const OrderAnswer &)> inDone)
+	{ this->orders.Send(inOrder, std::move(inDone)); };
+	return {this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}, send};
+}
+
 template <class Hub>
 void JobHost<Hub>::ClaimCell(uint32 inCell)
 {
-	const SeatContext context{this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}};
-	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, context, inCell);
+	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, this->ContextOfSeat(), inCell);
 	seat->SetCatalogue(this->catalogue);
 	CellSeat<Hub> *claimed = seat.get();
 	this->seats[inCell] = std::move(seat);
@@ -264,8 +281,7 @@
 template <class Hub>
 void JobHost<Hub>::ClaimFleet()
 {
-	const SeatContext context{this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}};
-	this->fleet = std::make_unique<FleetSeat<Hub>>(this->hub, context,
+	this->fleet = std::make_unique<FleetSeat<Hub>>(this->hub, this->ContextOfSeat(),
 												   [this](const std::string &inPool, PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
 												   {
 													   const uint32 cell = CellOf(inPool, this->Parts());
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -189,6 +189,8 @@
 template <class Hub>
 void JobHost<Hub>::OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 {
+	if (inQuestion.kind == EQuestion::Forward)
+		return this->orders.SendFor(inQuestion, this->life, std::move(inReply));
 	if (inQuestion.kind != EQuestion::Enter)
 		return inReply(this->AnswerPeer(inQuestion));
 	// Only what decodes is passed on, and only to a store that answers
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -16,6 +16,8 @@
 static constexpr Millis cAskAgainMs = 60;
 /// Answers are remembered this long: far beyond the last repeat of any question (1.2 s) and a datagram's way.
 static constexpr Millis cRememberMs = 10000;
+/// An answer that takes longer is told to be under way: a worker's own answer to a start takes a few ms.
+static constexpr Millis cUnderWayMs = 30;
 static constexpr char cQuestionMark = 'Q';
 static constexpr char cAnswerMark = 'A';
 static constexpr char cNewsMark = 'N';
@@ -99,6 +101,12 @@
 		// Late or doubled
 		if (found == this->pending.end())
 			return;
+		if (answer->under_way)
+		{
+			found->second.taken_up = true;
+			found->second.give_up_at = found->second.limit_at;
+			return;
+		}
 		const OnAnswer done = std::move(found->second.done);
 		this->pending.erase(found);
 		return done(answer);
@@ -111,14 +119,18 @@
 		return;
 	std::shared_ptr<GSocketAddress> to(static_cast<GSocketAddress *>(g_object_ref(inFrom)),
 									   [](GSocketAddress *inOld) { g_object_unref(inOld); });
+	if (question->kind == EQuestion::Forward)
+		this->SayUnderWay(sender, question->nonce, to);
 	this->answerer(*question,
-				   [this, to, sender, nonce = question->nonce, changes = question->kind == EQuestion::Enter,
+				   [this, to, sender, nonce = question->nonce,
+					changes = question->kind == EQuestion::Enter || question->kind == EQuestion::Forward,
 					alive = std::weak_ptr<bool>(this->alive)](PeerAnswer inAnswer)
 				   {
 					   if (alive.expired())
 						   return;
 					   this->answering.erase(sender);
 					   inAnswer.nonce = nonce;
+					   inAnswer.clock_ms = NowMillis();
 					   const std::string bytes = cAnswerMark + EncodeValue(inAnswer);
 					   if (changes)
 						   this->Remember(sender, bytes);
@@ -126,6 +138,22 @@
 				   });
 }
 
+void PeerQuery::SayUnderWay(const std::string &inSender, uint64 inNonce, const std::shared_ptr<GSocketAddress> &inTo)
+{
+	// Most answers come sooner, and spare the datagram
+	After(cUnderWayMs,
+		  [this, sender = inSender, nonce = inNonce, to = inTo, alive = std::weak_ptr<bool>(this->alive)]
+		  {
+			  if (alive.expired() || !this->answering.contains(sender))
+				  return;
+			  PeerAnswer answer;
+			  answer.nonce = nonce;
+			  answer.under_way = true;
+			  answer.clock_ms = NowMillis();
+			  this->SendTo(to.get(), cAnswerMark + EncodeValue(answer));
+		  });
+}
+
 bool PeerQuery::AnswerAgain(const std::string &inSender, GSocketAddress *inTo)
 {
 	// A repeat may come after the answer has left. What was said to be not done must not be done then
@@ -155,14 +183,15 @@
 		this->metrics.Count(ECounter::PeerRejects, "send-failed");
 }
 
-void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone)
+void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inTakenUpMs)
 {
 	inQuestion.nonce = this->next_nonce++;
 	Pending &asked = this->pending[inQuestion.nonce];
 	asked.to = inTo;
 	asked.bytes = cQuestionMark + EncodeValue(inQuestion);
 	asked.done = std::move(inDone);
-	asked.give_up_at = NowMillis() + inTimeoutMs;
+	asked.limit_at = NowMillis() + inTimeoutMs;
+	asked.give_up_at = inTakenUpMs > 0 ? NowMillis() + std::min(inTakenUpMs, inTimeoutMs) : asked.limit_at;
 	asked.next_at = NowMillis() + cAskAgainMs;
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 	if (!this->repeat.IsRunning())
@@ -189,7 +218,7 @@
 			it = this->pending.erase(it);
 			continue;
 		}
-		if (now >= asked.next_at)
+		if (now >= asked.next_at && !asked.taken_up)
 		{
 			asked.next_at = now + cAskAgainMs;
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -19,7 +19,8 @@
 	Empty,  ///< Empty a worker for maintenance; is it empty?
 	Demand, ///< What does a pool need, and which workers can it spare?
 	Enter,  ///< Put a record into a cell's inbox: the store turns the asking host away.
-	Reach   ///< Does the store answer the host that is asked?
+	Reach,  ///< Does the store answer the host that is asked?
+	Forward ///< Send an order to a worker: the asking host is an owner short of processor time.
 };
 
 /// A question. Every field that the kind does not need is empty.
@@ -33,12 +34,14 @@
 	int64 for_ms = 0;
 	uint32 count = 0;              ///< Demand: workers that should be spared.
 	std::vector<std::string> left; ///< Demand: workers whose hosts have just been moved or taken down; the worker list shows them still.
-	std::string record;            ///< Enter: the encoded record.
+	std::string record;            ///< Enter: the encoded record. Forward: the encoded order.
+	uint64 life = 0;               ///< Forward: the process that is meant.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count, this->left, this->record);
+		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count, this->left, this->record,
+				  this->life);
 	}
 };
 
@@ -51,6 +54,9 @@
 	bool entered = false;     ///< Counts always: the record is in the inbox.
 	bool not_entered = false; ///< Counts always: it certainly is not.
 	bool reaches = false;     ///< Counts always: the store answers the host that answers.
+	bool under_way = false;   ///< Counts always: the question was taken up, and its answer is still to come.
+	int64 clock_ms = 0;       ///< Counts always: the steady clock of the host that answers.
+	std::string record;       ///< Counts always; Forward: the worker's encoded answer; empty: there is none to be had here.
 	bool sure = false;        ///< Whether the owner has read its inbox up to a moment ago.
 	bool known = false;
 	EJobPhase phase = EJobPhase::Queued;
@@ -61,8 +67,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->reaches, this->sure, this->known,
-				  this->phase, this->waiting, this->empty, this->demand);
+		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->reaches, this->under_way,
+				  this->clock_ms, this->record, this->sure, this->known, this->phase, this->waiting, this->empty, this->demand);
 	}
 };
 
@@ -83,8 +89,8 @@
 	PeerQuery &operator=(const PeerQuery &) = delete;
 
 	bool Open();
-	/// Asks until an answer comes or `inTimeoutMs` is over.
-	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone);
+	/// Asks until an answer comes or `inTimeoutMs` is over. `inTakenUpMs`, if above 0: given up sooner where nothing is heard within it.
+	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inTakenUpMs = 0);
 	/// Tells other hosts something, once each.
 	void Tell(const std::vector<Address> &inTo, const std::string &inNews);
 
@@ -96,6 +102,8 @@
 		std::string bytes;
 		OnAnswer done;
 		Millis give_up_at = 0;
+		Millis limit_at = 0;   ///< When it is given up at the latest, once it was taken up.
+		bool taken_up = false; ///< The other side has it: nothing is asked again.
 		Millis next_at = 0;
 	};
 
@@ -104,6 +112,8 @@
 	void Handle(const std::string &inBytes, GSocketAddress *inFrom);
 	void SendTo(GSocketAddress *inTo, const std::string &inBytes);
 	void Repeat();
+	/// Tells whoever asked that its question was taken up, unless the answer is there soon.
+	void SayUnderWay(const std::string &inSender, uint64 inNonce, const std::shared_ptr<GSocketAddress> &inTo);
 	/// Sends again what was answered before; false: nothing was.
 	bool AnswerAgain(const std::string &inSender, GSocketAddress *inTo);
 	void Remember(const std::string &inSender, const std::string &inBytes);
--- a/Loomreach/Job/JobRecord.h
+++ b/Loomreach/Job/JobRecord.h
@@ -96,6 +96,11 @@
 
 	auto operator<=>(const TaskId &) const = default;
 	bool operator==(const TaskId &) const = default;
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->job, this->round, this->step, this->index);
+	}
 };
 
 /// An empty record for an accepted job.
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -78,6 +78,18 @@
 	return others;
 }
 
+std::vector<IdleHost> OwnerTable::IdleHosts(Millis inNow) const
+{
+	std::vector<IdleHost> idle;
+	for (const auto &[name, heard] : this->hosts)
+	{
+		const HostBeat &beat = heard.beat;
+		if (name != this->self && beat.claims && beat.cells.empty() && !beat.short_of_time && this->IsAtWork(heard, inNow))
+			idle.push_back({beat.availability_zone, beat.address, beat.life});
+	}
+	return idle;
+}
+
 uint64 OwnerTable::StartsOf(const std::string &inHost) const
 {
 	auto heard = this->hosts.find(inHost);
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -101,6 +101,16 @@
 	uint64 epoch = 0;
 };
 
+/// A host that is at work and owns nothing: it can send owners' orders for them.
+struct IdleHost
+{
+	std::string availability_zone;
+	Address address;
+	uint64 life = 0;
+
+	bool operator==(const IdleHost &) const = default;
+};
+
 /// The view of owners. Pure.
 class OwnerTable
 {
@@ -119,6 +129,8 @@
 	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
 	/// Other hosts, those heard of last first: who may help when the store turns this one away.
 	std::vector<Address> Helpers(uint32 inCell) const;
+	/// Other hosts that are at work, own nothing and have processor time.
+	std::vector<IdleHost> IdleHosts(Millis inNow) const;
 	/// Addresses of all other hosts that were ever heard of.
 	std::vector<Address> Others() const;
 	/// Other hosts that have not been heard of for so long.
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -18,6 +18,7 @@
 	order.kind = inKind;
 	order.serial = this->next_serial++;
 	order.worker = ioWorker.entry.id;
+	order.availability_zone = ioWorker.entry.availability_zone;
 	order.address = ioWorker.entry.address;
 	order.token = this->epoch;
 	return order;
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -52,6 +52,12 @@
 	std::string checkpoint;
 	int64 percent = 0; ///< Progress; a lasting task is at work at 100.
 	int64 figure = 0;  ///< Serving tasks: tail of their answers, ms. Others: processor in use, thousandths of a core.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->task, this->run, this->checkpoint, this->percent, this->figure);
+	}
 };
 
 /// A run that has ended on a worker and is not yet taken note of.
@@ -62,6 +68,12 @@
 	uint32 run = 0;
 	ERunEnd end = ERunEnd::Failed;
 	std::string checkpoint;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->number, this->task, this->run, this->end, this->checkpoint);
+	}
 };
 
 /// How an order to a worker came out.
@@ -109,6 +121,7 @@
 	EOrder kind = EOrder::Hold;
 	uint64 serial = 0; ///< Names the order between the cell and its driver.
 	std::string worker;
+	std::string availability_zone; ///< Of the worker.
 	Address address;
 	uint64 token = 0; ///< Fencing token.
 	TaskId task;
@@ -121,6 +134,14 @@
 	Millis wait_ms = 0;   ///< Hold: the answer waits this long for an end.
 	int64 percent = 100;  ///< Pace: the share at which the task is to work.
 	Millis not_after = 0; ///< End of the sender's ownership on its clock: later the order must not leave.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->kind, this->serial, this->worker, this->availability_zone, this->address, this->token, this->task, this->run,
+				  this->payload, this->checkpoint, this->ticket, this->until_ms, this->last_seen, this->wait_ms, this->percent,
+				  this->not_after);
+	}
 };
 
 /// The answer to an order.
@@ -131,6 +152,12 @@
 	std::vector<RunningRow> running; ///< Hold only.
 	std::vector<EndedRow> ended;     ///< Hold only.
 	bool partial = false;            ///< Hold only: more ends may follow, so what neither list has may have ended.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->result, this->clock_ms, this->running, this->ended, this->partial);
+	}
 };
 
 } // namespace Loomreach::Jobs
