--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -22,7 +22,7 @@
 	OwnerTable &owners;
 	HostProcess process;
 	/// Sends an order to a worker, by whatever way. Pools' owners only.
-	std::function<void(const Order &, std::function<void(const OrderAnswer &)>)> send_order;
+	std::function<void(const Order &, std::function<void(const OrderAnswer &)>)> send_order = {};
 };
 
 /// A worker's agent as a seat needs it.
--- a/Loomreach/Forward/ForwardPlan.cpp
+++ b/Loomreach/Forward/ForwardPlan.cpp
@@ -92,9 +92,10 @@
 		const Host &host = this->hosts.at(near[(first + i) % near.size()]);
 		if (!this->CanUse(host, inNow))
 			continue;
-		// Its clock is past what it was when heard, and may run slower than ours: the order ends no later there than here
-		const Millis left = (inOrder.not_after - host.clock_at) * (1000 - cClockSlackPerMille) / 1000;
-		return Forwarder{host.idle.address, host.idle.life, host.clock_ms + left};
+		// Its clock is past what it was when heard, and may run slower or faster than ours: the order ends no later there than here
+		const Millis left = inOrder.not_after - host.clock_at;
+		const Millis slack = std::abs(left) * cClockSlackPerMille / 1000 + 1;
+		return Forwarder{host.idle.address, host.idle.life, host.clock_ms + left - slack};
 	}
 	return std::nullopt;
 }
