Let only an owner that has read all its inbox say that a job is gone; find cells' next owners sooner

By reading: a cell without an owner for seconds has more in its inbox than one answer holds (1 MB), and the new owner counted itself as sure after the first answer. After a power loss cells waited 3 s as if nobody had ever owned them, since the restarted hosts' heartbeats replaced those that told of it: the wait counts at the fleet's first start alone now.

--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -98,7 +98,8 @@
 						 this->Guard(
 							 [this, sent_at](ReadAnswer inAnswer)
 							 {
-								 if (inAnswer.result == ERead::Done)
+								 // One answer holds 1 MB at most: what waited while nobody owned the cell may be more
+								 if (inAnswer.result == ERead::Done && inAnswer.next >= inAnswer.end)
 									 this->inbox_read_at = sent_at;
 								 this->OnInbox(std::move(inAnswer));
 							 }));
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -208,6 +208,11 @@
 	return inNow - inSeen.at <= this->tuning.lease_ms;
 }
 
+bool OwnerTable::IsFirstStart() const
+{
+	return std::all_of(this->hosts.begin(), this->hosts.end(), [](const auto &inHost) { return inHost.second.beat.start <= 1; });
+}
+
 std::map<std::string, OwnerTable::Claimer> OwnerTable::Claimers(Millis inNow, size_t inOwn) const
 {
 	std::map<std::string, Claimer> claimers;
@@ -230,6 +235,7 @@
 	std::map<std::string, uint64> in_zone;
 	for (const auto &[name, claimer] : claimers)
 		in_zone[claimer.availability_zone] += claimer.cells;
+	const bool first_start = this->IsFirstStart();
 	std::vector<uint32> wanted;
 	this->claim_text.clear();
 	for (uint32 cell : inCells)
@@ -250,7 +256,9 @@
 		while (rank < order.size() && std::get<std::string>(order[rank]) != this->self)
 			++rank;
 		const Millis since = this->free_since.try_emplace(cell, inNow).first->second;
-		const Millis wait = static_cast<Millis>(rank) * this->tuning.rank_ms + (this->WasOwned(cell) ? 0 : this->tuning.first_claim_ms);
+		// After a restart the heartbeats of the hosts' earlier processes are there to be read
+		const Millis first_wait = first_start && !this->WasOwned(cell) ? this->tuning.first_claim_ms : 0;
+		const Millis wait = static_cast<Millis>(rank) * this->tuning.rank_ms + first_wait;
 		const bool wants = rank < order.size() && inNow - since >= wait;
 		if (!order.empty())
 		{
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -21,9 +21,11 @@
 	Millis idle_most_ms = 4000; ///< but at least once in this.
 	Millis read_each_ms = 30;   ///< It reads the others' once in this many ms for each host,
 	Millis read_least_ms = 500; ///< as owners do, or more seldom.
-	uint32 heirs = 4;           ///< So many hosts, the first to take over a cell, beat and read as often as owners.
-	Millis rank_ms = 350;       ///< A challenger waits this long for each host that comes before it.
-	Millis first_claim_ms = 0;  ///< And this long for a cell that nobody has owned: all hosts start together, and are heard of one by one.
+	uint32 heirs = 10; ///< So many hosts, the first to take over a cell, beat and read as often as owners. One that is gone is then passed
+					   ///< over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
+	Millis rank_ms = 350; ///< A challenger waits this long for each host that comes before it.
+	Millis first_claim_ms =
+		0; ///< And this long for a cell that nobody has owned, when the fleet first starts: hosts are heard of one by one.
 };
 
 /// A cell that a host owns.
@@ -184,6 +186,8 @@
 		std::string availability_zone;
 	};
 	std::map<std::string, Claimer> Claimers(Millis inNow, size_t inOwn) const;
+	/// Whether all hosts are at their first start, as far as is known: then others may not have been heard of yet.
+	bool IsFirstStart() const;
 	/// Whether anybody is known to have owned a cell.
 	bool WasOwned(uint32 inCell) const { return this->ToldEpoch(inCell) > 0 || this->claims.contains(inCell); }
 	/// Whether this host is among the first that would take over a cell.
--- a/UnitTests/FakeLog.h
+++ b/UnitTests/FakeLog.h
@@ -43,11 +43,14 @@
 	void Read(const LogName &inName, bool, uint64 inFrom, Millis, std::function<void(ReadAnswer)> inDone)
 	{
 		Part &part = this->parts[inName];
+		if (inName == this->held_log && this->reads_left == 0)
+			return;
+		this->reads_left -= inName == this->held_log ? 1 : 0;
 		ReadAnswer answer;
 		answer.result = ERead::Done;
 		answer.end = part.records.size();
-		answer.next = answer.end;
-		for (uint64 i = inFrom; i < part.records.size(); ++i)
+		answer.next = std::min<uint64>(answer.end, inFrom + this->most_read);
+		for (uint64 i = inFrom; i < answer.next; ++i)
 			answer.records.push_back(part.records[i]);
 		this->Later([answer, done = std::move(inDone)] { done(answer); });
 	}
@@ -80,6 +83,9 @@
 
 	std::deque<EFate> fates;
 	bool readable = true;
+	uint64 most_read = 1'000'000; ///< Records of one read.
+	LogName held_log;             ///< Reads of this log are answered
+	uint64 reads_left = 0;        ///< so often, then no more.
 
 private:
 	/// One partition.
