Never call an order not sent that a forwarder may have sent

Cause: the forwarder's answer was held up by a cut, the owner's own try of the same order never left (not-sent), and that was taken for proof that no run exists. Change: after a forward whose fate is unknown only done, old and another life count; everything else is unknown. A forwarder that refuses says so, and then the owner's own answer is as certain as ever.

--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -241,7 +241,10 @@
 	// A lease of one's own comes first: hosts without cells beat less often than a lease lasts, and a free cell must not wait for the next
 	if (!this->lease.MayAct(now))
 		return this->Beat();
-	LogEvent(ELogLevel::Info, "cells_claimed").Field("claims", this->owners.ClaimText()).Field("owned", this->Owned());
+	LogEvent(ELogLevel::Info, "cells_claimed")
+		.Field("claims", this->owners.ClaimText())
+		.Field("owned", this->Owned())
+		.Field("start", this->start);
 	for (uint32 cell : claims)
 	{
 		this->owners.PutOff(cell, now);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -52,7 +52,7 @@
 	bool owner = false;       ///< Whether the host that answers owns the cell; without it only the fields marked so count.
 	Address owner_address;    ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
 	bool entered = false;     ///< Counts always: the record is in the inbox.
-	bool not_entered = false; ///< Counts always: it certainly is not.
+	bool not_entered = false; ///< Counts always: it certainly is not; Forward: the order certainly was not sent.
 	bool reaches = false;     ///< Counts always: the store answers the host that answers.
 	bool under_way = false;   ///< Counts always: the question was taken up, and its answer is still to come.
 	int64 clock_ms = 0;       ///< Counts always: the steady clock of the host that answers.
--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -15,6 +15,16 @@
 inline constexpr Millis cAskClockMs =
 	400; ///< The question for a forwarder's clock is given up after this; its next heartbeat brings it back.
 
+/// What an answer says of an order that somebody else may have sent as well: what was not done this time may have been done the other.
+/// Taken for certain, a start that never left here was given to a second worker while the first had it.
+inline OrderAnswer InDoubt(OrderAnswer inAnswer)
+{
+	const bool tells =
+		inAnswer.result == EOrderResult::Done || inAnswer.result == EOrderResult::StaleRun || inAnswer.result == EOrderResult::OtherLife;
+	inAnswer.result = tells ? inAnswer.result : EOrderResult::Unknown;
+	return inAnswer;
+}
+
 template <class Agent>
 void OrderSender<Agent>::SetHosts(const std::vector<IdleHost> &inHosts)
 {
@@ -63,10 +73,12 @@
 		const std::optional<OrderAnswer> answer = inAnswer.has_value() ? DecodeValue<OrderAnswer>(inAnswer->record) : std::nullopt;
 		if (answer.has_value())
 			return done(*answer);
-		// It may have been sent all the same; sent once more it is the same order. Not if this host may not act any more
-		if (now < inOrder.not_after)
-			return this->agent.Send(inOrder, done);
-		done(OrderAnswer{});
+		// Not if this host may not act any more
+		if (now >= inOrder.not_after)
+			return done(OrderAnswer{});
+		// It may have been sent all the same; sent once more it is the same order
+		const bool in_doubt = !inAnswer.has_value() || !inAnswer->not_entered;
+		this->agent.Send(inOrder, [in_doubt, done](const OrderAnswer &inOwn) { done(in_doubt ? InDoubt(inOwn) : inOwn); });
 	};
 	this->peers.Ask(inBy.address, std::move(question), order.wait_ms + cForwardedMs, this->Guard(on_answer), cTakenUpMs);
 }
@@ -77,7 +89,11 @@
 	const std::optional<Order> order = DecodeValue<Order>(inQuestion.record);
 	// Meant for an earlier process at this address, damaged, or too late
 	if (!order.has_value() || inQuestion.life != inOwnLife || NowMillis() >= order->not_after)
-		return inReply(PeerAnswer{});
+	{
+		PeerAnswer refusal;
+		refusal.not_entered = true;
+		return inReply(refusal);
+	}
 	this->agent.Send(*order,
 					 [reply = std::move(inReply)](const OrderAnswer &inAnswer)
 					 {
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -190,7 +190,7 @@
 		if (this->silent)
 			return this->open.push_back(inDone);
 		OrderAnswer answer;
-		answer.result = EOrderResult::Done;
+		answer.result = this->result;
 		answer.clock_ms = 77;
 		answer.ended.push_back({5, {"job", 0, 1, 2}, 3, ERunEnd::Done, "saved"});
 		inDone(answer);
@@ -199,6 +199,7 @@
 	std::vector<Order> sent;
 	std::vector<std::function<void(const OrderAnswer &)>> open;
 	bool silent = false;
+	EOrderResult result = EOrderResult::Done;
 };
 
 uint16 FreePort()
@@ -336,6 +337,34 @@
 	EXPECT_EQ(hosts.own_agent.sent[0].not_after, order.not_after);
 }
 
+TEST(OrderSender, WhatAForwarderMayHaveSentIsNeverCalledNotSent)
+{
+	// Failed first (msafiri-loom-large, hunt-d7f4-3, TWICE): a forwarder started a run, a cut held up its answer, and the owner's own try
+	// never left. That was taken for proof that nothing ran: the task was started a second time, after its first run had ended well
+	for (const EOrderResult own : {EOrderResult::NotSent, EOrderResult::NoRoom, EOrderResult::Unhealthy, EOrderResult::TooLate,
+								   EOrderResult::StaleToken, EOrderResult::Rejected, EOrderResult::NoTicket})
+	{
+		ForwardingHosts hosts;
+		for (const auto &helper : hosts.helpers)
+			helper->peers.reset();
+		hosts.own_agent.result = own;
+		const std::optional<OrderAnswer> got = hosts.Ask(ForwardingHosts::MakeOrder(), 1000);
+		ASSERT_TRUE(got.has_value());
+		EXPECT_EQ(got->result, EOrderResult::Unknown) << NameOf(cOrderResultNames, own);
+	}
+}
+
+TEST(OrderSender, WhatAForwarderRefusedIsAsCertainAsTheOwnersOwnTry)
+{
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->life += 1000;
+	hosts.own_agent.result = EOrderResult::NotSent;
+	const std::optional<OrderAnswer> got = hosts.Ask(ForwardingHosts::MakeOrder(), 1000);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::NotSent);
+}
+
 TEST(OrderSender, AnOrderMeantForAnEarlierProcessIsNotSentByTheLater)
 {
 	// A frozen or restarted host must not carry out what its clock can't judge
