--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -82,7 +82,7 @@
 }
 
 /// Everything but disruptions of the network, the owner or the workers: an end that was listed counts.
-Trouble PlannedTrouble(Random &ioRandom)
+Trouble PlannedTroubleOf(Random &ioRandom, bool inLapses)
 {
 	Trouble trouble;
 	trouble.failing = ioRandom.Below(10);
@@ -91,6 +91,9 @@
 	trouble.stall = ioRandom.Below(30);
 	trouble.leave = ioRandom.Below(6);
 	trouble.taken_down = ioRandom.Below(30);
+	// Entries that lapse are drawn here, so that seeds found before mean what they did
+	if (inLapses)
+		trouble.unlist = ioRandom.Below(6);
 	trouble.hand_over = ioRandom.Below(15);
 	trouble.slow_worker = ioRandom.Below(8);
 	trouble.slow_stop = ioRandom.Below(60);
@@ -99,10 +102,12 @@
 	return trouble;
 }
 
+Trouble PlannedTrouble(Random &ioRandom) { return PlannedTroubleOf(ioRandom, true); }
+
 /// All of it together.
 Trouble EveryTrouble(Random &ioRandom)
 {
-	Trouble trouble = PlannedTrouble(ioRandom);
+	Trouble trouble = PlannedTroubleOf(ioRandom, false);
 	const Trouble other = AnyTrouble(ioRandom);
 	trouble.lost_order = other.lost_order;
 	trouble.lost_answer = other.lost_answer;
@@ -149,6 +154,47 @@
 	RC_ASSERT(PlayKind(seed, &EveryTrouble) == "");
 }
 
+/// Planned trouble, and appends that take a second.
+static Trouble PlannedTroubleWithSlowAppends(Random &ioRandom)
+{
+	Trouble trouble = PlannedTroubleOf(ioRandom, false);
+	trouble.unlist = ioRandom.Below(6);
+	trouble.slow_log = ioRandom.Below(30);
+	return trouble;
+}
+
+/// Planned trouble, and standstills beyond the owner's lease.
+static Trouble PlannedTroubleWithLongStalls(Random &ioRandom)
+{
+	Trouble trouble = PlannedTroubleOf(ioRandom, false);
+	trouble.unlist = ioRandom.Below(6);
+	trouble.long_stall = ioRandom.Below(6);
+	return trouble;
+}
+
+/// Seeds that failed when entries lapsed, appends took a second or owners stood still beyond their lease.
+static const std::vector<uint64> cSeedsFound{300411, 31, 51, 65, 32, 344, 400, 200497};
+
+TEST(Cell, SeedsOfPlannedTrouble)
+{
+	for (uint64 seed : cSeedsFound)
+		EXPECT_EQ(PlayKind(seed, &PlannedTrouble), "") << seed;
+}
+
+TEST(Cell, SeedsOfPlannedTroubleWithSlowAppends)
+{
+	for (uint64 seed : cSeedsFound)
+		EXPECT_EQ(PlayKind(seed, &PlannedTroubleWithSlowAppends), "") << seed;
+}
+
+TEST(Cell, SeedsOfPlannedTroubleWithLongStandstills)
+{
+	for (uint64 seed : cSeedsFound)
+		EXPECT_EQ(PlayKind(seed, &PlannedTroubleWithLongStalls), "") << seed;
+	for (uint64 seed : {2, 77, 92})
+		EXPECT_EQ(PlayKind(seed, &PlannedTroubleWithLongStalls), "") << seed;
+}
+
 /// All of it, with appends that hold few jobs each.
 static Trouble ShortAppends(Random &ioRandom)
 {
