Take a cell that was let go for one that had an owner

The test failed first. Also: the property of starting fleets plays 60 fleets again and its baseline 20 with the bound of 10 that was first written.

--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -17,6 +17,9 @@
 		return;
 	heard.beat = inBeat;
 	heard.at = inNow;
+	for (const OwnedCell &cell : inBeat.cells)
+		if (cell.held)
+			this->owned_once.insert(cell.cell);
 }
 
 void OwnerTable::OnClaimSeen(uint32 inCell, const ClaimRecord &inClaim, Millis inNow)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -189,7 +189,7 @@
 	/// Whether all hosts are at their first start, as far as is known: then others may not have been heard of yet.
 	bool IsFirstStart() const;
 	/// Whether anybody is known to have owned a cell.
-	bool WasOwned(uint32 inCell) const { return this->ToldEpoch(inCell) > 0 || this->claims.contains(inCell); }
+	bool WasOwned(uint32 inCell) const { return this->owned_once.contains(inCell) || this->claims.contains(inCell); }
 	/// Whether this host is among the first that would take over a cell.
 	bool IsHeir(Millis inNow) const;
 	/// The highest epoch of a cell that any heartbeat has told of.
@@ -202,6 +202,7 @@
 	std::map<std::string, Heard> hosts;
 	std::map<uint32, ClaimSeen> claims;
 	std::map<uint32, Millis> free_since;
+	std::set<uint32> owned_once; ///< Cells that any heartbeat has told of as owned: the newest of a host forgets what it has let go.
 	std::string claim_text;
 };
 
--- a/UnitTests/OwnerSpreadTests.cpp
+++ b/UnitTests/OwnerSpreadTests.cpp
@@ -130,7 +130,7 @@
 {
 	// Failed first (msafiri-loom-large, quiet-1): the first hosts to start owned everything, three of four in one zone; one of them owned
 	// the two busiest pools, stood still, lost both and claimed both again, while 93 hosts were idle
-	for (uint32 seed = 1; seed <= 16; ++seed)
+	for (uint32 seed = 1; seed <= 60; ++seed)
 	{
 		const size_t hosts = 5 + (seed * 67) % 296;
 		const size_t large = std::min<size_t>(hosts, 15);
@@ -147,13 +147,13 @@
 {
 	// The baseline: what the wait is there for
 	size_t crowded = 0;
-	for (uint32 seed = 1; seed <= 10; ++seed)
+	for (uint32 seed = 1; seed <= 20; ++seed)
 	{
 		StartingFleet fleet(97, 15, seed, 0);
 		fleet.Run(cSixCells, 6500);
 		crowded += fleet.OwnersOf(2) > 0 || fleet.SmallOwners() > 0 ? 1 : 0;
 	}
-	EXPECT_GE(crowded, 5u);
+	EXPECT_GE(crowded, 10u);
 }
 
 namespace
@@ -191,6 +191,31 @@
 	EXPECT_EQ(drowned.ToClaim({7}, 1000 + tuning.rank_ms, 0), std::vector<uint32>{7});
 }
 
+TEST(OwnerTable, ACellThatWasLetGoDoesNotWaitAsIfNobodyHadOwnedIt)
+{
+	// Failed first (msafiri-loom, trouble-1 to scale-2: 0.413 to 0.278 in the mean): once an owner had let its cell go, no heartbeat told
+	// of it any more, and its next owner waited for 3 s as at the fleet's first start
+	LeaseTuning tuning;
+	tuning.first_claim_ms = cFirstClaimWaitMs;
+	OwnerTable table("me", tuning);
+	table.OnBeat(BeatOf("me", 500, false, {}), 1000);
+	table.OnBeat(BeatOf("owner", 120, false, {{7, 1, true}}), 1000);
+	HostBeat gone = BeatOf("owner", 120, true, {});
+	gone.number = 2;
+	table.OnBeat(gone, 2000);
+	EXPECT_EQ(table.ToClaim({7}, 2000, 0), std::vector<uint32>{7});
+	// One that was only being claimed has had no owner
+	table.OnBeat(BeatOf("third", 120, false, {{8, 1, false}}), 2000);
+	HostBeat lost = BeatOf("third", 120, false, {});
+	lost.number = 2;
+	table.OnBeat(lost, 2100);
+	EXPECT_TRUE(table.ToClaim({8}, 2100, 0).empty());
+	HostBeat again = BeatOf("me", 500, false, {});
+	again.number = 2;
+	table.OnBeat(again, 2100 + cFirstClaimWaitMs);
+	EXPECT_EQ(table.ToClaim({8}, 2100 + cFirstClaimWaitMs, 0), std::vector<uint32>{8});
+}
+
 TEST(OwnerTable, AHostTakesOneOfSeveralFreeCellsAtATime)
 {
 	// Failed first (msafiri-loom-large, quiet-1): the first look of a host after its wait claimed three cells, as its place in the order
