Let teams in by their keys: newest configuration decides, also for hosts that are behind

Change: Catalogue knows teams, keys and open queues and decides on a call (pure); 401 for an unknown key, but 503 from a host whose reading of the operator's records may be behind (2 s unheard: two reads failed): it can't know that the key is unknown. A record that another host enters into an inbox is checked there against a newer configuration, by the hash of the key. A job keeps its team: other teams can neither see nor cancel it. Ruled out: keys in datagrams between hosts, keys in logs; a team check on a cancel before it is appended (the owner decides, when it reads the inbox).

--- a/Loomreach/Core/Error.cpp
+++ b/Loomreach/Core/Error.cpp
@@ -16,6 +16,8 @@
 	{EError::BadConfig, "bad-config", 400, EOutcome::NotRun, 3, false, "The daemon's configuration file is wrong."},
 	{EError::BadSettings, "bad-settings", 422, EOutcome::NotRun, 4, false, "The settings are wrong; nothing was applied."},
 	{EError::Unauthorized, "unauthorized", 401, EOutcome::NotRun, 5, false, "The operators' token is missing or wrong."},
+	{EError::UnknownKey, "unknown-key", 401, EOutcome::NotRun, 5, false, "No team has this key."},
+	{EError::OtherTeam, "other-team", 403, EOutcome::NotRun, 5, false, "The job is another team's."},
 	{EError::NotFound, "not-found", 404, EOutcome::NotRun, 6, false, "There is no such thing."},
 	{EError::NoSuchService, "no-such-service", 404, EOutcome::NotRun, 6, false, "No service of that name is declared."},
 	{EError::Conflict, "conflict", 409, EOutcome::NotRun, 7, false, "Somebody else changed it first; read again and apply anew."},
--- a/Loomreach/Core/Error.h
+++ b/Loomreach/Core/Error.h
@@ -16,6 +16,8 @@
 	BadConfig,
 	BadSettings,
 	Unauthorized,
+	UnknownKey,
+	OtherTeam,
 	NotFound,
 	NoSuchService,
 	Conflict,
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -239,6 +239,7 @@
 	{
 		const JobAnswer job = this->cell.Query(inQuestion.queue, inQuestion.id);
 		answer.known = job.known;
+		answer.other_team = job.known && IsOtherTeam(job.team, inQuestion.team);
 		answer.phase = job.phase;
 		break;
 	}
--- a/Loomreach/Entry/JobCalls.h
+++ b/Loomreach/Entry/JobCalls.h
@@ -12,7 +12,7 @@
 /// One caller's request about one queue.
 struct JobCall
 {
-	Queue queue;
+	Admission admission;    ///< The queue, and who asks.
 	std::string id;         ///< Empty: about the queue itself.
 	Millis deadline_ms = 0; ///< The caller waits this long for the answer.
 };
@@ -36,8 +36,8 @@
 public:
 	virtual ~JobCalls() = default;
 
-	/// The queue that a request is for; without one the error says whether there is none or nothing is known yet.
-	virtual std::optional<Queue> FindQueue(std::string_view inHost, std::string_view inPath, EError &outError) = 0;
+	/// Whether a caller may call, and which queue it is for; `inKey`: empty if it has shown none. Otherwise the error says why not.
+	virtual std::optional<Admission> Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey, EError &outError) = 0;
 	virtual void Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply) = 0;
 	virtual void Show(const JobCall &inCall, JobReply inReply) = 0;
 	virtual void Cancel(const JobCall &inCall, JobReply inReply) = 0;
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -25,7 +25,7 @@
 	void Stop(std::function<void()> inDone);
 
 	// JobCalls
-	std::optional<Queue> FindQueue(std::string_view inHost, std::string_view inPath, EError &outError) override;
+	std::optional<Admission> Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey, EError &outError) override;
 	void Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply) override;
 	void Show(const JobCall &inCall, JobReply inReply) override;
 	void Cancel(const JobCall &inCall, JobReply inReply) override;
@@ -40,6 +40,7 @@
 		InboxRecord record;
 		uint32 cell = 0;
 		Millis give_up_at = 0;
+		uint64 key_hash = 0;       ///< See Admission.
 		bool in_doubt = false;     ///< Whether an earlier try may have been appended.
 		bool helped = false;       ///< Whether helpers have been asked.
 		bool owner_silent = false; ///< Whether the first helper asked, as a rule the cell's owner, gave no answer.
@@ -105,6 +106,10 @@
 	InboxWriter<decltype(Hub::store)> &WriterOf(uint32 inCell);
 	/// Whether the store is slow to take what this host appends to a cell's inbox, and another host could do it better.
 	bool IsSlowFor(uint32 inCell);
+	/// Why a configuration newer than that of the host which asks does not allow a record; None: it does, or it is not newer.
+	EError RefusalOf(const InboxRecord &inRecord, const PeerQuestion &inQuestion) const;
+	/// Another host's newer configuration does not allow it.
+	void RefuseByNewer(const std::shared_ptr<Entering> &inEntering, EError inRefusal);
 	void EnterByHelper(const std::shared_ptr<Entering> &inEntering, size_t inHelper);
 	/// Hosts that may put a record into a cell's inbox for this one, the best first.
 	std::vector<Address> HelpersFor(uint32 inCell) const;
@@ -150,9 +155,10 @@
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	Millis store_read_ms = 0;   ///< How long it took to.
 	bool store_heard = true;
-	StoreWatch store_watch;                                        ///< Of calls that are answered at once.
-	HelperSearch helper_search;                                    ///< While the store is late.
-	Millis store_back_at = std::numeric_limits<Millis>::min() / 2; ///< When it was last heard again after a silence.
+	Millis operator_heard_at = std::numeric_limits<Millis>::min() / 2; ///< When the operator's newest records were last known to be read.
+	StoreWatch store_watch;                                            ///< Of calls that are answered at once.
+	HelperSearch helper_search;                                        ///< While the store is late.
+	Millis store_back_at = std::numeric_limits<Millis>::min() / 2;     ///< When it was last heard again after a silence.
 	bool stopping = false;
 	Millis stop_at = 0;
 	std::function<void()> on_stopped;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -5,6 +5,8 @@
 
 inline constexpr Millis cOperatorWaitMs =
 	900; ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
+/// Unheard for this long, the operator's records may have changed unread: two reads have failed to come back.
+inline constexpr Millis cOperatorStaleMs = 2000;
 inline constexpr Millis cFollowAgainMs = 200;
 inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
 inline constexpr Millis cWorkersShortMs = 150; ///< And at most this often while something waits for room,
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -6,13 +6,29 @@
 // ---- Callers ----
 
 template <class Hub>
-std::optional<Queue> JobHost<Hub>::FindQueue(std::string_view inHost, std::string_view inPath, EError &outError)
+std::optional<Admission> JobHost<Hub>::Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey, EError &outError)
 {
-	outError = this->catalogue == nullptr ? EError::NotReady : EError::NoSuchService;
-	const Queue *queue = this->catalogue == nullptr ? nullptr : this->catalogue->Find(inHost, inPath);
-	if (queue == nullptr)
-		return Fail(outError, std::string(inHost) + std::string(inPath));
-	return *queue;
+	std::optional<Admission> admission;
+	outError = EError::NotReady;
+	if (this->catalogue != nullptr)
+	{
+		admission = this->catalogue->Admit(inHost, inPath, inKey);
+		outError = admission.has_value() ? EError::None : LastReason().kind;
+	}
+	// A key that came with a version not read yet is no stranger's: the caller is sent on, not turned away for good
+	const bool may_be_behind = NowMillis() - this->operator_heard_at > cOperatorStaleMs;
+	if (outError == EError::UnknownKey && may_be_behind)
+		outError = EError::NotReady;
+	if (!admission.has_value())
+	{
+		this->metrics.Count(ECounter::Refusals, AnswerOf(outError).name);
+		LogEvent(ELogLevel::Info, "call_refused")
+			.Field("path", inPath)
+			.Field("version", this->catalogue == nullptr ? -1 : this->catalogue->version)
+			.Field("operator_heard_ms_ago", NowMillis() - this->operator_heard_at)
+			.Field("outcome", AnswerOf(outError).name);
+	}
+	return admission;
 }
 
 template <class Hub>
@@ -34,7 +50,8 @@
 template <class Hub>
 void JobHost<Hub>::Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply)
 {
-	const Queue &queue = inCall.queue;
+	const Queue &queue = inCall.admission.queue;
+	inSpec.team = inCall.admission.team;
 	inSpec.queue = queue.name;
 	inSpec.pool = queue.pool;
 	inSpec.max_attempts = queue.max_attempts;
@@ -46,6 +63,7 @@
 	auto entering = std::make_shared<Entering>();
 	entering->record = {EInbox::Submit, std::move(inSpec)};
 	entering->cell = CellOf(queue.pool, this->Parts());
+	entering->key_hash = inCall.admission.key_hash;
 	entering->give_up_at = GiveUpAt(inCall);
 	entering->reply = std::move(inReply);
 	this->Enter(std::move(entering));
@@ -57,8 +75,11 @@
 	auto entering = std::make_shared<Entering>();
 	entering->record.kind = EInbox::Cancel;
 	entering->record.spec.id = inCall.id;
-	entering->record.spec.queue = inCall.queue.name;
-	entering->cell = CellOf(inCall.queue.pool, this->Parts());
+	entering->record.spec.queue = inCall.admission.queue.name;
+	entering->record.spec.pool = inCall.admission.queue.pool;
+	entering->record.spec.team = inCall.admission.team;
+	entering->cell = CellOf(inCall.admission.queue.pool, this->Parts());
+	entering->key_hash = inCall.admission.key_hash;
 	entering->give_up_at = GiveUpAt(inCall);
 	entering->reply = std::move(inReply);
 	this->Enter(std::move(entering));
@@ -143,6 +164,8 @@
 	question.kind = EQuestion::Enter;
 	question.cell = inEntering->cell;
 	question.record = EncodeValue(inEntering->record);
+	question.version = this->catalogue->version;
+	question.key_hash = inEntering->key_hash;
 	question.for_ms = std::min(left, patience);
 	this->peers.Ask(helpers[inHelper], std::move(question), std::min(left, patience),
 					[this, inEntering, inHelper](const std::optional<PeerAnswer> &inAnswer)
@@ -150,6 +173,9 @@
 						const bool entered = inAnswer.has_value() && inAnswer->entered;
 						inEntering->owner_silent = inEntering->owner_silent || (inHelper == 0 && !inAnswer.has_value());
 						inEntering->in_doubt = inEntering->in_doubt || !inAnswer.has_value() || (!entered && !inAnswer->not_entered);
+						const EError refusal = inAnswer.has_value() ? inAnswer->refusal : EError::None;
+						if (refusal != EError::None && !inEntering->in_doubt)
+							return this->RefuseByNewer(inEntering, refusal);
 						if (!entered)
 							return this->EnterByHelper(inEntering, inHelper + 1);
 						LogEvent(ELogLevel::Info, "job_accepted")
@@ -186,6 +212,30 @@
 	this->Answer(inEntering->reply, outcome);
 }
 
+template <class Hub>
+EError JobHost<Hub>::RefusalOf(const InboxRecord &inRecord, const PeerQuestion &inQuestion) const
+{
+	// Who asks may know less, being turned away by the store; who knows less than it has nothing to say
+	if (this->catalogue == nullptr || this->catalogue->version <= inQuestion.version)
+		return EError::None;
+	const JobSpec &spec = inRecord.spec;
+	return this->catalogue->StillAdmits(spec.queue, spec.pool, spec.team, inQuestion.key_hash) ? EError::None : LastReason().kind;
+}
+
+template <class Hub>
+void JobHost<Hub>::RefuseByNewer(const std::shared_ptr<Entering> &inEntering, EError inRefusal)
+{
+	LogEvent(ELogLevel::Info, "job_not_accepted")
+		.Field("request", inEntering->record.spec.id)
+		.Field("queue", inEntering->record.spec.queue)
+		.Field("version", this->catalogue->version)
+		.Field("why", "another host has a newer configuration")
+		.Field("outcome", AnswerOf(inRefusal).name);
+	JobOutcome outcome;
+	outcome.error = inRefusal;
+	this->Answer(inEntering->reply, outcome);
+}
+
 template <class Hub>
 void JobHost<Hub>::OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 {
@@ -193,12 +243,15 @@
 		return this->orders.SendFor(inQuestion, this->life, std::move(inReply));
 	if (inQuestion.kind != EQuestion::Enter)
 		return inReply(this->AnswerPeer(inQuestion));
-	// Only what decodes is passed on, and only to a store that answers
-	if (!DecodeValue<InboxRecord>(inQuestion.record).has_value() || this->store_watch.IsSilent(NowMillis()))
+	// Only what decodes is passed on, only what the newest known configuration allows, and only to a store that answers
+	const std::optional<InboxRecord> record = DecodeValue<InboxRecord>(inQuestion.record);
+	const EError refusal = record.has_value() ? this->RefusalOf(*record, inQuestion) : EError::Corrupt;
+	if (refusal != EError::None || this->store_watch.IsSilent(NowMillis()))
 	{
-		PeerAnswer refusal;
-		refusal.not_entered = true;
-		return inReply(refusal);
+		PeerAnswer answer;
+		answer.not_entered = true;
+		answer.refusal = record.has_value() ? refusal : EError::None;
+		return inReply(answer);
 	}
 	this->WriterOf(inQuestion.cell)
 		.Enter(inQuestion.record, std::clamp(inQuestion.for_ms, cEnterLeastMs, cHelperSlowMs),
@@ -253,9 +306,10 @@
 {
 	PeerQuestion question;
 	question.kind = EQuestion::Show;
-	question.queue = inCall.queue.name;
+	question.queue = inCall.admission.queue.name;
 	question.id = inCall.id;
-	const uint32 cell = CellOf(inCall.queue.pool, this->Parts());
+	question.team = inCall.admission.team;
+	const uint32 cell = CellOf(inCall.admission.queue.pool, this->Parts());
 	this->AskCell(cell, question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
 				  [this, reply = std::move(inReply), id = inCall.id](const std::optional<PeerAnswer> &inAnswer)
 				  {
@@ -265,6 +319,8 @@
 						  outcome.error = EError::NotReady;
 					  else if (!inAnswer->known)
 						  outcome.error = EError::JobGone;
+					  else if (inAnswer->other_team)
+						  outcome.error = EError::OtherTeam;
 					  else
 						  outcome.phase = inAnswer->phase;
 					  LogEvent(ELogLevel::Info, "job_asked")
@@ -280,8 +336,8 @@
 {
 	PeerQuestion question;
 	question.kind = EQuestion::Count;
-	question.queue = inCall.queue.name;
-	this->AskCell(CellOf(inCall.queue.pool, this->Parts()), question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
+	question.queue = inCall.admission.queue.name;
+	this->AskCell(CellOf(inCall.admission.queue.pool, this->Parts()), question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
 				  [this, reply = std::move(inReply)](const std::optional<PeerAnswer> &inAnswer)
 				  {
 					  JobOutcome outcome;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -14,6 +14,7 @@
 							   if (!inAnswer.good)
 								   return this->operator_timer.Once(cFollowAgainMs, [this] { this->LoadOperator(); });
 							   this->store_heard_at = NowMillis();
+							   this->operator_heard_at = this->store_heard_at;
 							   for (const LogRecord &record : inAnswer.records)
 								   this->OnOperatorRecord(record);
 							   this->FollowOperator(inAnswer.end);
@@ -31,6 +32,7 @@
 							 if (inAnswer.result == ERead::Failed)
 								 return this->operator_timer.Once(cFollowAgainMs, [this, inFrom] { this->FollowOperator(inFrom); });
 							 this->store_heard_at = NowMillis();
+							 this->operator_heard_at = this->store_heard_at;
 							 for (const LogRecord &record : inAnswer.records)
 								 this->OnOperatorRecord(record);
 							 this->FollowOperator(inAnswer.next);
@@ -54,7 +56,8 @@
 		LogEvent(ELogLevel::Info, "configuration")
 			.Field("version", read->version)
 			.Field("queues", read->queues.size())
-			.Field("pools", read->pools.size());
+			.Field("pools", read->pools.size())
+			.Field("teams", read->teams.has_value() ? static_cast<int64>(read->teams->size()) : -1);
 		this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
 		for (auto &[cell, seat] : this->seats)
 			seat->SetCatalogue(this->catalogue);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Core/Metrics.h>
 #include <Loomreach/Job/JobRecord.h>
@@ -30,7 +31,10 @@
 	EQuestion kind = EQuestion::Show;
 	uint32 cell = 0;
 	std::string queue;
-	std::string id; ///< A job, a worker or a pool.
+	std::string id;      ///< A job, a worker or a pool.
+	std::string team;    ///< Show: who asks.
+	int64 version = 0;   ///< Enter: of the asking host's configuration.
+	uint64 key_hash = 0; ///< Enter: see Admission.
 	int64 for_ms = 0;
 	uint32 count = 0;              ///< Demand: workers that should be spared.
 	std::vector<std::string> left; ///< Demand: workers whose hosts have just been moved or taken down; the worker list shows them still.
@@ -40,8 +44,8 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->for_ms, this->count, this->left, this->record,
-				  this->life);
+		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->team, this->version, this->key_hash, this->for_ms,
+				  this->count, this->left, this->record, this->life);
 	}
 };
 
@@ -49,16 +53,18 @@
 struct PeerAnswer
 {
 	uint64 nonce = 0;
-	bool owner = false;       ///< Whether the host that answers owns the cell; without it only the fields marked so count.
-	Address owner_address;    ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
-	bool entered = false;     ///< Counts always: the record is in the inbox.
-	bool not_entered = false; ///< Counts always: it certainly is not; Forward: the order certainly was not sent.
-	bool reaches = false;     ///< Counts always: the store answers the host that answers.
-	bool under_way = false;   ///< Counts always: the question was taken up, and its answer is still to come.
-	int64 clock_ms = 0;       ///< Counts always: the steady clock of the host that answers.
-	std::string record;       ///< Counts always; Forward: the worker's encoded answer; empty: there is none to be had here.
-	bool sure = false;        ///< Whether the owner has read its inbox up to a moment ago.
+	bool owner = false;            ///< Whether the host that answers owns the cell; without it only the fields marked so count.
+	Address owner_address;         ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
+	bool entered = false;          ///< Counts always: the record is in the inbox.
+	bool not_entered = false;      ///< Counts always: it certainly is not; Forward: the order certainly was not sent.
+	bool reaches = false;          ///< Counts always: the store answers the host that answers.
+	bool under_way = false;        ///< Counts always: the question was taken up, and its answer is still to come.
+	int64 clock_ms = 0;            ///< Counts always: the steady clock of the host that answers.
+	std::string record;            ///< Counts always; Forward: the worker's encoded answer; empty: there is none to be had here.
+	bool sure = false;             ///< Whether the owner has read its inbox up to a moment ago.
+	EError refusal = EError::None; ///< Counts always; Enter: a newer configuration does not allow it.
 	bool known = false;
+	bool other_team = false; ///< Show: the job is not the asking team's.
 	EJobPhase phase = EJobPhase::Queued;
 	uint32 waiting = 0;
 	bool empty = false;
@@ -68,7 +74,8 @@
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->reaches, this->under_way,
-				  this->clock_ms, this->record, this->sure, this->known, this->phase, this->waiting, this->empty, this->demand);
+				  this->clock_ms, this->record, this->sure, this->refusal, this->known, this->other_team, this->phase, this->waiting,
+				  this->empty, this->demand);
 	}
 };
 
--- a/Loomreach/Job/JobSpec.h
+++ b/Loomreach/Job/JobSpec.h
@@ -84,6 +84,7 @@
 	std::string id;      ///< 16 hex digits, chosen by the caller.
 	std::string queue;   ///< Name of the queue.
 	std::string pool;    ///< The pool that runs it. Stays, even if the queue moves to another pool.
+	std::string team;    ///< The team whose job it is; empty: nobody's.
 	std::string payload; ///< Handed to every task unread.
 	std::vector<StepSpec> steps;
 	uint32 times = 0;        ///< How often the steps run; 0: once, at once.
@@ -101,9 +102,16 @@
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->id, this->queue, this->pool, this->payload, this->steps, this->times, this->first_wall_ms, this->interval_ms,
-				  this->max_attempts, this->priority, this->stretch, this->target_ms, this->advised, this->accepted_wall_ms);
+		ioArchive(this->id, this->queue, this->pool, this->team, this->payload, this->steps, this->times, this->first_wall_ms,
+				  this->interval_ms, this->max_attempts, this->priority, this->stretch, this->target_ms, this->advised,
+				  this->accepted_wall_ms);
 	}
 };
 
+/// Whether a caller of one team is to leave a job alone: it is another's. Who calls through an open queue has no team.
+inline bool IsOtherTeam(std::string_view inJobTeam, std::string_view inCallerTeam)
+{
+	return !inJobTeam.empty() && !inCallerTeam.empty() && inJobTeam != inCallerTeam;
+}
+
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -229,8 +229,11 @@
 	CellJob *known = this->FindJob(id);
 	if (inRecord.kind == EInbox::Cancel)
 	{
-		const bool ends_it = known != nullptr && !IsFinal(known->record.phase);
-		LogEvent(ELogLevel::Info, "cancel").Field("request", id).Field("outcome", ends_it ? "canceled" : "nothing to cancel");
+		const bool others = known != nullptr && IsOtherTeam(known->spec.team, inRecord.spec.team);
+		const bool ends_it = known != nullptr && !others && !IsFinal(known->record.phase);
+		LogEvent(ELogLevel::Info, "cancel")
+			.Field("request", id)
+			.Field("outcome", ends_it ? "canceled" : (others ? "another team's job" : "nothing to cancel"));
 		if (!ends_it)
 			return;
 		known->record.ended_wall_ms = inWallNow;
@@ -258,6 +261,7 @@
 		.Field("request", id)
 		.Field("queue", job.spec.queue)
 		.Field("pool", job.spec.pool)
+		.Field("team", job.spec.team)
 		.Field("steps", job.spec.steps.size())
 		.Field("tasks", job.spec.steps[0].count)
 		.Field("cpu_milli", job.spec.steps[0].need.cpu_milli)
@@ -415,6 +419,7 @@
 	if (found == this->jobs.end() || found->second.spec.queue != inQueue)
 		return answer;
 	answer.known = true;
+	answer.team = found->second.spec.team;
 	answer.phase = found->second.shown;
 	if (answer.phase == EJobPhase::Queued && found->second.record.begun)
 		answer.phase = EJobPhase::Running;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -23,6 +23,7 @@
 {
 	bool known = false;
 	EJobPhase phase = EJobPhase::Queued;
+	std::string_view team; ///< Whose job it is.
 };
 
 /// Figures of a cell for metrics.
