Keep teams' limits over all cells: the fleet's owner shares them out

Change: TeamUse counts a cell's runs by team and keeps to its share; TeamShares (fleet's owner) counts each cell for the most that it may hold, gives to the cell that uses least first, and after a change of owner waits until it has heard of all cells by questions that know of it. Needs of pools count no more than a team may have running.

FleetSeat without a machine service lists no hosts now, so that a fleet of teams alone can have an owner; its tests therefore name one (same checks).

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -23,6 +23,8 @@
 	HostProcess process;
 	/// Sends an order to a worker, by whatever way. Pools' owners only.
 	std::function<void(const Order &, std::function<void(const OrderAnswer &)>)> send_order = {};
+	/// Asks the fleet's owner, this host or another. Pools' owners only.
+	std::function<void(PeerQuestion, PeerQuery::OnAnswer)> ask_fleet = {};
 };
 
 /// A worker's agent as a seat needs it.
@@ -76,6 +78,8 @@
 	void Soon(Millis inDelayMs);
 	void Write();
 	void SendOrders();
+	/// Asks for the teams' shares when it is time to.
+	void AskShares(Millis inNow);
 
 	Hub &hub;
 	SeatContext context;
@@ -85,6 +89,7 @@
 	OnSeat on_seat;
 	bool held = false;
 	Millis inbox_read_at = -1; ///< When the newest answered read of the inbox was sent.
+	bool asking_shares = false;
 	Timer soon;
 	Timer tick;
 	Timer inbox_again;
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -150,6 +150,7 @@
 	const double planned = NowMillisExact();
 	this->context.metrics.Time(ETiming::Plan, planned - began);
 	this->SendOrders();
+	this->AskShares(now);
 	const double sent = NowMillisExact();
 	this->Write();
 	const double written = NowMillisExact();
@@ -168,6 +169,30 @@
 											}));
 }
 
+template <class Hub>
+void CellSeat<Hub>::AskShares(Millis inNow)
+{
+	if (this->asking_shares || inNow < this->cell.NextSharesAt())
+		return;
+	std::optional<ShareQuestion> shares = this->cell.AskShares(inNow, WallMillis());
+	if (!shares.has_value())
+		return;
+	PeerQuestion question;
+	question.kind = EQuestion::Shares;
+	question.cell = cFleetCell;
+	question.shares = std::move(*shares);
+	this->asking_shares = true;
+	this->context.ask_fleet(std::move(question), this->Guard(
+													 [this](const std::optional<PeerAnswer> &inAnswer)
+													 {
+														 this->asking_shares = false;
+														 if (!inAnswer.has_value() || !inAnswer->owner)
+															 return;
+														 this->cell.OnShares(inAnswer->shares, NowMillis());
+														 this->Soon(cStepGapMs);
+													 }));
+}
+
 template <class Hub>
 void CellSeat<Hub>::Write()
 {
@@ -248,7 +273,8 @@
 		this->cell.NoteLeft(inQuestion.left, now);
 		answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis());
 		break;
-	case EQuestion::Enter: // The host's own matters: any host may enter a record
+	case EQuestion::Shares: // The fleet's matter
+	case EQuestion::Enter:  // The host's own matters: any host may enter a record
 	case EQuestion::Reach:
 	case EQuestion::Forward: break;
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -5,6 +5,7 @@
 
 #include <Loomreach/Entry/CellSeat.h>
 #include <Loomreach/Fleet/PoolBalancer.h>
+#include <Loomreach/Fleet/TeamShares.h>
 
 namespace Loomreach::Jobs
 {
@@ -27,6 +28,7 @@
 	/// The waves that the operator has asked for.
 	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
 	void SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue);
+	PeerAnswer Answer(const PeerQuestion &inQuestion);
 	/// A planned stop begins: no new orders to hosts.
 	void Retire() { this->retiring = true; }
 	/// Whether a successor may begin at once: nothing is on its way to the log, and no order to a host.
@@ -50,6 +52,8 @@
 	OwnedLog<Store> log;
 	UpkeepPlanner planner;
 	PoolBalancer balancer;
+	std::optional<TeamShares> shares;           ///< Once the fleet is held.
+	std::shared_ptr<const Catalogue> catalogue; ///< As last set.
 	OnSeat on_seat;
 	bool held = false;
 	std::map<int64, std::set<std::string>> logged; ///< Hosts done, as the log holds it.
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -57,6 +57,9 @@
 							this->logged[std::strtoll(key.c_str() + 1, nullptr, 10)] = *done;
 					}
 					this->held = true;
+					this->shares.emplace(this->log.Epoch(), NowMillis(), LongestLease(this->context.config.worker_lease_ms));
+					if (this->catalogue != nullptr)
+						this->SetCatalogue(this->catalogue);
 					LogEvent(ELogLevel::Info, "fleet_owned").Field("epoch", this->log.Epoch()).Field("waves", this->logged.size());
 					this->tick.Every(cFleetTickMs, [this] { this->Step(); });
 				}
@@ -68,12 +71,33 @@
 template <class Hub>
 void FleetSeat<Hub>::SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue)
 {
+	this->catalogue = inCatalogue;
 	this->balancer.SetPools(*inCatalogue);
 	std::set<std::string> spare;
+	std::set<uint32> cells;
 	for (const auto &[name, pool] : inCatalogue->pools)
+	{
 		if (pool.spare)
 			spare.insert(name);
+		else
+			cells.insert(CellOf(name, static_cast<uint32>(this->context.config.log_parts)));
+	}
 	this->planner.SetSpare(std::move(spare));
+	if (!this->shares.has_value())
+		return;
+	this->shares->SetCells(std::move(cells));
+	this->shares->SetTeams(*inCatalogue);
+}
+
+template <class Hub>
+PeerAnswer FleetSeat<Hub>::Answer(const PeerQuestion &inQuestion)
+{
+	const Millis now = NowMillis();
+	PeerAnswer answer;
+	answer.owner = this->held && this->context.lease.MayAct(now);
+	if (answer.owner && inQuestion.kind == EQuestion::Shares)
+		answer.shares = this->shares->OnQuestion(inQuestion.shares, now);
+	return answer;
 }
 
 template <class Hub>
@@ -92,7 +116,8 @@
 		return;
 	for (int64 wave : this->planner.Waves())
 		this->WriteStatus(wave, this->planner.IsCompleted(wave));
-	if (!this->listing && now - this->listed_at >= cListEveryMs)
+	const bool has_machines = this->context.config.machines.has_value();
+	if (has_machines && !this->listing && now - this->listed_at >= cListEveryMs)
 		this->ListHosts();
 	this->AskToEmpty(now);
 	this->AskDemands(now);
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -37,6 +37,7 @@
 inline constexpr Millis cEnterLeastMs =
 	200; ///< An append is never given up sooner: a caller with little time left is better answered late than in doubt.
 inline constexpr Millis cAskTimeoutMs = 700;
+inline constexpr Millis cAskSharesMs = 300;    ///< A question for teams' shares is asked anew with newer figures after this.
 inline constexpr size_t cMostHelpers = 2;      ///< Hosts asked to put a record into an inbox for this one.
 inline constexpr Millis cReachMs = 200;        ///< A host that does not say within this that it reaches the store is no helper.
 inline constexpr Millis cHelperMs = 500;       ///< Each of them has this long,
@@ -230,7 +231,7 @@
 		return;
 	const Millis now = NowMillis();
 	std::set<uint32> cells;
-	if (this->config.machines.has_value())
+	if (this->config.machines.has_value() || this->catalogue->teams.has_value())
 		cells.insert(cFleetCell);
 	for (const auto &[name, pool] : this->catalogue->pools)
 		cells.insert(CellOf(name, this->Parts()));
@@ -262,7 +263,9 @@
 {
 	const auto send = [this](const Order &inOrder, std::function<void(const OrderAnswer &)> inDone)
 	{ this->orders.Send(inOrder, std::move(inDone)); };
-	return {this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}, send};
+	const auto ask_fleet = [this](PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
+	{ this->AskCell(cFleetCell, std::move(inQuestion), cAskSharesMs, std::move(inDone)); };
+	return {this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}, send, ask_fleet};
 }
 
 template <class Hub>
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -294,6 +294,8 @@
 	PeerAnswer answer;
 	if (seat != this->seats.end())
 		answer = seat->second->Answer(inQuestion);
+	if (inQuestion.cell == cFleetCell && this->fleet != nullptr)
+		answer = this->fleet->Answer(inQuestion);
 	answer.reaches = !this->stopping && !this->store_watch.IsSilent(NowMillis());
 	const std::optional<CellOwner> owner = this->owners.OwnerOf(inQuestion.cell, NowMillis());
 	if (!answer.owner && owner.has_value() && owner->host != this->config.name)
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -7,6 +7,7 @@
 #include <Loomreach/Core/Metrics.h>
 #include <Loomreach/Job/JobRecord.h>
 #include <Loomreach/Schedule/PoolDemand.h>
+#include <Loomreach/Schedule/TeamClaims.h>
 #include <Loomreach/Settings/DaemonConfig.h>
 
 namespace Loomreach::Jobs
@@ -21,6 +22,7 @@
 	Demand, ///< What does a pool need, and which workers can it spare?
 	Enter,  ///< Put a record into a cell's inbox: the store turns the asking host away.
 	Reach,  ///< Does the store answer the host that is asked?
+	Shares, ///< Asked of the fleet's owner: how much may teams have running in the asking cell?
 	Forward ///< Send an order to a worker: the asking host is an owner short of processor time.
 };
 
@@ -40,12 +42,13 @@
 	std::vector<std::string> left; ///< Demand: workers whose hosts have just been moved or taken down; the worker list shows them still.
 	std::string record;            ///< Enter: the encoded record. Forward: the encoded order.
 	uint64 life = 0;               ///< Forward: the process that is meant.
+	ShareQuestion shares;          ///< Shares.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->nonce, this->kind, this->cell, this->queue, this->id, this->team, this->version, this->key_hash, this->for_ms,
-				  this->count, this->left, this->record, this->life);
+				  this->count, this->left, this->record, this->life, this->shares);
 	}
 };
 
@@ -69,13 +72,14 @@
 	uint32 waiting = 0;
 	bool empty = false;
 	PoolDemand demand;
+	ShareAnswer shares;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->nonce, this->owner, this->owner_address, this->entered, this->not_entered, this->reaches, this->under_way,
 				  this->clock_ms, this->record, this->sure, this->refusal, this->known, this->other_team, this->phase, this->waiting,
-				  this->empty, this->demand);
+				  this->empty, this->demand, this->shares);
 	}
 };
 
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -113,9 +113,9 @@
 				worker.lease_over_at = inNow + LongestLease(this->tuning.most_lease_ms);
 				const size_t steps = ioJob.spec.steps.size();
 				const RunId id{{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index}, run.run};
-				Run inherited = RunOf(step, ERunState::Inherited, inNow);
+				Run inherited = RunOf(ioJob.spec, step, ERunState::Inherited, inNow);
 				inherited.inherited = true;
-				worker.used.Add(inherited.room);
+				this->CountRun(worker, inherited);
 				worker.runs.emplace(id, std::move(inherited));
 			}
 	}
@@ -169,6 +169,25 @@
 	}
 }
 
+void Cell::CountRun(CellWorker &ioWorker, const Run &inRun)
+{
+	ioWorker.used.Add(inRun.room);
+	this->teams.Add(inRun.team, inRun.need);
+}
+
+void Cell::DiscountRun(CellWorker &ioWorker, const Run &inRun)
+{
+	ioWorker.used.Subtract(inRun.room);
+	this->teams.Subtract(inRun.team, inRun.need);
+}
+
+void Cell::SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue)
+{
+	this->catalogue = std::move(inCatalogue);
+	if (this->catalogue != nullptr)
+		this->teams.SetTeams(*this->catalogue);
+}
+
 CellJob *Cell::FindJob(const std::string &inId)
 {
 	auto found = this->jobs.find(inId);
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -14,6 +14,7 @@
 #include <Loomreach/Schedule/CellTrail.h>
 #include <Loomreach/Schedule/PoolDemand.h>
 #include <Loomreach/Schedule/RunTimes.h>
+#include <Loomreach/Schedule/TeamUse.h>
 
 namespace Loomreach::Jobs
 {
@@ -57,7 +58,7 @@
 	/// only have lapsed; until then its worker is taken for present while it answers.
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow, Millis inTrustUntil = 0);
 	/// Whether a pool's workers guard their room themselves. Unknown pools do not.
-	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->catalogue = std::move(inCatalogue); }
+	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue);
 	/// Takes in one record of the inbox. `inOffset` is its place there.
 	void Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow);
 	/// Records before this place have been removed unread.
@@ -80,6 +81,11 @@
 	std::vector<AdviceQuestion> TakeAdvice() { return std::exchange(this->questions, {}); }
 	void OnAdvice(const AdviceQuestion &inQuestion, const AdviceAnswer &inAnswer, Millis inNow);
 
+	/// When to ask for the teams' shares next, and what; nothing: there is nothing to ask.
+	Millis NextSharesAt() const { return this->teams.NextAskAt(!this->short_teams.empty()); }
+	std::optional<ShareQuestion> AskShares(Millis inNow, int64 inWallNow);
+	void OnShares(const ShareAnswer &inAnswer, Millis inNow);
+
 	/// What callers may be told of a job.
 	JobAnswer Query(std::string_view inQueue, std::string_view inId) const;
 	/// Accepted jobs of a queue none of whose tasks has begun.
@@ -117,7 +123,13 @@
 	/// The log now holds the ends of a worker that were in the append.
 	void NoteLogged(CellWorker &ioWorker);
 
+	/// A run may exist from now on, or is known to be over.
+	void CountRun(CellWorker &ioWorker, const Run &inRun);
+	void DiscountRun(CellWorker &ioWorker, const Run &inRun);
+
 	// CellDemand.cpp
+	/// What could start of each team with a limit, if it had room.
+	std::map<std::string, Resources> WantedByTeam(int64 inWallNow) const;
 	void NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: decisions
@@ -135,6 +147,8 @@
 	Millis StepLeft(const CellJob &inJob, size_t inUnit) const;
 	int64 DueWall(const CellJob &inJob) const;
 	bool IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const;
+	/// Whether a job's team may have this many more tasks of a step running; remembers which have not.
+	bool HasTeamRoom(const CellJob &inJob, size_t inUnit, int64 inTasks, Millis inNow);
 	void PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow);
 	void PlanGang(CellJob &ioJob, size_t inUnit, Millis inNow);
 	void PlanLapsed(CellWorker &ioWorker, Millis inNow);
@@ -215,9 +229,11 @@
 	std::vector<PlanReject> rejects; ///< Of the planning under way.
 	int64 forgot_wall_ms = 0;        ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
-	std::string planned;         ///< Runs planned for the step in hand, for the log: task, run and worker.
-	Millis planned_age = 0;      ///< How old the oldest news of their workers is.
-	std::vector<RunId> to_start; ///< Logged runs whose workers are to be told.
+	TeamUse teams;                     ///< Invariant: counts every run on the workers.
+	std::set<std::string> short_teams; ///< Teams that had no room in the last planning.
+	std::string planned;               ///< Runs planned for the step in hand, for the log: task, run and worker.
+	Millis planned_age = 0;            ///< How old the oldest news of their workers is.
+	std::vector<RunId> to_start;       ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	RunTimes run_times;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -16,6 +16,7 @@
 
 void Cell::NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const
 {
+	std::map<std::string_view, std::array<Resources, 2>> by_team; ///< In time, and late.
 	for (const std::string &id : this->active)
 	{
 		const CellJob &job = this->jobs.at(id);
@@ -27,11 +28,62 @@
 			if (!this->IsDue(job, unit, inWallNow))
 				continue;
 			const Resources room = job.StepOf(unit).Room();
+			Resources &sum = by_team[job.spec.team][hope == EHope::InTime ? 0 : 1];
 			for (const TaskRecord &task : job.record.steps[unit].tasks)
 				if (!task.done)
-					(hope == EHope::InTime ? outInTime : outLate).Add(room);
+					sum.Add(room);
 		}
 	}
+	for (auto &[team, sums] : by_team)
+	{
+		// Hosts beyond what a team may have running would stand idle
+		const Resources *limit = this->teams.Limits().Find(team);
+		Resources left = limit == nullptr ? Resources{} : *limit;
+		for (Resources &sum : sums)
+		{
+			if (limit != nullptr)
+				sum = EachOf(sum, EachOf(left, *limit, [](int64 inLeft, int64 inLimit) { return inLimit == 0 ? INT64_MAX : inLeft; }),
+							 [](int64 inX, int64 inMost) { return std::min(inX, inMost); });
+			left.Subtract(sum);
+		}
+		outInTime.Add(sums[0]);
+		outLate.Add(sums[1]);
+	}
+}
+
+std::map<std::string, Resources> Cell::WantedByTeam(int64 inWallNow) const
+{
+	std::map<std::string, Resources> wanted;
+	for (const std::string &id : this->unsettled)
+	{
+		const CellJob &job = this->jobs.at(id);
+		if (this->teams.Limits().Find(job.spec.team) == nullptr)
+			continue;
+		for (size_t unit = 0; unit < job.record.steps.size(); ++unit)
+		{
+			if (!this->IsDue(job, unit, inWallNow))
+				continue;
+			for (const TaskRecord &task : job.record.steps[unit].tasks)
+				if (!task.done && task.runs.empty())
+					wanted[job.spec.team].Add(job.StepOf(unit).need);
+		}
+	}
+	return wanted;
+}
+
+std::optional<ShareQuestion> Cell::AskShares(Millis inNow, int64 inWallNow)
+{
+	if (this->teams.Limits().IsEmpty())
+		return std::nullopt;
+	ShareQuestion question = this->teams.Ask(this->epoch, this->WantedByTeam(inWallNow), inNow);
+	question.cell = this->trail.Cell();
+	return question;
+}
+
+void Cell::OnShares(const ShareAnswer &inAnswer, Millis inNow)
+{
+	this->now = inNow;
+	this->teams.OnAnswer(inAnswer, inNow);
 }
 
 /// The greater of each.
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -310,7 +310,7 @@
 	auto found = ioWorker.runs.find(inRun);
 	if (found == ioWorker.runs.end())
 		return;
-	ioWorker.used.Subtract(found->second.room);
+	this->DiscountRun(ioWorker, found->second);
 	ioWorker.runs.erase(found);
 	TaskRecord *task = this->FindTask(inRun.task);
 	if (task == nullptr)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -167,6 +167,7 @@
 {
 	std::vector<PlanPlace> order;
 	this->rejects.clear();
+	this->short_teams.clear();
 	for (const std::string &id : this->unsettled)
 	{
 		CellJob &job = *this->FindJob(id);
@@ -218,6 +219,16 @@
 	return count;
 }
 
+bool Cell::HasTeamRoom(const CellJob &inJob, size_t inUnit, int64 inTasks, Millis inNow)
+{
+	Resources need = inJob.StepOf(inUnit).need;
+	need = {need.cpu_milli * inTasks, need.memory_mb * inTasks, need.accelerators * inTasks};
+	if (this->teams.HasRoom(inJob.spec.team, need, inNow))
+		return true;
+	this->short_teams.insert(inJob.spec.team);
+	return false;
+}
+
 void Cell::PlanUnit(CellJob &ioJob, size_t inUnit, Millis inNow)
 {
 	std::vector<TaskRecord> &tasks = ioJob.record.steps[inUnit].tasks;
@@ -228,6 +239,8 @@
 		const bool waits = !task.done && task.runs.empty() && ioJob.memory[inUnit][index].not_before <= inNow;
 		if (!waits)
 			continue;
+		if (!this->HasTeamRoom(ioJob, inUnit, 1, inNow))
+			return;
 		if (!on_worker.has_value())
 			on_worker = this->CountByWorker(ioJob, inUnit);
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, *on_worker);
@@ -251,6 +264,8 @@
 			return;
 		last_run = std::max(last_run, tasks[index].last_run);
 	}
+	if (!this->HasTeamRoom(ioJob, inUnit, static_cast<int64>(tasks.size()), inNow))
+		return;
 	// Room is taken member by member, and given back if one finds none
 	std::map<std::string, uint32> on_worker;
 	std::vector<CellWorker *> places;
@@ -362,8 +377,9 @@
 	const StepSpec &step = ioJob.StepOf(inUnit);
 	const size_t steps = ioJob.spec.steps.size();
 	const RunId id{{ioJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask}, inRun};
-	Run run = RunOf(step, ERunState::Planned, inNow);
+	Run run = RunOf(ioJob.spec, step, ERunState::Planned, inNow);
 	LOOM_INVARIANT(run.room.FitsInto(ioWorker.Free()), "a worker is never told to run more than it has room for");
+	LOOM_INVARIANT(this->teams.HasRoom(run.team, run.need, inNow), "a team never has more running than its share here");
 	TaskRecord &task = ioJob.record.steps[inUnit].tasks[inTask];
 	LOOM_INVARIANT(inRun > task.last_run, "run numbers always rise");
 	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time");
@@ -372,7 +388,7 @@
 	ioJob.seen[inUnit].NotePlanned(inNow);
 	task.last_run = inRun;
 	task.runs.push_back({inRun, ioWorker.entry.id});
-	ioWorker.used.Add(run.room);
+	this->CountRun(ioWorker, run);
 	ioWorker.runs.emplace(id, std::move(run));
 	this->Touch(ioJob);
 	this->planned += (this->planned.empty() ? "" : " ") + std::to_string(inTask) + "." + std::to_string(inRun) + "@" + ioWorker.entry.id;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -78,6 +78,8 @@
 {
 	ERunState state = ERunState::Planned;
 	Resources room;      ///< What it takes; no processor time for a task that fills.
+	Resources need;      ///< What its task asks for: it counts for the team.
+	std::string team;    ///< Whose it is; empty: nobody's.
 	bool serves = false; ///< Lasting and with a target.
 	bool fills = false;
 	bool lasting = false;
@@ -98,9 +100,11 @@
 };
 
 /// A run of a step's task that comes into a state now.
-inline Run RunOf(const StepSpec &inStep, ERunState inState, Millis inNow)
+inline Run RunOf(const JobSpec &inJob, const StepSpec &inStep, ERunState inState, Millis inNow)
 {
 	Run run;
+	run.need = inStep.need;
+	run.team = inJob.team;
 	run.state = inState;
 	run.since = inNow;
 	run.room = inStep.Room();
--- a/UnitTests/FleetSeatTests.cpp
+++ b/UnitTests/FleetSeatTests.cpp
@@ -59,6 +59,14 @@
 	return host;
 }
 
+/// A host's configuration that names a machine service: without one the fleet's owner lists no hosts.
+JobHostConfig WithMachines()
+{
+	JobHostConfig config;
+	config.machines = Address{"127.0.0.1", 1};
+	return config;
+}
+
 /// A seat that has won its claim. Pools answer that they need `need`, if that is anything.
 class HandFleet
 {
@@ -104,7 +112,7 @@
 	}
 
 	HandHub hub;
-	JobHostConfig config;
+	JobHostConfig config = WithMachines();
 	Metrics metrics;
 	OwnLease lease;
 	OwnerTable owners;
