Tell the next owner where workers with runs are, listed or not

The successor had no address to ask it, waited for its leases and started again what had ended (a task is started after an end of it was listed). Change: the place of each worker with runs is in the cell's log beside its runs (about 60 bytes for each life of a worker, dropped with it); a successor asks there at once. A planned hand-over waits for looks at unlisted workers, and sends no new ones. The test of a log without a place goes on as it was, with the place taken out; the new one beside it is stricter (the run is stopped unlisted, within 0.5 s).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -14,6 +14,7 @@
 // Keys of a cell's log: one letter, then the job's id.
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
+static constexpr char cPlaceKey = 'w'; ///< With a worker's id.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 /// Learned run times are written this often, with whatever is written anyway.
@@ -42,6 +43,8 @@
 	if (inKey.size() < 2)
 		return true;
 	const std::string id(inKey.substr(1));
+	if (inKey[0] == cPlaceKey)
+		return this->RestorePlace(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -66,6 +69,25 @@
 	return true;
 }
 
+bool Cell::RestorePlace(const std::string &inWorker, std::string_view inValue)
+{
+	if (inValue.empty())
+	{
+		this->workers.erase(inWorker);
+		return true;
+	}
+	std::optional<WorkerPlace> place = DecodeValue<WorkerPlace>(inValue);
+	if (!place.has_value())
+		return false;
+	CellWorker &worker = this->workers[inWorker];
+	worker.entry.id = inWorker;
+	worker.entry.address = std::move(place->address);
+	worker.entry.availability_zone = std::move(place->availability_zone);
+	worker.listed = false;
+	worker.place_logged = true;
+	return true;
+}
+
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
 {
 	this->epoch = inEpoch;
@@ -128,7 +150,7 @@
 	{
 		present.insert(entry.id);
 		CellWorker &worker = this->workers[entry.id];
-		const bool is_new = worker.entry.address.port == 0;
+		const bool is_new = worker.entry.pool.empty();
 		const bool drains_now = entry.draining && !worker.entry.draining;
 		worker.entry = entry;
 		worker.listed = true;
@@ -165,6 +187,8 @@
 		const bool bound = inNow < std::max({worker.vacate_until, worker.promised_until, worker.left_until});
 		// And until the log holds its ends, they are part of what a successor must know
 		const bool forget = !worker.IsPresent(inNow) && worker.IsClear() && !worker.hold_sent && !bound;
+		if (forget && worker.place_logged)
+			this->forgotten.push_back(it->first);
 		it = forget ? this->workers.erase(it) : std::next(it);
 	}
 }
@@ -347,6 +371,20 @@
 	}
 }
 
+void Cell::TakePlaces(std::vector<KeyedRecord> &outBatch)
+{
+	for (const std::string &id : std::exchange(this->forgotten, {}))
+		if (!this->workers.contains(id))
+			outBatch.push_back({cPlaceKey + id, ""});
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.place_logged || worker.runs.empty() || worker.entry.address.port == 0)
+			continue;
+		worker.place_logged = true;
+		outBatch.push_back({cPlaceKey + id, EncodeValue(WorkerPlace{worker.entry.address, worker.entry.availability_zone})});
+	}
+}
+
 std::vector<KeyedRecord> Cell::TakeBatch(int64 inWallNow)
 {
 	LOOM_INVARIANT(!this->batch_under_way, "one append at a time, or records could pass one another");
@@ -357,6 +395,8 @@
 		this->BeginWriting();
 	this->TakeJobs(inWallNow, batch);
 	const bool whole = this->to_write.empty();
+	if (!batch.empty())
+		this->TakePlaces(batch);
 	this->ForgetEnded(inWallNow, batch);
 	if (whole && this->inbox_to_write != this->inbox_logged)
 		batch.push_back({std::string(cCursorKey), EncodeValue(this->inbox_to_write)});
@@ -461,7 +501,9 @@
 	for (const auto &[id, worker] : this->workers)
 	{
 		// It may have left by the time it is asked again; and a successor knows nothing of what was promised
-		const bool settled = worker.noted <= worker.last_seen && inNow >= worker.promised_until;
+		// What an unlisted worker has just told is heard here, or only after a successor's look
+		const bool telling = worker.hold_sent && !worker.listed;
+		const bool settled = worker.noted <= worker.last_seen && inNow >= worker.promised_until && !telling;
 		if (!settled)
 			return false;
 	}
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -110,6 +110,7 @@
 	friend class CellProbe;
 
 	// Cell.cpp: records
+	bool RestorePlace(const std::string &inWorker, std::string_view inValue);
 	void ForgetEnded(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	CellJob *FindJob(const std::string &inId);
 	TaskRecord *FindTask(const TaskId &inTask);
@@ -120,6 +121,8 @@
 	void BeginWriting();
 	/// Takes the next jobs of the series into an append.
 	void TakeJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
+	/// Takes the places of workers that get their first runs, and drops those of workers that are forgotten.
+	void TakePlaces(std::vector<KeyedRecord> &outBatch);
 	/// The log now holds the ends of a worker that were in the append.
 	void NoteLogged(CellWorker &ioWorker);
 
@@ -229,11 +232,12 @@
 	std::vector<PlanReject> rejects; ///< Of the planning under way.
 	int64 forgot_wall_ms = 0;        ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
-	TeamUse teams;                     ///< Invariant: counts every run on the workers.
-	std::set<std::string> short_teams; ///< Teams that had no room in the last planning.
-	std::string planned;               ///< Runs planned for the step in hand, for the log: task, run and worker.
-	Millis planned_age = 0;            ///< How old the oldest news of their workers is.
-	std::vector<RunId> to_start;       ///< Logged runs whose workers are to be told.
+	std::vector<std::string> forgotten; ///< Workers whose places are to be dropped from the log.
+	TeamUse teams;                      ///< Invariant: counts every run on the workers.
+	std::set<std::string> short_teams;  ///< Teams that had no room in the last planning.
+	std::string planned;                ///< Runs planned for the step in hand, for the log: task, run and worker.
+	Millis planned_age = 0;             ///< How old the oldest news of their workers is.
+	std::vector<RunId> to_start;        ///< Logged runs whose workers are to be told.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> needs; ///< Of the last moments, by pool.
 	RunTimes run_times;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -131,6 +131,9 @@
 	// A waiting look that has just ended may be followed at once only if it waited
 	if (inNow < ioWorker.hold_at + this->tuning.hold_gap_ms)
 		return;
+	// See CanHandOver
+	if (this->retiring && !ioWorker.listed)
+		return;
 	if (ioWorker.hold_sent || ioWorker.gone || ioWorker.entry.address.port == 0 || inNow < ioWorker.next_hold_at)
 		return;
 	bool told_runs = false;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -118,10 +118,12 @@
 struct CellWorker
 {
 	WorkerEntry entry;
-	bool listed = true;        ///< Whether the worker list shows it now.
-	Millis unlisted_at = 0;    ///< When the list was first seen without it.
-	Millis trusted_until = 0;  ///< Unlisted only since the store was away: until then it is taken for present while it answers.
-	bool gone = false;         ///< Its life is known to be over.
+	bool listed = true;       ///< Whether the worker list shows it now.
+	Millis unlisted_at = 0;   ///< When the list was first seen without it.
+	Millis trusted_until = 0; ///< Unlisted only since the store was away: until then it is taken for present while it answers.
+	bool gone = false;        ///< Its life is known to be over.
+	bool place_logged =
+		false; ///< Whether the log has its place, or the append under way will: a successor asks it also when it is unlisted.
 	std::map<RunId, Run> runs; ///< Invariant: every run here is in its task's record and the other way round.
 	Resources used;            ///< Sum of the runs' room.
 	Millis clock_ms = -1;      ///< Its clock when last heard,
@@ -168,6 +170,19 @@
 	Millis ClockAt(Millis inNow) const { return this->clock_ms + (inNow - this->clock_at) * (1000 - cClockSlackPerMille) / 1000; }
 };
 
+/// Where a worker is, for whoever owns the cell next.
+struct WorkerPlace
+{
+	Address address;
+	std::string availability_zone;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->address, this->availability_zone);
+	}
+};
+
 /// What is remembered of a task beside its record.
 struct TaskMemory
 {
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -308,7 +308,7 @@
 
 TEST(CellCancel, ARunIsAskedAfterWhenItsWorkerIsListedAgain)
 {
-	// At the take-over the worker's entry has lapsed, and with it the only word of its address
+	// At the take-over the worker's entry has lapsed, and the log has no word of its address either
 	OneWorkerScene scene;
 	scene.Begin(1);
 	scene.List();
@@ -316,6 +316,7 @@
 	scene.Pass(200);
 	scene.worker_answers = false;
 	scene.Pass(300);
+	scene.log.erase("ww0");
 	scene.Begin(2);
 	scene.cell.SetWorkers({}, scene.now);
 	scene.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
@@ -330,6 +331,36 @@
 	EXPECT_TRUE(scene.running.empty());
 }
 
+TEST(CellCancel, ARunIsAskedAfterWhereTheLogSaysThatItsWorkerIs)
+{
+	// At the take-over the worker's entry has lapsed. Failed first (seeds 300411 and 200497 of planned trouble): what it had told the
+	// predecessor was asked for nowhere, and its tasks were started again once their lease was over
+	OneWorkerScene scene;
+	scene.Begin(1);
+	scene.List();
+	scene.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	scene.Pass(200);
+	scene.worker_answers = false;
+	scene.Pass(300);
+	scene.Begin(2);
+	scene.cell.SetWorkers({}, scene.now);
+	scene.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
+	scene.worker_answers = true;
+	scene.running = {{{"a", 0, 0, 0}, 1, "", 0, 0}};
+	const auto to_nowhere = [](const Order &inOrder) { return inOrder.address.port == 0; };
+	scene.Pass(500);
+	EXPECT_EQ(std::count_if(scene.sent.begin(), scene.sent.end(), to_nowhere), 0);
+	EXPECT_TRUE(scene.running.empty());
+	scene.Pass(500);
+	EXPECT_EQ(scene.cell.Figures().runs, 0u);
+	// A worker that is gone leaves no place behind
+	scene.Pass(6000);
+	scene.cell.SetWorkers({}, scene.now);
+	scene.Ingest(EInbox::Submit, MakeJob("b", 1, 1, 1000, 300));
+	scene.Pass(500);
+	EXPECT_EQ(scene.log["ww0"], "");
+}
+
 TEST(CellCancel, ARunThatIsBeingLoggedIsNotTold)
 {
 	OneWorkerScene scene;
