--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -122,6 +122,52 @@
 start_entry "$OLD"
 check "the killed host is back" within 20 ready "$OLD"
 
+# --- Teams: their keys, and what they may have running
+# teams VERSION KEY CPU: the configuration with one team, which has one key and may have so much running.
+teams() {
+	curl -s -X PUT "$CONTROL/operator/config" -d '{"version":'"$1"',"routes":[
+	 {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600,"public":false},
+	 {"name":"q-slow","host":"jobs.example","pathPrefix":"/slow/","service":"slow","maxAttempts":2,"priority":1,"public":true}],
+	 "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}],
+	 "tenants":[{"name":"a","apiKeys":["'"$2"'"],"weight":9,"atMost":{"cpu":'"$3"',"memMb":0,"gpu":0}}]}' >/dev/null
+}
+# asked ENTRY KEY: status of a question for a queue's waiting jobs.
+asked() { curl -s -o /dev/null -w '%{http_code}' --max-time 5 -H 'Host: jobs.example' -H "Api-Key: $2" "$(url "$1")/fast/"; }
+asked_is() { [ "$(asked "$1" "$2")" = "$3" ]; }
+teams 1001 key-one 3000
+check "a team's key is known to all" within 10 asked_is 1 key-one 200
+check "and to the third host" within 10 asked_is 3 key-one 200
+check "another key is not" asked_is 1 key-two 401
+check "nor is none" test "$(job 2 00000000000000c1 ms=100 1 1000)" = 401
+check "an open queue asks for none" test "$(curl -s -o /dev/null -w '%{http_code}' -H 'Host: jobs.example' "$(url 1)/slow/")" = 200
+team_job() {
+	curl -s -o /dev/null -w '%{http_code}' --max-time 8 -H 'Host: jobs.example' -H "Api-Key: $2" -X POST "$(url "$1")/fast/$3" \
+		-d '{"spec":"ms=400 cpu=1000","steps":[{"count":12,"cpu":1000,"memMb":100,"estimateMs":300}]}'
+}
+check "a team's job is accepted" test "$(team_job 1 key-one 00000000000000c2)" = 200
+MOST=0
+done_as() { [ "$(curl -s --max-time 5 -H 'Host: jobs.example' -H "Api-Key: $1" "$(url 2)/fast/$2")" = '{"state":"completed"}' ]; }
+team_done() {
+	local now
+	now=$(running 00000000000000c2)
+	[ "$now" -le "$MOST" ] || MOST=$now
+	done_as key-one 00000000000000c2
+}
+check "and ends" within 40 team_done
+check "with no more than its team's limit running at once ($MOST of 12)" test "$MOST" -le 3
+check "but with some of it" test "$MOST" -ge 1
+teams 1002 key-two 3000
+check "a new key is known" within 10 asked_is 2 key-two 200
+check "and the old one is not" within 10 asked_is 1 key-one 401
+curl -s -X PUT "$CONTROL/operator/config" -d '{"version":1003,"routes":[
+ {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600},
+ {"name":"q-slow","host":"jobs.example","pathPrefix":"/slow/","service":"slow","maxAttempts":2,"priority":1}],
+ "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+check "without teams nobody needs a key" within 10 asked_is 1 "" 200
+check "and the third host knows" within 10 asked_is 3 "" 200
+no_keys_logged() { ! grep -l 'key-one\|key-two' "$DIR"/e*.log; }
+check "no log line tells a key" no_keys_logged
+
 # --- Every process killed right after an acceptance
 job 1 0000000000000007 ms=300 4 1000 >/dev/null
 for number in 1 2 3; do kill -9 "${PIDS[$number]}"; done
