Give cells on to hosts that carry them far better

Jobs took 14 to 33 s, tasks that last stood still. Change: a host that carries more than twice what another would, for 2 s, hands one cell over by plan; the usual order of claims brings it to the better one. Equal hosts pass nothing round (test over 36 pairs). Ruled out: processor time (none is charged in these plays); a signal of one's own trouble (late heartbeats look the same where the store is slow). Tests: OwnerTable.ASmallHostGivesItsCellOnOnceALargeOneIsBack, EqualHostsDoNotPassCellsRound.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -95,6 +95,8 @@
 	void ClaimCell(uint32 inCell);
 	void ClaimFleet();
 	void DropSeats(std::string_view inWhy);
+	/// Gives a cell to another host by plan, where that one can carry it far better.
+	void GiveOn(Millis inNow);
 	/// Removes the heartbeats of hosts that are gone: whoever starts anew would take them for news, and wait for their leases.
 	void SweepHosts(Millis inNow);
 	void Tick();
@@ -155,6 +157,8 @@
 	Millis store_heard_at = -1; ///< When the store last answered a read or took a caller's record.
 	Millis store_read_ms = 0;   ///< How long it took to.
 	TurnedAwayWatch turned_away;
+	std::optional<uint32> giving_on; ///< The cell that is being given on,
+	Millis giving_since = 0;         ///< and since when.
 	bool store_heard = true;
 	Millis operator_heard_at = std::numeric_limits<Millis>::min() / 2; ///< When the operator's newest records were last known to be read.
 	StoreWatch store_watch;                                            ///< Of calls that are answered at once.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -429,6 +429,30 @@
 	this->TellLetGo(fleet_cell);
 }
 
+template <class Hub>
+void JobHost<Hub>::GiveOn(Millis inNow)
+{
+	if (!this->giving_on.has_value())
+	{
+		if (!this->owners.ShouldGiveOn(this->Owned(), inNow) || this->seats.empty() || !this->seats.begin()->second->IsHeld())
+			return;
+		this->giving_on = this->seats.begin()->first;
+		this->giving_since = inNow;
+		this->seats.begin()->second->Retire();
+		LogEvent(ELogLevel::Info, "cell_given_on").Field("cell", *this->giving_on).Field("owned", this->Owned());
+		return;
+	}
+	auto seat = this->seats.find(*this->giving_on);
+	// As in a planned stop: its successor begins at once
+	if (seat != this->seats.end() && !seat->second->IsQuiet() && inNow - this->giving_since < cStopGiveBackMs)
+		return;
+	this->giving_on.reset();
+	if (seat == this->seats.end())
+		return;
+	this->seats.erase(seat);
+	this->Beat(true);
+}
+
 template <class Hub>
 void JobHost<Hub>::TellLetGo(const std::optional<OwnedCell> &inFleetCell)
 {
@@ -474,6 +498,8 @@
 		LogEvent(ELogLevel::Warning, heard ? "store_back" : "store_silent").Field("heard_ms_ago", now - this->store_heard_at);
 	}
 	this->SearchHelpers(now);
+	if (!this->stopping)
+		this->GiveOn(now);
 	if (this->fleet != nullptr && now - this->swept_at >= cSweepEveryMs)
 		this->SweepHosts(now);
 	if (this->stopping)
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -242,6 +242,29 @@
 	return claimers;
 }
 
+/// A cell goes where it is carried with less than this part of what its present owner carries: with equal hosts from three cells on to one
+/// that has none, and never back.
+static constexpr double cGiveOnPart = 0.5;
+
+bool OwnerTable::ShouldGiveOn(size_t inOwn, Millis inNow)
+{
+	const std::map<std::string, Claimer> claimers = this->Claimers(inNow, inOwn);
+	auto own = claimers.find(this->self);
+	bool unfair = false;
+	if (own != claimers.end() && inOwn > 0)
+		for (const auto &[name, claimer] : claimers)
+		{
+			const double carried = static_cast<double>(inOwn) / own->second.weight;
+			const double there = static_cast<double>(claimer.cells + 1) / claimer.weight;
+			unfair = unfair || (name != this->self && there < carried * cGiveOnPart);
+		}
+	if (!unfair)
+		this->unfair_since = -1;
+	else if (this->unfair_since < 0)
+		this->unfair_since = inNow;
+	return unfair && inNow - this->unfair_since >= this->tuning.give_on_ms;
+}
+
 std::vector<uint32> OwnerTable::ToClaim(const std::set<uint32> &inCells, Millis inNow, size_t inOwn)
 {
 	// Cells of each host that is at work, and what free cells would add to it
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -23,7 +23,8 @@
 	Millis read_least_ms = 500; ///< as owners do, or more seldom.
 	uint32 heirs = 10; ///< So many hosts, the first to take over a cell, beat and read as often as owners. One that is gone is then passed
 					   ///< over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
-	Millis rank_ms = 350; ///< A challenger waits this long for each host that comes before it.
+	Millis give_on_ms = 2000; ///< A host that should give a cell on has stood so much worse than another for this long: no passing news.
+	Millis rank_ms = 350;     ///< A challenger waits this long for each host that comes before it.
 	Millis first_claim_ms =
 		0; ///< And this long for a cell that nobody has owned, when the fleet first starts: hosts are heard of one by one.
 };
@@ -157,6 +158,11 @@
 	Millis ReadInterval(bool inOwner, Millis inNow) const;
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
+	/// Whether this host, which owns `inOwn` cells, should give one on: another one would carry it with less than half of what this one
+	/// carries for its size. Small hosts that took cells while the large ones were away would keep them for good: with 10 Mbit/s, one held
+	/// a busy cell for 34 s in which its jobs took 14 s and more, and its tasks that last stood still.
+	bool ShouldGiveOn(size_t inOwn, Millis inNow);
+
 	/// Of the cells given, those to claim now. Every host works out the same order of hosts for a cell from the same heartbeats: those
 	/// with the fewest cells for their size first, among these the ones in zones with the fewest cells. The first claims at once, each next
 	/// one a little later.
@@ -208,6 +214,7 @@
 	std::map<uint32, ClaimSeen> claims;
 	std::map<uint32, Millis> free_since;
 	std::set<uint32> owned_once; ///< Cells that any heartbeat has told of as owned: the newest of a host forgets what it has let go.
+	Millis unfair_since = -1;    ///< Since when a cell should be given on; -1: none should.
 	std::string claim_text;
 };
 
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -250,6 +250,63 @@
 	EXPECT_TRUE(table.IsFree(cFleetCell, 2000));
 }
 
+TEST(OwnerTable, ASmallHostGivesItsCellOnOnceALargeOneIsBack)
+{
+	// Failed first (msafiri-loom-now-grown, scale-2 with seed 11, LOST 822): four of six large hosts were turned away for 8 s, two hosts
+	// with 10 Mbit/s took busy cells and kept them to the end of the day
+	LeaseTuning tuning;
+	OwnerTable table("small", tuning);
+	uint64 number = 0;
+	const auto hear = [&](Millis inNow, bool inLargeClaims)
+	{
+		++number;
+		HostBeat small = Beat("small", number, {{7, 2}});
+		small.weight = 120;
+		HostBeat large = Beat("large", number, {{8, 1}});
+		large.weight = 500;
+		large.claims = inLargeClaims;
+		HostBeat other = Beat("other", number, {});
+		other.weight = 120;
+		for (const HostBeat &beat : {small, large, other})
+			table.OnBeat(beat, inNow);
+	};
+	for (Millis now = 1000; now < 9000; now += 500)
+	{
+		hear(now, false);
+		EXPECT_FALSE(table.ShouldGiveOn(1, now)) << "only hosts as small are there";
+	}
+	hear(9000, true);
+	EXPECT_FALSE(table.ShouldGiveOn(1, 9000));
+	for (Millis now = 9500; now < 11000; now += 500)
+	{
+		hear(now, true);
+		EXPECT_FALSE(table.ShouldGiveOn(1, now));
+	}
+	hear(11000, true);
+	EXPECT_TRUE(table.ShouldGiveOn(1, 11000));
+}
+
+TEST(OwnerTable, EqualHostsDoNotPassCellsRound)
+{
+	for (size_t own = 0; own < 6; ++own)
+		for (size_t others = 0; others < 6; ++others)
+		{
+			OwnerTable table("me", LeaseTuning{});
+			std::vector<OwnedCell> cells;
+			for (uint32 i = 0; i < others; ++i)
+				cells.push_back({100 + i, 1});
+			bool gives = false;
+			for (uint64 i = 1; i < 8; ++i)
+			{
+				table.OnBeat(Beat("me", i, {}), static_cast<Millis>(i) * 500);
+				table.OnBeat(Beat("other", i, cells), static_cast<Millis>(i) * 500);
+				gives = table.ShouldGiveOn(own, static_cast<Millis>(i) * 500);
+			}
+			// Whoever gets it would not give it back
+			EXPECT_EQ(gives, 2 * (others + 1) < own) << own << " here, " << others << " there";
+		}
+}
+
 TEST(OwnerTable, AHeartbeatWithALowerEpochHoldsNothing)
 {
 	// Failed first (parkline-addis, trouble-3): after all processes were killed, the last heartbeat of a host that had been removed 38 s
