--- a/Loomreach/Entry/StoreWatch.h
+++ b/Loomreach/Entry/StoreWatch.h
@@ -34,8 +34,8 @@
 	Millis waiting_since = -1; ///< When the first call left that no good answer has followed; -1: every call so far was followed by one.
 };
 
-/// Whether the store turns this host alone away. An owner then lets its cells go before its lease is over: nothing could be done in between,
-/// and a successor begins half a second sooner. With LetGoBeat: worth +0.019, error 0.012, in 10 pairs of days with trouble.
+/// Whether the store turns this host alone away. An owner then lets its cells go before its lease is over: nothing could be done in
+/// between, and a successor begins half a second sooner. With LetGoBeat: worth +0.019, error 0.012, in 10 pairs of days with trouble.
 class TurnedAwayWatch
 {
 public:
--- a/Loomreach/Schedule/TeamUse.h
+++ b/Loomreach/Schedule/TeamUse.h
@@ -22,8 +22,8 @@
 
 	/// When to ask for shares next; `inShort`: something has found no room in its team's share since the last question.
 	Millis NextAskAt(bool inShort) const;
-	/// The question to the fleet's owner: gives back the shares of idle teams. Also with nothing to tell: a new owner of the fleet waits until
-	/// it has heard of all cells.
+	/// The question to the fleet's owner: gives back the shares of idle teams. Also with nothing to tell: a new owner of the fleet waits
+	/// until it has heard of all cells.
 	ShareQuestion Ask(uint64 inEpoch, const std::map<std::string, Resources> &inWanted, Millis inNow);
 	/// An answer, if one came.
 	void OnAnswer(const ShareAnswer &inAnswer, Millis inNow);
