Tell a worker whose process has gone from one that is silent

Sight, before any change of logic: an order's answer says whether the worker's side closed the connection or turned it away (closed=1 in worker_silent), worker_gone and run_ended say how long ago that was (closed_ms_ago), and another life's answer no longer counts as this life's (answer_ms_ago was 0 in each such line). Orders that another host forwards bring it along: hosts of two versions do not understand each other's forwarded answers while a rollout lasts, and then send by themselves, in doubt, as for any forwarder that is silent. Test: PlatformWorkers.AProcessThatHasGoneIsToldFromASilentHost.

--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -335,6 +335,17 @@
 	return inSize * inCount;
 }
 
+/// Whether a call ended because the other side closed its connection or let none be made: its process has gone, or its host has reset it.
+static bool IsClosedByPeer(CURL *inEasy, CURLcode inCode)
+{
+	if (inCode == CURLE_GOT_NOTHING)
+		return true;
+	const bool on_connection = inCode == CURLE_COULDNT_CONNECT || inCode == CURLE_RECV_ERROR || inCode == CURLE_SEND_ERROR;
+	long why = 0;
+	curl_easy_getinfo(inEasy, CURLINFO_OS_ERRNO, &why);
+	return on_connection && (why == ECONNREFUSED || why == ECONNRESET || why == EPIPE);
+}
+
 HttpResult HttpClient::ResultOf(Pending &ioPending, CURLcode inCode)
 {
 	HttpResult result;
@@ -363,6 +374,7 @@
 	}
 	// Without a request line on the wire nothing was asked; what is asked anew had one
 	result.refused = !ioPending.is_anew && (request_bytes == 0 || ioPending.sent == 0);
+	result.closed = IsClosedByPeer(ioPending.easy, inCode);
 	result.error = curl_easy_strerror(inCode);
 	return result;
 }
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -30,6 +30,7 @@
 	std::string body;
 	std::string etag;     ///< The answer's entity tag, if it has one.
 	bool refused = false; ///< The request never left (no connection was had): the call certainly had no effect.
+	bool closed = false;  ///< With status 0: the other side closed the connection or turned it away; a silent one does neither.
 	std::string error;    ///< With status 0: why.
 
 	bool IsOk() const { return this->status >= 200 && this->status < 300; }
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -194,6 +194,8 @@
 	Order NewOrder(EOrder inKind, CellWorker &ioWorker, Millis inNow);
 	void TakeHold(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
 	void TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
+	/// An answer tells whether the worker's process is there.
+	void NoteContact(CellWorker &ioWorker, const OrderAnswer &inAnswer, bool inAnswered, Millis inNow);
 	void OnStartAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -92,6 +92,7 @@
 	// Concluded, not heard: from what, and how old that is
 	line.Field("listed", inWorker.listed ? 1 : 0)
 		.Field("answer_ms_ago", inWorker.last_answer_at < 0 ? -1 : this->now - inWorker.last_answer_at)
+		.Field("closed_ms_ago", inWorker.closed_at < 0 ? -1 : this->now - inWorker.closed_at)
 		.Field("lease_left_ms", inWorker.lease_over_at - this->now);
 }
 
@@ -328,6 +329,7 @@
 			.Field("runs", ioWorker.runs.size())
 			.Field("listed", ioWorker.listed ? 1 : 0)
 			.Field("answer_ms_ago", ioWorker.last_answer_at < 0 ? -1 : inNow - ioWorker.last_answer_at)
+			.Field("closed_ms_ago", ioWorker.closed_at < 0 ? -1 : inNow - ioWorker.closed_at)
 			.Field("lease_left_ms", ioWorker.lease_over_at - inNow)
 			.Field("cell", this->trail.Cell())
 			.Field("epoch", this->epoch);
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -182,6 +182,18 @@
 	outOrders.push_back(std::move(order));
 }
 
+void Cell::NoteContact(CellWorker &ioWorker, const OrderAnswer &inAnswer, bool inAnswered, Millis inNow)
+{
+	// What answers for another life is not this one
+	if (inAnswered && inAnswer.result != EOrderResult::OtherLife)
+	{
+		ioWorker.last_answer_at = inNow;
+		ioWorker.closed_at = -1;
+	}
+	if (inAnswer.closed && ioWorker.closed_at < 0)
+		ioWorker.closed_at = inNow;
+}
+
 void Cell::OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow)
 {
 	this->now = inNow;
@@ -192,8 +204,7 @@
 	if (inOrder.kind == EOrder::Hold)
 		worker.hold_sent = false;
 	const bool answered = inAnswer.result != EOrderResult::Unknown && inAnswer.result != EOrderResult::NotSent;
-	if (answered)
-		worker.last_answer_at = inNow;
+	this->NoteContact(worker, inAnswer, answered, inNow);
 	if (answered && inAnswer.clock_ms >= 0)
 	{
 		worker.clock_ms = inAnswer.clock_ms;
@@ -207,6 +218,7 @@
 			LogEvent(well ? ELogLevel::Info : ELogLevel::Warning, well ? "worker_answers" : "worker_silent")
 				.Field("worker", inOrder.worker)
 				.Field("result", NameOf(cOrderResultNames, inAnswer.result))
+				.Field("closed", inAnswer.closed ? 1 : 0)
 				.Field("runs", worker.runs.size())
 				.Field("cell", this->trail.Cell())
 				.Field("epoch", this->epoch);
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -152,11 +152,12 @@
 	std::vector<RunningRow> running; ///< Hold only.
 	std::vector<EndedRow> ended;     ///< Hold only.
 	bool partial = false;            ///< Hold only: more ends may follow, so what neither list has may have ended.
+	bool closed = false;             ///< No answer: the worker's side closed the connection or turned it away.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->result, this->clock_ms, this->running, this->ended, this->partial);
+		ioArchive(this->result, this->clock_ms, this->running, this->ended, this->partial, this->closed);
 	}
 };
 
--- a/UnitTests/WorkerCallsTests.cpp
+++ b/UnitTests/WorkerCallsTests.cpp
@@ -4,6 +4,7 @@
 
 #include <UnitTests/CannedServer.h>
 #include <UnitTests/FakeLog.h>
+#include <UnitTests/SilencingServer.h>
 #include <platform/WorkerCalls.h>
 
 #include <gtest/gtest.h>
@@ -11,6 +12,8 @@
 namespace Loomreach::Jobs::Platform
 {
 
+static constexpr Millis cNeverMs = 60000; ///< Beyond any call's time.
+
 /// The outcomes of looks at a worker that answers them with these bodies.
 static std::vector<OrderAnswer> LookAt(const std::vector<std::string> &inBodies)
 {
@@ -65,4 +68,30 @@
 		EXPECT_TRUE(answers[i].result == EOrderResult::Unknown || answers[i].partial) << bodies[i];
 }
 
+TEST(PlatformWorkers, AProcessThatHasGoneIsToldFromASilentHost)
+{
+	// What closes or turns away a connection is a host without the process; a host that is dark says nothing
+	uint16 port = 0;
+	{
+		const CannedServer server({});
+		port = server.Port();
+	}
+	const SilencingServer silent(cNeverMs, cNeverMs);
+	std::map<uint16, OrderAnswer> answers;
+	WorkerCalls calls;
+	for (uint16 to : {port, silent.Port()})
+	{
+		Order look;
+		look.worker = "w";
+		look.address = {"127.0.0.1", to};
+		calls.Send(look, [&answers, to](const OrderAnswer &inAnswer) { answers[to] = inAnswer; });
+	}
+	FakeLog::Settle(1500);
+	ASSERT_EQ(answers.size(), 2u);
+	EXPECT_TRUE(answers.at(port).closed);
+	EXPECT_EQ(answers.at(port).result, EOrderResult::NotSent);
+	EXPECT_FALSE(answers.at(silent.Port()).closed);
+	EXPECT_EQ(answers.at(silent.Port()).result, EOrderResult::Unknown);
+}
+
 } // namespace Loomreach::Jobs::Platform
