Test that a task that crashes its workers is given up (red, listed)

The small world gains processes that crash by a task, by chance or with their rack: their host closes connections or is dark, and another life answers at the address after 0.5 to 3.5 s, while the entry stays listed for 4.5 s. It breaks on a task's third start after three workers have crashed under it, and names jobs shown as failed that could have been done.

--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -15,6 +15,11 @@
 static constexpr Millis cOwnerLeaseMs = 1700;
 static constexpr int64 cWallAhead = 1'700'000'000'000;
 static constexpr int64 cCpu = 16000;
+/// A crashed worker's entry stays for three heartbeats of 1.5 s (the users' figures).
+static constexpr Millis cEntryStaysMs = 4500;
+/// A task is not started for the third time after this many workers have crashed under it (the users' rule).
+static constexpr uint32 cCrashesBorne = 3;
+static constexpr uint32 cStartsTooMany = 3;
 /// An end counts as taken note of this long after it was listed (the users' rule).
 static constexpr Millis cListedMs = 100;
 /// How long the fleet's owner trusts the promise of an empty worker, and asks for it.
@@ -156,13 +161,13 @@
 	std::vector<WorkerEntry> entries;
 	for (auto &[id, worker] : this->workers)
 	{
-		if (worker.crashed || worker.unlisted)
+		if ((worker.crashed && this->now >= worker.listed_until) || worker.unlisted)
 			continue;
 		worker.shown_to = this->epoch;
 		WorkerEntry entry;
 		entry.id = id;
 		entry.pool = "pool";
-		entry.rack = "r";
+		entry.rack = worker.rack;
 		entry.address = {"127.0.0.1", 1};
 		entry.capacity = worker.capacity;
 		entry.draining = worker.draining;
@@ -202,6 +207,69 @@
 	this->workers.emplace(next, WorldWorker(next, {cCpu, 32768, 0}, ioWorker.slow));
 }
 
+void CellWorld::Crash(WorldWorker &ioWorker, bool inCloses, Millis inBackMs)
+{
+	for (const auto &[id, work] : ioWorker.running)
+		if (work.crashes_at >= 0 && this->now >= work.crashes_at)
+			++this->crashes_under[id.task];
+	ioWorker.crashed = true;
+	ioWorker.running.clear();
+	ioWorker.closes = inCloses;
+	ioWorker.back_at = this->now + inBackMs;
+	ioWorker.listed_until = this->now + cEntryStaysMs;
+}
+
+uint32 CellWorld::CrashesUnder(const TaskId &inTask) const
+{
+	auto found = this->crashes_under.find(inTask);
+	return found == this->crashes_under.end() ? 0 : found->second;
+}
+
+std::string CellWorld::GivenUp() const
+{
+	std::string given_up;
+	for (const auto &[id, spec] : this->specs)
+		if (this->Shown(id).phase == EJobPhase::Failed && !this->crash_after_ms.contains(id))
+			given_up += "given up: " + id + '\n';
+	return given_up;
+}
+
+void CellWorld::CrashByRuns()
+{
+	std::vector<std::string> crashing;
+	std::vector<std::string> back;
+	for (const auto &[id, worker] : this->workers)
+	{
+		for (const auto &[run, work] : worker.running)
+			if (work.crashes_at >= 0 && this->now >= work.crashes_at && (crashing.empty() || crashing.back() != id))
+				crashing.push_back(id);
+		if (worker.crashed && this->now == worker.back_at)
+			back.push_back(id);
+	}
+	for (const std::string &id : crashing)
+		this->Crash(this->workers.at(id), true, cStepMs * (50 + static_cast<Millis>(this->random.Below(300))));
+	for (const std::string &id : back)
+	{
+		const WorldWorker &old = this->workers.at(id);
+		const std::string next = "w" + std::to_string(this->next_worker++);
+		WorldWorker life(next, old.capacity, old.slow);
+		life.rack = old.rack;
+		this->workers.emplace(next, std::move(life));
+	}
+}
+
+std::optional<OrderAnswer> CellWorld::AnswerOfGone(const WorldWorker &inWorker) const
+{
+	OrderAnswer answer;
+	if (inWorker.back_at >= 0 && this->now >= inWorker.back_at)
+		answer.result = EOrderResult::OtherLife;
+	else if (inWorker.closes)
+		answer = OrderAnswer{EOrderResult::NotSent, -1, {}, {}, false, true};
+	else
+		return std::nullopt;
+	return answer;
+}
+
 void CellWorld::MakePlannedTrouble()
 {
 	if (!this->Stands())
@@ -278,6 +346,7 @@
 	this->now += cStepMs;
 	this->MakeTrouble();
 	this->TakeDown();
+	this->CrashByRuns();
 	for (auto &[id, worker] : this->workers)
 	{
 		this->Pass(worker);
@@ -325,7 +394,9 @@
 		back.at = this->now + 1 + static_cast<Millis>(this->random.Below(15));
 		if (!cut)
 			back.answer = this->CarryOut(worker, parcel.order);
-		if (!parcel.mute && !cut)
+		const std::optional<OrderAnswer> gone = worker.crashed ? this->AnswerOfGone(worker) : std::nullopt;
+		back.answer = gone.value_or(back.answer);
+		if (!parcel.mute && (!cut || gone.has_value()))
 			this->parcels.push_back(back);
 	}
 	if (this->cell != nullptr && !this->Stands())
@@ -546,6 +617,8 @@
 							 : (200 + static_cast<Millis>(this->random.Below(2000))) * ioWorker.slow_factor;
 	work.ends_at = step.lasting ? -1 : this->now + takes;
 	work.fails = this->random.Chance(this->trouble.failing);
+	auto crashes = this->crash_after_ms.find(inOrder.task.job);
+	work.crashes_at = crashes == this->crash_after_ms.end() ? -1 : this->now + crashes->second;
 	ioWorker.running.emplace(id, work);
 	return answer;
 }
@@ -600,6 +673,8 @@
 		this->Break("start after an end done was listed: " + what);
 	if (!step.lasting && this->failures_noted[inOrder.task] >= spec.max_attempts)
 		this->Break("attempts used up: " + what);
+	if (this->CrashesUnder(inOrder.task) >= cCrashesBorne && ++this->starts_after_three[inOrder.task] >= cStartsTooMany)
+		this->Break("crashes its workers, and started again: " + what);
 	// Steps in order
 	for (uint32 before : step.after)
 		for (uint32 index = 0; index < spec.steps[before].count; ++index)
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -61,8 +61,9 @@
 		Millis began_at = 0;
 		Millis ends_at = 0; ///< -1: lasts.
 		bool fails = false;
-		Millis stops_at = -1; ///< It was told to stop, and has stopped by then.
-		bool blamed = false;  ///< It was told of as running on after its job's cancel.
+		Millis stops_at = -1;   ///< It was told to stop, and has stopped by then.
+		bool blamed = false;    ///< It was told of as running on after its job's cancel.
+		Millis crashes_at = -1; ///< It takes its worker's process with it then; -1: never.
 	};
 	std::map<RunId, Work> running;
 	std::map<TaskId, uint32> highest_over; ///< Highest run that was stopped or ended here.
@@ -73,6 +74,10 @@
 	Millis contact_since = 0; ///< Since then an owner has been at work, and none of its looks and stops here was lost or late.
 	uint64 shown_to = 0;      ///< The last owner that was shown its entry.
 	bool crashed = false;
+	bool closes = false;      ///< Crashed: its host closes connections and turns new ones away; else nothing comes back.
+	Millis back_at = -1;      ///< Crashed: the next life answers at its address from then on; -1: never.
+	Millis listed_until = -1; ///< Crashed: the worker list shows it until then.
+	std::string rack = "r";
 	bool unlisted = false;  ///< It lives, but the worker list does not show it.
 	Millis slow_factor = 1; ///< Its runs take this many times as long.
 	Millis slow_until = 0;
@@ -97,6 +102,14 @@
 	void Calm();
 	/// How long runs of a job take, where that is not left to chance.
 	std::map<std::string, Millis> run_ms;
+	/// Jobs all of whose tasks crash their worker, this long after each start.
+	std::map<std::string, Millis> crash_after_ms;
+	/// A worker's process ends, and the next one at its address begins after `inBackMs`. `inCloses`: see WorldWorker.
+	void Crash(WorldWorker &ioWorker, bool inCloses, Millis inBackMs);
+	/// Workers that have crashed under a task that crashes them.
+	uint32 CrashesUnder(const TaskId &inTask) const;
+	/// Jobs shown as failed that could have been done, in words.
+	std::string GivenUp() const;
 	/// Whether the time to stop a cancelled job's run counts only while the owner knows the worker's address.
 	bool needs_address = true;
 	/// Workers take this long to stop a run.
@@ -158,6 +171,10 @@
 	OrderAnswer CarryOut(WorldWorker &ioWorker, const Order &inOrder);
 	OrderAnswer CarryOutStart(WorldWorker &ioWorker, const Order &inOrder);
 	void Pass(WorldWorker &ioWorker);
+	/// Crashes the workers whose runs do so now.
+	void CrashByRuns();
+	/// A process that has gone answers nothing; its host, or the next process there, may.
+	std::optional<OrderAnswer> AnswerOfGone(const WorldWorker &inWorker) const;
 	void End(WorldWorker &ioWorker, const RunId &inRun, ERunEnd inEnd);
 	void CheckStart(const WorldWorker &inWorker, const Order &inOrder);
 	/// No run of a job goes on after its cancel for longer than a worker in contact takes to stop it.
@@ -176,6 +193,8 @@
 	std::map<std::string, JobSpec> specs;
 	std::map<std::string, Millis> canceled; ///< When the cancel was accepted.
 	std::map<TaskId, uint32> failures_noted;
+	std::map<TaskId, uint32> crashes_under;      ///< Workers that crashed by a run of the task.
+	std::map<TaskId, uint32> starts_after_three; ///< Its starts after the third.
 	std::set<TaskId> done_noted;
 	std::set<TaskId> done_ever;
 	std::map<std::pair<std::string, uint64>, Millis> ended_at; ///< By worker and number of the end.
