Give up a task that crashes its workers, and no task that was only there

Cause: a run whose worker was lost ended as nobody's fault and its task was planned again without a limit; each start took the next worker down with everything on it. Class: an end that is concluded rather than heard is charged to nobody, so nothing bounds what is done about it.

Crashes are counted by task and are in the log before the task starts again (key x, which earlier code passes over). A crash is blamed on what had just started on the worker; a blamed task starts on trial, alone within its start, later alone on its worker; with two crashes right after its start and nobody else to blame it is given up, with three where workers crash by chance as well, with the fourth in any case. A trial of which rack-mates go tells nothing. Closed connections tell a crashed process from a dark host; a start that met another life was not carried out. The same cause elsewhere: a run that a worker has and the records do not was stopped with no room counted, so that its room was given away (StopStray now counts it, or starts nothing beside it where its need is unknown); a run is not told to a worker whose room has shrunk since.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -14,6 +14,7 @@
 // Keys of a cell's log: one letter, then the job's id.
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
+static constexpr char cCrashKey = 'x'; ///< Only where a worker has crashed under a task of the job.
 static constexpr char cPlaceKey = 'w'; ///< With a worker's id.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
@@ -59,6 +60,13 @@
 		this->jobs[id].spec = std::move(*spec);
 		this->jobs[id].spec_logged = true;
 	}
+	if (inKey[0] == cCrashKey)
+	{
+		std::optional<CrashCounts> crashes = DecodeValue<CrashCounts>(inValue);
+		if (!crashes.has_value())
+			return false;
+		this->jobs[id].crashes = std::move(*crashes);
+	}
 	if (inKey[0] == cStateKey)
 	{
 		std::optional<JobRecord> record = DecodeValue<JobRecord>(inValue);
@@ -336,6 +344,8 @@
 		}
 		outBatch.push_back({cSpecKey + it->first, ""});
 		outBatch.push_back({cStateKey + it->first, ""});
+		if (!job.crashes.empty())
+			outBatch.push_back({cCrashKey + it->first, ""});
 		it = this->jobs.erase(it);
 	}
 }
@@ -365,6 +375,8 @@
 			bytes += outBatch.back().value.size();
 		}
 		job.spec_writing = !job.spec_logged;
+		if (!job.crashes.empty())
+			outBatch.push_back({cCrashKey + id, EncodeValue(job.crashes)});
 		outBatch.push_back({cStateKey + id, EncodeValue(job.record)});
 		bytes += outBatch.back().value.size();
 		job.writing = job.record.phase;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -5,7 +5,8 @@
 //  1. a run is in the log before its worker is told of it (Planned, Writing, then Starting);
 //  2. a run's end is in the log before the worker may forget it (CellWorker::last_seen);
 //  3. callers are told a phase only once the log holds it (CellJob::shown);
-//  4. a task gets a new run only when every earlier one is known to have ended, or its lease must be over.
+//  4. a task gets a new run only when every earlier one is known to have ended, or its lease must be over;
+//  5. the workers that crashed under a task are in the log before it is started again (CellJob::crashes).
 
 #pragma once
 
@@ -200,6 +201,30 @@
 	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnHoldAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
 
+	// CellCrashes.cpp: tasks that crash their workers
+	/// How a task is to be tried now: not at all if no worker has crashed under it.
+	static ETrial TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow);
+	/// Counts a worker's trials that are still open.
+	void PlanTrials(CellWorker &ioWorker);
+	/// Whether a task may start there as far as trials go, its own and others'.
+	bool AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const;
+	/// Keeps other starts off a worker for a task that is to be tried and found none.
+	void ReserveForTrial(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow);
+	/// Workers of a pool that may take work, and how many of these are kept for trials.
+	std::pair<std::vector<CellWorker *>, size_t> KeptForTrials(const std::string &inPool, Millis inNow);
+	/// A worker's life is over with all its runs, and not by plan: whose start may have done it.
+	void BlameCrash(CellWorker &ioWorker, Millis inNow);
+	/// The runs that may have done it, likeliest alone; `outBeside`: those that were there as well.
+	std::vector<RunId> CrashCandidates(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outBeside);
+	/// Whether other workers went at that moment of whose loss no task can be the cause: of the same rack, or with nothing just started.
+	bool IsChanceCrash(const CellWorker &inWorker) const;
+	/// Whether a worker's process went right after a run's start.
+	static bool IsAtOnce(const CellWorker &inWorker, const Run &inRun);
+	/// One more crash under a run; whether that is enough to give its job up.
+	bool CountCrash(CellWorker &ioWorker, const RunId &inRun, bool inAlone, bool inChance, Millis inNow);
+	/// What is counted of a task so far; nullptr: nothing, or no such task is open.
+	const TaskCrashes *CrashesUnder(const TaskId &inTask);
+
 	// CellEnds.cpp
 	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
 	void NoteProgress(CellWorker &ioWorker, const RunId &inRun, const Run &inProgress, Millis inNow);
@@ -217,6 +242,8 @@
 	void CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun);
 	void CloseIfEnded(CellJob &ioJob);
 	void CloseJob(CellJob &ioJob, EJobPhase inPhase, std::string_view inWhy);
+	/// A run that a worker has and the records do not: it is stopped, and takes its room until then.
+	void StopStray(CellWorker &ioWorker, const RunId &inRun, Millis inNow);
 	void StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow);
 	void StopAll(CellJob &ioJob, std::string_view inWhy, Millis inNow);
 	void DropRun(CellWorker &ioWorker, const RunId &inRun);
@@ -252,8 +279,10 @@
 	uint64 inbox_writing = 0;
 	uint64 inbox_logged = 0;
 	uint64 next_serial = 1;
-	Millis emptying_until = 0; ///< Until then some worker is being emptied for maintenance.
-	bool retiring = false;     ///< See Retire.
+	std::vector<LostWorker> lost;      ///< Workers that were lost of late.
+	std::set<std::string> trial_racks; ///< Racks with an open trial: should two of their workers go at once, it tells nothing.
+	Millis emptying_until = 0;         ///< Until then some worker is being emptied for maintenance.
+	bool retiring = false;             ///< See Retire.
 	bool news = false;
 	bool batch_under_way = false;
 	Millis batch_at = 0;      ///< When it was taken,
--- /dev/null
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -0,0 +1,294 @@
+// Which task may have crashed a worker, trials of such tasks, and when one is given up.
+//
+// A task may crash each worker that starts it, with everything else that runs there; started again without end it takes a pool down, since
+// the next worker goes before the last is back. But a worker's end says by itself little of whose fault it was: racks are lost, processes
+// crash by chance, and of sixteen runs on a crashed worker at most one did it. So:
+//
+//  * a crash is blamed on what had just started there; where nothing had, on what is tried; else on all that ran there. The others are
+//    noted as having been there: who was there at two crashes is tried as well;
+//  * a task that was blamed starts on trial: nothing else has just started on its worker, and nothing else starts until it has outlived its
+//    start. A worker that crashes then tells which task it was. One that was at three crashes, or blamed for two without a proof, runs
+//    alone on its worker;
+//  * where workers of its rack go with it, a trial tells nothing: the task was only there. So there is one trial at a time in a rack;
+//  * with the second crash right after its start, if it was the only task that can have done it, its job is given up; with the third where
+//    workers have crashed by chance of late; with the fourth crash in any case, unless it was only there.
+//
+// A process that has crashed is told from a dark host and from a cut by its host, which closes connections and turns new ones away.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Schedule/TaskText.h>
+
+namespace Loomreach::Jobs
+{
+
+/// A run that its worker has outlived this long has outlived its start: tasks that crash their worker do so within 10 ms (the users'
+/// record). Room for a slow machine; as long as that, a trial keeps others off its worker.
+static constexpr Millis cOutlivedMs = 300;
+/// A crash is right after a start if it was seen this soon after it: the 10 ms, and the time until a look shows it.
+static constexpr Millis cAtOnceMs = 150;
+/// Crashes right after a task's start with which it is given up if it was alone at the last: with one, chance would decide.
+static constexpr uint32 cAtOnceProved = 2;
+/// Crashes that a task was beside after which it is tried though none was blamed on it.
+static constexpr uint32 cBesideTried = 2;
+/// A task runs alone on its worker from so many crashes that were blamed on it,
+static constexpr uint32 cBlamedAlone = 2;
+/// or from so many in all.
+static constexpr uint32 cCrashesAlone = 3;
+/// Crashes after which a task is given up in any case: the users bear three, and two starts more; one is left for a crash that was not
+/// seen.
+static constexpr uint32 cCrashesMost = 4;
+/// Of these so many must have been blamed on it.
+static constexpr uint32 cBlamedMost = 2;
+/// A lasting task at work for longer than this does not crash its workers: over months some will go under it by chance.
+static constexpr Millis cSettledMs = 10000;
+/// Workers lost within this of each other may be lost by one cause: the looks that show it are up to this far apart.
+static constexpr Millis cTogetherMs = 250;
+/// The same where a call had to run out: a waiting look and its time limit.
+static constexpr Millis cSilentTogetherMs = 2500;
+/// Lost workers are remembered for this long: an end is concluded once a lease is over or the next life answers.
+static constexpr Millis cLostKeptMs = 10000;
+/// A worker is kept for a trial for this long: two plannings beyond the time after which nothing has just started there.
+static constexpr Millis cCalmMs = 500;
+/// Of so many workers of a pool one is kept for trials at once, and one more.
+static constexpr size_t cWorkersATrial = 8;
+/// For a worker of its own a task waits this long; then it is tried as after the first crash.
+static constexpr Millis cAloneWaitMs = 1000;
+
+/// How long a run's worker is known to have lived with it; -1: not at all.
+static Millis SeenAlive(const CellWorker &inWorker, const Run &inRun)
+{
+	return inRun.confirmed_at < 0 ? -1 : inWorker.last_answer_at - inRun.confirmed_at;
+}
+
+/// Whether a run may have just started when its worker was last heard.
+static bool IsYoung(const CellWorker &inWorker, const Run &inRun) { return SeenAlive(inWorker, inRun) < cOutlivedMs; }
+
+static bool HasYoung(const CellWorker &inWorker)
+{
+	return std::any_of(inWorker.runs.begin(), inWorker.runs.end(),
+					   [&inWorker](const auto &inRun) { return IsYoung(inWorker, inRun.second); });
+}
+
+/// Whether it is known when a worker's process went: it had answered, and no call after that went without an answer unclosed.
+static bool KnowsWhen(const CellWorker &inWorker) { return inWorker.silent_at < 0 && inWorker.last_answer_at >= 0; }
+
+/// When a worker went, as far as can be told.
+static Millis LostAt(const CellWorker &inWorker, Millis inNow)
+{
+	if (inWorker.closed_at >= 0)
+		return inWorker.closed_at;
+	return inWorker.silent_at >= 0 ? inWorker.silent_at : inNow;
+}
+
+/// Whether a worker is about to go, or has gone, by plan.
+static bool LeavesByPlan(const CellWorker &inWorker, Millis inNow)
+{
+	const bool left_list = !inWorker.listed && inWorker.last_answer_at >= inWorker.unlisted_at;
+	return inWorker.entry.draining || LostAt(inWorker, inNow) < inWorker.left_until || left_list;
+}
+
+/// Whether a task is to be tried, by what is counted of it.
+static bool IsTried(const TaskCrashes &inCrashes) { return inCrashes.blamed > 0 || inCrashes.beside >= cBesideTried; }
+
+const TaskCrashes *Cell::CrashesUnder(const TaskId &inTask)
+{
+	const CellJob *job = this->FindJob(inTask.job);
+	if (this->FindTask(inTask) == nullptr || IsFinal(job->record.phase))
+		return nullptr;
+	auto found = job->crashes.find({job->Unit(inTask.round, inTask.step), inTask.index});
+	return found == job->crashes.end() ? nullptr : &found->second;
+}
+
+ETrial Cell::TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow)
+{
+	auto found = inJob.crashes.find({inUnit, inTask});
+	if (found == inJob.crashes.end() || !IsTried(found->second))
+		return ETrial::None;
+	const Millis since = inJob.memory[inUnit][inTask].trial_since;
+	const bool waited = since >= 0 && inNow - since > cAloneWaitMs;
+	const bool alone = found->second.blamed >= cBlamedAlone || found->second.Total() >= cCrashesAlone;
+	return alone && !waited ? ETrial::Alone : ETrial::Start;
+}
+
+void Cell::PlanTrials(CellWorker &ioWorker)
+{
+	ioWorker.open_trials = 0;
+	for (const auto &[id, run] : ioWorker.runs)
+	{
+		const bool open = run.trial == ETrial::Alone || (run.trial == ETrial::Start && IsYoung(ioWorker, run));
+		ioWorker.open_trials += open ? 1 : 0;
+	}
+	if (ioWorker.open_trials > 0)
+		this->trial_racks.insert(ioWorker.entry.rack);
+}
+
+bool Cell::AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const
+{
+	if (inWorker.open_trials > 0)
+		return false;
+	if (inTrial != ETrial::None && this->trial_racks.contains(inWorker.entry.rack))
+		return false;
+	switch (inTrial)
+	{
+	case ETrial::Start: return !HasYoung(inWorker);
+	case ETrial::Alone: return inWorker.runs.empty();
+	case ETrial::None: break;
+	}
+	return inNow >= inWorker.calm_until;
+}
+
+std::pair<std::vector<CellWorker *>, size_t> Cell::KeptForTrials(const std::string &inPool, Millis inNow)
+{
+	std::vector<CellWorker *> able;
+	size_t kept = 0;
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.entry.pool != inPool || !this->CanTake(worker, inNow) || worker.open_trials > 0)
+			continue;
+		able.push_back(&worker);
+		kept += inNow < worker.calm_until ? 1 : 0;
+	}
+	return {able, kept};
+}
+
+void Cell::ReserveForTrial(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow)
+{
+	Millis &since = ioJob.memory[inUnit][inTask].trial_since;
+	since = since < 0 ? inNow : since;
+	const Resources room = ioJob.StepOf(inUnit).Room();
+	const auto [able, kept] = this->KeptForTrials(ioJob.spec.pool, inNow);
+	CellWorker *emptiest = nullptr;
+	for (CellWorker *worker : able)
+		if (room.FitsInto(worker->Free()) && (emptiest == nullptr || worker->runs.size() < emptiest->runs.size()))
+			emptiest = worker;
+	if (emptiest == nullptr)
+		return;
+	// One that is kept already stays so until it is calm, or empty
+	if (inNow < emptiest->calm_until || kept < 1 + able.size() / cWorkersATrial)
+		emptiest->calm_until = inNow + cCalmMs;
+}
+
+std::vector<RunId> Cell::CrashCandidates(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outBeside)
+{
+	std::vector<RunId> young;
+	std::vector<RunId> tried;
+	std::vector<RunId> others;
+	for (const auto &[id, run] : inWorker.runs)
+	{
+		const bool settled = run.lasting && SeenAlive(inWorker, run) >= cSettledMs;
+		// What got no answer from a dark host was hardly ever there; and what has none yet may go to the next life
+		const bool was_there = run.confirmed_at >= 0 || (inWorker.silent_at < 0 && run.state != ERunState::Starting);
+		if (!IsTold(run.state) || settled || !was_there)
+			continue;
+		const TaskCrashes *before = this->CrashesUnder(id.task);
+		if (IsYoung(inWorker, run))
+			young.push_back(id);
+		else
+			(before != nullptr && IsTried(*before) ? tried : others).push_back(id);
+	}
+	// Of a silent worker it is not known when it went, nor that its process did
+	if (!KnowsWhen(inWorker) || inChance)
+		return young;
+	std::vector<RunId> likely = std::move(young);
+	for (std::vector<RunId> *next : {&tried, &others})
+		if (likely.empty())
+			likely.swap(*next);
+		else
+			outBeside.insert(outBeside.end(), next->begin(), next->end());
+	return likely;
+}
+
+bool Cell::IsChanceCrash(const CellWorker &inWorker) const
+{
+	const Millis at = LostAt(inWorker, this->now);
+	const bool exact = inWorker.closed_at >= 0;
+	const auto is_cause = [&inWorker, at, exact](const LostWorker &inOther)
+	{
+		const Millis together = exact && inOther.exact ? cTogetherMs : cSilentTogetherMs;
+		return std::abs(at - inOther.at) <= together && ((exact && !inOther.young) || inOther.rack == inWorker.entry.rack);
+	};
+	if (std::any_of(this->lost.begin(), this->lost.end(), is_cause))
+		return true;
+	for (const auto &[id, other] : this->workers)
+	{
+		const bool is_lost = &other != &inWorker && !other.gone && (other.closed_at >= 0 || other.silent_at >= 0) && !other.runs.empty();
+		if (is_lost && is_cause({LostAt(other, this->now), other.closed_at >= 0, other.entry.rack, HasYoung(other)}))
+			return true;
+	}
+	return false;
+}
+
+bool Cell::IsAtOnce(const CellWorker &inWorker, const Run &inRun)
+{
+	const bool at_once = inRun.confirmed_at < 0 || inWorker.closed_at - inRun.confirmed_at <= cAtOnceMs;
+	return KnowsWhen(inWorker) && inWorker.closed_at >= 0 && IsYoung(inWorker, inRun) && at_once;
+}
+
+bool Cell::CountCrash(CellWorker &ioWorker, const RunId &inRun, bool inAlone, bool inChance, Millis inNow)
+{
+	CellJob &job = *this->FindJob(inRun.task.job);
+	const Run &run = ioWorker.runs.at(inRun);
+	TaskCrashes &crashes = job.crashes[{job.Unit(inRun.task.round, inRun.task.step), inRun.task.index}];
+	// Others of its rack went with it, and no other task was on trial there
+	const bool tells_nothing = inChance && run.trial != ETrial::None;
+	++(tells_nothing ? crashes.beside : crashes.blamed);
+	const bool at_once = !inChance && Cell::IsAtOnce(ioWorker, run);
+	crashes.at_once += at_once ? 1 : 0;
+	this->Touch(job);
+	// Where workers have crashed of late with nothing just started on them, the next one may be chance as well
+	const bool by_chance = std::any_of(this->lost.begin(), this->lost.end(), [](const LostWorker &inLost) { return !inLost.young; });
+	const uint32 needed = cAtOnceProved + (by_chance ? 1 : 0);
+	const bool proved = crashes.at_once >= needed && inAlone && at_once;
+	const bool given_up = proved || (crashes.Total() >= cCrashesMost && crashes.blamed >= cBlamedMost);
+	LogEvent(ELogLevel::Warning, "task_blamed")
+		.Field("request", inRun.task.job)
+		.Field("task", TaskText(inRun.task))
+		.Field("run", inRun.run)
+		.Field("worker", ioWorker.entry.id)
+		.Field("blamed", crashes.blamed)
+		.Field("at_once", crashes.at_once)
+		.Field("beside", crashes.beside)
+		.Field("seen_ms", SeenAlive(ioWorker, run))
+		.Field("closed_ms_ago", ioWorker.closed_at < 0 ? -1 : inNow - ioWorker.closed_at)
+		.Field("silent", ioWorker.silent_at >= 0 ? 1 : 0)
+		.Field("trial", NameOf(cTrialNames, run.trial))
+		.Field("alone", inAlone ? 1 : 0)
+		.Field("chance", inChance ? 1 : 0)
+		.Field("outcome", given_up ? "given up" : "starts on trial")
+		.Field("cell", this->trail.Cell())
+		.Field("epoch", this->epoch);
+	return given_up;
+}
+
+void Cell::BlameCrash(CellWorker &ioWorker, Millis inNow)
+{
+	if (LeavesByPlan(ioWorker, inNow) || ioWorker.runs.empty())
+		return;
+	const bool chance = this->IsChanceCrash(ioWorker);
+	std::erase_if(this->lost, [inNow](const LostWorker &inLost) { return inNow - inLost.at > cLostKeptMs; });
+	this->lost.push_back({LostAt(ioWorker, inNow), ioWorker.closed_at >= 0, ioWorker.entry.rack, HasYoung(ioWorker)});
+	std::vector<RunId> beside;
+	const std::vector<RunId> likely = this->CrashCandidates(ioWorker, chance, beside);
+	for (const RunId &id : beside)
+	{
+		CellJob *job = this->FindJob(id.task.job);
+		if (this->FindTask(id.task) == nullptr || IsFinal(job->record.phase))
+			continue;
+		++job->crashes[{job->Unit(id.task.round, id.task.step), id.task.index}].beside;
+		this->Touch(*job);
+	}
+	for (const RunId &id : likely)
+	{
+		CellJob *job = this->FindJob(id.task.job);
+		const bool open = this->FindTask(id.task) != nullptr && !IsFinal(job->record.phase);
+		if (!open || !this->CountCrash(ioWorker, id, likely.size() == 1, chance, inNow))
+			continue;
+		this->CloseJob(*job, EJobPhase::Failed, "a task crashes its workers");
+		this->StopAll(*job, "job failed", inNow);
+	}
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -253,20 +253,30 @@
 		.Field("after_ms", this->now - ioJob.arrived_at);
 }
 
+void Cell::StopStray(CellWorker &ioWorker, const RunId &inRun, Millis inNow)
+{
+	const CellJob *job = this->FindJob(inRun.task.job);
+	Run stray;
+	// What is being stopped takes its room until it has ended; where nobody knows how much, nothing starts beside it
+	if (this->FindTask(inRun.task) != nullptr)
+		stray = RunOf(job->spec, job->spec.steps[inRun.task.step], ERunState::Stopping, inNow);
+	else
+		stray.need_unknown = true;
+	stray.state = ERunState::Stopping;
+	stray.since = inNow;
+	ioWorker.unknown_runs += stray.need_unknown ? 1 : 0;
+	this->CountRun(ioWorker, stray);
+	ioWorker.runs.emplace(inRun, std::move(stray));
+	// It has a lease, whoever gave it: until that must be over, the run is not given up
+	ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->tuning.most_lease_ms));
+}
+
 void Cell::StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow)
 {
 	auto found = ioWorker.runs.find(inRun);
 	// A run that the records do not have still goes, but takes part in nothing
 	if (found == ioWorker.runs.end())
-	{
-		Run stray;
-		stray.state = ERunState::Stopping;
-		stray.since = inNow;
-		ioWorker.runs.emplace(inRun, std::move(stray));
-		// It has a lease, whoever gave it: until that must be over, the run is not given up
-		ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->tuning.most_lease_ms));
-		return;
-	}
+		return this->StopStray(ioWorker, inRun, inNow);
 	Run &run = found->second;
 	// What its worker was never told needs no stop
 	if (run.state == ERunState::Planned || run.state == ERunState::Logged)
@@ -312,6 +322,7 @@
 	if (found == ioWorker.runs.end())
 		return;
 	this->DiscountRun(ioWorker, found->second);
+	ioWorker.unknown_runs -= found->second.need_unknown ? 1 : 0;
 	ioWorker.runs.erase(found);
 	TaskRecord *task = this->FindTask(inRun.task);
 	if (task == nullptr)
@@ -334,6 +345,7 @@
 			.Field("cell", this->trail.Cell())
 			.Field("epoch", this->epoch);
 	ioWorker.gone = true;
+	this->BlameCrash(ioWorker, inNow);
 	std::vector<RunId> runs;
 	for (const auto &[id, run] : ioWorker.runs)
 		if (IsTold(run.state))
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -30,6 +30,9 @@
 	const TaskRecord *task = this->FindTask(inRun.task);
 	if (job == nullptr || IsFinal(job->record.phase) || task == nullptr || task->done)
 		return "its task or job is over";
+	// It may say less of its room than when the run was planned
+	if (!Resources{}.FitsInto(inWorker.Free()))
+		return "its room has shrunk";
 	const bool trial = inWorker.failures_in_row >= cFailuresToQuarantine && inWorker.listed && !inWorker.entry.draining;
 	return this->CanTake(inWorker, inNow) || trial ? "" : "worker cannot take it now";
 }
@@ -142,11 +145,13 @@
 	bool serves = false;
 	bool lasts = false;
 	bool fills = false;
+	bool tries = false;
 	for (const auto &[id, run] : ioWorker.runs)
 	{
 		told_runs = told_runs || IsTold(run.state);
 		doubt = doubt || run.state == ERunState::Doubtful || run.state == ERunState::Inherited || run.state == ERunState::Stopping;
 		doubt = doubt || (run.lasting && run.percent < 100);
+		tries = tries || (run.trial == ETrial::Start && ioWorker.open_trials > 0);
 		serves = serves || run.serves;
 		lasts = lasts || run.lasting;
 		fills = fills || run.fills;
@@ -176,6 +181,9 @@
 	const bool look_at_once = first || unacked || doubt || ioWorker.more_ends || !told_runs;
 	if (!look_at_once)
 		order.wait_ms = watch ? this->tuning.watch_wait_ms : this->tuning.hold_wait_ms;
+	// Others wait until a run on trial has outlived its start; and a look that waits shows at once when its worker crashes
+	if (tries)
+		order.wait_ms = std::min(order.wait_ms, this->tuning.trial_wait_ms);
 	ioWorker.hold_sent = true;
 	ioWorker.hold_at = inNow;
 	ioWorker.next_hold_at = inNow + (look_at_once ? this->tuning.retry_hold_ms : 0);
@@ -189,9 +197,13 @@
 	{
 		ioWorker.last_answer_at = inNow;
 		ioWorker.closed_at = -1;
+		ioWorker.silent_at = -1;
 	}
 	if (inAnswer.closed && ioWorker.closed_at < 0)
 		ioWorker.closed_at = inNow;
+	const bool unheard = inAnswer.result == EOrderResult::Unknown && !inAnswer.closed;
+	if (unheard && ioWorker.closed_at < 0 && ioWorker.silent_at < 0)
+		ioWorker.silent_at = inNow;
 }
 
 void Cell::OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow)
@@ -228,6 +240,9 @@
 	}
 	if (inAnswer.result == EOrderResult::OtherLife)
 	{
+		// The other life has not taken it up
+		if (inOrder.kind == EOrder::Start)
+			this->EndRun(worker, {inOrder.task, inOrder.run}, ERunEnd::Stopped, "", "its address is another life's", inNow);
 		this->OnLifeOver(worker, "its address is another life's", inNow);
 		return;
 	}
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -38,6 +38,8 @@
 static constexpr Millis cStragglerLeastMs = 400;
 static constexpr uint32 cMostSlowRuns = 1;
 static constexpr Millis cProgressFreshMs = 200;
+/// For each run on a worker that may be lost by a trial: fewest first, whatever else speaks for it.
+static constexpr double cTrialWeight = 20.0;
 /// A worker that is avoided for its speed stands behind all others with room.
 static constexpr double cSlowWeight = 5.0;
 
@@ -124,9 +126,11 @@
 void Cell::Plan(Millis inNow, int64 inWallNow)
 {
 	this->now = inNow;
+	this->trial_racks.clear();
 	for (auto &[id, worker] : this->workers)
 	{
 		this->PlanLapsed(worker, inNow);
+		this->PlanTrials(worker);
 		this->PlanDraining(worker, inNow);
 		this->PlanVacating(worker, inNow);
 		this->PlanPaces(worker, inNow);
@@ -244,6 +248,11 @@
 		if (!on_worker.has_value())
 			on_worker = this->CountByWorker(ioJob, inUnit);
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, *on_worker);
+		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
+		{
+			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			continue;
+		}
 		// What one task of the step does not find, its like will not find either
 		if (worker == nullptr)
 			return this->AskAdvice(ioJob, inUnit, inNow);
@@ -274,6 +283,8 @@
 	for (uint32 index = 0; index < tasks.size(); ++index)
 	{
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, on_worker);
+		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
+			this->ReserveForTrial(ioJob, inUnit, index, inNow);
 		if (worker == nullptr)
 			break;
 		worker->used.Add(room);
@@ -292,6 +303,8 @@
 {
 	if (!inWorker.IsPresent(inNow) || inWorker.gone || inWorker.entry.draining || !inWorker.reachable || inWorker.clock_ms < 0)
 		return false;
+	if (inWorker.unknown_runs > 0)
+		return false;
 	if (inNow < inWorker.refuse_until || inNow < inWorker.vacate_until || inNow < inWorker.quarantine_until || inNow < inWorker.left_until)
 		return false;
 	// After quarantine one trial at a time
@@ -341,6 +354,7 @@
 	for (const PlanReject &reject : this->rejects)
 		if (reject.pool == inJob.spec.pool && reject.room.FitsInto(room))
 			return nullptr;
+	const ETrial trial = Cell::TrialOf(inJob, inUnit, inTask, inNow);
 	CellWorker *best = nullptr;
 	bool any_fits = false;
 	double best_score = 0.0;
@@ -349,6 +363,8 @@
 		if (worker.entry.pool != inJob.spec.pool || !this->CanTake(worker, inNow) || !room.FitsInto(worker.Free()))
 			continue;
 		any_fits = true;
+		if (!this->AllowsStart(worker, trial, inNow))
+			continue;
 		const std::vector<std::string> &labels = worker.entry.labels;
 		if (!step.needs_label.empty() && std::find(labels.begin(), labels.end(), step.needs_label) == labels.end())
 			continue;
@@ -359,6 +375,9 @@
 		if (inJob.spec.advised && !Cell::HasTicket(inJob, inUnit, id, inNow))
 			continue;
 		double score = this->ScoreOf(worker, inJob, inUnit);
+		// Where little else runs, little is lost if it crashes this worker too
+		if (trial != ETrial::None)
+			score -= cTrialWeight * static_cast<double>(worker.runs.size());
 		// Where it failed before, others go first
 		if (id == failed_on)
 			score -= cDataRackWeight * 2;
@@ -385,6 +404,14 @@
 	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time");
 	if (ioJob.spec.advised)
 		run.ticket = ioJob.advice[inUnit].tickets[ioWorker.entry.id].text;
+	run.trial = Cell::TrialOf(ioJob, inUnit, inTask, inNow);
+	ioJob.memory[inUnit][inTask].trial_since = -1;
+	if (run.trial != ETrial::None)
+	{
+		++ioWorker.open_trials;
+		ioWorker.calm_until = 0;
+		this->trial_racks.insert(ioWorker.entry.rack);
+	}
 	ioJob.seen[inUnit].NotePlanned(inNow);
 	task.last_run = inRun;
 	task.runs.push_back({inRun, ioWorker.entry.id});
@@ -420,6 +447,9 @@
 	for (const auto &[id, run] : ioWorker.runs)
 		if (IsTold(run.state))
 			lapsed.push_back(id);
+	// Closed since its last answer, its process has gone; a silent one may have been cut off, and runs on
+	if (ioWorker.closed_at >= 0)
+		this->BlameCrash(ioWorker, inNow);
 	// Nothing was extended since: wherever the worker is, its leases are over
 	for (const RunId &id : lapsed)
 		this->EndRun(ioWorker, id, ERunEnd::Lapsed, "", "lease over without an answer", inNow);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -16,6 +16,7 @@
 	Millis most_lease_ms = 10000; ///< Longest lease that any owner may have given. Setting `worker_most_lease_ms`.
 	Millis hold_wait_ms = 1500;   ///< A hold's answer waits this long for an end; well under the lease.
 	Millis watch_wait_ms = 500;   ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
+	Millis trial_wait_ms = 300;   ///< The same while a run is on trial: as long as a start is to be outlived.
 	Millis hold_gap_ms = 120;   ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
 	Millis retry_hold_ms = 400; ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
@@ -60,6 +61,20 @@
 	EnumName<ERunState>{ERunState::Inherited, "inherited"}, EnumName<ERunState>{ERunState::Stopping, "stopping"},
 };
 
+/// What is kept away from a run so that a crash tells whether it was the cause.
+enum class ETrial : uint8
+{
+	None,
+	Start, ///< Nothing else starts on its worker until the run has outlived its start.
+	Alone  ///< Nothing else is on its worker at all.
+};
+
+inline constexpr std::array cTrialNames = {
+	EnumName<ETrial>{ETrial::None, "none"},
+	EnumName<ETrial>{ETrial::Start, "start"},
+	EnumName<ETrial>{ETrial::Alone, "alone"},
+};
+
 /// Whether a worker may have heard of a run.
 constexpr bool IsTold(ERunState inState) { return inState > ERunState::Logged; }
 
@@ -83,8 +98,10 @@
 	bool serves = false; ///< Lasting and with a target.
 	bool fills = false;
 	bool lasting = false;
-	bool resumed = false;      ///< Begun from a checkpoint: its time tells nothing of a whole run's.
-	bool inherited = false;    ///< Found in the log at take-over: a predecessor may have ordered it to stop.
+	bool resumed = false;   ///< Begun from a checkpoint: its time tells nothing of a whole run's.
+	bool inherited = false; ///< Found in the log at take-over: a predecessor may have ordered it to stop.
+	ETrial trial = ETrial::None;
+	bool need_unknown = false; ///< The worker has it, and no record tells what it takes.
 	Millis since = 0;          ///< When it came into its state.
 	Millis confirmed_at = -1;  ///< When the worker was known to have it.
 	Millis void_at = 0;        ///< On the worker's clock: a start carried out later does nothing.
@@ -134,6 +151,10 @@
 	Millis next_hold_at = 0;
 	Millis last_answer_at = -1; ///< When this life last answered.
 	Millis closed_at = -1;      ///< When its connections were first found closed since then; -1: they were not.
+	Millis silent_at = -1;      ///< When the first call since then went without an answer, unclosed: a dark host, or a cut; -1: none did.
+	Millis calm_until = 0;      ///< A task on trial waits for it: no other starts there until then.
+	uint32 open_trials = 0;     ///< Runs there beside which nothing may start now.
+	uint32 unknown_runs = 0;    ///< Runs of unknown need.
 	bool reachable = false;     ///< Whether the last order was answered.
 	bool more_ends = false;     ///< Its last answer may have listed its ends only in part.
 	uint64 noted = 0;           ///< Highest end that the jobs' records have taken in.
@@ -171,6 +192,15 @@
 	Millis ClockAt(Millis inNow) const { return this->clock_ms + (inNow - this->clock_at) * (1000 - cClockSlackPerMille) / 1000; }
 };
 
+/// A worker that was lost, and what speaks against a task as the cause.
+struct LostWorker
+{
+	Millis at = 0;
+	bool exact = false; ///< Whether its host said when; else a call had to run out.
+	std::string rack;
+	bool young = false; ///< Something had just started there.
+};
+
 /// Where a worker is, for whoever owns the cell next.
 struct WorkerPlace
 {
@@ -189,9 +219,28 @@
 {
 	Millis not_before = 0;   ///< Nothing is started earlier.
 	std::string last_worker; ///< Where it failed last.
+	Millis trial_since = -1; ///< When a worker for its trial was first looked for in vain; -1: was not.
 	uint32 slow_runs = 0;    ///< Runs of it that were stopped for being far slower than expected.
 };
 
+/// Workers that crashed while a task ran there.
+struct TaskCrashes
+{
+	uint32 blamed = 0;  ///< The task may have done it.
+	uint32 at_once = 0; ///< Of these, the ones right after its start, with nothing that speaks for chance.
+	uint32 beside = 0;  ///< Something that had started later is likelier to have done it.
+
+	uint32 Total() const { return this->blamed + this->beside; }
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->blamed, this->at_once, this->beside);
+	}
+};
+
+/// The same for the tasks of a job, by number of the step's record and of the task, where there were any.
+using CrashCounts = std::map<std::pair<uint64, uint32>, TaskCrashes>;
+
 /// How likely a job is to earn its credit still.
 enum class EHope : uint8
 {
@@ -207,6 +256,7 @@
 	JobRecord record;
 	std::vector<std::vector<TaskMemory>> memory; ///< As record.steps.
 	std::vector<StepSeen> seen;                  ///< Likewise.
+	CrashCounts crashes;                         ///< In the log whenever `record` is.
 	EJobPhase shown = EJobPhase::Queued;         ///< The phase that the log holds: what callers are told.
 	EJobPhase writing = EJobPhase::Queued;       ///< The phase in the append under way.
 	bool spec_logged = false;
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -16,6 +16,8 @@
 
 #include <gtest/gtest.h>
 
+#include <iostream>
+
 namespace Loomreach::Jobs
 {
 
@@ -99,6 +101,48 @@
 	}
 }
 
+TEST(CellCrash, GivesUpAGangOneOfWhoseMembersCrashesItsWorker)
+{
+	CellWorld world(1, Trouble{}, cWorkers);
+	world.Run(500);
+	JobSpec gang = Crasher(world, "gang", 3, cCrashMs);
+	gang.steps[0].gang = true;
+	world.Submit(gang);
+	world.Run(60000);
+	EXPECT_EQ(All(world), "");
+	EXPECT_EQ(world.Shown("gang").phase, EJobPhase::Failed);
+}
+
+TEST(CellCrash, GivesUpALastingTaskThatCrashesEachWorker)
+{
+	CellWorld world(1, Trouble{}, cWorkers);
+	world.Run(500);
+	JobSpec lasting = Crasher(world, "lasting", 2, cCrashMs);
+	lasting.steps[0].lasting = true;
+	world.Submit(lasting);
+	world.Run(60000);
+	EXPECT_EQ(All(world), "");
+	EXPECT_EQ(world.Shown("lasting").phase, EJobPhase::Failed);
+}
+
+TEST(CellCrash, GivesUpATaskThatCrashesEachWorkerLaterInItsRun)
+{
+	for (const Millis after : {100, 400, 1000, 3000})
+	{
+		Random random(1);
+		int next = 0;
+		CellWorld world(1, Trouble{}, cWorkers);
+		world.Run(500);
+		world.run_ms["bad"] = 5000;
+		world.Submit(Crasher(world, "bad", 1, after));
+		SubmitSound(world, random, 20, next);
+		world.Run(60000);
+		EXPECT_EQ(All(world), "") << after;
+		EXPECT_EQ(world.Open(), "") << after;
+		EXPECT_EQ(world.Shown("bad").phase, EJobPhase::Failed) << after;
+	}
+}
+
 TEST(CellCrash, GivesUpNoTaskThatWasThereWhenARackWasLost)
 {
 	// Racks go one after another, dark or with connections closed, some while tasks start anew
@@ -128,4 +172,78 @@
 	}
 }
 
+/// What became of the jobs of a day with many crashers.
+struct CrashDay
+{
+	size_t sound = 0;
+	size_t given_up = 0; ///< Of these.
+	size_t crashers = 0; ///< Tasks.
+	size_t crashes = 0;  ///< Of workers, by these.
+};
+
+/// A day of crashers, workers that crash by chance, each `inChance` percent a second, and changes of owner.
+static CrashDay PlayCrashers(uint64 inSeed, uint64 inChance)
+{
+	Random random(inSeed);
+	int next = 0;
+	Trouble trouble;
+	trouble.kill = random.Below(10);
+	CellWorld world(inSeed, trouble, cWorkers);
+	PutInRacks(world);
+	world.Run(500);
+	CrashDay day;
+	for (int i = 0; i < 10; ++i)
+	{
+		const uint32 tasks = 1 + static_cast<uint32>(random.Below(2));
+		day.crashers += tasks;
+		world.Submit(Crasher(world, "bad" + std::to_string(i), tasks, static_cast<Millis>(random.Below(100))));
+		SubmitSound(world, random, 4, next);
+		std::vector<std::string> lost;
+		for (auto &[id, worker] : world.Workers())
+			if (!worker.crashed && random.Chance(inChance))
+				lost.push_back(id);
+		for (const std::string &id : lost)
+			world.Crash(world.Workers().at(id), random.Chance(70), 2000);
+	}
+	world.Run(10000);
+	world.Calm();
+	world.Run(60000);
+	std::string broken;
+	for (const std::string &line : world.broken)
+		broken += line + '\n';
+	EXPECT_EQ(broken, "") << inSeed;
+	EXPECT_EQ(world.Open(), "") << inSeed;
+	day.sound = static_cast<size_t>(next);
+	const std::string given_up = world.GivenUp();
+	day.given_up = static_cast<size_t>(std::count(given_up.begin(), given_up.end(), '\n'));
+	for (int i = 0; i < 10; ++i)
+		for (uint32 task = 0; task < 2; ++task)
+			day.crashes += world.CrashesUnder({"bad" + std::to_string(i), 0, 0, task});
+	return day;
+}
+
+/// Plays days with many seeds: of all sound jobs at most `inGivenUp` are given up, and a crasher's crashes are few.
+static void PlayCrashDays(uint64 inSeeds, uint64 inChance, size_t inGivenUp)
+{
+	CrashDay all;
+	for (uint64 seed = 1; seed <= inSeeds; ++seed)
+	{
+		const CrashDay day = PlayCrashers(seed, inChance);
+		all.sound += day.sound;
+		all.given_up += day.given_up;
+		all.crashers += day.crashers;
+		all.crashes += day.crashes;
+	}
+	std::cout << "chance " << inChance << "% a second: " << all.given_up << " of " << all.sound << " sound jobs given up; " << all.crashers
+			  << " tasks crashed " << all.crashes << " workers\n";
+	EXPECT_LE(all.given_up, inGivenUp);
+	EXPECT_LE(all.crashes, 3 * all.crashers);
+}
+
+TEST(CellCrash, TellsCrashersFromWhatRanBesideThem) { PlayCrashDays(60, 0, 0); }
+
+TEST(CellCrash, TellsCrashersFromChance) { PlayCrashDays(60, 2, 0); }
+
+TEST(CellCrash, GivesUpHardlyASoundJobWhereEachWorkerCrashesEveryQuarterMinute) { PlayCrashDays(60, 6, 2); }
+
 } // namespace Loomreach::Jobs
