--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -15,6 +15,8 @@
 static constexpr Millis cOwnerLeaseMs = 1700;
 static constexpr int64 cWallAhead = 1'700'000'000'000;
 static constexpr int64 cCpu = 16000;
+/// Room that has shrunk binds starts after `cContactMs` and a heartbeat (the users' rule).
+static constexpr Millis cBeatMs = 1500;
 /// A crashed worker's entry stays for three heartbeats of 1.5 s (the users' figures).
 static constexpr Millis cEntryStaysMs = 4500;
 /// A task is not started for the third time after this many workers have crashed under it (the users' rule).
@@ -308,12 +310,27 @@
 		if (this->random.Chance(50))
 			this->trust_until = this->now + 2000;
 	}
+	if (this->Hits(this->trouble.shrink))
+	{
+		const bool is_whole = ioWorker.capacity.cpu_milli == cCpu;
+		if (is_whole)
+		{
+			ioWorker.room_before = ioWorker.capacity;
+			ioWorker.shrunk_at = this->now;
+		}
+		ioWorker.capacity.cpu_milli = is_whole ? cCpu / 4 + this->UpTo(cCpu / 2) : cCpu;
+	}
 	if (this->Hits(this->trouble.slow_worker))
 		ioWorker.slow_until = this->now + 5000;
 	if (this->trouble.slow_worker > 0)
 		ioWorker.slow_factor = this->now < ioWorker.slow_until ? cSlowTimes : 1;
 }
 
+Resources WorldWorker::BindingRoom(Millis inNow) const
+{
+	return this->shrunk_at >= 0 && inNow < this->shrunk_at + cContactMs + cBeatMs ? this->room_before : this->capacity;
+}
+
 void CellWorld::TakeDown()
 {
 	// As the fleet's owner does: it asks until the cell promises, and the order leaves while the promise holds
@@ -657,7 +674,7 @@
 		used.Add(work.room);
 		beside += id.task.job == inOrder.task.job && id.task.step == inOrder.task.step ? 1 : 0;
 	}
-	if (!used.FitsInto(inWorker.capacity))
+	if (!used.FitsInto(inWorker.BindingRoom(this->now)))
 		this->Break("no room for " + what);
 	if (step.max_per_worker > 0 && beside > step.max_per_worker)
 		this->Break("too many beside each other: " + what);
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -32,6 +32,7 @@
 	uint64 unlist = 0;              ///< Per second and worker: its entry lapses for up to 3 s.
 	uint64 hand_over = 0;           ///< Per second: the owner hands over by plan, with no gap, once its append is through.
 	uint64 slow_worker = 0;         ///< Per second and worker: it works five times as long for some seconds.
+	uint64 shrink = 0;              ///< Per second and worker: it has a part of its processors only; and again: all of them.
 	uint64 slow_stop = 0;           ///< A stop takes 0.4 to 0.9 s.
 	Millis lease_ms = 0;            ///< Lease of the workers' runs; 0: as tuned.
 	size_t batch_bytes = 0;         ///< Records of one append; 0: as tuned.
@@ -78,6 +79,10 @@
 	Millis back_at = -1;      ///< Crashed: the next life answers at its address from then on; -1: never.
 	Millis listed_until = -1; ///< Crashed: the worker list shows it until then.
 	std::string rack = "r";
+	Resources room_before; ///< What it had before its room shrank,
+	Millis shrunk_at = -1; ///< and when that was; -1: it has not.
+	/// The room that binds starts: what it said until a while ago, if that was more.
+	Resources BindingRoom(Millis inNow) const;
 	bool unlisted = false;  ///< It lives, but the worker list does not show it.
 	Millis slow_factor = 1; ///< Its runs take this many times as long.
 	Millis slow_until = 0;
