Bring crashes, shrinking room and suspended hosts about with real processes

The platform's stand-in crashes a worker by a task (crash=MS in its payload) or by chance: its port turns connections away and another life comes after 0.7 to 2.5 s; hosts have less room for a while; starts are judged against both bounds. Entry hosts of these runs are linked with a clock that leaves the time of a suspension out of the steady clock, and counts it in boot time and time of day. Scripts/soak_jobs.sh: three more kinds of fault, and jobs that must be given up while no other may.

--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -1,8 +1,9 @@
 #!/usr/bin/env bash
 # A randomised soak of real processes: three entry hosts, each behind its own proxy to the platform's stand-in. The seed decides what goes wrong:
 # a host's way to the store is delayed, cut, silent or open one way, or its open connections fall silent for good; processes are killed, frozen,
-# stopped and started again; the store turns all away, is silent or loses answers; workers fall silent, carry orders out late, or cut a start and
-# refuse its repeat; several at once. Jobs go on coming in. Then calm: everything accepted must end,
+# stopped, suspended and started again; the store turns all away, is silent or loses answers; workers fall silent, carry orders out late, or cut a start and
+# refuse its repeat, crash or have less room for a while; tasks crash each worker that starts them; several at once. Jobs go on coming in. Then
+# calm: everything accepted must end well, but for the jobs whose tasks crash their workers: they must be given up. Of the others none may be,
 # no rule may have been broken (the stand-in's workers judge), and no invariant.
 # Usage: soak_jobs.sh BUILD SEED [SECONDS]. The seed repeats the order of faults, not the processes' timing.
 set -u
@@ -41,7 +42,8 @@
 machines = "127.0.0.1:$((PORT + 1))"
 maintenance_s = 0.8
 TOML
-	LOOM_JOBS="$DIR/e$1.toml" "$BUILD/loomreachd" --jobs_config_env=LOOM_JOBS >>"$DIR/e$1.log" 2>&1 &
+	echo 0 >"$DIR/e$1.suspended"
+	LOOM_SUSPENDED_MS="$DIR/e$1.suspended" LOOM_JOBS="$DIR/e$1.toml" "$BUILD/loomreachd-suspendable" --jobs_config_env=LOOM_JOBS >>"$DIR/e$1.log" 2>&1 &
 	PIDS[e$1]=$!
 }
 start_proxy() {
@@ -82,13 +84,38 @@
 submit() {
 	local status
 	status=$(call -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(base "$2")/fast/$1" \
-		-d "{\"spec\":\"ms=$3 cpu=1000\",\"steps\":[{\"count\":$4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300}]}")
+		-d "{\"spec\":\"ms=$3 cpu=1000${5:-}\",\"steps\":[{\"count\":$4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300}]}")
 	echo "$1 $status" >>"$DIR/told"
 }
 
+# millis SECONDS: of a number with one decimal.
+millis() { echo $((10#$(tr -d . <<<"$1") * 100)); }
+put() { curl -s --max-time 5 -X PUT "$CONTROL/$1" >/dev/null; }
+
+# suspend ENTRY SECONDS: its machine is suspended, for its clocks too. A process that goes on before that would see time go back, so that
+# a host is suspended or frozen by one fault at a time.
+suspend() {
+	local pid=${PIDS[e$1]} file="$DIR/e$1.suspended"
+	kill -STOP "$pid" 2>/dev/null
+	sleep "$2"
+	# Another process may be in its place by now: to that one nothing happened
+	kill -0 "$pid" 2>/dev/null && echo $(($(cat "$file") + $(millis "$2"))) >"$file"
+	kill -CONT "$pid" 2>/dev/null
+}
+
+freeze() { kill -STOP "$1" 2>/dev/null; sleep "$2"; kill -CONT "$1" 2>/dev/null; }
+# stop_alone ENTRY COMMAND...: unless another one stops that host.
+stop_alone() {
+	local held="$DIR/e$1.stopped"; shift
+	mkdir "$held" 2>/dev/null || return 0
+	"$@"
+	rmdir "$held"
+}
+
 # One fault of the seed's choice on entry host $1, ended by itself; they overlap.
 strike() {
-	local number=$1 kind=$2 length=$3 pid
+	local number=$1 kind=$2 length=$3 pid length_ms
+	length_ms=$(millis "$3")
 	case $kind in
 	0) way "$number" delay; sleep "$length"; way "$number" pass ;;
 	1) way "$number" reset; sleep "$length"; way "$number" pass ;;
@@ -100,7 +127,10 @@
 	7) curl -s -X PUT "$CONTROL/dark/m$number" >/dev/null; sleep "$length"; curl -s -X PUT "$CONTROL/light/m$number" >/dev/null ;;
 	11) orders late; sleep "$length"; orders none ;;
 	12) orders repeat; sleep "$length"; orders none ;;
-	8) pid=${PIDS[e$number]}; kill -STOP "$pid" 2>/dev/null; sleep "$length"; kill -CONT "$pid" 2>/dev/null ;;
+	8) pid=${PIDS[e$number]}; stop_alone "$number" freeze "$pid" "$length" ;;
+	14) stop_alone "$number" suspend "$number" "$length" ;;
+	15) put "crash/m$number" ;;
+	16) put "room/m$number/$((length_ms * 3 + 2000))"; sleep "$length"; put "room/m$number/0" ;;
 	13) way "$number" mute ;; # Connections that are open now, for good
 	esac
 }
@@ -110,7 +140,7 @@
 STRIKES=()
 while [ $SECONDS -lt $END ]; do
 	number=$((RANDOM % 3 + 1))
-	kind=$((RANDOM % 14))
+	kind=$((RANDOM % 17))
 	length=$((RANDOM % 4)).$((RANDOM % 10))
 	case $kind in
 	9) kill -9 "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number ;;
@@ -122,6 +152,10 @@
 		submit "$(printf '%016x' $ID)" $((RANDOM % 3 + 1)) $((RANDOM % 800 + 50)) $((RANDOM % 4 + 1)) & STRIKES+=($!)
 		sleep 0.3
 	done
+	# Now and then one whose tasks crash each worker that starts them, at once or a little later
+	[ $((RANDOM % 5)) = 0 ] || continue
+	ID=$((ID + 1))
+	submit "$(printf 'c%015x' $ID)" $((RANDOM % 3 + 1)) 3000 1 " crash=$((RANDOM % 80))" & STRIKES+=($!)
 done
 wait "${STRIKES[@]}"
 
@@ -131,18 +165,23 @@
 for number in 1 2 3; do
 	way $number pass
 	curl -s -X PUT "$CONTROL/light/m$number" >/dev/null
+	put "room/m$number/0"
 	kill -CONT "${PIDS[e$number]}" 2>/dev/null
 	kill -0 "${PIDS[e$number]}" 2>/dev/null || start_entry $number
 done
 FAILED=0
 fail() { FAILED=1; echo "seed $SEED: $*"; }
 within 40 all_ready || fail "entry hosts are not ready again"
-is_over() { call "http://127.0.0.1:$(base 1)/fast/$1" | grep -q completed; }
+is_over() {
+	local state=completed
+	[ "${1:0:1}" != c ] || state=failed
+	call "http://127.0.0.1:$(base 1)/fast/$1" | grep -q $state
+}
 ACCEPTED=0
 while read -r id status; do
 	[ "$status" = 200 ] || continue
 	ACCEPTED=$((ACCEPTED + 1))
-	within 60 is_over "$id" || fail "job $id was accepted and did not complete: $(call "http://127.0.0.1:$(base 1)/fast/$id")"
+	within 60 is_over "$id" || fail "job $id was accepted and did not end as it should: $(call "http://127.0.0.1:$(base 1)/fast/$id")"
 done <"$DIR/told"
 # A refusal that says "not taken" must be true. An owner that has only just taken over says 503 until it is sure
 is_sure() { SAYS=$(call -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(base 1)/fast/$1"); [ "$SAYS" = 410 ] || [ "$SAYS" = 200 ]; }
--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -40,7 +40,8 @@
 machines = "127.0.0.1:$((PORT + 1))"
 maintenance_s = 0.8
 TOML
-	LOOM_JOBS="$DIR/e$number.toml" "$BUILD/loomreachd" --jobs_config_env=LOOM_JOBS >>"$DIR/e$number.log" 2>&1 &
+	echo 0 >"$DIR/e$number.suspended"
+	LOOM_SUSPENDED_MS="$DIR/e$number.suspended" LOOM_JOBS="$DIR/e$number.toml" "$BUILD/loomreachd-suspendable" --jobs_config_env=LOOM_JOBS >>"$DIR/e$number.log" 2>&1 &
 	PIDS[$number]=$!
 }
 
@@ -278,6 +279,39 @@
 # Every run had begun before the standstill, and a worker lists each end until it is told that it was taken note of: none can be lost
 none_lost() { ! cat "$DIR"/e*.log | grep 'request=000000000000000d' | grep 'does not have it' | grep -qE 'state=(confirmed|inherited)'; }
 check "no run of it was taken for lost" none_lost
+
+# --- A task that crashes each worker that starts it, and its owner killed after the first
+job "$OTHER" 00000000000000f1 "ms=3000 crash=10" 1 1000 >/dev/null
+job "$OTHER" 00000000000000f2 ms=1500 6 1000 >/dev/null
+crashes() { report | grep -o '"00000000000000f1.0.0.0":[0-9]*' | sed 's/.*://' | head -n 1; }
+crashed_once() { [ "$(crashes)" -ge 1 ] 2>/dev/null; }
+check "a task crashes its worker" within 20 crashed_once
+OLD=$(owner)
+[ -z "$OLD" ] || { kill -9 "${PIDS[$OLD]}"; wait "${PIDS[$OLD]}" 2>/dev/null; start_entry "$OLD"; }
+check "it is given up, and its job shown as failed" within 90 is "$OTHER" 00000000000000f1 failed
+check "after no more than four workers ($(crashes))" test "$(crashes)" -le 4
+check "what ran beside it completes" within 60 is "$OTHER" 00000000000000f2 completed
+
+# --- A worker's room shrinks and grows while work waits
+for host in m0 m1 m2; do curl -s -X PUT "$CONTROL/room/$host/3000" >/dev/null; done
+sleep 1
+job "$OTHER" 00000000000000f3 ms=700 30 1000 >/dev/null
+sleep 3
+for host in m0 m1 m2; do curl -s -X PUT "$CONTROL/room/$host/0" >/dev/null; done
+check "what waits for room that has shrunk completes" within 60 is "$OTHER" 00000000000000f3 completed
+
+# --- The owner's machine is suspended beyond every lease: its steady clock does not count that time
+job "$OTHER" 00000000000000f4 ms=4000 3 1000 >/dev/null
+sleep 1
+OLD=$(owner)
+if [ -n "$OLD" ]; then
+	kill -STOP "${PIDS[$OLD]}"
+	sleep 6
+	echo 6000 >"$DIR/e$OLD.suspended"
+	kill -CONT "${PIDS[$OLD]}"
+fi
+check "an owner was there to be suspended" test -n "$OLD"
+check "what ran completes all the same" within 60 is "$OTHER" 00000000000000f4 completed
 check "no rule was broken at all" unbroken
 heard() { report | grep -q '"unheard":\[\]' || { report | grep -o '"unheard":\[[^]]*\]'; return 1; }; }
 check "no host was taken before all that ended there was heard" heard
--- a/TestSupport/Platform/FakeFleet.cpp
+++ b/TestSupport/Platform/FakeFleet.cpp
@@ -22,8 +22,27 @@
 static constexpr Millis cLateLeastMs = 2000; ///< A late order is carried out within these (the users' figure: "seconds later";
 static constexpr Millis cLateMostMs = 12000; ///< the same as in the unit tests' world).
 
+/// A start that brings a worker over its room counts by what it said this long before (the users' `contactMs`, and a heartbeat).
+static constexpr Millis cShrunkMs = 4500;
+/// A crashed worker's entry stays for three heartbeats, which are 0.5 s here.
+static constexpr Millis cEntryStaysMs = 1500;
+static constexpr Millis cBackLeastMs = 700; ///< The next worker comes after a crash within these.
+static constexpr Millis cBackMostMs = 2500;
+/// A task is not started for the third time after this many workers have crashed under it (the users' rule).
+static constexpr uint32 cCrashesBorne = 3;
+static constexpr uint32 cStartsTooMany = 3;
+
+bool FakeFleet::Listen(FakeHost &ioHost)
+{
+	ioHost.server = OpenServer({this->listens.ip, ioHost.port}, "worker");
+	if (ioHost.server != nullptr)
+		soup_server_add_handler(ioHost.server.get(), nullptr, &FakeFleet::OnWorker, this, nullptr);
+	return ioHost.server != nullptr;
+}
+
 bool FakeFleet::Open(const Address &inMachines, uint16 inFirstPort, const std::vector<std::string> &inPools)
 {
+	this->listens = inMachines;
 	this->machines = OpenServer(inMachines, "machines");
 	if (this->machines == nullptr)
 		return false;
@@ -34,13 +53,18 @@
 		host->name = "m" + std::to_string(i);
 		host->pool = inPools[i];
 		host->port = static_cast<uint16>(inFirstPort + i);
-		host->server = OpenServer({inMachines.ip, host->port}, "worker");
-		if (host->server == nullptr)
+		host->cpu = cHostCpu;
+		if (!this->Listen(*host))
 			return false;
-		soup_server_add_handler(host->server.get(), nullptr, &FakeFleet::OnWorker, this, nullptr);
 		this->hosts.push_back(std::move(host));
 	}
-	this->pass.Every(cPassMs, [this] { this->Pass(); });
+	// A process does not end in the midst of an order
+	this->pass.Every(cPassMs,
+					 [this]
+					 {
+						 this->Pass();
+						 this->CrashByRuns();
+					 });
 	this->beat.Every(cBeatMs, [this] { this->Beat(); });
 	this->Beat();
 	return true;
@@ -56,9 +80,17 @@
 		for (const FakeRun &run : host->running)
 			running[run.task] = host->name;
 	}
-	return {{"broken", this->broken}, {"unheard", this->unheard},     {"excused", this->ends.Excused()},
-			{"starts", this->starts}, {"struck", this->struck},       {"done", this->done.size()},
-			{"duties", this->duties}, {"most_down", this->most_down}, {"running", running},
+	return {{"broken", this->broken},
+			{"unheard", this->unheard},
+			{"excused", this->ends.Excused()},
+			{"crashes", this->crashes},
+			{"chance_crashes", this->chance_crashes},
+			{"starts", this->starts},
+			{"struck", this->struck},
+			{"done", this->done.size()},
+			{"duties", this->duties},
+			{"most_down", this->most_down},
+			{"running", running},
 			{"pools", pools}};
 }
 
@@ -81,6 +113,55 @@
 			host->dark = inDark;
 }
 
+void FakeFleet::SetRoom(const std::string &inHost, int64 inCpu)
+{
+	for (auto &host : this->hosts)
+	{
+		const int64 cpu = inCpu == 0 ? cHostCpu : inCpu;
+		if (host->name != inHost)
+			continue;
+		if (cpu < host->cpu)
+		{
+			const bool is_new = host->shrunk_at < 0 || NowMillis() > host->shrunk_at + cShrunkMs;
+			host->cpu_before = is_new ? host->cpu : std::max(host->cpu, host->cpu_before);
+			host->shrunk_at = NowMillis();
+		}
+		LogEvent(ELogLevel::Info, "fake_room").Field("worker", host->Id()).Field("cpu_milli", cpu);
+		host->cpu = cpu;
+	}
+	this->Beat();
+}
+
+void FakeFleet::Crash(const std::string &inHost)
+{
+	for (auto &host : this->hosts)
+		if (host->name == inHost && host->state == "up")
+		{
+			++this->chance_crashes;
+			this->CrashHost(*host);
+		}
+}
+
+void FakeFleet::CrashHost(FakeHost &ioHost)
+{
+	LogEvent(ELogLevel::Info, "fake_crash").Field("worker", ioHost.Id()).Field("runs", ioHost.running.size());
+	this->ends.Gone(ioHost.Id());
+	ioHost.running.clear();
+	ioHost.state = "crashed";
+	// Its port turns connections away; the requests that waited there end with theirs
+	ioHost.silent.clear();
+	soup_server_disconnect(ioHost.server.get());
+	ioHost.server.reset();
+	After(cEntryStaysMs, [this, id = ioHost.Id()] { this->store.Put("keyed.servers", id, ""); });
+	After(cBackLeastMs + static_cast<Millis>(this->random.Below(cBackMostMs - cBackLeastMs)),
+		  [this, &ioHost]
+		  {
+			  if (!this->Listen(ioHost))
+				  LogEvent(ELogLevel::Error, "fake_not_back").Field("worker", ioHost.Id());
+			  this->BeginLife(ioHost);
+		  });
+}
+
 void FakeFleet::Beat()
 {
 	for (const auto &host : this->hosts)
@@ -91,7 +172,7 @@
 							{"address", "127.0.0.1:" + std::to_string(host->port)},
 							{"zone", "z"},
 							{"state", "ready"},
-							{"capacity", {{"cpu", cHostCpu}, {"memMb", 32768}, {"gpu", 0}}},
+							{"capacity", {{"cpu", host->cpu}, {"memMb", 32768}, {"gpu", 0}}},
 							{"labels", {"a", "r"}},
 							{"machine", host->name},
 							{"clockMs", NowMillis()}};
@@ -216,6 +297,22 @@
 	return at == std::string::npos ? inDefault : std::strtoll(inPayload.c_str() + at + inWord.size() + 1, nullptr, 10);
 }
 
+void FakeFleet::CheckRoom(const FakeHost &inHost, const FakeRun &inRun)
+{
+	int64 used = inRun.cpu;
+	for (const FakeRun &run : inHost.running)
+		used += run.cpu;
+	const bool just_shrunk = inHost.shrunk_at >= 0 && inRun.began_at <= inHost.shrunk_at + cShrunkMs;
+	if (used > (just_shrunk ? std::max(inHost.cpu, inHost.cpu_before) : inHost.cpu))
+		this->Break("no room on " + inHost.name + " for " + inRun.task);
+}
+
+void FakeFleet::CheckCrashes(const FakeRun &inRun)
+{
+	if (this->crashes[inRun.task] >= cCrashesBorne && ++this->starts_after_three[inRun.task] >= cStartsTooMany)
+		this->Break("crashes its workers, and started again: " + inRun.task + " run " + std::to_string(inRun.run));
+}
+
 Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, uint32 &outStatus)
 {
 	const std::string task = inBody.value("task", "");
@@ -238,11 +335,10 @@
 	started.fails = payload.find("fail") != std::string::npos;
 	if (payload.find("lasts") == std::string::npos)
 		started.ends_at = started.began_at + PayloadNumber(payload, "ms", 300);
-	int64 used = started.cpu;
-	for (const FakeRun &run : ioHost.running)
-		used += run.cpu;
-	if (used > cHostCpu)
-		this->Break("no room on " + ioHost.name + " for " + task);
+	if (payload.find("crash=") != std::string::npos)
+		started.crashes_at = started.began_at + PayloadNumber(payload, "crash", 0);
+	this->CheckRoom(ioHost, started);
+	this->CheckCrashes(started);
 	const RunSeen seen{task, number, ioHost.Id(), started.began_at};
 	this->BreakAll(this->ends.Start(seen));
 	for (const auto &host : this->hosts)
@@ -334,6 +430,20 @@
 	ioHost.until = 0;
 }
 
+void FakeFleet::CrashByRuns()
+{
+	const Millis now = NowMillis();
+	for (const auto &host : this->hosts)
+	{
+		auto crashing = std::find_if(host->running.begin(), host->running.end(),
+									 [now](const FakeRun &inRun) { return inRun.crashes_at >= 0 && now >= inRun.crashes_at; });
+		if (crashing == host->running.end())
+			continue;
+		++this->crashes[crashing->task];
+		this->CrashHost(*host);
+	}
+}
+
 void FakeFleet::Pass()
 {
 	for (const auto &host : this->hosts)
@@ -350,7 +460,7 @@
 	for (const auto &host : self->hosts)
 		rows.push_back({{"machine", host->name},
 						{"pool", host->pool},
-						{"state", host->state},
+						{"state", host->state == "crashed" ? "down" : host->state},
 						{"zone", "z"},
 						{"labels", {"a", "r"}},
 						{"capacity", {{"cpu", cHostCpu}, {"memMb", 32768}, {"gpu", 0}}},
@@ -401,16 +511,21 @@
 		  [this, &ioHost, counts]
 		  {
 			  this->down_now -= counts ? 1 : 0;
-			  ++ioHost.life;
-			  ioHost.token = 0;
-			  ioHost.until = 0;
-			  ioHost.ended.clear();
-			  ioHost.highest_over.clear();
-			  ioHost.refuse_repeat.clear();
-			  ioHost.next_number = 1;
-			  ioHost.state = "up";
-			  this->Beat();
+			  this->BeginLife(ioHost);
 		  });
 }
 
+void FakeFleet::BeginLife(FakeHost &ioHost)
+{
+	++ioHost.life;
+	ioHost.token = 0;
+	ioHost.until = 0;
+	ioHost.ended.clear();
+	ioHost.highest_over.clear();
+	ioHost.refuse_repeat.clear();
+	ioHost.next_number = 1;
+	ioHost.state = "up";
+	this->Beat();
+}
+
 } // namespace Loomreach
--- a/TestSupport/Platform/FakeFleet.h
+++ b/TestSupport/Platform/FakeFleet.h
@@ -1,5 +1,5 @@
 // The platform's hosts and workers for tests with real processes. Workers keep leases, tokens, runs and ends, and note broken rules.
-// What a task needs and does stands in its payload: "cpu=MILLI ms=TIME", "fail", "lasts".
+// What a task needs and does stands in its payload: "cpu=MILLI ms=TIME", "fail", "lasts", "crash=TIME" (it crashes its worker then).
 
 #pragma once
 
@@ -30,6 +30,7 @@
 	Millis began_at = 0;
 	Millis ends_at = -1; ///< -1: lasts.
 	bool fails = false;
+	Millis crashes_at = -1; ///< -1: never.
 };
 
 /// One host with one worker at a time.
@@ -47,6 +48,9 @@
 	std::vector<nlohmann::json> ended;
 	uint64 next_number = 1;
 	uint64 duty_token = 0;
+	int64 cpu = 0;                       ///< What it says that it has,
+	int64 cpu_before = 0;                ///< what that was before it shrank,
+	Millis shrunk_at = -1;               ///< and when it did; -1: never.
 	bool dark = false;                   ///< Answers nothing.
 	std::set<std::string> refuse_repeat; ///< Starts (their whole bodies) whose repeat is turned away.
 	ObjectPtr<SoupServer> server;
@@ -68,6 +72,10 @@
 	nlohmann::json Report() const;
 	/// Makes a host silent or lets it answer again.
 	void SetDark(const std::string &inHost, bool inDark);
+	/// A host's processors from now on, thousandths; 0: all of them.
+	void SetRoom(const std::string &inHost, int64 inCpu);
+	/// The process of a host's worker ends; the next one comes after a second or two.
+	void Crash(const std::string &inHost);
 	void SetOrderFault(EOrderFault inFault) { this->order_fault = inFault; }
 
 private:
@@ -87,6 +95,16 @@
 	void Pass();
 	void End(FakeHost &ioHost, size_t inRun, const char *inHow);
 	void Beat();
+	void CrashHost(FakeHost &ioHost);
+	/// Crashes the workers whose runs do so now.
+	void CrashByRuns();
+	/// A host's next worker begins.
+	void BeginLife(FakeHost &ioHost);
+	/// Listens at a host's port.
+	bool Listen(FakeHost &ioHost);
+	/// A start against the users' bounds of room and of tasks that crash their workers.
+	void CheckRoom(const FakeHost &inHost, const FakeRun &inRun);
+	void CheckCrashes(const FakeRun &inRun);
 	void Down(FakeHost &ioHost, const char *inState, const std::string &inPool, Millis inForMs);
 	void Duty(SoupServerMessage *inMessage, bool inMoves);
 	void Break(const std::string &inWhat);
@@ -101,6 +119,10 @@
 	std::vector<std::string> unheard; ///< Hosts that were taken before anybody took note of all that had ended there.
 	EOrderFault order_fault = EOrderFault::None;
 	Random random;
+	std::map<std::string, uint32> crashes;            ///< Workers that a task has crashed.
+	std::map<std::string, uint32> starts_after_three; ///< Its starts after the third.
+	Address listens;
+	uint64 chance_crashes = 0;
 	std::map<std::string, uint64> struck; ///< Orders that a fault has taken, by fault.
 	uint64 starts = 0;
 	uint64 duties = 0;
--- a/TestSupport/Platform/Main.cpp
+++ b/TestSupport/Platform/Main.cpp
@@ -1,6 +1,7 @@
 // loomreach-platform: plays the users' platform on loopback for the tests of jobs with real processes: store, machine service, workers.
 // Its control listener takes PUT /operator/KEY, GET /status/KEY, PUT /fault/WORD, PUT /orders/WORD,
-// PUT /dark/HOST, PUT /light/HOST, GET /report, GET /gaps (the longest pauses, ms, since PUT /gaps/reset).
+// PUT /dark/HOST, PUT /light/HOST, PUT /crash/HOST, PUT /room/HOST/CPU (thousandths of a core; 0: all), GET /report, GET /gaps (the longest
+// pauses, ms, since PUT /gaps/reset).
 
 #include <Loomreach/Loomreach.h>
 
@@ -69,6 +70,10 @@
 		control.fleet->SetOrderFault(OrderFaultOf(rest));
 	else if (verb == "dark" || verb == "light")
 		control.fleet->SetDark(rest, verb == "dark");
+	else if (verb == "crash")
+		control.fleet->Crash(rest);
+	else if (verb == "room")
+		control.fleet->SetRoom(rest.substr(0, rest.find('/')), std::strtoll(rest.c_str() + rest.find('/') + 1, nullptr, 10));
 	else
 		return Reply(inMessage, 404, "{}");
 	Reply(inMessage, 200, "{}");
