Take no crash for proved while the worker may live on, and wait for no worker that may not run the task

A connection that is reset looks like a crash until the lease is over, but the worker may only have been cut off: such an end counts towards the four, and proves nothing. A worker without the step's label or the adviser's leave is no longer kept free for a trial, the adviser is asked also for tasks on trial, and racks of unknown name are not one rack.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -163,6 +163,8 @@
 	/// What a worker may take for it without being called slow: quick neighbours alone don't make one slow.
 	Millis UsualRun(const CellJob &inJob, size_t inUnit) const;
 	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
+	/// Whether a worker has the step's label, and the adviser's leave where that is needed.
+	static bool MayRun(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit, Millis inNow);
 	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
 							 const std::map<std::string, uint32> &inOnWorker);
 	double ScoreOf(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit) const;
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -129,7 +129,7 @@
 {
 	if (inWorker.open_trials > 0)
 		return false;
-	if (inTrial != ETrial::None && this->trial_racks.contains(inWorker.entry.rack))
+	if (inTrial != ETrial::None && !inWorker.entry.rack.empty() && this->trial_racks.contains(inWorker.entry.rack))
 		return false;
 	switch (inTrial)
 	{
@@ -162,7 +162,8 @@
 	const auto [able, kept] = this->KeptForTrials(ioJob.spec.pool, inNow);
 	CellWorker *emptiest = nullptr;
 	for (CellWorker *worker : able)
-		if (room.FitsInto(worker->Free()) && (emptiest == nullptr || worker->runs.size() < emptiest->runs.size()))
+		if (room.FitsInto(worker->Free()) && Cell::MayRun(*worker, ioJob, inUnit, inNow) &&
+			(emptiest == nullptr || worker->runs.size() < emptiest->runs.size()))
 			emptiest = worker;
 	if (emptiest == nullptr)
 		return;
@@ -208,7 +209,8 @@
 	const auto is_cause = [&inWorker, at, exact](const LostWorker &inOther)
 	{
 		const Millis together = exact && inOther.exact ? cTogetherMs : cSilentTogetherMs;
-		return std::abs(at - inOther.at) <= together && ((exact && !inOther.young) || inOther.rack == inWorker.entry.rack);
+		const bool same_rack = !inOther.rack.empty() && inOther.rack == inWorker.entry.rack;
+		return std::abs(at - inOther.at) <= together && ((exact && !inOther.young) || same_rack);
 	};
 	if (std::any_of(this->lost.begin(), this->lost.end(), is_cause))
 		return true;
@@ -224,7 +226,8 @@
 bool Cell::IsAtOnce(const CellWorker &inWorker, const Run &inRun)
 {
 	const bool at_once = inRun.confirmed_at < 0 || inWorker.closed_at - inRun.confirmed_at <= cAtOnceMs;
-	return KnowsWhen(inWorker) && inWorker.closed_at >= 0 && IsYoung(inWorker, inRun) && at_once;
+	// A lease that is over proves no crash: the worker may have been cut off by resets, and run on
+	return inWorker.gone && KnowsWhen(inWorker) && inWorker.closed_at >= 0 && IsYoung(inWorker, inRun) && at_once;
 }
 
 bool Cell::CountCrash(CellWorker &ioWorker, const RunId &inRun, bool inAlone, bool inChance, Millis inNow)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -251,6 +251,7 @@
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
 		{
 			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			this->AskAdvice(ioJob, inUnit, inNow);
 			continue;
 		}
 		// What one task of the step does not find, its like will not find either
@@ -311,6 +312,15 @@
 	return inWorker.failures_in_row < cFailuresToQuarantine || inWorker.runs.empty();
 }
 
+bool Cell::MayRun(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit, Millis inNow)
+{
+	const std::string &label = inJob.StepOf(inUnit).needs_label;
+	const std::vector<std::string> &labels = inWorker.entry.labels;
+	if (!label.empty() && std::find(labels.begin(), labels.end(), label) == labels.end())
+		return false;
+	return !inJob.spec.advised || Cell::HasTicket(inJob, inUnit, inWorker.entry.id, inNow);
+}
+
 double Cell::ScoreOf(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit) const
 {
 	const StepSpec &step = inJob.StepOf(inUnit);
@@ -365,15 +375,12 @@
 		any_fits = true;
 		if (!this->AllowsStart(worker, trial, inNow))
 			continue;
-		const std::vector<std::string> &labels = worker.entry.labels;
-		if (!step.needs_label.empty() && std::find(labels.begin(), labels.end(), step.needs_label) == labels.end())
+		if (!Cell::MayRun(worker, inJob, inUnit, inNow))
 			continue;
 		auto on_it = inOnWorker.find(id);
 		const uint32 here = on_it == inOnWorker.end() ? 0 : on_it->second;
 		if (step.max_per_worker > 0 && here >= step.max_per_worker)
 			continue;
-		if (inJob.spec.advised && !Cell::HasTicket(inJob, inUnit, id, inNow))
-			continue;
 		double score = this->ScoreOf(worker, inJob, inUnit);
 		// Where little else runs, little is lost if it crashes this worker too
 		if (trial != ETrial::None)
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -80,6 +80,25 @@
 		EXPECT_EQ(world.Shown("bad" + std::to_string(i)).phase, EJobPhase::Failed);
 }
 
+TEST(CellCrash, GivesItUpAlsoWhereWorkersComeBackAfterTheirLeases)
+{
+	// The end is then concluded from the lease, and no other life has answered
+	for (uint64 seed = 1; seed <= 20; ++seed)
+	{
+		Random random(seed);
+		int next = 0;
+		CellWorld world(seed, Trouble{}, cWorkers);
+		world.back_after_ms = 8000;
+		world.Run(500);
+		for (int i = 0; i < 3; ++i)
+			world.Submit(Crasher(world, "bad" + std::to_string(i), 1, cCrashMs));
+		SubmitSound(world, random, 20, next);
+		world.Run(90000);
+		EXPECT_EQ(All(world), "") << seed;
+		EXPECT_EQ(world.Open(), "") << seed;
+	}
+}
+
 TEST(CellCrash, CountsOnWhenTheOwnerChanges)
 {
 	for (uint64 seed = 1; seed <= 20; ++seed)
@@ -172,6 +191,34 @@
 	}
 }
 
+TEST(CellCrash, GivesUpNoTaskWhoseWorkersWereCutOffByResets)
+{
+	// Connections are reset as by a crash, but the worker goes on, and is back after its leases are over: nothing has crashed
+	for (uint64 seed = 1; seed <= 30; ++seed)
+	{
+		Random random(seed);
+		int next = 0;
+		CellWorld world(seed, Trouble{}, cWorkers);
+		PutInRacks(world);
+		world.Run(500);
+		for (int i = 0; i < 12; ++i)
+		{
+			SubmitSound(world, random, 4, next);
+			for (auto &[id, worker] : world.Workers())
+				if (random.Chance(10))
+				{
+					worker.cut_until = world.Now() + 4000 + static_cast<Millis>(random.Below(3000));
+					worker.cut_closes = true;
+				}
+		}
+		world.Run(10000);
+		world.Calm();
+		world.Run(60000);
+		EXPECT_EQ(All(world), "") << seed;
+		EXPECT_EQ(world.Open(), "") << seed;
+	}
+}
+
 /// What became of the jobs of a day with many crashers.
 struct CrashDay
 {
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -249,7 +249,11 @@
 			back.push_back(id);
 	}
 	for (const std::string &id : crashing)
-		this->Crash(this->workers.at(id), true, cStepMs * (50 + static_cast<Millis>(this->random.Below(300))));
+	{
+		const Millis back_ms =
+			this->back_after_ms > 0 ? this->back_after_ms : cStepMs * (50 + static_cast<Millis>(this->random.Below(300)));
+		this->Crash(this->workers.at(id), true, back_ms);
+	}
 	for (const std::string &id : back)
 	{
 		const WorldWorker &old = this->workers.at(id);
@@ -265,7 +269,7 @@
 	OrderAnswer answer;
 	if (inWorker.back_at >= 0 && this->now >= inWorker.back_at)
 		answer.result = EOrderResult::OtherLife;
-	else if (inWorker.closes)
+	else if (inWorker.closes || !inWorker.crashed)
 		answer = OrderAnswer{EOrderResult::NotSent, -1, {}, {}, false, true};
 	else
 		return std::nullopt;
@@ -411,7 +415,8 @@
 		back.at = this->now + 1 + static_cast<Millis>(this->random.Below(15));
 		if (!cut)
 			back.answer = this->CarryOut(worker, parcel.order);
-		const std::optional<OrderAnswer> gone = worker.crashed ? this->AnswerOfGone(worker) : std::nullopt;
+		const bool is_reset = cut && worker.cut_closes;
+		const std::optional<OrderAnswer> gone = worker.crashed || is_reset ? this->AnswerOfGone(worker) : std::nullopt;
 		back.answer = gone.value_or(back.answer);
 		if (!parcel.mute && (!cut || gone.has_value()))
 			this->parcels.push_back(back);
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -72,6 +72,7 @@
 	uint64 next_number = 1;
 	uint64 void_below = 1; ///< Ends with lower numbers were followed by a lapse of the lease: noting them binds nobody.
 	Millis cut_until = 0;
+	bool cut_closes = false;  ///< While it is cut off, its connections are reset; else nothing comes back.
 	Millis contact_since = 0; ///< Since then an owner has been at work, and none of its looks and stops here was lost or late.
 	uint64 shown_to = 0;      ///< The last owner that was shown its entry.
 	bool crashed = false;
@@ -109,6 +110,8 @@
 	std::map<std::string, Millis> run_ms;
 	/// Jobs all of whose tasks crash their worker, this long after each start.
 	std::map<std::string, Millis> crash_after_ms;
+	/// The next life of a worker crashed by a task begins after this; 0: after 0.5 to 3.5 s, by chance.
+	Millis back_after_ms = 0;
 	/// A worker's process ends, and the next one at its address begins after `inBackMs`. `inCloses`: see WorldWorker.
 	void Crash(WorldWorker &ioWorker, bool inCloses, Millis inBackMs);
 	/// Workers that have crashed under a task that crashes them.
@@ -137,6 +140,7 @@
 	uint64 Takeovers() const { return this->takeovers; }
 	/// Runs that a worker began when their job had been cancelled.
 	uint64 StartsAfterCancel() const { return this->starts_after_cancel; }
+	Millis Now() const { return this->now; }
 	Cell &Core() { return *this->cell; }
 	std::map<std::string, WorldWorker> &Workers() { return this->workers; }
 
