Bound the trials of a task at which others of the rack go as well

Read again: a trial that tells nothing counted as being there, and a task with one crash blamed on it and the rest such trials was tried for ever. It is given up at the fifth crash, which the users' bound of two starts after the third still bears.

--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -11,7 +11,7 @@
 //    alone on its worker;
 //  * where workers of its rack go with it, a trial tells nothing: the task was only there. So there is one trial at a time in a rack;
 //  * with the second crash right after its start, if it was the only task that can have done it, its job is given up; with the third where
-//    workers have crashed by chance of late; with the fourth crash in any case, unless it was only there.
+//    workers have crashed by chance of late; with the fourth crash if two were blamed on it; with the fifth if it was on trial there.
 //
 // A process that has crashed is told from a dark host and from a cut by its host, which closes connections and turns new ones away.
 
@@ -40,8 +40,10 @@
 /// Crashes after which a task is given up in any case: the users bear three, and two starts more; one is left for a crash that was not
 /// seen.
 static constexpr uint32 cCrashesMost = 4;
-/// Of these so many must have been blamed on it.
+/// Of these so many must have been blamed on it;
 static constexpr uint32 cBlamedMost = 2;
+/// else it is given up when the users bear no more, if a trial is what crashed.
+static constexpr uint32 cCrashesBorne = 5;
 /// A lasting task at work for longer than this does not crash its workers: over months some will go under it by chance.
 static constexpr Millis cSettledMs = 10000;
 /// Workers lost within this of each other may be lost by one cause: the looks that show it are up to this far apart.
@@ -245,7 +247,8 @@
 	const bool by_chance = std::any_of(this->lost.begin(), this->lost.end(), [](const LostWorker &inLost) { return !inLost.young; });
 	const uint32 needed = cAtOnceProved + (by_chance ? 1 : 0);
 	const bool proved = crashes.at_once >= needed && inAlone && at_once;
-	const bool given_up = proved || (crashes.Total() >= cCrashesMost && crashes.blamed >= cBlamedMost);
+	const uint32 most = crashes.blamed >= cBlamedMost ? cCrashesMost : cCrashesBorne;
+	const bool given_up = proved || crashes.Total() >= most;
 	LogEvent(ELogLevel::Warning, "task_blamed")
 		.Field("request", inRun.task.job)
 		.Field("task", TaskText(inRun.task))
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -219,6 +219,39 @@
 	}
 }
 
+TEST(CellCrash, GivesUpATaskAtWhoseEveryTrialOthersOfTheRackGoAsWell)
+{
+	// A trial tells nothing then; without a bound the task was tried for ever
+	for (uint64 seed = 1; seed <= 20; ++seed)
+	{
+		CellWorld world(seed, Trouble{}, 6);
+		world.Run(500);
+		JobSpec lasting = MakeJob("lasting", 1, 6, 1000, 500);
+		lasting.steps[0].lasting = true;
+		lasting.steps[0].max_per_worker = 1;
+		world.Submit(lasting);
+		world.Run(2000);
+		world.Submit(Crasher(world, "bad", 1, cCrashMs));
+		const TaskId bad{"bad", 0, 0, 0};
+		uint32 seen = 0;
+		for (int i = 0; i < 6000; ++i)
+		{
+			world.Run(10);
+			if (world.CrashesUnder(bad) == seen)
+				continue;
+			seen = world.CrashesUnder(bad);
+			for (auto &[id, worker] : world.Workers())
+				if (!worker.crashed && !worker.running.empty())
+				{
+					world.Crash(worker, true, 2000);
+					break;
+				}
+		}
+		EXPECT_EQ(All(world), "") << seed;
+		EXPECT_EQ(world.Shown("bad").phase, EJobPhase::Failed) << seed;
+	}
+}
+
 /// What became of the jobs of a day with many crashers.
 struct CrashDay
 {
