Blame no run that an owner only found in the log

Its second run had ended with its lease; the worker crashed later with no run on it, and the next owner, which never heard that worker, blamed the run. Two crashes by chance more, one of them taken over as well, made four. What is found so, or on a worker that fell silent first, counts as having been there, which only the users' bound of five ends. Test: CellCrash.BlamesNoRunThatASuccessorOnlyFoundInTheLog (failed first).

--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -9,7 +9,9 @@
 //  * a task that was blamed starts on trial: nothing else has just started on its worker, and nothing else starts until it has outlived its
 //    start. A worker that crashes then tells which task it was. One that was at three crashes, or blamed for two without a proof, runs
 //    alone on its worker;
-//  * where workers of its rack go with it, a trial tells nothing: the task was only there. So there is one trial at a time in a rack;
+//  * where workers of its rack go with it, a trial tells nothing: the task was only there. So there is one trial at a time in a rack. The
+//  same
+//    where an owner takes over a run of a worker that it never hears, and where a worker falls silent first;
 //  * with the second crash right after its start, if it was the only task that can have done it, its job is given up; with the third where
 //    workers have crashed by chance of late; with the fourth crash if two were blamed on it; with the fifth if it was on trial there.
 //
@@ -237,8 +239,9 @@
 	CellJob &job = *this->FindJob(inRun.task.job);
 	const Run &run = ioWorker.runs.at(inRun);
 	TaskCrashes &crashes = job.crashes[{job.Unit(inRun.task.round, inRun.task.step), inRun.task.index}];
-	// Others of its rack went with it, and no other task was on trial there
-	const bool tells_nothing = inChance && run.trial != ETrial::None;
+	// Others of its rack went with a trial, where no other is. And of a worker that this owner never heard, or that fell silent first, it
+	// is not known whether the run was still there
+	const bool tells_nothing = (inChance && run.trial != ETrial::None) || !KnowsWhen(ioWorker);
 	++(tells_nothing ? crashes.beside : crashes.blamed);
 	const bool at_once = !inChance && Cell::IsAtOnce(ioWorker, run);
 	crashes.at_once += at_once ? 1 : 0;
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -219,6 +219,37 @@
 	}
 }
 
+TEST(CellCrash, BlamesNoRunThatASuccessorOnlyFoundInTheLog)
+{
+	// Its lease may have run out before the worker crashed. A job was given up though its second run had ended so (worker i-m2-0 crashed
+	// with no run on it), and chance had crashed the workers of the others:
+	//     run_ended ... run=2 worker=i-m2-0 end=lapsed state=inherited ... answer_ms_ago=-1 closed_ms_ago=-1
+	//     task_blamed ... run=2 worker=i-m2-0 blamed=1 at_once=0 beside=1 seen_ms=-1 ...
+	CellWorld world(1, Trouble{}, 4);
+	world.run_ms["a"] = 2000;
+	world.Run(500);
+	world.Submit(MakeJob("a", 1, 1, 1000, 2000));
+	for (int i = 0; i < 3; ++i)
+	{
+		world.Run(1000);
+		std::vector<std::string> busy;
+		for (const auto &[id, worker] : world.Workers())
+			if (!worker.crashed && !worker.running.empty())
+				busy.push_back(id);
+		for (const std::string &id : busy)
+			world.Crash(world.Workers().at(id), true, 500);
+		world.ReplaceOwner();
+		world.Run(1500);
+	}
+	// And once more by chance, under an owner that hears it
+	for (auto &[id, worker] : world.Workers())
+		if (!worker.crashed && !worker.running.empty())
+			world.Crash(worker, true, 500);
+	world.Run(20000);
+	EXPECT_EQ(All(world), "");
+	EXPECT_EQ(world.Shown("a").phase, EJobPhase::Completed);
+}
+
 TEST(CellCrash, GivesUpATaskAtWhoseEveryTrialOthersOfTheRackGoAsWell)
 {
 	// A trial tells nothing then; without a bound the task was tried for ever
