--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -283,6 +283,55 @@
 	}
 }
 
+/// Crashes the workers of a job's runs by chance, and how many there were.
+static size_t CrashWorkersOf(CellWorld &ioWorld, const std::string &inJob)
+{
+	std::vector<std::string> lost;
+	for (const auto &[id, worker] : ioWorld.Workers())
+		for (const auto &[run, work] : worker.running)
+			if (!worker.crashed && run.task.job == inJob && (lost.empty() || lost.back() != id))
+				lost.push_back(id);
+	for (const std::string &id : lost)
+		ioWorld.Crash(ioWorld.Workers().at(id), true, 500);
+	return lost.size();
+}
+
+TEST(CellCrash, ALastingTaskThatIsAtWorkIsSuspectedNoMore)
+{
+	// Over months the workers of what lasts crash by chance, also right after a start. Counted for ever, these end the job; and a run alone
+	// on its worker for its trial kept all else off it for good
+	for (uint64 seed = 1; seed <= 10; ++seed)
+	{
+		CellWorld world(seed, Trouble{}, 3);
+		world.Run(500);
+		JobSpec lasting = MakeJob("lasting", 1, 1, 1000, 500);
+		lasting.steps[0].lasting = true;
+		world.Submit(lasting);
+		world.Run(1000);
+		for (int month = 0; month < 6; ++month)
+		{
+			// Three crashes in a row, not all right after a start, then a long time at work, under another owner as well
+			for (int i = 0; i < 3; ++i)
+			{
+				ASSERT_EQ(CrashWorkersOf(world, "lasting"), 1u) << seed << " " << month << " " << i;
+				world.Run(6000);
+			}
+			world.Run(10000);
+			world.ReplaceOwner();
+			world.Run(10000);
+		}
+		EXPECT_EQ(All(world), "") << seed;
+		// Every worker has room for others beside it
+		world.Submit(MakeJob("wide", 1, 3, 15000, 300));
+		world.run_ms["wide"] = 20000;
+		world.Run(15000);
+		size_t busy = 0;
+		for (const auto &[id, worker] : world.Workers())
+			busy += worker.crashed || worker.running.empty() ? 0 : 1;
+		EXPECT_EQ(busy, 3u) << seed;
+	}
+}
+
 /// What became of the jobs of a day with many crashers.
 struct CrashDay
 {
