Suspect no lasting task that is at work

Cause: the count of crashes was for the task's whole life, and a trial alone on a worker ended only with its run; of tasks that last, neither ends. Class: state without an end. Once its worker has lived with it for 10 s a lasting task is cleared, in the log too (task_cleared), and keeps nothing off its worker. Also one place for a task's key, and for whether its job is open.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -66,6 +66,7 @@
 		if (!crashes.has_value())
 			return false;
 		this->jobs[id].crashes = std::move(*crashes);
+		this->jobs[id].crashes_logged = true;
 	}
 	if (inKey[0] == cStateKey)
 	{
@@ -344,7 +345,7 @@
 		}
 		outBatch.push_back({cSpecKey + it->first, ""});
 		outBatch.push_back({cStateKey + it->first, ""});
-		if (!job.crashes.empty())
+		if (job.crashes_logged)
 			outBatch.push_back({cCrashKey + it->first, ""});
 		it = this->jobs.erase(it);
 	}
@@ -375,7 +376,8 @@
 			bytes += outBatch.back().value.size();
 		}
 		job.spec_writing = !job.spec_logged;
-		if (!job.crashes.empty())
+		job.crashes_logged = job.crashes_logged || !job.crashes.empty();
+		if (job.crashes_logged)
 			outBatch.push_back({cCrashKey + id, EncodeValue(job.crashes)});
 		outBatch.push_back({cStateKey + id, EncodeValue(job.record)});
 		bytes += outBatch.back().value.size();
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -206,8 +206,10 @@
 	// CellCrashes.cpp: tasks that crash their workers
 	/// How a task is to be tried now: not at all if no worker has crashed under it.
 	static ETrial TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow);
-	/// Counts a worker's trials that are still open.
+	/// Counts a worker's trials that are still open, and clears lasting tasks that have settled there.
 	void PlanTrials(CellWorker &ioWorker);
+	/// A lasting task is at work for so long that it is suspected no more.
+	void Settle(CellWorker &ioWorker, const RunId &inRun);
 	/// Whether a task may start there as far as trials go, its own and others'.
 	bool AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const;
 	/// Keeps other starts off a worker for a task that is to be tried and found none.
@@ -224,8 +226,12 @@
 	static bool IsAtOnce(const CellWorker &inWorker, const Run &inRun);
 	/// One more crash under a run; whether that is enough to give its job up.
 	bool CountCrash(CellWorker &ioWorker, const RunId &inRun, bool inAlone, bool inChance, Millis inNow);
-	/// What is counted of a task so far; nullptr: nothing, or no such task is open.
-	const TaskCrashes *CrashesUnder(const TaskId &inTask);
+	/// Where a task's crashes are counted.
+	static CrashCounts::key_type CrashKey(const CellJob &inJob, const TaskId &inTask);
+	/// The job of a task, if neither has ended; else nullptr.
+	CellJob *OpenJobOf(const TaskId &inTask);
+	/// Whether a task is to be tried, by what is counted of it.
+	bool IsTried(const TaskId &inTask);
 
 	// CellEnds.cpp
 	void OnEnded(CellWorker &ioWorker, const EndedRow &inRow, Millis inNow);
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -46,7 +46,7 @@
 static constexpr uint32 cBlamedMost = 2;
 /// else it is given up when the users bear no more, if a trial is what crashed.
 static constexpr uint32 cCrashesBorne = 5;
-/// A lasting task at work for longer than this does not crash its workers: over months some will go under it by chance.
+/// A lasting task whose worker has lived with it for longer than this does not crash its workers: over months some go under it by chance.
 static constexpr Millis cSettledMs = 10000;
 /// Workers lost within this of each other may be lost by one cause: the looks that show it are up to this far apart.
 static constexpr Millis cTogetherMs = 250;
@@ -94,22 +94,33 @@
 	return inWorker.entry.draining || LostAt(inWorker, inNow) < inWorker.left_until || left_list;
 }
 
-/// Whether a task is to be tried, by what is counted of it.
-static bool IsTried(const TaskCrashes &inCrashes) { return inCrashes.blamed > 0 || inCrashes.beside >= cBesideTried; }
+/// Whether what is counted of a task is enough to try it.
+static bool IsEnoughToTry(const TaskCrashes &inCrashes) { return inCrashes.blamed > 0 || inCrashes.beside >= cBesideTried; }
 
-const TaskCrashes *Cell::CrashesUnder(const TaskId &inTask)
+CrashCounts::key_type Cell::CrashKey(const CellJob &inJob, const TaskId &inTask)
 {
-	const CellJob *job = this->FindJob(inTask.job);
-	if (this->FindTask(inTask) == nullptr || IsFinal(job->record.phase))
-		return nullptr;
-	auto found = job->crashes.find({job->Unit(inTask.round, inTask.step), inTask.index});
-	return found == job->crashes.end() ? nullptr : &found->second;
+	return {inJob.Unit(inTask.round, inTask.step), inTask.index};
+}
+
+CellJob *Cell::OpenJobOf(const TaskId &inTask)
+{
+	CellJob *job = this->FindJob(inTask.job);
+	return this->FindTask(inTask) == nullptr || IsFinal(job->record.phase) ? nullptr : job;
+}
+
+bool Cell::IsTried(const TaskId &inTask)
+{
+	const CellJob *job = this->OpenJobOf(inTask);
+	if (job == nullptr)
+		return false;
+	auto found = job->crashes.find(Cell::CrashKey(*job, inTask));
+	return found != job->crashes.end() && IsEnoughToTry(found->second);
 }
 
 ETrial Cell::TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow)
 {
 	auto found = inJob.crashes.find({inUnit, inTask});
-	if (found == inJob.crashes.end() || !IsTried(found->second))
+	if (found == inJob.crashes.end() || !IsEnoughToTry(found->second))
 		return ETrial::None;
 	const Millis since = inJob.memory[inUnit][inTask].trial_since;
 	const bool waited = since >= 0 && inNow - since > cAloneWaitMs;
@@ -120,15 +131,36 @@
 void Cell::PlanTrials(CellWorker &ioWorker)
 {
 	ioWorker.open_trials = 0;
-	for (const auto &[id, run] : ioWorker.runs)
+	for (auto &[id, run] : ioWorker.runs)
 	{
+		if (run.lasting && !run.settled && SeenAlive(ioWorker, run) >= cSettledMs)
+		{
+			run.settled = true;
+			this->Settle(ioWorker, id);
+		}
 		const bool open = run.trial == ETrial::Alone || (run.trial == ETrial::Start && IsYoung(ioWorker, run));
-		ioWorker.open_trials += open ? 1 : 0;
+		ioWorker.open_trials += open && !run.settled ? 1 : 0;
 	}
 	if (ioWorker.open_trials > 0)
 		this->trial_racks.insert(ioWorker.entry.rack);
 }
 
+void Cell::Settle(CellWorker &ioWorker, const RunId &inRun)
+{
+	// Counted for ever, crashes by chance would end a job that lasts for months
+	CellJob *job = this->OpenJobOf(inRun.task);
+	if (job == nullptr || job->crashes.erase(Cell::CrashKey(*job, inRun.task)) == 0)
+		return;
+	this->Touch(*job);
+	LogEvent(ELogLevel::Info, "task_cleared")
+		.Field("request", inRun.task.job)
+		.Field("task", TaskText(inRun.task))
+		.Field("run", inRun.run)
+		.Field("worker", ioWorker.entry.id)
+		.Field("cell", this->trail.Cell())
+		.Field("epoch", this->epoch);
+}
+
 bool Cell::AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const
 {
 	if (inWorker.open_trials > 0)
@@ -183,16 +215,14 @@
 	std::vector<RunId> others;
 	for (const auto &[id, run] : inWorker.runs)
 	{
-		const bool settled = run.lasting && SeenAlive(inWorker, run) >= cSettledMs;
 		// What got no answer from a dark host was hardly ever there; and what has none yet may go to the next life
 		const bool was_there = run.confirmed_at >= 0 || (inWorker.silent_at < 0 && run.state != ERunState::Starting);
-		if (!IsTold(run.state) || settled || !was_there)
+		if (!IsTold(run.state) || run.settled || !was_there)
 			continue;
-		const TaskCrashes *before = this->CrashesUnder(id.task);
 		if (IsYoung(inWorker, run))
 			young.push_back(id);
 		else
-			(before != nullptr && IsTried(*before) ? tried : others).push_back(id);
+			(this->IsTried(id.task) ? tried : others).push_back(id);
 	}
 	// Of a silent worker it is not known when it went, nor that its process did
 	if (!KnowsWhen(inWorker) || inChance)
@@ -238,7 +268,7 @@
 {
 	CellJob &job = *this->FindJob(inRun.task.job);
 	const Run &run = ioWorker.runs.at(inRun);
-	TaskCrashes &crashes = job.crashes[{job.Unit(inRun.task.round, inRun.task.step), inRun.task.index}];
+	TaskCrashes &crashes = job.crashes[Cell::CrashKey(job, inRun.task)];
 	// Others of its rack went with a trial, where no other is. And of a worker that this owner never heard, or that fell silent first, it
 	// is not known whether the run was still there
 	const bool tells_nothing = (inChance && run.trial != ETrial::None) || !KnowsWhen(ioWorker);
@@ -266,7 +296,7 @@
 		.Field("trial", NameOf(cTrialNames, run.trial))
 		.Field("alone", inAlone ? 1 : 0)
 		.Field("chance", inChance ? 1 : 0)
-		.Field("outcome", given_up ? "given up" : "starts on trial")
+		.Field("outcome", given_up ? "given up" : (IsEnoughToTry(crashes) ? "starts on trial" : "counted"))
 		.Field("cell", this->trail.Cell())
 		.Field("epoch", this->epoch);
 	return given_up;
@@ -282,18 +312,15 @@
 	std::vector<RunId> beside;
 	const std::vector<RunId> likely = this->CrashCandidates(ioWorker, chance, beside);
 	for (const RunId &id : beside)
-	{
-		CellJob *job = this->FindJob(id.task.job);
-		if (this->FindTask(id.task) == nullptr || IsFinal(job->record.phase))
-			continue;
-		++job->crashes[{job->Unit(id.task.round, id.task.step), id.task.index}].beside;
-		this->Touch(*job);
-	}
+		if (CellJob *job = this->OpenJobOf(id.task); job != nullptr)
+		{
+			++job->crashes[Cell::CrashKey(*job, id.task)].beside;
+			this->Touch(*job);
+		}
 	for (const RunId &id : likely)
 	{
-		CellJob *job = this->FindJob(id.task.job);
-		const bool open = this->FindTask(id.task) != nullptr && !IsFinal(job->record.phase);
-		if (!open || !this->CountCrash(ioWorker, id, likely.size() == 1, chance, inNow))
+		CellJob *job = this->OpenJobOf(id.task);
+		if (job == nullptr || !this->CountCrash(ioWorker, id, likely.size() == 1, chance, inNow))
 			continue;
 		this->CloseJob(*job, EJobPhase::Failed, "a task crashes its workers");
 		this->StopAll(*job, "job failed", inNow);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -101,6 +101,7 @@
 	bool resumed = false;   ///< Begun from a checkpoint: its time tells nothing of a whole run's.
 	bool inherited = false; ///< Found in the log at take-over: a predecessor may have ordered it to stop.
 	ETrial trial = ETrial::None;
+	bool settled = false;      ///< It lasts, and has been at work for so long that no crash is blamed on it.
 	bool need_unknown = false; ///< The worker has it, and no record tells what it takes.
 	Millis since = 0;          ///< When it came into its state.
 	Millis confirmed_at = -1;  ///< When the worker was known to have it.
@@ -257,6 +258,7 @@
 	std::vector<std::vector<TaskMemory>> memory; ///< As record.steps.
 	std::vector<StepSeen> seen;                  ///< Likewise.
 	CrashCounts crashes;                         ///< In the log whenever `record` is.
+	bool crashes_logged = false;                 ///< Whether the log has such a record, or the append under way will.
 	EJobPhase shown = EJobPhase::Queued;         ///< The phase that the log holds: what callers are told.
 	EJobPhase writing = EJobPhase::Queued;       ///< The phase in the append under way.
 	bool spec_logged = false;
