Hand in the ends that only a former owner was told of

Cause: a worker that leaves by plan lists its last end once. When the owner that it told loses the cell before the log holds the end (a standstill beyond its lease, before or after the answer is read; a planned hand-over that waits no longer for its append), the end goes with the seat, though the process that knows it lives on. The next owner finds the run in the log and nobody at the worker's address.

Now whoever lets a cell go appends what its log does not hold to the cell's inbox, tries until the store has taken it (30 s at most), and does the same with looks that are answered after their seat has gone; a planned stop waits up to 5 s for that. The next owner reads it as any record of its inbox. It counts once however often it comes, by task and run, and an owner lets a worker forget nothing on a predecessor's word. Why it holds: the next owner waits for the longest lease any owner may have given (4.3 s after it begins) before it starts a run of the log anew, and a former owner that is alive hands in as soon as it runs again. What it does not cover: an owner that is killed with ends unlogged, and a standstill of more than about 6 s; the worker's own list is then the only other place.

The small world's former owners do as hosts do; a hand-in takes as long as any append. No check is changed. Hosts of the version before read the new record as a damaged one and pass over it (tested); they lose what they lost before.

Weighed: a second reader (a look more for each leaving worker, and it covers no append under way), runs in doubt for longer (by itself brings no end back), ends ahead of the append (a datagram for each look while the store is slow).

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -64,6 +64,8 @@
 	CellFigures Figures() const { return this->cell.Figures(); }
 	/// Whether work waits for room: new workers are of use at once.
 	bool IsShort() const { return this->cell.IsShort(); }
+	/// See Cell.
+	std::vector<EndReport> UnloggedEnds() const { return this->cell.UnloggedEnds(); }
 	/// A planned stop begins: nothing new is promised.
 	void Retire() { this->cell.Retire(); }
 	/// Whether a successor may begin at once: nothing is on its way to the log, and the cell depends on nothing that only this seat knows.
--- /dev/null
+++ b/Loomreach/Entry/EndsHandIn.inl
@@ -0,0 +1,40 @@
+// Appends reports of ends, and tries again.
+
+#include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/State/Codec.h>
+
+namespace Loomreach::Jobs
+{
+
+template <class Store>
+void EndsHandIn<Store>::HandIn(uint32 inCell, EndReport inReport)
+{
+	++this->under_way;
+	this->Try(std::make_shared<const Item>(Item{inCell, std::move(inReport), NowMillis() + cForMs}));
+}
+
+template <class Store>
+void EndsHandIn<Store>::Try(std::shared_ptr<const Item> inItem)
+{
+	std::string record = EncodeValue(InboxRecord{EInbox::Ends, {}, inItem->report});
+	this->writer_of(inItem->cell)
+		.Enter(std::move(record), cTryMs,
+			   this->Guard([this, item = std::move(inItem)](const AppendAnswer &inAnswer) { this->OnAnswer(item, inAnswer); }));
+}
+
+template <class Store>
+void EndsHandIn<Store>::OnAnswer(const std::shared_ptr<const Item> &inItem, const AppendAnswer &inAnswer)
+{
+	const bool done = inAnswer.result == EAppend::Done;
+	if (!done && NowMillis() + cAgainMs < inItem->give_up_at)
+		return After(cAgainMs, this->Guard([this, inItem] { this->Try(inItem); }));
+	--this->under_way;
+	LogEvent(done ? ELogLevel::Info : ELogLevel::Warning, done ? "ends_handed_in" : "ends_not_handed_in")
+		.Field("worker", inItem->report.worker)
+		.Field("count", inItem->report.ended.size())
+		.Field("cell", inItem->cell)
+		.Field("epoch", inItem->report.epoch)
+		.Field("took_ms", NowMillis() - (inItem->give_up_at - cForMs));
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <Loomreach/Entry/EndsHandIn.h>
 #include <Loomreach/Entry/FleetSeat.h>
 #include <Loomreach/Entry/HelperSearch.h>
 #include <Loomreach/Entry/InboxWriter.h>
@@ -101,7 +102,15 @@
 	void SweepHosts(Millis inNow);
 	void Tick();
 	size_t Owned() const;
-	SeatContext ContextOfSeat();
+	/// `inCell`: the seat's.
+	SeatContext ContextOfSeat(uint32 inCell);
+	/// Lets a cell go, but not the ends that only its seat knows.
+	void DropSeat(uint32 inCell);
+	void DropAllSeats();
+	/// An order's answer came, perhaps after its seat has gone: ends that it lists are handed in.
+	void SaveEnds(uint32 inCell, const Order &inOrder, const OrderAnswer &inAnswer);
+	/// Whether ends may still have to be handed in: a look is under way, or a report is.
+	bool OwesEnds() const { return this->looks_under_way > 0 || this->ends_hand_in.UnderWay() > 0; }
 	// Callers
 	void Enter(std::shared_ptr<Entering> inEntering);
 	void OnEnterAnswer(const std::shared_ptr<Entering> &inEntering, const AppendAnswer &inAnswer, Millis inSentAt);
@@ -140,9 +149,11 @@
 	std::map<uint32, std::unique_ptr<CellSeat<Hub>>> seats;
 	std::unique_ptr<FleetSeat<Hub>> fleet;
 	std::map<uint32, std::unique_ptr<InboxWriter<decltype(Hub::store)>>> writers; ///< Of the cells' inboxes.
-	std::vector<uint32> lost_seats;                                               ///< Dropped at the next tick, not within their own calls.
-	std::array<uint64, cHostParts> hosts_next{};                                  ///< Where to read on, by partition.
-	uint64 start = 0; ///< See HostBeat; 0: the heartbeats have not been read yet.
+	EndsHandIn<decltype(Hub::store)> ends_hand_in;
+	size_t looks_under_way = 0;                  ///< At workers, for cells of this host.
+	std::vector<uint32> lost_seats;              ///< Dropped at the next tick, not within their own calls.
+	std::array<uint64, cHostParts> hosts_next{}; ///< Where to read on, by partition.
+	uint64 start = 0;                            ///< See HostBeat; 0: the heartbeats have not been read yet.
 	uint32 beats_under_way = 0;
 	double beat_answer_ms = 0.0; ///< How long heartbeats take, a mean that forgets.
 	uint32 beat_shift = 0;       ///< Partitions passed over because they did not take a heartbeat.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -50,6 +50,9 @@
 inline constexpr Millis cStopGiveBackMs = cEmptyForMs + 100;
 inline constexpr Millis cStopServeMs = 3200; ///< And goes on answering this long: the balancer needs two missed questions, a second apart.
 
+/// And hands in ends for this long at most: the users give a stop 6 s.
+inline constexpr Millis cStopHandInMs = 5000;
+
 inline LeaseTuning LeaseTuningOf(const JobHostConfig &inConfig)
 {
 	LeaseTuning tuning;
@@ -76,7 +79,8 @@
 					   [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 					   { this->OnQuestion(inQuestion, std::move(inReply)); },
 					   [this](const std::string &inNews) { this->OnNews(inNews); }),
-	  orders(hub.workers, peers, ForwardTuningOf(config))
+	  orders(hub.workers, peers, ForwardTuningOf(config)),
+	  ends_hand_in([this](uint32 inCell) -> InboxWriter<decltype(Hub::store)> & { return this->WriterOf(inCell); })
 {
 }
 
@@ -261,19 +265,60 @@
 }
 
 template <class Hub>
-SeatContext JobHost<Hub>::ContextOfSeat()
+SeatContext JobHost<Hub>::ContextOfSeat(uint32 inCell)
 {
-	const auto send = [this](const Order &inOrder, std::function<void(const OrderAnswer &)> inDone)
-	{ this->orders.Send(inOrder, std::move(inDone)); };
+	const auto send = [this, inCell](const Order &inOrder, std::function<void(const OrderAnswer &)> inDone)
+	{
+		this->looks_under_way += inOrder.kind == EOrder::Hold ? 1 : 0;
+		this->orders.Send(inOrder,
+						  [this, inCell, inOrder, done = std::move(inDone)](const OrderAnswer &inAnswer)
+						  {
+							  this->looks_under_way -= inOrder.kind == EOrder::Hold ? 1 : 0;
+							  done(inAnswer);
+							  this->SaveEnds(inCell, inOrder, inAnswer);
+						  });
+	};
 	const auto ask_fleet = [this](PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
 	{ this->AskCell(cFleetCell, std::move(inQuestion), cAskSharesMs, std::move(inDone)); };
 	return {this->config, this->metrics, this->lease, this->owners, {this->config.name, this->life, this->start}, send, ask_fleet};
 }
 
+template <class Hub>
+void JobHost<Hub>::SaveEnds(uint32 inCell, const Order &inOrder, const OrderAnswer &inAnswer)
+{
+	if (inAnswer.ended.empty())
+		return;
+	auto seat = this->seats.find(inCell);
+	const bool heard = seat != this->seats.end() && seat->second->Epoch() == inOrder.token;
+	// Read after the lease was over, because this process stood still or the cell was given on, it is the last that anybody hears of a
+	// worker that leaves
+	if (!heard)
+		this->ends_hand_in.HandIn(inCell, {inOrder.worker, inOrder.token, inAnswer.ended});
+}
+
+template <class Hub>
+void JobHost<Hub>::DropSeat(uint32 inCell)
+{
+	auto seat = this->seats.find(inCell);
+	if (seat == this->seats.end())
+		return;
+	for (EndReport &report : seat->second->UnloggedEnds())
+		this->ends_hand_in.HandIn(inCell, std::move(report));
+	this->seats.erase(seat);
+}
+
+template <class Hub>
+void JobHost<Hub>::DropAllSeats()
+{
+	while (!this->seats.empty())
+		this->DropSeat(this->seats.begin()->first);
+	this->fleet.reset();
+}
+
 template <class Hub>
 void JobHost<Hub>::ClaimCell(uint32 inCell)
 {
-	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, this->ContextOfSeat(), inCell);
+	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, this->ContextOfSeat(inCell), inCell);
 	seat->SetCatalogue(this->catalogue);
 	CellSeat<Hub> *claimed = seat.get();
 	this->seats[inCell] = std::move(seat);
@@ -291,7 +336,7 @@
 template <class Hub>
 void JobHost<Hub>::ClaimFleet()
 {
-	this->fleet = std::make_unique<FleetSeat<Hub>>(this->hub, this->ContextOfSeat(),
+	this->fleet = std::make_unique<FleetSeat<Hub>>(this->hub, this->ContextOfSeat(cFleetCell),
 												   [this](const std::string &inPool, PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
 												   {
 													   const uint32 cell = CellOf(inPool, this->Parts());
@@ -423,8 +468,7 @@
 	std::optional<OwnedCell> fleet_cell;
 	if (this->fleet != nullptr && this->fleet->HasOrdersUnderWay())
 		fleet_cell = OwnedCell{cFleetCell, this->fleet->Epoch(), this->fleet->IsHeld()};
-	this->seats.clear();
-	this->fleet.reset();
+	this->DropAllSeats();
 	this->lost_seats.clear();
 	this->TellLetGo(fleet_cell);
 }
@@ -449,7 +493,7 @@
 	this->giving_on.reset();
 	if (seat == this->seats.end())
 		return;
-	this->seats.erase(seat);
+	this->DropSeat(seat->first);
 	this->Beat(true);
 }
 
@@ -479,7 +523,7 @@
 		if (cell == cFleetCell)
 			this->fleet.reset();
 		else
-			this->seats.erase(cell);
+			this->DropSeat(cell);
 	}
 	if (this->Owned() > 0 && !this->lease.MayAct(now))
 		this->DropSeats("lease over");
@@ -574,11 +618,11 @@
 	// A heartbeat without cells gives them back at once: successors need not wait for the lease
 	if (this->Owned() > 0 && (quiet || since >= cStopGiveBackMs))
 	{
-		this->seats.clear();
-		this->fleet.reset();
+		this->DropAllSeats();
 		this->Beat(true);
 	}
-	if (since < cStopServeMs || this->door.UnderWay() > 0 || this->on_stopped == nullptr)
+	const bool owes = this->OwesEnds() && since < cStopHandInMs;
+	if (since < cStopServeMs || owes || this->door.UnderWay() > 0 || this->on_stopped == nullptr)
 		return;
 	LogEvent(ELogLevel::Info, "stopped").Field("after_ms", since);
 	const std::function<void()> done = std::exchange(this->on_stopped, nullptr);
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -277,6 +277,8 @@
 		return;
 	this->inbox_next = inOffset + 1;
 	this->news = true;
+	if (inRecord.kind == EInbox::Ends)
+		return this->IngestEnds(inRecord.ends, inNow);
 	const std::string &id = inRecord.spec.id;
 	CellJob *known = this->FindJob(id);
 	if (inRecord.kind == EInbox::Cancel)
@@ -428,10 +430,7 @@
 			worker.writing = worker.to_write;
 		// Ends that changed no record need no append
 		if (batch.empty())
-		{
 			this->NoteLogged(worker);
-			worker.last_seen = worker.writing;
-		}
 		for (auto &[run_id, run] : worker.runs)
 			if (run.state == ERunState::Planned && this->in_batch.contains(run_id.task.job))
 				run.state = ERunState::Writing;
@@ -449,6 +448,8 @@
 		return;
 	ioWorker.logged_at = this->now;
 	this->trail.Logged(ioWorker.entry.id, ioWorker.last_seen + 1, ioWorker.writing);
+	ioWorker.last_seen = ioWorker.writing;
+	std::erase_if(ioWorker.unlogged, [&ioWorker](const EndedRow &inRow) { return inRow.number <= ioWorker.last_seen; });
 }
 
 void Cell::OnAppended(Millis inNow)
@@ -472,7 +473,6 @@
 		if (worker.last_seen < worker.writing)
 			worker.next_hold_at = inNow;
 		this->NoteLogged(worker);
-		worker.last_seen = std::max(worker.last_seen, worker.writing);
 		for (auto &[run_id, run] : worker.runs)
 			if (run.state == ERunState::Writing)
 			{
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -62,6 +62,8 @@
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue);
 	/// Takes in one record of the inbox. `inOffset` is its place there.
 	void Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow);
+	/// Ends that workers have listed and the log does not hold: with this owner gone only its successor can take note of them.
+	std::vector<EndReport> UnloggedEnds() const;
 	/// Records before this place have been removed unread.
 	void SkipInbox(uint64 inFirst) { this->inbox_next = std::max(this->inbox_next, inFirst); }
 	/// The place in the inbox from which to go on reading.
@@ -245,6 +247,8 @@
 	/// `inNumber`: the end's number on its worker; 0: the worker did not list it.
 	void EndRun(CellWorker &ioWorker, const RunId &inRun, ERunEnd inEnd, const std::string &inCheckpoint, std::string_view inWhy,
 				Millis inNow, uint64 inNumber = 0);
+	/// Ends that a predecessor was told of.
+	void IngestEnds(const EndReport &inReport, Millis inNow);
 	void LogEnd(const CellWorker &inWorker, const RunId &inId, const Run &inRun, ERunEnd inEnd, std::string_view inWhy, uint64 inNumber);
 	void LogUnmatched(const EndedRow &inRow);
 	void LogUnknownRun(const CellWorker &inWorker, const RunningRow &inRow, Millis inSentAt);
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -43,6 +43,35 @@
 	this->FinishTask(*job, inRow.task);
 }
 
+std::vector<EndReport> Cell::UnloggedEnds() const
+{
+	std::vector<EndReport> reports;
+	for (const auto &[id, worker] : this->workers)
+		if (!worker.unlogged.empty())
+			reports.push_back({id, this->epoch, worker.unlogged});
+	return reports;
+}
+
+void Cell::IngestEnds(const EndReport &inReport, Millis inNow)
+{
+	this->now = inNow;
+	LogEvent(ELogLevel::Info, "ends_inherited")
+		.Field("worker", inReport.worker)
+		.Field("count", inReport.ended.size())
+		.Field("from_epoch", inReport.epoch)
+		.Field("cell", this->trail.Cell())
+		.Field("epoch", this->epoch);
+	// The worker may have left, and been forgotten: its ends count all the same
+	CellWorker stranger;
+	stranger.entry.id = inReport.worker;
+	auto known = this->workers.find(inReport.worker);
+	CellWorker &worker = known == this->workers.end() ? stranger : known->second;
+	// Up to which number the worker may forget is for a look of our own to tell: these may not be all its ends
+	for (const EndedRow &row : inReport.ended)
+		this->OnEnded(worker, row, inNow);
+	this->trail.FlushUnmatched(inReport.worker, 0);
+}
+
 void Cell::LogUnmatched(const EndedRow &inRow)
 {
 	const CellJob *job = this->FindJob(inRow.task.job);
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -347,6 +347,7 @@
 			continue;
 		this->OnEnded(ioWorker, row, inNow);
 		ioWorker.noted = row.number;
+		ioWorker.unlogged.push_back(row);
 		this->news = true;
 	}
 	this->trail.FlushUnmatched(ioWorker.entry.id, inNow - inSentAt);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -165,8 +165,9 @@
 	uint64 last_seen = 0;       ///< As much of it as the log holds: may be told to the worker.
 	uint64 covered = 0;         ///< As much of it as a look has told the worker,
 	uint64 forgotten = 0;       ///< and as much as one that it answered.
-	Millis logged_at = 0;       ///< When `last_seen` last rose.
-	Millis refuse_until = 0;    ///< It refused; nothing new until then.
+	std::vector<EndedRow> unlogged; ///< Invariant: the ends from `last_seen` to `noted` that a look has listed, by number.
+	Millis logged_at = 0;           ///< When `last_seen` last rose.
+	Millis refuse_until = 0;        ///< It refused; nothing new until then.
 	Millis quarantine_until = 0;
 	double slowness = 1.0;      ///< Run times here against what is expected, a mean that forgets.
 	Millis slow_until = 0;      ///< Others are preferred until then.
@@ -282,22 +283,40 @@
 	std::string value;
 };
 
+/// Ends that a worker has listed to an owner whose log does not hold them.
+struct EndReport
+{
+	std::string worker;
+	uint64 epoch = 0; ///< Of the owner that asked.
+	std::vector<EndedRow> ended;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->worker, this->epoch, this->ended);
+	}
+};
+
 /// What an entry host puts into a cell's inbox.
 enum class EInbox : uint8
 {
 	Submit,
-	Cancel
+	Cancel,
+	Ends ///< From a host that has owned the cell.
 };
 
 struct InboxRecord
 {
 	EInbox kind = EInbox::Submit;
-	JobSpec spec; ///< Cancel: only id and queue.
+	JobSpec spec;     ///< Cancel: only id and queue. Ends: nothing.
+	EndReport ends{}; ///< Ends only: others are read by hosts of versions that do not know it.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->kind, this->spec);
+		if (this->kind == EInbox::Ends)
+			ioArchive(this->ends);
 	}
 };
 
--- a/UnitTests/CellSeedTests.cpp
+++ b/UnitTests/CellSeedTests.cpp
@@ -1,6 +1,14 @@
 // Hundreds of seeds of each planned trouble. An end that a worker has listed is never lost, however the owner goes: its task would be done
 // once more, and so would what it does outside.
 //
+// The story. A worker that leaves by plan lists the end of a task in its last answer. Its owner stands still beyond its lease before it
+// reads the answer, or before the append with the end is through; or it hands the cell over by plan and waits no longer for its append. The
+// next owner finds the run in the log without an end, and at the worker's address nobody; once the lease is over it starts the task anew.
+// The one process that knew of the end was alive all the time, and threw it away with the seat. It shows in what the world says of each
+// such start: "listed at 17000, never read, its owner stood still beyond its lease at 22970", "listed at 12280, read at 12290, its owner
+// handed over unsettled at 13940". Of 600 seeds each, 11 broke with long standstills, 2 with slow appends, 20 with both. Since former
+// owners hand in such ends (EndsHandIn), none does.
+//
 // LOOM_SEEDS="first count" in the environment plays other seeds.
 
 #include <Loomreach/Loomreach.h>
--- a/UnitTests/CellTroubleTests.cpp
+++ b/UnitTests/CellTroubleTests.cpp
@@ -54,6 +54,8 @@
 		EXPECT_EQ(PlayKind(seed, &PlannedTroubleWithSlowAppends), "") << seed;
 }
 
+/// In seeds 2 and 92 an owner stood still beyond its lease, and with it went ends of tasks that workers had listed to it and that no log
+/// held; the workers left meanwhile. See CellSeedTests for the evidence.
 TEST(Cell, SeedsOfPlannedTroubleWithLongStandstills)
 {
 	for (uint64 seed : cSeedsFound)
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -8,6 +8,10 @@
 {
 
 static constexpr Millis cTimeoutMs = 1000;
+/// An append usually takes this long,
+static constexpr Millis cLogMs = 10;
+/// and this long while the store is slow.
+static constexpr Millis cSlowLogMs = 1000;
 /// An append that takes longer is a store that is slow.
 static constexpr Millis cSlowAppendMs = 200;
 static constexpr Millis cOwnerGapMs = 2000;
@@ -45,7 +49,7 @@
 }
 
 CellWorld::CellWorld(uint64 inSeed, const Trouble &inTrouble, size_t inWorkers)
-	: random(inSeed), trouble(inTrouble), slow_stops(inTrouble.slow_stop > 0)
+	: random(inSeed), hand_in_random(inSeed), trouble(inTrouble), slow_stops(inTrouble.slow_stop > 0)
 {
 	for (size_t i = 0; i < inWorkers; ++i)
 	{
@@ -60,7 +64,7 @@
 {
 	inSpec.accepted_wall_ms = cWallAhead + this->now;
 	this->specs[inSpec.id] = inSpec;
-	this->inbox.push_back({EInbox::Submit, std::move(inSpec)});
+	this->inbox.push_back({EInbox::Submit, std::move(inSpec), {}});
 }
 
 void CellWorld::Cancel(const std::string &inId)
@@ -143,6 +147,29 @@
 	this->StartOwner();
 }
 
+void CellWorld::SucceedOwner(std::string_view inWhy)
+{
+	this->alive_after.insert(this->epoch);
+	for (EndReport &report : this->cell->UnloggedEnds())
+		this->HandIn(std::move(report));
+	this->ReplaceOwner(inWhy);
+}
+
+void CellWorld::HandIn(EndReport inReport)
+{
+	const bool slow = this->trouble.slow_log > 0 && this->hand_in_random.Chance(this->trouble.slow_log);
+	const Millis takes = (slow ? cSlowLogMs : cLogMs) + static_cast<Millis>(this->hand_in_random.Below(this->trouble.log_ms + 1));
+	this->handed_in.emplace_back(this->now + takes, std::move(inReport));
+}
+
+void CellWorld::TakeHandedIn()
+{
+	for (const auto &[at, report] : this->handed_in)
+		if (this->now >= at)
+			this->inbox.push_back({EInbox::Ends, {}, report});
+	std::erase_if(this->handed_in, [this](const auto &inReport) { return this->now >= inReport.first; });
+}
+
 void CellWorld::TellWorkers()
 {
 	std::vector<WorkerEntry> entries;
@@ -273,6 +300,7 @@
 	const bool store_slow = this->batch_at > this->now + cSlowAppendMs;
 	if (this->Stands() || store_slow)
 		this->disturbed_at = this->now;
+	this->TakeHandedIn();
 	this->MakeTrouble();
 	this->TakeDown();
 	this->CrashByRuns();
@@ -302,7 +330,7 @@
 	// And what is decided by the clock may be decided before any answer is read
 	const bool woke = this->stalled_until > 0 && !this->Stands();
 	if (woke && this->cell != nullptr && this->now - this->stalled_at > cOwnerLeaseMs)
-		this->ReplaceOwner("stood still beyond its lease");
+		this->SucceedOwner("stood still beyond its lease");
 	else if (woke && this->cell != nullptr)
 		this->cell->Plan(this->now, cWallAhead + this->now);
 	if (woke)
@@ -312,6 +340,8 @@
 		if (parcel.is_answer)
 		{
 			const bool first = this->open_orders.erase({parcel.owner, parcel.order.serial}) > 0;
+			if (first && this->alive_after.contains(parcel.owner) && !parcel.answer.ended.empty())
+				this->HandIn({parcel.order.worker, parcel.owner, parcel.answer.ended});
 			if (first && this->cell != nullptr && parcel.owner == this->epoch)
 			{
 				this->NoteRead(parcel);
@@ -348,7 +378,7 @@
 	if (!settled && this->now - this->retired_at < cHandOverMs)
 		return;
 	this->handing_over = false;
-	this->ReplaceOwner(settled ? "handed over" : "handed over unsettled");
+	this->SucceedOwner(settled ? "handed over" : "handed over unsettled");
 }
 
 void CellWorld::Drive()
@@ -373,7 +403,8 @@
 	{
 		this->batch = this->cell->TakeBatch(cWallAhead + this->now);
 		if (!this->batch.empty())
-			this->batch_at = this->now + (this->random.Chance(this->trouble.slow_log) ? 1000 : 10) + this->UpTo(this->trouble.log_ms);
+			this->batch_at =
+				this->now + (this->random.Chance(this->trouble.slow_log) ? cSlowLogMs : cLogMs) + this->UpTo(this->trouble.log_ms);
 	}
 }
 
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -129,6 +129,8 @@
 	Millis stop_takes = 0;
 	/// The owner is killed, and the next one begins at once. `inWhy`: in words, for what is broken of it.
 	void ReplaceOwner(std::string_view inWhy = "replaced");
+	/// The same, but its process goes on and hands in the ends that only it knows.
+	void SucceedOwner(std::string_view inWhy);
 	/// The owner hands over by plan as soon as it can.
 	void HandOverSoon() { this->handing_over = true; }
 	/// The store has just come back: entries that go now may only have lapsed.
@@ -180,6 +182,10 @@
 
 	/// The owner reads an answer: remembers of which listed ends it has heard.
 	void NoteRead(const Parcel &inAnswer);
+	/// A former owner puts ends into the inbox; it takes as long as any append.
+	void HandIn(EndReport inReport);
+	/// What has been handed in arrives.
+	void TakeHandedIn();
 	void Step();
 	void Drive();
 	void StartOwner();
@@ -203,6 +209,7 @@
 	void Break(const std::string &inWhat) { this->broken.push_back("at " + std::to_string(this->now) + ": " + inWhat); }
 
 	Random random;
+	Random hand_in_random; ///< By itself, so that seeds found before there were hand-ins stay what they were.
 	Trouble trouble;
 	bool slow_stops = false; ///< Whether stops may take long; one ordered before the calm goes on into it.
 	Millis now = 1000;
@@ -210,6 +217,8 @@
 	std::map<std::string, WorldWorker> workers;
 	std::map<std::string, std::string> log;
 	std::vector<InboxRecord> inbox;
+	std::vector<std::pair<Millis, EndReport>> handed_in; ///< On their way to the inbox, and when they are there.
+	std::set<uint64> alive_after;                        ///< Former owners whose processes go on.
 	std::map<std::string, JobSpec> specs;
 	std::map<std::string, Millis> canceled; ///< When the cancel was accepted.
 	std::map<TaskId, uint32> failures_noted;
--- /dev/null
+++ b/UnitTests/EndsHandInTests.cpp
@@ -0,0 +1,113 @@
+// Ends that only a former owner was told of, on their way to the next one.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Entry/EndsHandIn.h>
+#include <Loomreach/Ownership/CellNames.h>
+#include <Loomreach/State/Codec.h>
+#include <UnitTests/CellWorld.h>
+#include <UnitTests/FakeLog.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+constexpr uint32 cCell = 2;
+const LogName cInbox{"inbox", cCell};
+
+/// A former owner's way into an inbox.
+struct FormerOwner
+{
+	FakeLog log;
+	InboxWriter<FakeLog> writer{log, cInbox};
+	EndsHandIn<FakeLog> ends{[this](uint32) -> InboxWriter<FakeLog> & { return this->writer; }};
+};
+
+EndReport ReportOf(const TaskId &inTask, uint32 inRun, ERunEnd inEnd) { return {"w0", 1, {{1, inTask, inRun, inEnd, ""}}}; }
+
+/// What hosts of versions without reports of ends know of an inbox's record.
+struct OlderInboxRecord
+{
+	EInbox kind = EInbox::Submit;
+	JobSpec spec;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->kind, this->spec);
+	}
+};
+
+} // namespace
+
+TEST(EndsHandIn, TriesUntilTheStoreHasTakenIt)
+{
+	FormerOwner owner;
+	owner.log.fates = {FakeLog::EFate::Refuse, FakeLog::EFate::Vanish, FakeLog::EFate::LoseAnswer};
+	owner.ends.HandIn(cCell, ReportOf({"job", 0, 0, 0}, 1, ERunEnd::Done));
+	EXPECT_EQ(owner.ends.UnderWay(), 1u);
+	FakeLog::Settle(2000);
+	EXPECT_EQ(owner.ends.UnderWay(), 0u);
+	// The one whose answer was lost, and the one after it
+	EXPECT_EQ(owner.log.Size(cInbox), 2u);
+}
+
+TEST(EndsHandIn, OlderHostsPassOverWhatTheyDoNotKnow)
+{
+	const std::string ends = EncodeValue(InboxRecord{EInbox::Ends, {}, ReportOf({"job", 0, 0, 0}, 1, ERunEnd::Done)});
+	EXPECT_FALSE(DecodeValue<OlderInboxRecord>(ends).has_value());
+	// And what they do know is the same to both
+	const JobSpec job = MakeJob("job", 1, 2, 500, 800);
+	for (EInbox kind : {EInbox::Submit, EInbox::Cancel})
+	{
+		EXPECT_EQ(EncodeValue(InboxRecord{kind, job}), EncodeValue(OlderInboxRecord{kind, job}));
+		const std::optional<InboxRecord> read = DecodeValue<InboxRecord>(EncodeValue(OlderInboxRecord{kind, job}));
+		ASSERT_TRUE(read.has_value());
+		EXPECT_EQ(read->spec.id, "job");
+	}
+}
+
+TEST(EndsHandIn, AnEndCountsOnceHoweverOftenItComes)
+{
+	CellWorld world(1, Trouble{}, 1);
+	world.run_ms["job"] = 1000;
+	world.Submit(MakeJob("job", 1, 1, 500, 800));
+	world.Run(500);
+	// The run ends as failed, by its predecessor's word: three times the same attempt
+	InboxRecord record{EInbox::Ends, {}, ReportOf({"job", 0, 0, 0}, 1, ERunEnd::Failed)};
+	for (uint64 offset = 100; offset < 103; ++offset)
+		world.Core().Ingest(record, offset, world.Now(), world.Now());
+	EXPECT_EQ(world.Shown("job").phase, EJobPhase::Running);
+	EXPECT_EQ(world.GivenUp(), "");
+}
+
+TEST(EndsHandIn, AnEndOfAForgottenWorkerCounts)
+{
+	CellWorld world(1, Trouble{}, 1);
+	world.run_ms["job"] = 100000;
+	world.Submit(MakeJob("job", 1, 1, 500, 800));
+	world.Run(500);
+	EndReport report = ReportOf({"job", 0, 0, 0}, 1, ERunEnd::Done);
+	report.worker = "left long ago";
+	world.Core().Ingest({EInbox::Ends, {}, report}, 100, world.Now(), world.Now());
+	world.Run(500);
+	EXPECT_EQ(world.Shown("job").phase, EJobPhase::Completed);
+}
+
+TEST(EndsHandIn, WhatIsOfNobodysConcernChangesNothing)
+{
+	CellWorld world(1, Trouble{}, 1);
+	world.Submit(MakeJob("job", 1, 1, 500, 800));
+	world.Run(500);
+	for (const TaskId &task : {TaskId{"other", 0, 0, 0}, TaskId{"job", 7, 0, 0}, TaskId{"job", 0, 9, 0}, TaskId{"job", 0, 0, 99}})
+		world.Core().Ingest({EInbox::Ends, {}, ReportOf(task, 1, ERunEnd::Done)}, world.Core().InboxNext(), world.Now(), world.Now());
+	EXPECT_NE(world.Shown("job").phase, EJobPhase::Completed);
+	world.Run(5000);
+	EXPECT_EQ(world.Broken() + world.Open(), "");
+}
+
+} // namespace Loomreach::Jobs
