Start nothing anew of a worker that left unheard while a predecessor may hand its ends in

Cause: another life's answer was taken for the end of all that the log had there, at once; the predecessor's hand-in came seconds later.

Now an owner that never heard such a worker, and does not see it in the worker list, ends its runs only once the lease that its predecessor may have given is over (4.3 s after it began), as where nobody answers. Lasting tasks are restarted at once as before. A worker that crashed is still shown in the list for 4.5 s, and is not waited for.

The small world plays what hosts do: another owner takes over after 2 s of a standstill, the old one wakes to that and hands in.

--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -360,6 +360,17 @@
 	this->Touch(*this->FindJob(inRun.task.job));
 }
 
+/// Whether the ends of a worker's runs may be known to a predecessor that stands still, and come from it (Cell::IngestEnds): the worker
+/// left before this owner could ask. One that leaves by plan goes from the list at once; one that crashes is shown there for a while.
+/// Bounded by the lease that the predecessor may have given.
+static bool MayBeHandedIn(const CellWorker &inWorker, Millis inNow)
+{
+	const bool inherited =
+		std::any_of(inWorker.runs.begin(), inWorker.runs.end(),
+					[](const auto &inRun) { return inRun.second.state == ERunState::Inherited && !inRun.second.lasting; });
+	return inherited && !inWorker.listed && inNow < inWorker.lease_over_at;
+}
+
 void Cell::OnLifeOver(CellWorker &ioWorker, std::string_view inWhy, Millis inNow)
 {
 	if (!ioWorker.gone)
@@ -374,10 +385,14 @@
 			.Field("cell", this->trail.Cell())
 			.Field("epoch", this->epoch);
 	ioWorker.gone = true;
-	this->BlameCrash(ioWorker, inNow);
+	// PlanLapsed ends what waits. The crash is counted only then: each owner that finds the runs in the log would count it anew
+	const bool waits = MayBeHandedIn(ioWorker, inNow);
+	if (!waits)
+		this->BlameCrash(ioWorker, inNow);
 	std::vector<RunId> runs;
 	for (const auto &[id, run] : ioWorker.runs)
-		if (IsTold(run.state))
+		// What lasts has no good end that could come
+		if (IsTold(run.state) && (!waits || run.lasting))
 			runs.push_back(id);
 	for (const RunId &id : runs)
 		this->EndRun(ioWorker, id, ERunEnd::Lapsed, "", inWhy, inNow);
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -455,7 +455,7 @@
 		if (IsTold(run.state))
 			lapsed.push_back(id);
 	// Closed since its last answer, its process has gone; a silent one may have been cut off, and runs on
-	if (ioWorker.closed_at >= 0 && !lapsed.empty())
+	if ((ioWorker.closed_at >= 0 || ioWorker.gone) && !lapsed.empty())
 		this->BlameCrash(ioWorker, inNow);
 	// Nothing was extended since: wherever the worker is, its leases are over
 	for (const RunId &id : lapsed)
--- a/UnitTests/CellSeedTests.cpp
+++ b/UnitTests/CellSeedTests.cpp
@@ -64,6 +64,10 @@
 
 TEST(CellSeeds, PlannedTroubleWithSlowAppendsAndLongStandstills) { EXPECT_EQ(Broken(&PlannedTroubleWithBoth), ""); }
 
+TEST(CellSeeds, PlannedTroubleWithTakeOvers) { EXPECT_EQ(Broken(&PlannedTroubleWithTakeOvers), ""); }
+
+TEST(CellSeeds, PlannedTroubleWithReusedAddresses) { EXPECT_EQ(Broken(&PlannedTroubleWithReuse), ""); }
+
 TEST(CellSeeds, EveryTrouble) { EXPECT_EQ(Broken(&EveryTrouble), ""); }
 
 } // namespace Loomreach::Jobs
--- a/UnitTests/CellTroubles.cpp
+++ b/UnitTests/CellTroubles.cpp
@@ -98,6 +98,20 @@
 	return trouble;
 }
 
+Trouble PlannedTroubleWithTakeOvers(Random &ioRandom)
+{
+	Trouble trouble = PlannedTroubleWithBoth(ioRandom);
+	trouble.taken_over = true;
+	return trouble;
+}
+
+Trouble PlannedTroubleWithReuse(Random &ioRandom)
+{
+	Trouble trouble = PlannedTroubleWithTakeOvers(ioRandom);
+	trouble.reused = true;
+	return trouble;
+}
+
 Trouble EveryTrouble(Random &ioRandom)
 {
 	Trouble trouble = PlannedTroubleOf(ioRandom, false);
--- a/UnitTests/CellTroubles.h
+++ b/UnitTests/CellTroubles.h
@@ -21,6 +21,10 @@
 Trouble PlannedTroubleWithLongStalls(Random &ioRandom);
 /// Planned trouble, and both of these.
 Trouble PlannedTroubleWithBoth(Random &ioRandom);
+/// The same, and other owners take over from those that stand still.
+Trouble PlannedTroubleWithTakeOvers(Random &ioRandom);
+/// The same, and the addresses of workers that have left are used again.
+Trouble PlannedTroubleWithReuse(Random &ioRandom);
 /// All of it together.
 Trouble EveryTrouble(Random &ioRandom);
 /// A mixed day with the troubles of one kind, beside a job whose tasks may run twice at once; then calm. What was broken, and what did not
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -155,6 +155,35 @@
 	this->ReplaceOwner(inWhy);
 }
 
+void CellWorld::TakeOver()
+{
+	const bool lost = this->trouble.taken_over && this->Stands() && this->now - this->stalled_at >= cOwnerGapMs;
+	if (!lost || this->cell == nullptr)
+		return;
+	this->sleepers.push_back({this->epoch, this->stalled_until, std::move(this->cell)});
+	this->stalled_until = 0;
+	this->ReplaceOwner("stands still, and another took over");
+}
+
+void CellWorld::Wake()
+{
+	for (const Sleeper &sleeper : this->sleepers)
+	{
+		if (this->now < sleeper.until)
+			continue;
+		this->alive_after.insert(sleeper.epoch);
+		for (EndReport &report : sleeper.cell->UnloggedEnds())
+			this->HandIn(std::move(report));
+	}
+	std::erase_if(this->sleepers, [this](const Sleeper &inSleeper) { return this->now >= inSleeper.until; });
+}
+
+bool CellWorld::IsAsleep(uint64 inOwner) const
+{
+	return std::any_of(this->sleepers.begin(), this->sleepers.end(),
+					   [inOwner](const Sleeper &inSleeper) { return inSleeper.epoch == inOwner; });
+}
+
 void CellWorld::HandIn(EndReport inReport)
 {
 	const bool slow = this->trouble.slow_log > 0 && this->hand_in_random.Chance(this->trouble.slow_log);
@@ -300,8 +329,10 @@
 	const bool store_slow = this->batch_at > this->now + cSlowAppendMs;
 	if (this->Stands() || store_slow)
 		this->disturbed_at = this->now;
+	this->Wake();
 	this->TakeHandedIn();
 	this->MakeTrouble();
+	this->TakeOver();
 	this->TakeDown();
 	this->CrashByRuns();
 	for (auto &[id, worker] : this->workers)
@@ -315,7 +346,7 @@
 	for (size_t i = 0; i < this->parcels.size();)
 	{
 		// What comes while the owner stands still waits for it
-		const bool waits = this->parcels[i].is_answer && this->Stands();
+		const bool waits = this->parcels[i].is_answer && (this->Stands() || this->IsAsleep(this->parcels[i].owner));
 		if (this->parcels[i].at > this->now || waits)
 		{
 			++i;
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -30,6 +30,8 @@
 	size_t ends_page = 0;           ///< A look lists this many ends at most; 0: all.
 	uint64 stall = 0;               ///< Per second: the owner stands still for 0.4 to 1.3 s, and keeps its ownership.
 	uint64 long_stall = 0;          ///< The same for 1.3 to 5 s; beyond its lease it owns the cell anew.
+	bool taken_over = false;        ///< While the owner stands still beyond its lease another takes the cell over, and it wakes to that.
+	bool reused = false;            ///< A worker that left by plan leaves its address to another life 2 s later.
 	uint64 leave = 0;               ///< Per second and worker: it drains, goes on for some seconds, and ends.
 	uint64 taken_down = 0;          ///< Per second: some worker is emptied, and its host taken down as soon as the cell promises it.
 	uint64 unlist = 0;              ///< Per second and worker: its entry lapses for up to 3 s.
@@ -81,6 +83,7 @@
 	bool crashed = false;
 	bool closes = false;      ///< Crashed: its host closes connections and turns new ones away; else nothing comes back.
 	Millis back_at = -1;      ///< Crashed: the next life answers at its address from then on; -1: never.
+	Millis reused_at = -1;    ///< It has left, and another life answers at its address from then on; -1: never.
 	Millis listed_until = -1; ///< Crashed: the worker list shows it until then.
 	std::string rack = "r";
 	Resources room_before; ///< What it had before its room shrank,
@@ -184,6 +187,11 @@
 	void NoteRead(const Parcel &inAnswer);
 	/// A former owner puts ends into the inbox; it takes as long as any append.
 	void HandIn(EndReport inReport);
+	/// Another owner takes over while this one stands still.
+	void TakeOver();
+	/// Owners that slept through that wake, and hand in what only they know.
+	void Wake();
+	bool IsAsleep(uint64 inOwner) const;
 	/// What has been handed in arrives.
 	void TakeHandedIn();
 	void Step();
@@ -218,7 +226,15 @@
 	std::map<std::string, std::string> log;
 	std::vector<InboxRecord> inbox;
 	std::vector<std::pair<Millis, EndReport>> handed_in; ///< On their way to the inbox, and when they are there.
-	std::set<uint64> alive_after;                        ///< Former owners whose processes go on.
+	/// An owner that stands still while another is at work.
+	struct Sleeper
+	{
+		uint64 epoch = 0;
+		Millis until = 0;
+		std::unique_ptr<Cell> cell;
+	};
+	std::vector<Sleeper> sleepers;
+	std::set<uint64> alive_after; ///< Former owners whose processes go on.
 	std::map<std::string, JobSpec> specs;
 	std::map<std::string, Millis> canceled; ///< When the cancel was accepted.
 	std::map<TaskId, uint32> failures_noted;
--- a/UnitTests/CellWorldWorkers.cpp
+++ b/UnitTests/CellWorldWorkers.cpp
@@ -15,6 +15,8 @@
 /// A task is not started for the third time after this many workers have crashed under it (the users' rule).
 static constexpr uint32 cCrashesBorne = 3;
 static constexpr uint32 cStartsTooMany = 3;
+/// An address is another life's this soon (the users' `addrReuseS`).
+static constexpr Millis cReuseMs = 2000;
 /// An end counts as taken note of this long after it was listed (the users' rule).
 static constexpr Millis cListedMs = 100;
 /// A cancelled job's runs are to be gone this long after the cancel (the users' figures: `cancel_ms`, and `contactMs` for a run that began
@@ -96,7 +98,8 @@
 std::optional<OrderAnswer> CellWorld::AnswerOfGone(const WorldWorker &inWorker) const
 {
 	OrderAnswer answer;
-	if (inWorker.back_at >= 0 && this->now >= inWorker.back_at)
+	const bool is_next = inWorker.back_at >= 0 && this->now >= inWorker.back_at;
+	if (is_next || (inWorker.reused_at >= 0 && this->now >= inWorker.reused_at))
 		answer.result = EOrderResult::OtherLife;
 	else if (inWorker.closes || !inWorker.crashed)
 		answer = OrderAnswer{EOrderResult::NotSent, -1, {}, {}, false, true};
@@ -109,6 +112,8 @@
 {
 	ioWorker.crashed = true;
 	ioWorker.running.clear();
+	if (this->trouble.reused)
+		ioWorker.reused_at = this->now + cReuseMs;
 	const std::string next = "w" + std::to_string(this->next_worker++);
 	this->workers.emplace(next, WorldWorker(next, {cWorldCpuMilli, 32768, 0}, ioWorker.slow));
 }
