--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -208,6 +208,6 @@
 *) fail "the logs show it: $(cat "$DIR/logcheck.txt")" ;;
 esac
 [ $FAILED = 0 ] || { mkdir -p /tmp/loomreach-soak; cp -r "$DIR" "/tmp/loomreach-soak/seed-$SEED"; echo "logs kept in /tmp/loomreach-soak/seed-$SEED"; }
-[ -z "${VERBOSE:-}" ] || echo "seed $SEED: $(report)"
+[ -z "${VERBOSE:-}" ] || echo "seed $SEED: $(report) ends handed in: $(cat "$DIR"/e[123].log | grep -c event=ends_handed_in)"
 echo "seed $SEED: $ACCEPTED of $ID jobs accepted, $([ $FAILED = 0 ] && echo passed || echo failed)"
 exit $FAILED
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -367,15 +367,23 @@
 
 TEST(CellCrash, TellsCrashersFromWhatRanBesideThem) { PlayCrashDays(60, 0, 0); }
 
-// Of these one looks like a crasher by all that can be seen: chance crashed its worker right after its start, twice, the second time while
-// it was on trial alone, and for 10 s before no worker had crashed on which nothing had just started:
+// No job is given up that could have been done: that binds. The users allow a task to be given up once two workers have crashed under it,
+// so such a job breaks none of their rules, but its caller is told a falsehood.
+//
+// Some look like crashers by all that the owner sees. Chance crashed their worker right after their start, twice, the second time while
+// they were on trial alone, and until then the owner had heard of no worker that crashed with nothing just started on it:
 //     task_blamed task=sound36.0.0.0 run=1 ... at_once=1 ... alone=0 chance=0
 //     task_blamed task=sound36.0.0.0 run=2 ... at_once=2 ... trial=start alone=1 chance=0 outcome="given up"
-// A third crash asked of each crasher would cost one more worker's runs for each of 910 tasks.
-TEST(CellCrash, TellsCrashersFromChance) { PlayCrashDays(60, 2, 1); }
+// All nine of 600 days each are of this kind. To remember chance for longer changes none of them. A worker that crashes with nothing on it
+// is not noticed at all, and would be the evidence that is missing.
+TEST(CellCrash, TellsCrashersFromChance) { PlayCrashDays(60, 2, 0); }
+
+TEST(CellCrash, TellsCrashersFromChanceOnHundredsOfDays) { PlayCrashDays(600, 2, 0); }
 
 TEST(CellCrash, GivesUpNoSoundJobWhereEachWorkerCrashesEveryQuarterMinute) { PlayCrashDays(60, 6, 0); }
 
+TEST(CellCrash, GivesUpNoSoundJobOnHundredsOfSuchDays) { PlayCrashDays(600, 6, 0); }
+
 TEST(CellCrash, TellsCrashersFromWhatRanBesideThemWithChanceAndChangesOfOwner)
 {
 	// Many crashers of all kinds, workers that crash by chance, and changes of owner
--- a/UnitTests/CellSeedTests.cpp
+++ b/UnitTests/CellSeedTests.cpp
@@ -66,6 +66,10 @@
 
 TEST(CellSeeds, PlannedTroubleWithTakeOvers) { EXPECT_EQ(Broken(&PlannedTroubleWithTakeOvers), ""); }
 
+/// The next owner asks at the address of a worker that has left, and another life answers. It took that for the end of all that had run
+/// there and started it anew at once, while its predecessor, which had read the ends, still stood still: "listed at 15550, read at 15560,
+/// its owner stands still, and another took over at 18000", started again at 19720. Five seeds of 600 broke (92 97 218 366 517). Now what
+/// such a worker ran waits for the lease as it does where nobody answers.
 TEST(CellSeeds, PlannedTroubleWithReusedAddresses) { EXPECT_EQ(Broken(&PlannedTroubleWithReuse), ""); }
 
 TEST(CellSeeds, EveryTrouble) { EXPECT_EQ(Broken(&EveryTrouble), ""); }
