--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -136,6 +136,8 @@
 	void SucceedOwner(std::string_view inWhy);
 	/// The owner hands over by plan as soon as it can.
 	void HandOverSoon() { this->handing_over = true; }
+	/// The next owners give workers leases of this length: a rollout has changed the setting.
+	void SetLease(Millis inMillis) { this->trouble.lease_ms = inMillis; }
 	/// The store has just come back: entries that go now may only have lapsed.
 	void StoreBack(Millis inTrustMs) { this->trust_until = this->now + inTrustMs; }
 
