Keep in the log how long a cell's owners lease workers their runs

What callers saw: after a rollout (or its way back) that shortens worker_lease_ms, tasks on a worker that is cut off were started anew while they were still at work under the longer lease: two runs at once (CellLease.ARolloutThatShortensItStartsNothingTwice: at 6090, run 2 beside run 1).

Cause: an owner that takes over waits for the longest lease that its own setting knows; its predecessor's may have been longer.

The cell's log now holds the longest lease that any owner may have given. A successor waits for that one; it gives a longer one itself only once the log holds it, and writes a shorter one once its predecessors' are over. The record goes with the next append; only an owner that finds runs and no such record, in the log of an earlier version, writes it by itself. Hosts of the version before pass over the key. Not covered: an earlier version's lease, which no log holds, when the same rollout shortens it.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -18,6 +18,7 @@
 static constexpr char cPlaceKey = 'w'; ///< With a worker's id.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
+static constexpr std::string_view cLeaseKey = "l";
 /// Learned run times are written this often, with whatever is written anyway.
 static constexpr int64 cTimesEveryMs = 3000;
 /// Ended jobs are looked through this often.
@@ -41,6 +42,12 @@
 			this->run_times = std::move(*times);
 		return times.has_value();
 	}
+	if (inKey == cLeaseKey)
+	{
+		const std::optional<Millis> lease = DecodeValue<Millis>(inValue);
+		this->leases.Restore(lease.value_or(0));
+		return lease.has_value();
+	}
 	if (inKey.size() < 2)
 		return true;
 	const std::string id(inKey.substr(1));
@@ -101,6 +108,7 @@
 {
 	this->epoch = inEpoch;
 	this->trail.Begin(inCell, inEpoch);
+	this->leases.Begin(this->tuning.lease_ms, this->tuning.most_lease_ms, inNow);
 	for (auto it = this->jobs.begin(); it != this->jobs.end();)
 	{
 		CellJob &job = it->second;
@@ -122,6 +130,10 @@
 		}
 		++it;
 	}
+	// Leases that are about to be extended are otherwise known to nobody but this owner; later the record goes with others
+	const bool has_runs =
+		std::any_of(this->workers.begin(), this->workers.end(), [](const auto &inWorker) { return !inWorker.second.runs.empty(); });
+	this->news = has_runs && !this->leases.IsLogged();
 }
 
 void Cell::InheritRuns(CellJob &ioJob, Millis inNow)
@@ -141,7 +153,7 @@
 				worker.listed = false;
 				worker.unlisted_at = inNow;
 				// A predecessor may have extended the lease right up to now
-				worker.lease_over_at = inNow + LongestLease(this->tuning.most_lease_ms);
+				worker.lease_over_at = inNow + LongestLease(this->leases.Longest(inNow));
 				const size_t steps = ioJob.spec.steps.size();
 				const RunId id{{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index}, run.run};
 				Run inherited = RunOf(ioJob.spec, step, ERunState::Inherited, inNow);
@@ -421,6 +433,11 @@
 		this->times_wall_ms = inWallNow;
 		batch.push_back({std::string(cTimesKey), EncodeValue(this->run_times)});
 	}
+	if (const std::optional<Millis> lease = this->leases.ToLog(this->now))
+	{
+		this->leases.OnWriting(*lease);
+		batch.push_back({std::string(cLeaseKey), EncodeValue(*lease)});
+	}
 	this->inbox_writing = whole ? this->inbox_to_write : this->inbox_logged;
 	// While a series was written, more may have come
 	this->news = !begins || !whole;
@@ -456,6 +473,7 @@
 {
 	this->now = inNow;
 	this->batch_under_way = false;
+	this->leases.OnLogged();
 	this->inbox_logged = this->inbox_writing;
 	for (const std::string &id : std::exchange(this->in_batch, {}))
 	{
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -16,6 +16,7 @@
 #include <Loomreach/Schedule/PoolDemand.h>
 #include <Loomreach/Schedule/RunTimes.h>
 #include <Loomreach/Schedule/TeamUse.h>
+#include <Loomreach/Schedule/WorkerLeases.h>
 
 namespace Loomreach::Jobs
 {
@@ -263,6 +264,7 @@
 	void DropRun(CellWorker &ioWorker, const RunId &inRun);
 
 	CellTuning tuning;
+	WorkerLeases leases;
 	uint64 epoch = 0;
 	CellTrail trail;
 	std::shared_ptr<const Catalogue> catalogue;
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -297,7 +297,7 @@
 	this->CountRun(ioWorker, stray);
 	ioWorker.runs.emplace(inRun, std::move(stray));
 	// It has a lease, whoever gave it: until that must be over, the run is not given up
-	ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->tuning.most_lease_ms));
+	ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->leases.Longest(inNow)));
 }
 
 void Cell::StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -93,9 +93,9 @@
 		order.checkpoint = task->checkpoint;
 		run.resumed = !task->checkpoint.empty();
 		order.ticket = run.ticket;
-		order.until_ms = worker.ClockAt(inNow) + this->tuning.lease_ms;
+		order.until_ms = worker.ClockAt(inNow) + this->leases.ToGive();
 		run.void_at = order.until_ms;
-		worker.lease_over_at = std::max(worker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
+		worker.lease_over_at = std::max(worker.lease_over_at, inNow + LongestLease(this->leases.ToGive()));
 		orders.push_back(std::move(order));
 	}
 	for (auto &[id, worker] : this->workers)
@@ -175,8 +175,8 @@
 	// A lease is extended only for a worker that answers: else it would never be over
 	if (told_runs && ioWorker.clock_ms >= 0 && ioWorker.reachable)
 	{
-		order.until_ms = ioWorker.ClockAt(inNow) + this->tuning.lease_ms;
-		ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->tuning.lease_ms));
+		order.until_ms = ioWorker.ClockAt(inNow) + this->leases.ToGive();
+		ioWorker.lease_over_at = std::max(ioWorker.lease_over_at, inNow + LongestLease(this->leases.ToGive()));
 	}
 	const bool look_at_once = first || unacked || doubt || ioWorker.more_ends || !told_runs;
 	if (!look_at_once)
--- a/UnitTests/CellLeaseTests.cpp
+++ b/UnitTests/CellLeaseTests.cpp
@@ -4,7 +4,7 @@
 //
 //     at 6180: two runs at once: job.0.0.0 run 2 on w1
 //
-// The log does not say which leases its owners gave, so that nobody can know.
+// The log did not say which leases its owners gave, so that nobody could know. Now it holds the longest (WorkerLeases).
 
 #include <Loomreach/Loomreach.h>
 
@@ -43,6 +43,56 @@
 
 TEST(CellLease, ARolloutThatLengthensItStartsNothingTwice) { EXPECT_EQ(PlayRollout(cShortLeaseMs, cLongLeaseMs), ""); }
 
+TEST(CellLease, ARolloutAndBackStartsNothingTwice)
+{
+	CellWorld world(1, Trouble{}, 2);
+	world.SetLease(cLongLeaseMs);
+	world.ReplaceOwner();
+	world.run_ms["job"] = 9000;
+	world.Submit(MakeJob("job", 1, 1, 500, 800));
+	world.Run(800);
+	for (auto &[id, worker] : world.Workers())
+		if (!worker.running.empty())
+			worker.cut_until = world.Now() + 20000;
+	// One with a short lease takes over, and soon another: what the first one gave still counts
+	for (int i = 0; i < 3; ++i)
+	{
+		world.SetLease(cShortLeaseMs);
+		world.ReplaceOwner();
+		world.Submit(MakeJob("other" + std::to_string(i), 1, 1, 500, 800));
+		world.Run(1500);
+	}
+	world.Run(40000);
+	EXPECT_EQ(world.Broken() + world.Open(), "");
+}
+
+TEST(CellLease, ALongerLeaseIsGivenOnlyOnceTheLogHoldsIt)
+{
+	WorkerLeases leases;
+	leases.Restore(cShortLeaseMs);
+	leases.Begin(cLongLeaseMs, cLongLeaseMs, 0);
+	EXPECT_EQ(leases.ToGive(), cShortLeaseMs);
+	ASSERT_EQ(leases.ToLog(0), cLongLeaseMs);
+	leases.OnWriting(cLongLeaseMs);
+	EXPECT_EQ(leases.ToGive(), cShortLeaseMs);
+	leases.OnLogged();
+	EXPECT_EQ(leases.ToGive(), cLongLeaseMs);
+	EXPECT_FALSE(leases.ToLog(0).has_value());
+}
+
+TEST(CellLease, AFormerOwnersLongerLeaseStaysInTheLogUntilItIsOver)
+{
+	WorkerLeases leases;
+	leases.Restore(cLongLeaseMs);
+	leases.Begin(cShortLeaseMs, cShortLeaseMs, 0);
+	EXPECT_EQ(leases.Longest(0), cLongLeaseMs);
+	EXPECT_EQ(leases.ToGive(), cShortLeaseMs);
+	EXPECT_FALSE(leases.ToLog(cLongLeaseMs).has_value());
+	const Millis over = LongestLease(cLongLeaseMs);
+	EXPECT_EQ(leases.ToLog(over), cShortLeaseMs);
+	EXPECT_EQ(leases.Longest(over), cShortLeaseMs);
+}
+
 TEST(CellLease, ARolloutThatShortensItStartsNothingTwice) { EXPECT_EQ(PlayRollout(cLongLeaseMs, cShortLeaseMs), ""); }
 
 } // namespace Loomreach::Jobs
