Give each test with real processes a block of ports of its own

Traced: jobs 1 to 9 came to its entry hosts twice, the second time 34 s after the first, in order and 0.3 s apart, while its own script had sent each once (told); job 3 was refused at 06:12:05 by a host whose store was silent and taken at 06:12:38 (age_ms=4). They were another soak's, which had come to the same ports: its stand-in could not listen, but the first one's answered, and was taken for its own before the process had ended. No refusal was false.

A block of ports is now locked for as long as a test runs, in all three scripts that choose one.

--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -9,6 +9,7 @@
 # and shrinking room, and a seed means what it did before these were there. The seed repeats the order of faults, not the processes' timing.
 set -u
 cd "$(dirname "$0")/.." || exit 1
+. Scripts/ports.sh
 BUILD=$1
 SEED=$2
 LENGTH=${3:-25}
@@ -63,9 +64,9 @@
 fault() { curl -s --max-time 5 -X PUT "$CONTROL/fault/$1" >/dev/null; }
 call() { curl -s --max-time 5 -H 'Host: jobs.example' "$@"; }
 
-# Ports below the range from which the system takes callers' own; another block if something listens there.
+# Another block of ports if something listens there.
 start_platform() {
-	PORT=$((10000 + (($$ + $1 * 37) % 200) * 100))
+	claim_ports "$1" || return 1
 	CONTROL="http://127.0.0.1:$((PORT + 2))"
 	"$BUILD/loomreach-platform" --port=$PORT --seed="$SEED" >"$DIR/platform.log" 2>&1 &
 	PIDS[platform]=$!
--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -3,6 +3,7 @@
 # Usage: test_jobs.sh BUILD. No check depends on timing beyond generous limits. Prints one line a check.
 set -u
 cd "$(dirname "$0")/.." || exit 1
+. Scripts/ports.sh
 BUILD=${1:-build/release}
 DIR=$(mktemp -d)
 PASSED=0
@@ -68,9 +69,9 @@
 	done
 }
 
-# A block of ports below the range from which the system takes callers' own ports; another one if something listens there already.
+# Another block of ports if something listens there already.
 start_platform() {
-	PORT=$((10000 + (($$ + $1 * 37) % 200) * 100))
+	claim_ports "$1" || return 1
 	CONTROL="http://127.0.0.1:$((PORT + 2))"
 	"$BUILD/loomreach-platform" --port=$PORT >"$DIR/platform.log" 2>&1 &
 	PIDS[0]=$!
--- a/Scripts/test_silent.sh
+++ b/Scripts/test_silent.sh
@@ -5,6 +5,7 @@
 # each host; first undisturbed, then from the silence on. The bounds hold for a loaded machine.
 set -u
 cd "$(dirname "$0")/.." || exit 1
+. Scripts/ports.sh
 BUILD=${1:-build/release}
 DAEMON=${2:-$BUILD/loomreachd}
 DIR=$(mktemp -d)
@@ -51,7 +52,7 @@
 }
 report() { curl -s --max-time 5 "$CONTROL/report"; }
 start_platform() {
-	PORT=$((10000 + (($$ + $1 * 37) % 200) * 100))
+	claim_ports "$1" || return 1
 	CONTROL="http://127.0.0.1:$((PORT + 2))"
 	"$BUILD/loomreach-platform" --port=$PORT >"$DIR/platform.log" 2>&1 &
 	PIDS[platform]=$!
