--- a/Loomreach/Entry/EndsHandIn.h
+++ b/Loomreach/Entry/EndsHandIn.h
@@ -36,7 +36,7 @@
 	static constexpr Millis cAgainMs = 300; ///< Between two tries.
 	static constexpr Millis cForMs = 30000; ///< While the store is away there is no next owner; later, the tasks have been done anew.
 
-	void Try(std::shared_ptr<const Item> inItem);
+	void Try(const std::shared_ptr<const Item> &inItem);
 	void OnAnswer(const std::shared_ptr<const Item> &inItem, const AppendAnswer &inAnswer);
 
 	WriterOf writer_of;
--- a/Loomreach/Entry/EndsHandIn.inl
+++ b/Loomreach/Entry/EndsHandIn.inl
@@ -14,12 +14,12 @@
 }
 
 template <class Store>
-void EndsHandIn<Store>::Try(std::shared_ptr<const Item> inItem)
+void EndsHandIn<Store>::Try(const std::shared_ptr<const Item> &inItem)
 {
 	std::string record = EncodeValue(InboxRecord{EInbox::Ends, {}, inItem->report});
 	this->writer_of(inItem->cell)
 		.Enter(std::move(record), cTryMs,
-			   this->Guard([this, item = std::move(inItem)](const AppendAnswer &inAnswer) { this->OnAnswer(item, inAnswer); }));
+			   this->Guard([this, item = inItem](const AppendAnswer &inAnswer) { this->OnAnswer(item, inAnswer); }));
 }
 
 template <class Store>
