--- a/Loomreach/Entry/EndsHandIn.h
+++ b/Loomreach/Entry/EndsHandIn.h
@@ -1,5 +1,6 @@
-// Hands ends in: what workers listed to an owner that is one no more, and its log does not hold, goes into the cell's inbox, where the next
-// owner reads it. The worker may have left meanwhile; nobody else knows that its tasks are done, and they would be done again.
+// Hands ends in: what workers listed to an owner that has lost its cell, and the cell's log does not hold, goes into the cell's inbox,
+// where the next owner reads it. The worker may have left meanwhile; nobody else knows that its tasks are done, and they would be done
+// again.
 
 #pragma once
 
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -102,13 +102,13 @@
 	void SweepHosts(Millis inNow);
 	void Tick();
 	size_t Owned() const;
-	/// `inCell`: the seat's.
 	SeatContext ContextOfSeat(uint32 inCell);
 	/// Lets a cell go, but not the ends that only its seat knows.
 	void DropSeat(uint32 inCell);
 	void DropAllSeats();
-	/// An order's answer came, perhaps after its seat has gone: ends that it lists are handed in.
-	void SaveEnds(uint32 inCell, const Order &inOrder, const OrderAnswer &inAnswer);
+	/// A worker's answer to a look of the owner with this epoch came, perhaps after its seat has gone: ends that it lists are then handed
+	/// in.
+	void SaveEnds(uint32 inCell, uint64 inEpoch, const std::string &inWorker, const std::vector<EndedRow> &inEnded);
 	/// Whether ends may still have to be handed in: a look is under way, or a report is.
 	bool OwesEnds() const { return this->looks_under_way > 0 || this->ends_hand_in.UnderWay() > 0; }
 	// Callers
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -269,14 +269,18 @@
 {
 	const auto send = [this, inCell](const Order &inOrder, std::function<void(const OrderAnswer &)> inDone)
 	{
-		this->looks_under_way += inOrder.kind == EOrder::Hold ? 1 : 0;
-		this->orders.Send(inOrder,
-						  [this, inCell, inOrder, done = std::move(inDone)](const OrderAnswer &inAnswer)
-						  {
-							  this->looks_under_way -= inOrder.kind == EOrder::Hold ? 1 : 0;
-							  done(inAnswer);
-							  this->SaveEnds(inCell, inOrder, inAnswer);
-						  });
+		// Only looks list ends
+		if (inOrder.kind != EOrder::Hold)
+			return this->orders.Send(inOrder, std::move(inDone));
+		++this->looks_under_way;
+		this->orders.Send(
+			inOrder,
+			[this, inCell, worker = inOrder.worker, epoch = inOrder.token, done = std::move(inDone)](const OrderAnswer &inAnswer)
+			{
+				--this->looks_under_way;
+				done(inAnswer);
+				this->SaveEnds(inCell, epoch, worker, inAnswer.ended);
+			});
 	};
 	const auto ask_fleet = [this](PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
 	{ this->AskCell(cFleetCell, std::move(inQuestion), cAskSharesMs, std::move(inDone)); };
@@ -284,16 +288,16 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::SaveEnds(uint32 inCell, const Order &inOrder, const OrderAnswer &inAnswer)
+void JobHost<Hub>::SaveEnds(uint32 inCell, uint64 inEpoch, const std::string &inWorker, const std::vector<EndedRow> &inEnded)
 {
-	if (inAnswer.ended.empty())
+	if (inEnded.empty())
 		return;
 	auto seat = this->seats.find(inCell);
-	const bool heard = seat != this->seats.end() && seat->second->Epoch() == inOrder.token;
+	const bool heard = seat != this->seats.end() && seat->second->Epoch() == inEpoch;
 	// Read after the lease was over, because this process stood still or the cell was given on, it is the last that anybody hears of a
 	// worker that leaves
 	if (!heard)
-		this->ends_hand_in.HandIn(inCell, {inOrder.worker, inOrder.token, inAnswer.ended});
+		this->ends_hand_in.HandIn(inCell, {inWorker, inEpoch, inEnded});
 }
 
 template <class Hub>
