--- a/Scripts/test.sh
+++ b/Scripts/test.sh
@@ -9,6 +9,9 @@
 known() { grep -vE '^(#|open:|[[:space:]]*$)' KNOWN-RED.txt 2>/dev/null; }
 proved_red() { sed -n '/^### Listed as red/,/^### /p' docs/PROVED.md | grep -oE '^\* `[A-Za-z.]+`' | tr -d '*` '; }
 diff <(known | sed 's/,.*//' | sort) <(proved_red | sort) || { echo "KNOWN-RED.txt and docs/PROVED.md do not list the same tests"; exit 1; }
+OPEN=$(grep -c '^open:' KNOWN-RED.txt || true)
+COUNTS="KNOWN-RED.txt: $(known | wc -l) tests red, $OPEN entries open without a test."
+grep -qxF "$COUNTS" docs/PROVED.md || { echo "docs/PROVED.md must say: $COUNTS"; exit 1; }
 echo "known to be open, without a test:"
 grep '^open:' KNOWN-RED.txt || echo "none"
 COUNT=$(known | wc -l)
