--- a/UnitTests/CellLeaseTests.cpp
+++ b/UnitTests/CellLeaseTests.cpp
@@ -21,18 +21,24 @@
 constexpr Millis cLongLeaseMs = 10000;
 constexpr Millis cShortLeaseMs = 4000;
 
-/// A job that a worker which is cut off has begun, under one lease; the next owner gives another.
+/// A job that a worker has begun under one lease; then the worker is cut off.
+void CutOffAtWork(CellWorld &ioWorld, Millis inLeaseMs)
+{
+	ioWorld.SetLease(inLeaseMs);
+	ioWorld.ReplaceOwner();
+	ioWorld.run_ms["job"] = 9000;
+	ioWorld.Submit(MakeJob("job", 1, 1, 500, 800));
+	ioWorld.Run(800);
+	for (auto &[id, worker] : ioWorld.Workers())
+		if (!worker.running.empty())
+			worker.cut_until = ioWorld.Now() + 20000;
+}
+
+/// The next owner gives another lease.
 std::string PlayRollout(Millis inBeforeMs, Millis inAfterMs)
 {
 	CellWorld world(1, Trouble{}, 2);
-	world.SetLease(inBeforeMs);
-	world.ReplaceOwner();
-	world.run_ms["job"] = 9000;
-	world.Submit(MakeJob("job", 1, 1, 500, 800));
-	world.Run(800);
-	for (auto &[id, worker] : world.Workers())
-		if (!worker.running.empty())
-			worker.cut_until = world.Now() + 20000;
+	CutOffAtWork(world, inBeforeMs);
 	world.SetLease(inAfterMs);
 	world.ReplaceOwner();
 	world.Run(40000);
@@ -46,14 +52,7 @@
 TEST(CellLease, ARolloutAndBackStartsNothingTwice)
 {
 	CellWorld world(1, Trouble{}, 2);
-	world.SetLease(cLongLeaseMs);
-	world.ReplaceOwner();
-	world.run_ms["job"] = 9000;
-	world.Submit(MakeJob("job", 1, 1, 500, 800));
-	world.Run(800);
-	for (auto &[id, worker] : world.Workers())
-		if (!worker.running.empty())
-			worker.cut_until = world.Now() + 20000;
+	CutOffAtWork(world, cLongLeaseMs);
 	// One with a short lease takes over, and soon another: what the first one gave still counts
 	for (int i = 0; i < 3; ++i)
 	{
