Keep in the cell's log which workers are promised empty, before the promise is given

Cause: a promise that a worker is empty (1.5 s) was kept in its owner's memory alone and outlives a short lease (1.5 s, less 0.3 s of slack): a successor that began before it was over started work on a worker whose host was then taken down.

Ruled out: a promise that ends with its owner's lease (0.3 to 1.2 s are left, too short for the way to the platform after a late heartbeat).

Change: key `p` of the cell's log says that a worker may be promised, written when it is first to be emptied or spared, often while its last run still goes; a successor keeps such a worker empty for as long. Renewals write nothing; the record goes with a later append. The first ask for an idle worker is answered with "not yet", the next one (0.1 to 0.2 s later) with the promise.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -14,9 +14,10 @@
 // Keys of a cell's log: one letter, then the job's id.
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
-static constexpr char cCrashKey = 'x'; ///< Only where a worker has crashed under a task of the job.
-static constexpr char cPlaceKey = 'w'; ///< With a worker's id.
-static constexpr char cBirthKey = 'b'; ///< Likewise: which life of it the cell's runs were placed on. Earlier versions pass it over.
+static constexpr char cCrashKey = 'x';   ///< Only where a worker has crashed under a task of the job.
+static constexpr char cPlaceKey = 'w';   ///< With a worker's id.
+static constexpr char cBirthKey = 'b';   ///< Likewise: which life of it the cell's runs were placed on. Earlier versions pass it over.
+static constexpr char cPromiseKey = 'p'; ///< Likewise: how long a promise lasts that it is empty. Earlier versions pass it over.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
@@ -56,6 +57,8 @@
 		return this->RestorePlace(id, inValue);
 	if (inKey[0] == cBirthKey)
 		return this->RestoreBirth(id, inValue);
+	if (inKey[0] == cPromiseKey)
+		return this->RestorePromise(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -92,7 +95,10 @@
 {
 	if (inValue.empty())
 	{
-		this->workers.erase(inWorker);
+		// It may have been promised empty since
+		auto found = this->workers.find(inWorker);
+		if (found != this->workers.end() && found->second.promise_logged_ms == 0)
+			this->workers.erase(found);
 		return true;
 	}
 	std::optional<WorkerPlace> place = DecodeValue<WorkerPlace>(inValue);
@@ -124,6 +130,22 @@
 	return true;
 }
 
+bool Cell::RestorePromise(const std::string &inWorker, std::string_view inValue)
+{
+	if (inValue.empty())
+		return true;
+	const std::optional<Millis> lasts = DecodeValue<Millis>(inValue);
+	if (!lasts.has_value())
+		return false;
+	CellWorker &worker = this->workers[inWorker];
+	worker.entry.id = inWorker;
+	worker.listed = false;
+	worker.promise_ms = *lasts;
+	worker.promise_writing_ms = *lasts;
+	worker.promise_logged_ms = *lasts;
+	return true;
+}
+
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
 {
 	this->epoch = inEpoch;
@@ -150,6 +172,13 @@
 		}
 		++it;
 	}
+	// A predecessor may have given them right up to now
+	for (auto &[id, worker] : this->workers)
+		if (worker.promise_logged_ms > 0)
+		{
+			worker.vacate_until = inNow + worker.promise_logged_ms;
+			worker.promised_until = worker.vacate_until;
+		}
 	// Leases that are about to be extended are otherwise known to nobody but this owner; later the record goes with others
 	const bool has_runs =
 		std::any_of(this->workers.begin(), this->workers.end(), [](const auto &inWorker) { return !inWorker.second.runs.empty(); });
@@ -231,7 +260,7 @@
 		const bool bound = inNow < std::max({worker.vacate_until, worker.promised_until, worker.left_until});
 		// And until the log holds its ends, they are part of what a successor must know
 		const bool forget = !worker.IsPresent(inNow) && worker.IsClear() && !worker.hold_sent && !bound;
-		if (forget && worker.place_logged)
+		if (forget && (worker.place_logged || worker.promise_writing_ms > 0))
 			this->forgotten.push_back(it->first);
 		it = forget ? this->workers.erase(it) : std::next(it);
 	}
@@ -429,7 +458,7 @@
 {
 	for (const std::string &id : std::exchange(this->forgotten, {}))
 		if (!this->workers.contains(id))
-			for (const char key : {cPlaceKey, cBirthKey})
+			for (const char key : {cPlaceKey, cBirthKey, cPromiseKey})
 				outBatch.push_back({key + id, ""});
 	for (auto &[id, worker] : this->workers)
 	{
@@ -445,6 +474,22 @@
 	}
 }
 
+void Cell::TakePromises(std::vector<KeyedRecord> &outBatch)
+{
+	const bool written_anyway = !outBatch.empty();
+	for (auto &[id, worker] : this->workers)
+	{
+		const bool over = this->now >= std::max(worker.vacate_until, worker.promised_until);
+		if (over && written_anyway)
+			worker.promise_ms = 0;
+		if (worker.promise_ms == worker.promise_writing_ms)
+			continue;
+		outBatch.push_back({cPromiseKey + id, worker.promise_ms > 0 ? EncodeValue(worker.promise_ms) : ""});
+		worker.promise_writing_ms = worker.promise_ms;
+		worker.promise_logged_ms = std::min(worker.promise_logged_ms, worker.promise_ms);
+	}
+}
+
 std::vector<KeyedRecord> Cell::TakeBatch(int64 inWallNow)
 {
 	LOOM_INVARIANT(!this->batch_under_way, "one append at a time, or records could pass one another");
@@ -457,6 +502,7 @@
 	const bool whole = this->to_write.empty();
 	if (!batch.empty())
 		this->TakePlaces(batch);
+	this->TakePromises(batch);
 	this->ForgetEnded(inWallNow, batch);
 	if (whole && this->inbox_to_write != this->inbox_logged)
 		batch.push_back({std::string(cCursorKey), EncodeValue(this->inbox_to_write)});
@@ -525,6 +571,7 @@
 	}
 	for (auto &[id, worker] : this->workers)
 	{
+		worker.promise_logged_ms = worker.promise_writing_ms;
 		if (worker.last_seen < worker.writing)
 			worker.next_hold_at = inNow;
 		this->NoteLogged(worker);
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -121,6 +121,7 @@
 	// Cell.cpp: records
 	bool RestorePlace(const std::string &inWorker, std::string_view inValue);
 	bool RestoreBirth(const std::string &inWorker, std::string_view inValue);
+	bool RestorePromise(const std::string &inWorker, std::string_view inValue);
 	void ForgetEnded(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	CellJob *FindJob(const std::string &inId);
 	TaskRecord *FindTask(const TaskId &inTask);
@@ -133,6 +134,8 @@
 	void TakeJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Takes the places of workers that get their first runs, and drops those of workers that are forgotten.
 	void TakePlaces(std::vector<KeyedRecord> &outBatch);
+	/// Takes the promises that are to be given, and drops those that are over, where something is written anyway.
+	void TakePromises(std::vector<KeyedRecord> &outBatch);
 	/// The log now holds the ends of a worker that were in the append.
 	void NoteLogged(CellWorker &ioWorker);
 
@@ -183,8 +186,8 @@
 	// CellMisses.cpp: stops of tasks that last
 	void PlanVacating(CellWorker &ioWorker, Millis inNow);
 	void PlanDraining(CellWorker &ioWorker, Millis inNow);
-	/// Says that a worker is empty and stays so while it is being emptied, if that holds.
-	bool Promise(CellWorker &ioWorker) const;
+	/// Says that a worker is empty and stays so for the next `inForMs`, if that holds and the log tells a successor of it.
+	bool Promise(CellWorker &ioWorker, Millis inForMs);
 	bool MayMiss(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const;
 	/// Whether a run's stop is bound by how many others of its step are away. Not once its job or its worker ends anyway.
 	bool LimitsStops(const CellWorker &inWorker, const RunId &inRun) const;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -139,14 +139,18 @@
 		for (const auto &[run_id, run] : worker.runs)
 			can_go = can_go && !run.lasting;
 		if (can_go)
-			least_used.emplace_back(worker.runs.empty() ? -1 : worker.used.cpu_milli, &worker);
+		{
+			// One that the log tells of already can be promised at once
+			const int64 empty = worker.promise_logged_ms > 0 ? -2 : -1;
+			least_used.emplace_back(worker.runs.empty() ? empty : worker.used.cpu_milli, &worker);
+		}
 	}
 	std::sort(least_used.begin(), least_used.end(), [](const auto &inA, const auto &inB) { return inA.first < inB.first; });
 	for (size_t i = 0; i < least_used.size() && i < inSpare; ++i)
 	{
 		CellWorker &worker = *least_used[i].second;
 		worker.vacate_until = std::max(worker.vacate_until, inNow + inForMs);
-		if (this->Promise(worker))
+		if (this->Promise(worker, inForMs))
 			demand.spared.push_back(worker.entry.id);
 	}
 	if (!demand.spared.empty())
--- a/Loomreach/Schedule/CellMisses.cpp
+++ b/Loomreach/Schedule/CellMisses.cpp
@@ -137,12 +137,17 @@
 	worker.vacate_until = std::max(worker.vacate_until, inNow + inForMs);
 	if (!worker.runs.empty())
 		this->emptying_until = worker.vacate_until;
-	return this->Promise(worker);
+	return this->Promise(worker, inForMs);
 }
 
-bool Cell::Promise(CellWorker &ioWorker) const
+bool Cell::Promise(CellWorker &ioWorker, Millis inForMs)
 {
-	if (this->retiring || ioWorker.doubted || !ioWorker.IsClear() || !ioWorker.IsTakenNoteOf())
+	if (this->retiring)
+		return false;
+	ioWorker.promise_ms = std::max(ioWorker.promise_ms, inForMs);
+	this->news = this->news || ioWorker.promise_writing_ms < inForMs;
+	// Its host may be taken down when this owner has gone
+	if (ioWorker.promise_logged_ms < inForMs || ioWorker.doubted || !ioWorker.IsClear() || !ioWorker.IsTakenNoteOf())
 		return false;
 	ioWorker.promised_until = ioWorker.vacate_until;
 	return true;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -208,9 +208,12 @@
 	Millis lease_over_at = 0;           ///< By then, on our clock, everything told to it has lapsed unless extended anew.
 	Millis unheard_at = -cNeverMs;      ///< When an order to it last went without an answer: it may be carried out yet.
 	FormerEnds former;
-	Millis vacate_until = 0;   ///< It is being emptied for maintenance; nothing new until then.
-	Millis promised_until = 0; ///< Its host may be moved or taken down until then: it was said to be empty.
-	Millis left_until = 0;     ///< Its host was moved or taken down: the list may show it until then.
+	Millis vacate_until = 0;       ///< It is being emptied for maintenance; nothing new until then.
+	Millis promised_until = 0;     ///< Its host may be moved or taken down until then: it was said to be empty.
+	Millis promise_ms = 0;         ///< A promise of it lasts this long; 0: none is given.
+	Millis promise_writing_ms = 0; ///< The same as the log holds it once the append under way is there,
+	Millis promise_logged_ms = 0;  ///< and as it holds it now: a successor keeps a promise that was given before it began.
+	Millis left_until = 0;         ///< Its host was moved or taken down: the list may show it until then.
 
 	/// Whether the log holds every end that it told of.
 	bool IsLogged() const { return this->noted <= this->last_seen && this->former.rows.empty(); }
