Start nothing in an availability zone that the operator has evacuated

Cause: `op/evacuate/ZONE` was read by nobody; work went on to a zone's workers after its evacuation.

Change: the adapter translates the record to a ZoneOrder; ZoneEvacuations (pure) keeps the newest of each zone by its place in the log, and a whole reading opens the zones that it does not name. Every entry host follows it; seats know the zones before their claim. Placement, trials, advice and runs that are logged but not told leave the zone out; what runs goes on. The balancer counts its hosts for no pool and moves none of them. A zone that is taken back comes behind others for a while, as it may have gone cold.

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -57,6 +57,8 @@
 	bool IsHeld() const { return this->held; }
 	uint64 Epoch() const { return this->log.Epoch(); }
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->cell.SetCatalogue(std::move(inCatalogue)); }
+	/// See Cell.
+	void SetEvacuated(const std::set<std::string> &inZones) { this->cell.SetEvacuated(inZones, NowMillis()); }
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil);
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
 	/// Decides and acts soon, or at once when nothing happened for a while.
--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -28,6 +28,8 @@
 	/// The waves that the operator has asked for.
 	void SetWaves(const std::map<int64, UpkeepWave> &inWaves);
 	void SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue);
+	/// Availability zones in which nothing may be started.
+	void SetEvacuated(const std::set<std::string> &inZones) { this->balancer.SetEvacuated(inZones); }
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
 	/// A planned stop begins: no new orders to hosts.
 	void Retire() { this->retiring = true; }
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -9,6 +9,7 @@
 #include <Loomreach/Entry/JobCalls.h>
 #include <Loomreach/Entry/StoreWatch.h>
 #include <Loomreach/Forward/OrderSender.h>
+#include <Loomreach/Schedule/ZoneEvacuations.h>
 
 namespace Loomreach::Jobs
 {
@@ -53,6 +54,11 @@
 	void LoadOperator();
 	void FollowOperator(uint64 inFrom);
 	void OnOperatorRecord(const LogRecord &inRecord);
+	void OnCatalogue(const LogRecord &inRecord);
+	void OnZoneOrder(const LogRecord &inRecord);
+	/// Drops the orders of zones that a whole reading of the operator's newest records does not name.
+	void KeepZoneOrders(const NewestAnswer &inAnswer);
+	void TellZones();
 	void LoadWorkers();
 	void FollowWorkers(uint64 inFrom, uint64 inReading);
 	void OnWorkerRecord(const LogRecord &inRecord);
@@ -145,6 +151,7 @@
 	OrderSender<decltype(Hub::workers)> orders;
 	std::shared_ptr<const Catalogue> catalogue;
 	std::map<int64, UpkeepWave> waves;
+	ZoneEvacuations evacuations;
 	std::map<std::string, WorkerEntry> workers;
 	std::map<uint32, std::unique_ptr<CellSeat<Hub>>> seats;
 	std::unique_ptr<FleetSeat<Hub>> fleet;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -17,6 +17,7 @@
 							   this->operator_heard_at = this->store_heard_at;
 							   for (const LogRecord &record : inAnswer.records)
 								   this->OnOperatorRecord(record);
+							   this->KeepZoneOrders(inAnswer);
 							   this->FollowOperator(inAnswer.end);
 						   });
 }
@@ -43,28 +44,9 @@
 void JobHost<Hub>::OnOperatorRecord(const LogRecord &inRecord)
 {
 	if (Hub::IsCatalogueKey(inRecord.key))
-	{
-		std::optional<Catalogue> read = Hub::DecodeCatalogue(inRecord.value);
-		if (!read.has_value())
-		{
-			LogEvent(ELogLevel::Error, "configuration_refused").Field("why", LastReasonText());
-			return;
-		}
-		// Never back: pages and records may overlap
-		if (this->catalogue != nullptr && read->version <= this->catalogue->version)
-			return;
-		LogEvent(ELogLevel::Info, "configuration")
-			.Field("version", read->version)
-			.Field("queues", read->queues.size())
-			.Field("pools", read->pools.size())
-			.Field("teams", read->teams.has_value() ? static_cast<int64>(read->teams->size()) : -1);
-		this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
-		for (auto &[cell, seat] : this->seats)
-			seat->SetCatalogue(this->catalogue);
-		if (this->fleet != nullptr)
-			this->fleet->SetCatalogue(this->catalogue);
-		return;
-	}
+		return this->OnCatalogue(inRecord);
+	if (Hub::IsZoneOrderKey(inRecord.key))
+		return this->OnZoneOrder(inRecord);
 	const std::optional<UpkeepWave> wave = inRecord.value.empty() ? std::nullopt : Hub::DecodeWave(inRecord.key, inRecord.value);
 	if (!wave.has_value())
 		return;
@@ -73,6 +55,71 @@
 		this->fleet->SetWaves(this->waves);
 }
 
+template <class Hub>
+void JobHost<Hub>::OnCatalogue(const LogRecord &inRecord)
+{
+	std::optional<Catalogue> read = Hub::DecodeCatalogue(inRecord.value);
+	if (!read.has_value())
+	{
+		LogEvent(ELogLevel::Error, "configuration_refused").Field("why", LastReasonText());
+		return;
+	}
+	// Never back: pages and records may overlap
+	if (this->catalogue != nullptr && read->version <= this->catalogue->version)
+		return;
+	LogEvent(ELogLevel::Info, "configuration")
+		.Field("version", read->version)
+		.Field("queues", read->queues.size())
+		.Field("pools", read->pools.size())
+		.Field("teams", read->teams.has_value() ? static_cast<int64>(read->teams->size()) : -1);
+	this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
+	for (auto &[cell, seat] : this->seats)
+		seat->SetCatalogue(this->catalogue);
+	if (this->fleet != nullptr)
+		this->fleet->SetCatalogue(this->catalogue);
+}
+
+template <class Hub>
+void JobHost<Hub>::OnZoneOrder(const LogRecord &inRecord)
+{
+	const std::optional<ZoneOrder> order = Hub::DecodeZoneOrder(inRecord.key, inRecord.value);
+	if (!order.has_value())
+	{
+		LogEvent(ELogLevel::Error, "zone_order_refused").Field("offset", inRecord.offset).Field("why", LastReasonText());
+		return;
+	}
+	if (!this->evacuations.Note(*order, inRecord.offset))
+		return;
+	LogEvent(ELogLevel::Info, order->evacuate ? "zone_evacuated" : "zone_taken_back")
+		.Field("zone", order->availability_zone)
+		.Field("offset", inRecord.offset)
+		.Field("cells", this->Owned());
+	this->TellZones();
+}
+
+template <class Hub>
+void JobHost<Hub>::KeepZoneOrders(const NewestAnswer &inAnswer)
+{
+	std::set<std::string> named;
+	for (const LogRecord &record : inAnswer.records)
+		if (Hub::IsZoneOrderKey(record.key))
+			if (const std::optional<ZoneOrder> order = Hub::DecodeZoneOrder(record.key, record.value))
+				named.insert(order->availability_zone);
+	if (!this->evacuations.Keep(named, inAnswer.end))
+		return;
+	LogEvent(ELogLevel::Info, "zone_taken_back").Field("evacuated", this->evacuations.Zones().size()).Field("offset", inAnswer.end);
+	this->TellZones();
+}
+
+template <class Hub>
+void JobHost<Hub>::TellZones()
+{
+	for (auto &[cell, seat] : this->seats)
+		seat->SetEvacuated(this->evacuations.Zones());
+	if (this->fleet != nullptr)
+		this->fleet->SetEvacuated(this->evacuations.Zones());
+}
+
 // ---- The workers' entries ----
 
 template <class Hub>
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -222,6 +222,7 @@
 {
 	auto seat = std::make_unique<CellSeat<Hub>>(this->hub, this->ContextOfSeat(inCell), inCell);
 	seat->SetCatalogue(this->catalogue);
+	seat->SetEvacuated(this->evacuations.Zones());
 	CellSeat<Hub> *claimed = seat.get();
 	this->seats[inCell] = std::move(seat);
 	claimed->Claim(this->beat_number,
@@ -246,6 +247,7 @@
 													   this->AskCell(cell, inQuestion, cAskOwnerMs, std::move(inDone));
 												   });
 	this->fleet->SetCatalogue(this->catalogue);
+	this->fleet->SetEvacuated(this->evacuations.Zones());
 	this->fleet->Claim(this->beat_number,
 					   [this](bool inHeld)
 					   {
--- a/Loomreach/Fleet/PoolBalancer.cpp
+++ b/Loomreach/Fleet/PoolBalancer.cpp
@@ -56,7 +56,7 @@
 		auto move = this->moves.find(name);
 		const std::string &pool = move == this->moves.end() ? host.pool : move->second.to;
 		const bool comes = move != this->moves.end() || host.state == EHostState::Moving;
-		if ((host.state == EHostState::Up || comes) && !this->busy.contains(name))
+		if ((host.state == EHostState::Up || comes) && !this->busy.contains(name) && !this->IsEvacuated(host))
 			++has[pool];
 		total.Add(host.capacity);
 		++hosts_up;
@@ -143,7 +143,7 @@
 	{
 		const bool free =
 			this->IsSpare(host.pool) && host.state == EHostState::Up && !this->moves.contains(name) && !this->busy.contains(name);
-		if (free && this->CanGo(host, inPool))
+		if (free && this->CanGo(host, inPool) && !this->IsEvacuated(host))
 			return &host;
 	}
 	return nullptr;
@@ -159,7 +159,7 @@
 		{
 			const bool free = host.worker == worker && host.pool == inFrom && host.state == EHostState::Up && !this->moves.contains(name) &&
 							  !this->busy.contains(name);
-			if (free && this->CanGo(host, inTo))
+			if (free && this->CanGo(host, inTo) && !this->IsEvacuated(host))
 				return &host;
 		}
 	return nullptr;
--- a/Loomreach/Fleet/PoolBalancer.h
+++ b/Loomreach/Fleet/PoolBalancer.h
@@ -30,6 +30,8 @@
 	explicit PoolBalancer(const BalanceTuning &inTuning) : tuning(inTuning) {}
 
 	void SetPools(const Catalogue &inCatalogue) { this->pools = inCatalogue.pools; }
+	/// Availability zones whose hosts take no work: they neither count for a pool nor move.
+	void SetEvacuated(const std::set<std::string> &inZones) { this->evacuated = inZones; }
 	/// The host list; `inBusy`: hosts that a wave is about to take down.
 	void SetHosts(const std::vector<HostEntry> &inHosts, const std::set<std::string> &inBusy, Millis inNow);
 	/// Hosts that a wave is about to take down, also between two lists.
@@ -89,6 +91,7 @@
 	Millis PromiseEnd(const std::string &inPool) const;
 	bool IsSpare(const std::string &inPool) const;
 	bool CanGo(const HostEntry &inHost, const std::string &inPool) const { return !this->impossible.contains({inHost.kind, inPool}); }
+	bool IsEvacuated(const HostEntry &inHost) const { return this->evacuated.contains(inHost.availability_zone); }
 	const HostEntry *SpareHost(const std::string &inPool, Millis inNow) const;
 	const HostEntry *PromisedHost(const std::string &inFrom, const std::string &inTo, Millis inNow);
 
@@ -96,6 +99,7 @@
 	std::map<std::string, Pool, std::less<>> pools;
 	std::map<std::string, HostEntry> hosts;
 	std::set<std::string> busy;
+	std::set<std::string> evacuated; ///< See SetEvacuated.
 	std::map<std::string, Known> known;
 	std::map<std::string, Move> moves;
 	std::map<std::string, PoolSize> logged; ///< As last told of.
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -285,6 +285,15 @@
 		this->teams.SetTeams(*this->catalogue);
 }
 
+void Cell::SetEvacuated(const std::set<std::string> &inZones, Millis inNow)
+{
+	// A zone that is taken back may have gone cold: others go first for a while
+	for (auto &[id, worker] : this->workers)
+		if (this->IsEvacuated(worker) && !inZones.contains(worker.entry.availability_zone))
+			worker.slow_until = std::max(worker.slow_until, inNow + this->tuning.slow_ms);
+	this->evacuated = inZones;
+}
+
 CellJob *Cell::FindJob(const std::string &inId)
 {
 	auto found = this->jobs.find(inId);
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -66,6 +66,8 @@
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inNow, Millis inTrustUntil = 0);
 	/// Whether a pool's workers guard their room themselves. Unknown pools do not.
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue);
+	/// Availability zones in which nothing may be started. What runs there goes on.
+	void SetEvacuated(const std::set<std::string> &inZones, Millis inNow);
 	/// Takes in one record of the inbox. `inOffset` is its place there.
 	void Ingest(const InboxRecord &inRecord, uint64 inOffset, Millis inNow, int64 inWallNow);
 	/// Ends that workers have listed and the log does not hold: with this owner gone only its successor can take note of them.
@@ -175,6 +177,7 @@
 	/// What a worker may take for it without being called slow: quick neighbours alone don't make one slow.
 	Millis UsualRun(const CellJob &inJob, size_t inUnit) const;
 	bool CanTake(const CellWorker &inWorker, Millis inNow) const;
+	bool IsEvacuated(const CellWorker &inWorker) const { return this->evacuated.contains(inWorker.entry.availability_zone); }
 	/// Whether a worker has the step's label, and the adviser's leave where that is needed.
 	static bool MayRun(const CellWorker &inWorker, const CellJob &inJob, size_t inUnit, Millis inNow);
 	CellWorker *ChooseWorker(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow,
@@ -315,6 +318,7 @@
 	std::vector<PlanReject> rejects; ///< Of the planning under way.
 	int64 forgot_wall_ms = 0;        ///< When ended jobs were last looked through.
 	std::map<std::string, CellWorker> workers;
+	std::set<std::string> evacuated;    ///< See SetEvacuated.
 	std::vector<std::string> forgotten; ///< Workers whose places are to be dropped from the log.
 	TeamUse teams;                      ///< Invariant: counts every run on the workers.
 	std::set<std::string> short_teams;  ///< Teams that had no room in the last planning.
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -135,7 +135,7 @@
 	{
 		bool can_go = worker.entry.pool == inPool && worker.listed && !worker.entry.draining && !worker.gone;
 		// One that has gone already would take the place of one that can go
-		can_go = can_go && worker.reachable && inNow >= worker.left_until;
+		can_go = can_go && !this->IsEvacuated(worker) && worker.reachable && inNow >= worker.left_until;
 		for (const auto &[run_id, run] : worker.runs)
 			can_go = can_go && !run.lasting;
 		if (can_go)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -33,6 +33,8 @@
 	// It may say less of its room than when the run was planned
 	if (!Resources{}.FitsInto(inWorker.Free()))
 		return "its room has shrunk";
+	if (this->IsEvacuated(inWorker))
+		return "its zone is evacuated";
 	const bool trial = inWorker.failures_in_row >= cFailuresToQuarantine && inWorker.listed && !inWorker.entry.draining;
 	return this->CanTake(inWorker, inNow) || trial ? "" : "worker cannot take it now";
 }
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -304,7 +304,7 @@
 {
 	if (!inWorker.IsPresent(inNow) || inWorker.gone || inWorker.entry.draining || !inWorker.reachable || inWorker.clock_ms < 0)
 		return false;
-	if (inWorker.doubted || inWorker.unknown_runs > 0)
+	if (inWorker.doubted || inWorker.unknown_runs > 0 || this->IsEvacuated(inWorker))
 		return false;
 	// What the list says of its room, its kind and its rack is of its former life
 	if (IsBornAfter(inWorker.born_ms, inWorker.entry.born_ms))
--- /dev/null
+++ b/UnitTests/CellEvacuationTests.cpp
@@ -0,0 +1,114 @@
+// The operator evacuates an availability zone: nothing more may be started there, whoever owns the cell, until it is taken back.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Schedule/ZoneEvacuations.h>
+#include <UnitTests/CellTroubles.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+constexpr size_t cZones = 3;
+constexpr uint64 cSeeds = 200;
+
+std::string ZoneOf(size_t inNumber) { return "z" + std::to_string(inNumber % cZones); }
+
+void PutInZones(CellWorld &ioWorld)
+{
+	size_t number = 0;
+	for (auto &[id, worker] : ioWorld.Workers())
+		worker.availability_zone = ZoneOf(number++);
+}
+
+/// Zones are evacuated one after the other, two of them at a time for a while, with owners that are killed, stand still or are replaced.
+std::string PlayEvacuations(uint64 inSeed)
+{
+	Random random(inSeed);
+	Trouble trouble = PlannedTroubleWithTakeOvers(random);
+	trouble.kill = random.Below(15);
+	trouble.cut = random.Below(10);
+	trouble.lost_answer = random.Below(8);
+	// An owner that keeps its cell through a longer one may have orders on the way for as long
+	trouble.long_stall = 0;
+	trouble.listing_counts = false;
+	CellWorld world(inSeed, trouble, 6);
+	PutInZones(world);
+	int next = 0;
+	world.Submit(LastingJob(2));
+	for (size_t turn = 0; turn < 6; ++turn)
+	{
+		SubmitSound(world, random, 6, next);
+		world.Evacuate(ZoneOf(turn));
+		SubmitSound(world, random, 6, next);
+		if (random.Chance(50))
+			world.ReplaceOwner();
+		world.TakeBack(ZoneOf(turn + cZones - 1));
+	}
+	for (size_t zone = 0; zone < cZones; ++zone)
+		world.TakeBack(ZoneOf(zone));
+	world.Cancel("lasting");
+	world.Calm();
+	world.Run(60000);
+	return world.Broken() + world.Open();
+}
+
+} // namespace
+
+/// A start, a retry or a second run that reaches the zone after the evacuation is in force.
+TEST(CellEvacuation, StartsNothingInAnEvacuatedZone)
+{
+	for (uint64 seed = 1; seed <= cSeeds; ++seed)
+		EXPECT_EQ(PlayEvacuations(seed), "") << seed;
+}
+
+/// Work that runs there is stopped, or the zone stays closed after it is taken back.
+TEST(CellEvacuation, LetsRunsEndAndUsesTheZoneAgain)
+{
+	CellWorld world(1, Trouble{}, 1);
+	PutInZones(world);
+	world.run_ms["first"] = 3000;
+	world.Run(500);
+	world.Submit(MakeJob("first", 1, 1, 500, 3000));
+	world.Run(1000);
+	world.Evacuate(ZoneOf(0));
+	world.Submit(MakeJob("second", 1, 1, 500, 800));
+	world.Run(6000);
+	EXPECT_EQ(world.Shown("first").phase, EJobPhase::Completed);
+	EXPECT_EQ(world.Shown("second").phase, EJobPhase::Queued);
+	world.TakeBack(ZoneOf(0));
+	world.Run(6000);
+	EXPECT_EQ(world.Shown("second").phase, EJobPhase::Completed);
+	EXPECT_EQ(world.Broken(), "");
+}
+
+/// A record that is read again after a newer one brings back what it said.
+TEST(ZoneEvacuations, NeverGoesBackToAnOlderRecord)
+{
+	ZoneEvacuations zones;
+	EXPECT_TRUE(zones.Note({"a", true}, 3));
+	EXPECT_TRUE(zones.Note({"a", false}, 5));
+	EXPECT_FALSE(zones.Note({"a", true}, 3));
+	EXPECT_TRUE(zones.Zones().empty());
+	EXPECT_TRUE(zones.Note({"a", true}, 7));
+	EXPECT_FALSE(zones.Note({"a", true}, 7));
+	EXPECT_EQ(zones.Zones(), std::set<std::string>{"a"});
+}
+
+/// A zone whose record was removed unread stays closed for ever, or one that was evacuated during the reading is opened.
+TEST(ZoneEvacuations, AWholeReadingOpensTheZonesThatItDoesNotName)
+{
+	ZoneEvacuations zones;
+	zones.Note({"a", true}, 3);
+	zones.Note({"b", true}, 4);
+	zones.Note({"c", true}, 9);
+	EXPECT_TRUE(zones.Keep({"b"}, 9));
+	EXPECT_EQ(zones.Zones(), (std::set<std::string>{"b", "c"}));
+	EXPECT_FALSE(zones.Keep({"b", "c"}, 9));
+}
+
+} // namespace Loomreach::Jobs
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -121,6 +121,7 @@
 		if (!this->cell->Restore(key, value))
 			this->Break("damaged record " + key);
 	this->epoch = NextEpoch(this->epoch);
+	this->TellZones();
 	this->cell->Begin(this->epoch, this->now);
 	this->batch.clear();
 	this->batch_at = -1;
@@ -128,6 +129,27 @@
 	this->workers_told_at = 0;
 }
 
+void CellWorld::Evacuate(const std::string &inZone)
+{
+	this->evacuated.emplace(inZone, this->now);
+	this->TellZones();
+}
+
+void CellWorld::TakeBack(const std::string &inZone)
+{
+	this->evacuated.erase(inZone);
+	this->TellZones();
+}
+
+void CellWorld::TellZones()
+{
+	std::set<std::string> zones;
+	for (const auto &[zone, since] : this->evacuated)
+		zones.insert(zone);
+	if (this->cell != nullptr)
+		this->cell->SetEvacuated(zones, this->now);
+}
+
 void CellWorld::KillOwner(std::string_view inWhy)
 {
 	this->owners_ended[this->epoch] = std::string(inWhy) + " at " + std::to_string(this->now) +
@@ -212,6 +234,7 @@
 		entry.id = id;
 		entry.pool = "pool";
 		entry.rack = worker.rack;
+		entry.availability_zone = worker.availability_zone;
 		entry.address = {"127.0.0.1", 1};
 		entry.capacity = worker.capacity;
 		entry.draining = worker.draining;
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -94,6 +94,7 @@
 	Millis reused_at = -1;    ///< It has left, and another life answers at its address from then on; -1: never.
 	Millis listed_until = -1; ///< Crashed: the worker list shows it until then.
 	std::string rack = "r";
+	std::string availability_zone;
 	Resources room_before; ///< What it had before its room shrank,
 	Millis shrunk_at = -1; ///< and when that was; -1: it has not.
 	/// The room that binds starts: what it said until a while ago, if that was more.
@@ -169,6 +170,9 @@
 	Millis Now() const { return this->now; }
 	Cell &Core() { return *this->cell; }
 	std::map<std::string, WorldWorker> &Workers() { return this->workers; }
+	/// The operator evacuates a zone, or takes it back. Every owner that is at work hears of it at once, later ones before they begin.
+	void Evacuate(const std::string &inZone);
+	void TakeBack(const std::string &inZone);
 
 private:
 	struct ListedEnd;
@@ -224,6 +228,7 @@
 	/// Owners that slept through that wake, and hand in what only they know.
 	void Wake();
 	bool IsAsleep(uint64 inOwner) const;
+	void TellZones();
 	/// What has been handed in arrives.
 	void TakeHandedIn();
 	void Step();
@@ -291,6 +296,7 @@
 	std::map<uint64, std::string> owners_ended; ///< How each owner but the last went.
 	std::vector<Parcel> parcels;
 	std::vector<WaitingLook> waiting;
+	std::map<std::string, Millis> evacuated;         ///< Zones, and since when.
 	std::string meant_for;                           ///< Which life of its worker the order under way was sent to.
 	std::set<std::pair<uint64, uint64>> open_orders; ///< Owner and serial of orders without an answer yet.
 	std::vector<KeyedRecord> batch;
--- a/UnitTests/CellWorldWorkers.cpp
+++ b/UnitTests/CellWorldWorkers.cpp
@@ -21,6 +21,8 @@
 static constexpr Millis cListedMs = 100;
 /// A cancelled job's runs are to be gone this long after the cancel (the users' figures: `cancel_ms`, and `contactMs` for a run that began
 /// later), and the time of a stop (0.4 s, or 0.9 s) on top. Two messages and two steps of the world come to it.
+/// A start reaches a zone no later than this after its evacuation: the longest standstill of an owner that keeps its cell.
+static constexpr Millis cEvacuateMs = 1500;
 static constexpr Millis cCancelMs = 3000;
 static constexpr Millis cContactMs = 3000;
 static constexpr Millis cStopMs = 400;
@@ -399,6 +401,9 @@
 		used.Add(work.room);
 		beside += id.task.job == inOrder.task.job && id.task.step == inOrder.task.step ? 1 : 0;
 	}
+	auto closed = this->evacuated.find(inWorker.availability_zone);
+	if (closed != this->evacuated.end() && this->now > closed->second + cEvacuateMs)
+		this->Break("in a zone that was evacuated at " + std::to_string(closed->second) + ": " + what);
 	if (!used.FitsInto(inWorker.BindingRoom(this->now)))
 		this->Break("no room for " + what + strays);
 	if (step.max_per_worker > 0 && beside > step.max_per_worker)
--- a/UnitTests/FleetDutyTests.cpp
+++ b/UnitTests/FleetDutyTests.cpp
@@ -326,6 +326,25 @@
 	EXPECT_TRUE(balancer.TakeMoves(1100).empty());
 }
 
+/// Hosts of a zone in which nothing may be started are counted as room, or are moved to a pool in need.
+TEST(PoolBalancer, LeavesOutHostsOfAnEvacuatedZone)
+{
+	PoolBalancer balancer(BalanceTuning{});
+	balancer.SetPools(TwoPools());
+	std::vector<HostEntry> hosts{Host("m0", "busy"), Host("m1", "busy"), Host("s0", "spare"), Host("s1", "spare"), Host("s2", "spare")};
+	hosts[0].availability_zone = "a";
+	hosts[2].availability_zone = "a";
+	balancer.SetHosts(hosts, {}, 1000);
+	balancer.SetEvacuated({"a"});
+	PoolDemand demand;
+	demand.need = {28000, 1000, 0};
+	balancer.OnDemand("busy", demand, 1000);
+	const std::vector<HostDuty> moves = balancer.TakeMoves(1100);
+	ASSERT_EQ(moves.size(), 2u);
+	EXPECT_EQ(moves[0].host, "s1");
+	EXPECT_EQ(moves[1].host, "s2");
+}
+
 TEST(PoolBalancer, RemembersPoolsThatTakeOtherHosts)
 {
 	PoolBalancer balancer(BalanceTuning{});
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -74,6 +74,19 @@
 	EXPECT_EQ(EncodeWaveStatus(3, true).value, R"({"state":"completed","wave":3})");
 }
 
+/// A zone is closed or opened by a record that cannot be read, or by one of another kind.
+TEST(PlatformFeeds, DecodesAnOrderToEvacuate)
+{
+	const std::optional<ZoneOrder> order = DecodeZoneOrder("evacuate/hall-a", "{}");
+	ASSERT_TRUE(order.has_value());
+	EXPECT_EQ(order->availability_zone, "hall-a");
+	EXPECT_TRUE(order->evacuate);
+	EXPECT_FALSE(DecodeZoneOrder("evacuate/hall-a", "")->evacuate);
+	EXPECT_FALSE(DecodeZoneOrder("evacuate/hall-a", "\xff[").has_value());
+	EXPECT_FALSE(DecodeZoneOrder("evacuate/", "{}").has_value());
+	EXPECT_FALSE(DecodeZoneOrder("config", "{}").has_value());
+}
+
 TEST(PlatformWorkers, ParsesTaskNames)
 {
 	const std::optional<TaskId> task = ParseTask("5c0e7a21d94b36f8.2.1.17");
