Use no worker that an unreadable or foreign entry names

Cause: DecodeWorker took any entry with an address: without a service, with an unknown state, without capacity or with a `born` of another type. Such an entry may come from another writer, and one that could not be read left the worker listed as it was before.

Change: service, zone, address, state, labels and capacity must be there and of their types, `born` a whole number where it is told. Else the worker leaves the list until its own next entry. One line a second at most says how many and why (it was one a record).

The test of `born` used entries without these fields; its entry is whole now. PlatformFeeds.RefusesWorkerEntriesOfAnotherWriter covers each field missing and of other types.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -165,7 +165,9 @@
 	double beat_answer_ms = 0.0; ///< How long heartbeats take, a mean that forgets.
 	uint32 beat_shift = 0;       ///< Partitions passed over because they did not take a heartbeat.
 	bool cells_free = false;     ///< Whether any cell seemed free at the last look.
-	uint64 workers_reading = 0;  ///< Which reading of the workers' entries is the one in force.
+	uint32 entries_refused = 0;  ///< Workers' entries that could not be read since the last line about them.
+	Millis entries_refused_told_at = std::numeric_limits<Millis>::min() / 2;
+	uint64 workers_reading = 0; ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
 	Millis started_at = 0;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -9,10 +9,11 @@
 /// Unheard for this long, the operator's records may have changed unread: two reads have failed to come back.
 inline constexpr Millis cOperatorStaleMs = 2000;
 inline constexpr Millis cFollowAgainMs = 200;
-inline constexpr Millis cWorkersEveryMs = 400; ///< An owner looks for news of workers this often: drains count within 2 s.
-inline constexpr Millis cWorkersShortMs = 150; ///< And at most this often while something waits for room,
-inline constexpr Millis cWorkersEachMs = 3;    ///< as far as so long for each worker allows.
-inline constexpr Millis cBeatsOfLease = 4;     ///< Heartbeats, and reads of the others', in one lease: three may be lost.
+inline constexpr Millis cWorkersEveryMs = 400;         ///< An owner looks for news of workers this often: drains count within 2 s.
+inline constexpr Millis cWorkersShortMs = 150;         ///< And at most this often while something waits for room,
+inline constexpr Millis cWorkersEachMs = 3;            ///< as far as so long for each worker allows.
+inline constexpr Millis cEntriesRefusedEveryMs = 1000; ///< Entries that cannot be read are told of at most this often.
+inline constexpr Millis cBeatsOfLease = 4;             ///< Heartbeats, and reads of the others', in one lease: three may be lost.
 /// A cell that nobody has owned is claimed this long after it was first seen free: all machines start within 0.3 s (users' figure), the
 /// smallest need half a second to begin, and are heard of at the next look. Sooner, the first few hosts to start own everything.
 inline constexpr Millis cFirstClaimMs = 3000;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -187,9 +187,21 @@
 	if (entry.has_value() && known != this->workers.end() && IsBornAfter(known->second.born_ms, entry->born_ms))
 		return;
 	if (entry.has_value())
+	{
 		this->workers[inRecord.key] = std::move(*entry);
-	else
-		LogEvent(ELogLevel::Warning, "worker_entry_refused").Field("worker", inRecord.key).Field("why", LastReasonText());
+		return;
+	}
+	// It names no worker to use, until the worker itself writes the next
+	this->workers.erase(inRecord.key);
+	++this->entries_refused;
+	const Millis now = NowMillis();
+	if (now - this->entries_refused_told_at < cEntriesRefusedEveryMs)
+		return;
+	this->entries_refused_told_at = now;
+	LogEvent(ELogLevel::Warning, "worker_entries_refused")
+		.Field("count", std::exchange(this->entries_refused, 0))
+		.Field("worker", inRecord.key)
+		.Field("why", LastReasonText());
 }
 
 template <class Hub>
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -8,6 +8,7 @@
 #include <platform/WorkerCalls.h>
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace Loomreach::Jobs::Platform
 {
@@ -58,11 +59,48 @@
 
 TEST(PlatformFeeds, ReadsWhenAWorkersLifeBegan)
 {
-	const std::string entry = R"({"service":"p","address":"10.0.0.1:80")";
+	const std::string entry =
+		R"({"service":"p","address":"10.0.0.1:80","zone":"z","state":"ready","labels":[],"capacity":{"cpu":1,"memMb":1})";
 	EXPECT_EQ(DecodeWorker("i-1", entry + R"(,"born":1790000000123})")->born_ms, 1790000000123);
 	EXPECT_EQ(DecodeWorker("i-1", entry + "}")->born_ms, cBirthUnknown);
 }
 
+/// An entry that another writer has put there sends work to nobody, or one bad entry hides the others.
+TEST(PlatformFeeds, RefusesWorkerEntriesOfAnotherWriter)
+{
+	using Json = nlohmann::json;
+	const Json sound = {{"service", "p"},
+						{"address", "10.0.0.1:80"},
+						{"zone", "z"},
+						{"state", "ready"},
+						{"capacity", {{"cpu", 16000}, {"memMb", 1024}}},
+						{"labels", {"a"}},
+						{"born", 1}};
+	ASSERT_TRUE(DecodeWorker("i-1", sound.dump()).has_value());
+	for (const char *field : {"service", "address", "zone", "state", "capacity", "labels"})
+	{
+		Json without = sound;
+		without.erase(field);
+		EXPECT_FALSE(DecodeWorker("i-1", without.dump()).has_value()) << "without " << field;
+		for (const Json &other : {Json(3), Json(nullptr), Json::object(), Json("never heard of")})
+		{
+			Json odd = sound;
+			odd[field] = other;
+			// A pool's and a zone's name may be any text
+			const bool any_text = std::string_view(field) == "service" || std::string_view(field) == "zone";
+			EXPECT_EQ(DecodeWorker("i-1", odd.dump()).has_value(), any_text && other.is_string()) << field << ' ' << other;
+		}
+	}
+	for (const Json &born : {Json(1.5), Json("1"), Json(nullptr)})
+	{
+		Json odd = sound;
+		odd["born"] = born;
+		EXPECT_FALSE(DecodeWorker("i-1", odd.dump()).has_value()) << born;
+	}
+	for (const char *body : {"", "[]", "\xff\xfe", "{\"service\":"})
+		EXPECT_FALSE(DecodeWorker("i-1", body).has_value()) << body;
+}
+
 TEST(PlatformFeeds, DecodesAWave)
 {
 	const std::optional<UpkeepWave> wave = DecodeWave("wave/3", R"({"wave":3,"machines":["m-1","m-2"],"withinS":20.5,"atMost":2})");
