Start nothing for a cell whose inbox has not been read for 2.5 s

Cause: an owner's appends may pass while its reads do not.

Change: a seat lets its cell plan and tell nothing new while the newest good read of its inbox is older than 2.5 s (the users' shortest bound for a cancel is 3 s). An empty answer was kept back for the whole wait, so it counts from its end. What runs is looked after as before; the line `inbox_unread` says so.

Test: CellCancel.StartsNothingWhileTheInboxCannotBeRead (the seat's clockwork around it has no test of its own yet).

--- a/Loomreach/Entry/CellSeat.h
+++ b/Loomreach/Entry/CellSeat.h
@@ -82,6 +82,8 @@
 	void Soon(Millis inDelayMs);
 	void Write();
 	void SendOrders();
+	/// Lets the cell start nothing while its inbox cannot be read.
+	void WatchInbox(Millis inNow);
 	/// Asks for the teams' shares when it is time to.
 	void AskShares(Millis inNow);
 
@@ -92,7 +94,9 @@
 	Cell cell;
 	OnSeat on_seat;
 	bool held = false;
+	Millis held_at = -1;       ///< When the claim was won.
 	Millis inbox_read_at = -1; ///< When the newest answered read of the inbox was sent.
+	bool inbox_fresh = true;   ///< Whether that is lately.
 	bool asking_shares = false;
 	Timer soon;
 	Timer tick;
--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -11,6 +11,9 @@
 inline constexpr double cSlowStepMs = 200.0; ///< A step that takes longer is told of: half of what a lease leaves between two heartbeats.
 inline constexpr Millis cInboxWaitMs = 1000; ///< A read of the inbox waits this long; bounds how old "no such job" can be.
 inline constexpr Millis cInboxAgainMs = 150;
+/// An owner that has not read its inbox for this long starts nothing: a cancel must count within 3 s (users' shortest bound), and one lost
+/// read is made up for within it.
+inline constexpr Millis cInboxStaleMs = 2500;
 
 /// Time of day, ms since 1970.
 inline int64 WallMillis() { return g_get_real_time() / 1000; }
@@ -66,6 +69,7 @@
 		damaged += this->cell.Restore(key, value) ? 0 : 1;
 	this->cell.Begin(this->log.Epoch(), NowMillis(), this->number);
 	this->held = true;
+	this->held_at = NowMillis();
 	const CellFigures figures = this->cell.Figures();
 	LogEvent(ELogLevel::Info, "cell_owned")
 		.Field("cell", this->number)
@@ -101,7 +105,8 @@
 							 {
 								 // One answer holds 1 MB at most: what waited while nobody owned the cell may be more
 								 if (inAnswer.result == ERead::Done && inAnswer.next >= inAnswer.end)
-									 this->inbox_read_at = sent_at;
+									 // An empty answer was kept back for the whole wait
+									 this->inbox_read_at = std::min(NowMillis(), sent_at + (inAnswer.records.empty() ? cInboxWaitMs : 0));
 								 this->OnInbox(std::move(inAnswer));
 							 }));
 }
@@ -146,6 +151,7 @@
 	// Without the lease nothing is decided: another owner may be at work
 	if (!this->held || !this->context.lease.MayAct(now))
 		return;
+	this->WatchInbox(now);
 	const double began = NowMillisExact();
 	this->cell.Plan(now, WallMillis());
 	const double planned = NowMillisExact();
@@ -170,6 +176,19 @@
 											}));
 }
 
+template <class Hub>
+void CellSeat<Hub>::WatchInbox(Millis inNow)
+{
+	// Appends may pass while reads do not
+	const bool fresh = inNow - std::max(this->inbox_read_at, this->held_at) < cInboxStaleMs;
+	if (fresh != this->inbox_fresh)
+		LogEvent(ELogLevel::Warning, fresh ? "inbox_read_again" : "inbox_unread")
+			.Field("cell", this->number)
+			.Field("read_ms_ago", inNow - std::max(this->inbox_read_at, this->held_at));
+	this->inbox_fresh = fresh;
+	this->cell.SetInboxFresh(fresh);
+}
+
 template <class Hub>
 void CellSeat<Hub>::AskShares(Millis inNow)
 {
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -77,6 +77,8 @@
 	/// The place in the inbox from which to go on reading.
 	uint64 InboxNext() const { return this->inbox_next; }
 
+	/// Whether the inbox was read so lately that no cancel can have waited there unread. Else nothing is started.
+	void SetInboxFresh(bool inFresh) { this->inbox_fresh = inFresh; }
 	/// Decides what to start, stop and pace. Call after news and at times.
 	void Plan(Millis inNow, int64 inWallNow);
 	/// Records to append, all or nothing; empty: nothing to write. One append at a time.
@@ -332,6 +334,7 @@
 	std::map<std::string, ArrivalRate> arrivals; ///< By pool.
 	std::vector<Order> paces;
 	std::vector<AdviceQuestion> questions;
+	bool inbox_fresh = true; ///< See SetInboxFresh.
 	uint64 inbox_next = 0;
 	uint64 inbox_to_write = 0; ///< The place that the series under way will have reached.
 	uint64 inbox_writing = 0;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -26,6 +26,8 @@
 
 std::string_view Cell::WhyNotTold(const CellWorker &inWorker, const RunId &inRun, Millis inNow)
 {
+	if (!this->inbox_fresh)
+		return "its job may have been cancelled since the inbox was read";
 	const CellJob *job = this->FindJob(inRun.task.job);
 	const TaskRecord *task = this->FindTask(inRun.task);
 	if (job == nullptr || IsFinal(job->record.phase) || task == nullptr || task->done)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -172,6 +172,8 @@
 	std::vector<PlanPlace> order;
 	this->rejects.clear();
 	this->short_teams.clear();
+	if (!this->inbox_fresh)
+		return;
 	for (const std::string &id : this->unsettled)
 	{
 		CellJob &job = *this->FindJob(id);
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -384,4 +384,19 @@
 	EXPECT_TRUE(scene.running.empty());
 }
 
+/// An owner whose appends pass while its reads do not goes on starting what was cancelled seconds before.
+TEST(CellCancel, StartsNothingWhileTheInboxCannotBeRead)
+{
+	CellWorld world(1, Trouble{}, 4);
+	world.Run(500);
+	world.Core().SetInboxFresh(false);
+	world.Submit(MakeJob("job", 1, 4, 500, 800));
+	world.Run(3000);
+	EXPECT_EQ(world.Starts(), 0u);
+	world.Core().SetInboxFresh(true);
+	world.Run(5000);
+	EXPECT_EQ(world.Starts(), 4u);
+	EXPECT_EQ(world.Broken() + world.Open(), "");
+}
+
 } // namespace Loomreach::Jobs
