Wait twice as long after each time that kept connections were given up

Cause: an answer later than ten usual ones (100 ms at least) made every host shut its kept connections to the store and ask anew what waits. Where the store is only slow, because all hosts ask at once, that adds calls and new connections to what made it slow.

The first sign is as quick as it was.

SilentConnections.* pass.

--- a/Loomreach/Platform/PeerTrust.h
+++ b/Loomreach/Platform/PeerTrust.h
@@ -28,10 +28,14 @@
 	bool IsExpected(Key inCall) const;
 	/// When the first answer is overdue; nothing: none is expected.
 	std::optional<Millis> OverdueAt() const;
-	/// Kept connections have just been given up: what was sent before says nothing about those that are there now.
-	void OnGivenUp() { this->expected.clear(); }
+	/// Kept connections have just been given up: what was sent before says nothing about those that are there now. Until answers come
+	/// again, the next ones are waited for twice as long: a server that is only slow must not be asked for more and more.
+	void OnGivenUp();
 
 private:
+	/// How long an answer may take before it is overdue.
+	Millis Patience() const;
+
 	double usual_ms = 0.0; ///< How long answers take, a mean that forgets.
 	/// Calls over kept connections, and when their answers are overdue. They are a handful: connections to one address are limited.
 	std::vector<std::pair<Millis, Key>> expected;
