Leave out a forwarder longer each time that it is silent again

Cause: hosts that tell of themselves seldom, as in a large fleet, count as at work for as long as three of their heartbeats; one that has gone was tried again every 5 s, and each order sent to it waited 0.2 s.

Change: 5, 10, 20, 40 s, until it answers. Orders that were under way together count once. Test: ForwardPlan.AHostThatStaysSilentIsLeftOutLonger.

--- a/Loomreach/Forward/ForwardPlan.cpp
+++ b/Loomreach/Forward/ForwardPlan.cpp
@@ -20,7 +20,7 @@
 		auto found = known.find(idle.address);
 		// Another process may run on another clock
 		const bool same = found != known.end() && found->second.idle.life == idle.life;
-		this->hosts[idle.address] = same ? found->second : Host{idle, false, -1, 0, 0};
+		this->hosts[idle.address] = same ? found->second : Host{idle, false, -1, 0, 0, 0};
 		this->by_zone[idle.availability_zone].push_back(idle.address);
 	}
 }
@@ -41,6 +41,7 @@
 	auto found = this->hosts.find(inHost);
 	if (found == this->hosts.end())
 		return;
+	found->second.out_ms = 0;
 	found->second.clock_ms = inClockMs;
 	found->second.clock_at = inNow;
 }
@@ -50,9 +51,13 @@
 	auto found = this->hosts.find(inHost);
 	if (found == this->hosts.end())
 		return;
-	if (inNow >= found->second.out_until)
-		LogEvent(ELogLevel::Warning, "forwarder_silent").Field("host", inHost.Text()).Field("out_ms", this->tuning.out_ms);
-	found->second.out_until = inNow + this->tuning.out_ms;
+	Host &host = found->second;
+	// Orders that were under way together tell of one silence
+	if (inNow < host.out_until)
+		return;
+	host.out_ms = std::clamp(host.out_ms * 2, this->tuning.out_ms, this->tuning.most_out_ms);
+	host.out_until = inNow + host.out_ms;
+	LogEvent(ELogLevel::Warning, "forwarder_silent").Field("host", inHost.Text()).Field("out_ms", host.out_ms);
 }
 
 void ForwardPlan::Count(Millis inNow)
--- a/Loomreach/Forward/ForwardPlan.h
+++ b/Loomreach/Forward/ForwardPlan.h
@@ -19,10 +19,11 @@
 	Millis order_cost_us = 300;   ///< What an order costs its sender, microseconds of a core: 0.31 ms a call, measured (docs/CAPACITY.md).
 	int64 begin_percent =
 		25; ///< Orders are forwarded once they would take this share of the processor: the rest is for planning and the log,
-	int64 end_percent = 12; ///< and until they would take less than this.
-	Millis window_ms = 500; ///< Orders are counted over this long: short against a turn (4 s on the users' days).
-	Millis out_ms = 5000;   ///< A host that was silent is left out this long: cuts and kills on the users' days last 2 to 10 s.
-	size_t least_hosts = 4; ///< Fewer idle hosts are left alone: they are the next owners.
+	int64 end_percent = 12;      ///< and until they would take less than this.
+	Millis window_ms = 500;      ///< Orders are counted over this long: short against a turn (4 s on the users' days).
+	Millis out_ms = 5000;        ///< A host that was silent is left out this long: cuts and kills on the users' days last 2 to 10 s.
+	Millis most_out_ms = 40'000; ///< If it is silent again each time, twice as long as the last, up to this.
+	size_t least_hosts = 4;      ///< Fewer idle hosts are left alone: they are the next owners.
 };
 
 /// Where an order goes instead of to its worker.
@@ -60,6 +61,7 @@
 		Millis clock_ms = -1; ///< Its clock when last heard; -1: never.
 		Millis clock_at = 0;  ///< And ours.
 		Millis out_until = 0;
+		Millis out_ms = 0; ///< For how long it was left out last, with no answer since.
 	};
 
 	void Count(Millis inNow);
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -124,6 +124,24 @@
 	EXPECT_EQ(plan.Choose(OrderFor("w1", "b"), 6101)->address, first);
 }
 
+/// A host that has gone, in a fleet whose hosts tell of themselves seldom, costs an order its time again and again.
+TEST(ForwardPlan, AHostThatStaysSilentIsLeftOutLonger)
+{
+	ForwardPlan plan = ReadyPlan(IdleIn(cSixZones), 120);
+	Play(plan, 2000, 0, 1000);
+	const Address first = plan.Choose(OrderFor("w1", "b"), 1000)->address;
+	plan.OnSilent(first, 1000);
+	Play(plan, 2000, 1002, 6100);
+	ASSERT_EQ(plan.Choose(OrderFor("w1", "b"), 6101)->address, first);
+	plan.OnSilent(first, 6200);
+	Play(plan, 2000, 6201, 11'300);
+	EXPECT_NE(plan.Choose(OrderFor("w1", "b"), 11'301)->address, first);
+	// Its answer ends that
+	plan.OnClock(first, 20'000, 16'300);
+	Play(plan, 2000, 11'302, 16'400);
+	EXPECT_EQ(plan.Choose(OrderFor("w1", "b"), 16'401)->address, first);
+}
+
 TEST(ForwardPlan, AHostIsUsedOnlyOnceItsClockIsKnown)
 {
 	ForwardTuning tuning;
