Read a new configuration at a pace that the store's limits set

Cause: every host followed the operator's records with reads that wait, so that all of them are answered at the moment of a change: 585 times 50 KB are 29 MB, 0.37 s of all that the store gives to reads (80 MB/s), and at 2,340 hosts 1.5 s, beyond the time-out of a read: what is asked once more then takes longer than what is given.

Change: StoreBudget (pure) works out paces from the store's own limits, which come with the settings (store_reads_per_s, store_read_mb_per_s), and from the number of hosts. Where all hosts' reads of the configuration would take a quarter of the store's bandwidth for 0.9 s or more (from some 360 hosts on, at 50 KB), hosts without cells look at times, each at its own, instead of waiting. Owners wait as before.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -2,6 +2,7 @@
 
 #pragma once
 
+#include <Loomreach/Core/Random.h>
 #include <Loomreach/Entry/EndsHandIn.h>
 #include <Loomreach/Entry/FleetSeat.h>
 #include <Loomreach/Entry/HelperSearch.h>
@@ -9,6 +10,7 @@
 #include <Loomreach/Entry/JobCalls.h>
 #include <Loomreach/Entry/StoreWatch.h>
 #include <Loomreach/Forward/OrderSender.h>
+#include <Loomreach/Ownership/StoreBudget.h>
 #include <Loomreach/Schedule/ZoneEvacuations.h>
 
 namespace Loomreach::Jobs
@@ -52,7 +54,10 @@
 	uint32 Parts() const { return static_cast<uint32>(this->config.log_parts); }
 	// The operator's and the workers' records
 	void LoadOperator();
-	void FollowOperator(uint64 inFrom);
+	/// How long to leave between two reads of the operator's records; 0: a read that waits follows at once.
+	Millis OperatorGap(Millis inNow) const;
+	void FollowOperatorSoon(uint64 inFrom);
+	void FollowOperator(uint64 inFrom, Millis inWaitMs);
 	void OnOperatorRecord(const LogRecord &inRecord);
 	void OnCatalogue(const LogRecord &inRecord);
 	void OnZoneOrder(const LogRecord &inRecord);
@@ -141,6 +146,7 @@
 
 	JobHostConfig config;
 	Metrics metrics;
+	StoreBudget budget;
 	LeaseTuning lease_tuning;
 	OwnLease lease;
 	OwnerTable owners;
@@ -150,6 +156,7 @@
 	PeerQuery peers;
 	OrderSender<decltype(Hub::workers)> orders;
 	std::shared_ptr<const Catalogue> catalogue;
+	size_t catalogue_bytes = 0; ///< Of its record.
 	std::map<int64, UpkeepWave> waves;
 	ZoneEvacuations evacuations;
 	std::map<std::string, WorkerEntry> workers;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -8,6 +8,8 @@
 	900; ///< A read of the operator's records waits this long: with its timeout it bounds the lag under 2 s.
 /// Unheard for this long, the operator's records may have changed unread: two reads have failed to come back.
 inline constexpr Millis cOperatorStaleMs = 2000;
+/// Hosts that spread their reads of a change come to know of it within two of these at the latest.
+inline constexpr Millis cMostOperatorGapMs = 2000;
 inline constexpr Millis cFollowAgainMs = 200;
 inline constexpr Millis cWorkersEveryMs = 400;         ///< An owner looks for news of workers this often: drains count within 2 s.
 inline constexpr Millis cWorkersShortMs = 150;         ///< And at most this often while something waits for room,
@@ -47,6 +49,7 @@
 /// An order to a host that is under way when the fleet is let go has arrived after this, or never will: its call is given up in this time.
 inline constexpr Millis cOrderUnderWayMs = 1000;
 inline constexpr Millis cStoreSilentMs = 1800; ///< Without an answer of the store for this long, callers are sent elsewhere.
+inline constexpr Millis cLooksUntilSilent = 2; ///< Where reads come at times, so many must have failed as well.
 inline constexpr Millis cRelistedMs = 2000;    ///< Workers whose entries lapsed with the store are listed again this soon (users' figure).
 /// A planned stop waits this long for appends under way, and for promises of empty workers to run out: those last 1.5 s (cEmptyForMs).
 inline constexpr Millis cStopGiveBackMs = cEmptyForMs + 100;
@@ -55,6 +58,8 @@
 /// And hands in ends for this long at most: the users give a stop 6 s.
 inline constexpr Millis cStopHandInMs = 5000;
 
+inline constexpr int64 cKbPerMb = 1000;
+
 inline LeaseTuning LeaseTuningOf(const JobHostConfig &inConfig)
 {
 	LeaseTuning tuning;
@@ -74,13 +79,14 @@
 
 template <class Hub>
 JobHost<Hub>::JobHost(JobHostConfig inConfig)
-	: config(std::move(inConfig)), lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning),
-	  life(HashBytes(config.name, static_cast<uint64>(g_get_real_time()) ^ (static_cast<uint64>(g_random_int()) << 32))), hub(config),
-	  door(*this), peers(
-					   config.peers, metrics,
-					   [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
-					   { this->OnQuestion(inQuestion, std::move(inReply)); },
-					   [this](const std::string &inNews) { this->OnNews(inNews); }),
+	: config(std::move(inConfig)), budget(StoreLimits{config.store_reads_per_s, config.store_read_mb_per_s * cKbPerMb}),
+	  lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning),
+	  life(HashBytes(config.name, static_cast<uint64>(g_get_real_time()) ^ (static_cast<uint64>(g_random_int()) << 32))), random(life),
+	  hub(config), door(*this), peers(
+									config.peers, metrics,
+									[this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
+									{ this->OnQuestion(inQuestion, std::move(inReply)); },
+									[this](const std::string &inNews) { this->OnNews(inNews); }),
 	  orders(hub.workers, peers, ForwardTuningOf(config)),
 	  ends_hand_in([this](uint32 inCell) -> InboxWriter<decltype(Hub::store)> & { return this->WriterOf(inCell); })
 {
@@ -129,9 +135,10 @@
 	if (this->turned_away.Note(this->store_watch.IsSilent(now), others_reach, now) && this->Owned() > 0)
 		this->DropSeats("the store answers others, not this host");
 	// Also without cells: a host that is heard of may take over at once
-	if (now - this->beat_sent_at >= this->BeatInterval(now))
+	if (now - this->beat_sent_at >= this->BeatInterval(now) * (this->Owned() > 0 ? 100 : this->beat_percent) / 100)
 		this->Beat();
-	const bool heard = this->store_heard_at >= 0 && now - this->store_heard_at <= cStoreSilentMs;
+	const Millis silent_after = cStoreSilentMs + cLooksUntilSilent * this->OperatorGap(now);
+	const bool heard = this->store_heard_at >= 0 && now - this->store_heard_at <= silent_after;
 	if (heard != this->store_heard)
 	{
 		this->store_heard = heard;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -18,25 +18,46 @@
 							   for (const LogRecord &record : inAnswer.records)
 								   this->OnOperatorRecord(record);
 							   this->KeepZoneOrders(inAnswer);
-							   this->FollowOperator(inAnswer.end);
+							   this->FollowOperatorSoon(inAnswer.end);
 						   });
 }
 
 template <class Hub>
-void JobHost<Hub>::FollowOperator(uint64 inFrom)
+Millis JobHost<Hub>::OperatorGap(Millis inNow) const
 {
-	this->hub.store.Read(Hub::OperatorLog(), true, inFrom, cOperatorWaitMs,
+	// Owners decide by it, and are few
+	if (this->Owned() > 0)
+		return 0;
+	const Millis spread = this->budget.Spread(this->owners.HostsAtWork(inNow), this->catalogue_bytes);
+	// Looking more often than reads that wait come back would cost more calls than it saves
+	return spread < cOperatorWaitMs ? 0 : std::min(spread, cMostOperatorGapMs);
+}
+
+template <class Hub>
+void JobHost<Hub>::FollowOperatorSoon(uint64 inFrom)
+{
+	const Millis gap = this->OperatorGap(NowMillis());
+	if (gap == 0)
+		return this->FollowOperator(inFrom, cOperatorWaitMs);
+	// Reads that wait are all answered at the moment of a change. Each host looks by itself instead, some sooner and some later
+	this->operator_timer.Once(this->Spread(gap), [this, inFrom] { this->FollowOperator(inFrom, 0); });
+}
+
+template <class Hub>
+void JobHost<Hub>::FollowOperator(uint64 inFrom, Millis inWaitMs)
+{
+	this->hub.store.Read(Hub::OperatorLog(), true, inFrom, inWaitMs,
 						 [this, inFrom](const ReadAnswer &inAnswer)
 						 {
 							 if (inAnswer.result == ERead::Gone)
 								 return this->LoadOperator();
 							 if (inAnswer.result == ERead::Failed)
-								 return this->operator_timer.Once(cFollowAgainMs, [this, inFrom] { this->FollowOperator(inFrom); });
+								 return this->operator_timer.Once(cFollowAgainMs, [this, inFrom] { this->FollowOperator(inFrom, 0); });
 							 this->store_heard_at = NowMillis();
 							 this->operator_heard_at = this->store_heard_at;
 							 for (const LogRecord &record : inAnswer.records)
 								 this->OnOperatorRecord(record);
-							 this->FollowOperator(inAnswer.next);
+							 this->FollowOperatorSoon(inAnswer.next);
 						 });
 }
 
@@ -72,6 +93,7 @@
 		.Field("queues", read->queues.size())
 		.Field("pools", read->pools.size())
 		.Field("teams", read->teams.has_value() ? static_cast<int64>(read->teams->size()) : -1);
+	this->catalogue_bytes = inRecord.value.size();
 	this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
 	for (auto &[cell, seat] : this->seats)
 		seat->SetCatalogue(this->catalogue);
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -41,6 +41,8 @@
 constexpr std::array cNumberKeys = {
 	NumberKey{"metrics_port", &JobHostConfig::metrics_port, 0, 65535},
 	NumberKey{"log_parts", &JobHostConfig::log_parts, 1, 1024},
+	NumberKey{"store_reads_per_s", &JobHostConfig::store_reads_per_s, 1, 100'000'000},
+	NumberKey{"store_read_mb_per_s", &JobHostConfig::store_read_mb_per_s, 1, 1'000'000},
 	NumberKey{"worker_lease_ms", &JobHostConfig::worker_lease_ms, 500, 60'000},
 	NumberKey{"worker_most_lease_ms", &JobHostConfig::worker_most_lease_ms, 500, 600'000},
 	NumberKey{"owner_lease_ms", &JobHostConfig::owner_lease_ms, 500, 60'000},
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -20,6 +20,8 @@
 	std::optional<Address> adviser;
 	int64 metrics_port = 0;             ///< 0: none.
 	int64 log_parts = 8;                ///< Partitions of a topic.
+	int64 store_reads_per_s = 2000;     ///< Reading calls that the store takes from all hosts together,
+	int64 store_read_mb_per_s = 80;     ///< and what it gives to them all, MB.
 	int64 worker_lease_ms = 4000;       ///< Lease given to workers' runs.
 	int64 worker_most_lease_ms = 10000; ///< The longest that workers grant: `worker_lease_ms` is checked against it.
 	int64 maintenance_ms = 2000;        ///< A host's maintenance takes this.
