Let hosts without cells tell and read of each other at a pace that keeps the sum, and ask owners' peers who owns what

Hosts without cells beat every 4 s (a bound that holds only while the fleet is small) and read all the others' heartbeats: at -9.6 s each of them read some 1,000 records, 0.2 MB, 117 MB in all, 1.5 s of the store's bandwidth. Reads ran out of their time, owners' heartbeats with them, every cell seemed free, and a host that sees a free cell looks again after 0.12 s in four partitions: 585 hosts then ask for 19,500 reads a second of 16,000 and hear nothing of the owners, so that cells go on seeming free.

Change: - heartbeats of hosts without cells: 30 ms times the number of hosts, unbounded (17.6 s at 585; up to 133 hosts as before); what all read of all others then grows as their number, not as its square. Each pause differs by up to a half. - looks for a free cell: every 0.12 s only by owners and the first in line; all others share a quarter of the store's reads. - the first in line are the least loaded of each zone (by name over all zones before: all ten could go with one zone), and come first among those that carry as little; with 60 equal hosts mostly others did, which look seldom. - hosts that read seldom ask one that reads often, by datagram every 1.2 s at 585, who owns what. - hosts that all start share out the partitions of heartbeats (in one: 2.3 s of appends at 4 ms). - a host is gone, and its records removed, only after three of its own heartbeats.

Tests: OwnerTable.IdleHostsTogether..., HostsThatAllStart..., AHostIsGoneOnly...

--- a/Loomreach/Entry/CellSeat.inl
+++ b/Loomreach/Entry/CellSeat.inl
@@ -296,6 +296,7 @@
 	case EQuestion::Shares: // The fleet's matter
 	case EQuestion::Enter:  // The host's own matters: any host may enter a record
 	case EQuestion::Reach:
+	case EQuestion::Owners:
 	case EQuestion::Forward: break;
 	case EQuestion::Empty: answer.empty = this->cell.Vacate(inQuestion.id, inQuestion.for_ms, now); break;
 	}
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -80,6 +80,14 @@
 	};
 	void LoadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void FollowHosts();
+	/// Whether this host reads all heartbeats as often as owners do.
+	bool IsWellInformed(Millis inNow) const { return this->Owned() > 0 || this->owners.IsHeir(inNow); }
+	/// Asks a host that is well informed who owns what, if this one is not.
+	void AskOwners(Millis inNow);
+	/// A pause that differs from host to host.
+	Millis Spread(Millis inGap);
+	/// How soon to look again while a cell seems free.
+	Millis FreeCellGap(Millis inNow) const;
 	void ReadHosts();
 	void ReadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void OnHostRecords(const std::vector<LogRecord> &inRecords);
@@ -151,6 +159,7 @@
 	OwnLease lease;
 	OwnerTable owners;
 	uint64 life;
+	Random random; ///< Keeps hosts from asking at one moment.
 	Hub hub;
 	typename Hub::Door door;
 	PeerQuery peers;
@@ -177,6 +186,8 @@
 	uint64 workers_reading = 0; ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
+	Millis beat_percent = 100;  ///< Of its interval after which a host without cells sends its next heartbeat.
+	Millis owners_asked_at = 0; ///< When another host was last asked who owns what.
 	Millis started_at = 0;
 	Millis swept_at = 0; ///< When hosts that are gone were last looked for.
 	Millis tick_at = 0;  ///< Of the last tick.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -26,11 +26,14 @@
 inline constexpr Millis cBeatLeastPatienceMs = 500; ///< Another heartbeat leaves this long after one without an answer,
 inline constexpr double cBeatPatience = 2.0;        ///< or after this many times the time that answers take.
 inline constexpr uint32 cMostBeats = 3;             ///< So many under way at once.
-inline constexpr Millis cSweepEveryMs = 2000;       ///< Hosts that are gone are looked for this often,
-inline constexpr Millis cHostGoneMs = 12000;        ///< and are gone after this: six leases, and longer than the users' cuts of a zone.
-inline constexpr Millis cTellAgainMs = 60;          ///< What must not be lost with a datagram is told twice.
-inline constexpr double cBeatAnswerShare = 0.4;     ///< Weight of a sooner answer in the time that answers take.
-inline constexpr Millis cHostsClaimMs = 120;        ///< While a cell seems free.
+inline constexpr Millis cOwnersLeastMs = 1000;      ///< Who owns what is asked for this often by hosts that read it seldom,
+inline constexpr Millis cOwnersEachMs = 2;  ///< or once in so many ms for each host there is: the few that answer are as many in any fleet.
+inline constexpr Millis cAskOwnersMs = 300; ///< One without an answer is followed by the next in its time.
+inline constexpr Millis cSweepEveryMs = 2000;   ///< Hosts that are gone are looked for this often,
+inline constexpr Millis cHostGoneMs = 12000;    ///< and are gone after this: six leases, and longer than the users' cuts of a zone.
+inline constexpr Millis cTellAgainMs = 60;      ///< What must not be lost with a datagram is told twice.
+inline constexpr double cBeatAnswerShare = 0.4; ///< Weight of a sooner answer in the time that answers take.
+inline constexpr Millis cHostsClaimMs = 120;    ///< While a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
 inline constexpr Millis cLateTickMs = 200;    ///< A later tick shows a host short of processor time: four ticks have passed,
 inline constexpr Millis cSlowHostMs = 10000;  ///< and for this long it counts as such.
@@ -147,6 +150,7 @@
 		LogEvent(ELogLevel::Warning, heard ? "store_back" : "store_silent").Field("heard_ms_ago", now - this->store_heard_at);
 	}
 	this->SearchHelpers(now);
+	this->AskOwners(now);
 	if (!this->stopping)
 		this->GiveOn(now);
 	if (this->fleet != nullptr && now - this->swept_at >= cSweepEveryMs)
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -297,6 +297,8 @@
 	if (inQuestion.cell == cFleetCell && this->fleet != nullptr)
 		answer = this->fleet->Answer(inQuestion);
 	answer.reaches = !this->stopping && !this->store_watch.IsSilent(NowMillis());
+	if (inQuestion.kind == EQuestion::Owners && this->IsWellInformed(NowMillis()))
+		answer.record = EncodeValue(this->owners.OwnersBeats(NowMillis()));
 	const std::optional<CellOwner> owner = this->owners.OwnerOf(inQuestion.cell, NowMillis());
 	if (!answer.owner && owner.has_value() && owner->host != this->config.name)
 		answer.owner_address = owner->address;
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -43,11 +43,51 @@
 template <class Hub>
 void JobHost<Hub>::FollowHosts()
 {
-	// A host that could take a free cell looks again soon
-	const Millis gap = this->cells_free ? cHostsClaimMs : this->owners.ReadInterval(this->Owned() > 0, NowMillis());
+	const Millis now = NowMillis();
+	const Millis calm = this->owners.ReadInterval(this->Owned() > 0, now);
+	// What all hosts read at one moment, because they started at one, takes all that the store can give
+	const Millis gap = this->cells_free ? this->FreeCellGap(now) : (this->IsWellInformed(now) ? calm : this->Spread(calm));
 	this->hosts_timer.Once(gap, [this] { this->ReadHosts(); });
 }
 
+template <class Hub>
+Millis JobHost<Hub>::Spread(Millis inGap)
+{
+	return inGap / 2 + static_cast<Millis>(this->random.Below(static_cast<uint64>(inGap + 1)));
+}
+
+template <class Hub>
+void JobHost<Hub>::AskOwners(Millis inNow)
+{
+	const Millis every = std::max(cOwnersLeastMs, static_cast<Millis>(this->owners.HostsAtWork(inNow)) * cOwnersEachMs);
+	if (inNow - this->owners_asked_at < every || this->stopping || this->IsWellInformed(inNow))
+		return;
+	this->owners_asked_at = inNow;
+	const std::vector<Address> informed = this->owners.WellInformed(inNow);
+	if (informed.empty())
+		return;
+	PeerQuestion question;
+	question.kind = EQuestion::Owners;
+	this->peers.Ask(informed[this->random.Below(informed.size())], std::move(question), cAskOwnersMs,
+					[this](const std::optional<PeerAnswer> &inAnswer)
+					{
+						if (!inAnswer.has_value() || inAnswer->record.empty())
+							return;
+						const std::optional<std::vector<HostBeat>> beats = DecodeValue<std::vector<HostBeat>>(inAnswer->record);
+						for (const HostBeat &beat : beats.value_or(std::vector<HostBeat>{}))
+							if (beat.host != this->config.name)
+								this->owners.OnBeat(beat, NowMillis());
+					});
+}
+
+template <class Hub>
+Millis JobHost<Hub>::FreeCellGap(Millis inNow) const
+{
+	// The first in line take a free cell; the others only need to see that they do
+	return this->IsWellInformed(inNow) ? cHostsClaimMs
+									   : std::max(cHostsClaimMs, this->budget.RoundGap(this->owners.HostsAtWork(inNow), this->HostParts()));
+}
+
 template <class Hub>
 void JobHost<Hub>::ReadHosts()
 {
@@ -334,6 +374,7 @@
 	call.records.push_back({beat.host, EncodeValue(beat), 0});
 	call.timeout_ms = cBeatTimeoutMs;
 	this->beat_sent_at = sent_at;
+	this->beat_percent = 50 + static_cast<Millis>(this->random.Below(101));
 	++this->beats_under_way;
 	this->store_watch.OnSent(sent_at);
 	this->lease.OnSent(sent_at, beat.lease_ms);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -16,14 +16,15 @@
 /// What is asked of a cell's owner.
 enum class EQuestion : uint8
 {
-	Show,   ///< A job's phase.
-	Count,  ///< Jobs of a queue that have not begun.
-	Empty,  ///< Empty a worker for maintenance; is it empty?
-	Demand, ///< What does a pool need, and which workers can it spare?
-	Enter,  ///< Put a record into a cell's inbox: the store turns the asking host away.
-	Reach,  ///< Does the store answer the host that is asked?
-	Shares, ///< Asked of the fleet's owner: how much may teams have running in the asking cell?
-	Forward ///< Send an order to a worker: the asking host is an owner short of processor time.
+	Show,    ///< A job's phase.
+	Count,   ///< Jobs of a queue that have not begun.
+	Empty,   ///< Empty a worker for maintenance; is it empty?
+	Demand,  ///< What does a pool need, and which workers can it spare?
+	Enter,   ///< Put a record into a cell's inbox: the store turns the asking host away.
+	Reach,   ///< Does the store answer the host that is asked?
+	Shares,  ///< Asked of the fleet's owner: how much may teams have running in the asking cell?
+	Forward, ///< Send an order to a worker: the asking host is an owner short of processor time.
+	Owners   ///< Which hosts own something: the asking host reads their heartbeats seldom.
 };
 
 /// A question. Every field that the kind does not need is empty.
@@ -56,15 +57,16 @@
 struct PeerAnswer
 {
 	uint64 nonce = 0;
-	bool owner = false;            ///< Whether the host that answers owns the cell; without it only the fields marked so count.
-	Address owner_address;         ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
-	bool entered = false;          ///< Counts always: the record is in the inbox.
-	bool not_entered = false;      ///< Counts always: it certainly is not; Forward: the order certainly was not sent.
-	bool reaches = false;          ///< Counts always: the store answers the host that answers.
-	bool under_way = false;        ///< Counts always: the question was taken up, and its answer is still to come.
-	int64 clock_ms = 0;            ///< Counts always: the steady clock of the host that answers.
-	std::string record;            ///< Counts always; Forward: the worker's encoded answer; empty: there is none to be had here.
-	bool sure = false;             ///< Whether the owner has read its inbox up to a moment ago.
+	bool owner = false;       ///< Whether the host that answers owns the cell; without it only the fields marked so count.
+	Address owner_address;    ///< Counts always: whom the host that answers takes for the owner; port 0: nobody.
+	bool entered = false;     ///< Counts always: the record is in the inbox.
+	bool not_entered = false; ///< Counts always: it certainly is not; Forward: the order certainly was not sent.
+	bool reaches = false;     ///< Counts always: the store answers the host that answers.
+	bool under_way = false;   ///< Counts always: the question was taken up, and its answer is still to come.
+	int64 clock_ms = 0;       ///< Counts always: the steady clock of the host that answers.
+	std::string record; ///< Counts always; Forward: the worker's encoded answer; Owners: their encoded heartbeats; empty: there is none to
+						///< be had here.
+	bool sure = false;  ///< Whether the owner has read its inbox up to a moment ago.
 	EError refusal = EError::None; ///< Counts always; Enter: a newer configuration does not allow it.
 	bool known = false;
 	bool other_team = false; ///< Show: the job is not the asking team's.
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -8,6 +8,11 @@
 namespace Loomreach::Jobs
 {
 
+/// So many heartbeats of a host may be lost before it counts as gone.
+static constexpr Millis cBeatsUntilSilent = 3;
+/// Who is first in line is worked out anew this often, ms, and when a heartbeat changes it.
+static constexpr Millis cHeirsKeptMs = 250;
+
 HostBeat LetGoBeat(HostBeat inBeat, const std::optional<OwnedCell> &inFleet, Millis inOrderMs)
 {
 	inBeat.claims = false;
@@ -26,6 +31,10 @@
 	const bool older = heard.beat.life != inBeat.life && heard.beat.start > inBeat.start;
 	if (!heard.beat.host.empty() && (same || older))
 		return;
+	const bool like_before = heard.beat.host == inBeat.host && heard.beat.cells.size() == inBeat.cells.size() &&
+							 heard.beat.claims == inBeat.claims && heard.beat.weight == inBeat.weight;
+	if (!like_before)
+		this->heirs_at = cNeverWorkedOut;
 	heard.beat = inBeat;
 	heard.at = inNow;
 	for (const OwnedCell &cell : inBeat.cells)
@@ -112,25 +121,33 @@
 
 uint32 OwnerTable::BeatPart(uint32 inParts, bool inOwner, Millis inNow) const
 {
-	if (!inOwner || inParts < 2)
+	if (inParts < 2)
 		return inParts - 1;
+	uint32 owners = 0;
 	uint32 before = 0;
 	for (const auto &[name, heard] : this->hosts)
-		before += name < this->self && !heard.beat.cells.empty() && this->IsAtWork(heard, inNow) ? 1 : 0;
-	return before % (inParts - 1);
+	{
+		const bool owns = !heard.beat.cells.empty() && this->IsAtWork(heard, inNow);
+		owners += owns ? 1 : 0;
+		before += owns && name < this->self ? 1 : 0;
+	}
+	if (inOwner)
+		return before % (inParts - 1);
+	// Hosts that all start at once wait for each other in one partition; no owner waits yet in the others
+	const bool all_start = owners == 0 && !this->hosts.empty();
+	return all_start ? static_cast<uint32>(HashBytes(this->self) % inParts) : inParts - 1;
 }
 
 bool OwnerTable::IsAtWork(const Heard &inHeard, Millis inNow) const
 {
-	// Three heartbeats may be lost, or a lease be over
-	return inNow - inHeard.at <= std::max(this->LeaseOf(inHeard), 3 * inHeard.beat.every_ms);
+	return inNow - inHeard.at <= std::max(this->LeaseOf(inHeard), cBeatsUntilSilent * inHeard.beat.every_ms);
 }
 
 std::vector<std::string> OwnerTable::SilentFor(Millis inMillis, Millis inNow) const
 {
 	std::vector<std::string> silent;
 	for (const auto &[name, heard] : this->hosts)
-		if (name != this->self && inNow - heard.at > inMillis)
+		if (name != this->self && inNow - heard.at > std::max(inMillis, cBeatsUntilSilent * heard.beat.every_ms))
 			silent.push_back(name);
 	return silent;
 }
@@ -143,28 +160,63 @@
 	return std::max<size_t>(count, 1);
 }
 
-bool OwnerTable::IsHeir(Millis inNow) const
+const std::set<std::string> &OwnerTable::Heirs(Millis inNow) const
 {
-	auto own = this->hosts.find(this->self);
-	if (own == this->hosts.end())
-		return true;
-	const auto place = [](const HostBeat &inBeat)
+	if (inNow - this->heirs_at < cHeirsKeptMs)
+		return this->heirs;
+	using Place = std::tuple<double, std::string_view, std::string_view>;
+	std::vector<Place> order;
+	std::map<std::string_view, uint32> in_zone;
+	for (const auto &[name, heard] : this->hosts)
 	{
-		return std::make_tuple(static_cast<double>(inBeat.cells.size() + 1) / std::max<uint32>(inBeat.weight, 1),
-							   std::string_view(inBeat.host));
-	};
-	uint32 before = 0;
+		if (!heard.beat.claims || !this->IsAtWork(heard, inNow))
+			continue;
+		const double load = static_cast<double>(heard.beat.cells.size() + 1) / std::max<uint32>(heard.beat.weight, 1);
+		order.emplace_back(load, name, heard.beat.availability_zone);
+		in_zone[heard.beat.availability_zone] = 0;
+	}
+	std::sort(order.begin(), order.end());
+	this->heirs.clear();
+	this->heirs_at = inNow;
+	const size_t zones = std::max<size_t>(in_zone.size(), 1);
+	// What takes a zone away must leave others that are ready
+	const size_t each = (this->tuning.heirs + zones - 1) / zones;
+	for (const auto &[load, name, zone] : order)
+		if (in_zone[zone]++ < each)
+			this->heirs.emplace(name);
+	return this->heirs;
+}
+
+bool OwnerTable::IsHeir(Millis inNow) const { return !this->hosts.contains(this->self) || this->Heirs(inNow).contains(this->self); }
+
+std::vector<HostBeat> OwnerTable::OwnersBeats(Millis inNow) const
+{
+	std::vector<HostBeat> beats;
 	for (const auto &[name, heard] : this->hosts)
-		before += name != this->self && heard.beat.claims && this->IsAtWork(heard, inNow) && place(heard.beat) < place(own->second.beat);
-	return before < this->tuning.heirs;
+		if (!heard.beat.cells.empty() && this->IsAtWork(heard, inNow))
+			beats.push_back(heard.beat);
+	return beats;
+}
+
+std::vector<Address> OwnerTable::WellInformed(Millis inNow) const
+{
+	const std::set<std::string> &first = this->Heirs(inNow);
+	std::vector<Address> informed;
+	for (const auto &[name, heard] : this->hosts)
+	{
+		const bool often = first.contains(name) || (!heard.beat.cells.empty() && this->IsAtWork(heard, inNow));
+		if (often && name != this->self)
+			informed.push_back(heard.beat.address);
+	}
+	return informed;
 }
 
 Millis OwnerTable::IdleInterval(Millis inNow) const
 {
 	if (this->IsHeir(inNow))
 		return this->tuning.beat_ms;
-	const Millis spread = static_cast<Millis>(this->HostsAtWork(inNow)) * this->tuning.idle_each_ms;
-	return std::clamp(spread, this->tuning.beat_ms, std::max(this->tuning.beat_ms, this->tuning.idle_most_ms));
+	// Not bounded from above: with twice the hosts, each of which reads all the others, the sum would be four times as large
+	return std::max(this->tuning.beat_ms, static_cast<Millis>(this->HostsAtWork(inNow)) * this->tuning.idle_each_ms);
 }
 
 Millis OwnerTable::ReadInterval(bool inOwner, Millis inNow) const
@@ -282,12 +334,14 @@
 			this->free_since.erase(cell);
 			continue;
 		}
-		using Place = std::tuple<double, uint64, uint64, std::string>;
+		// They see a free cell sooner than others that carry as little
+		const std::set<std::string> &first = this->Heirs(inNow);
+		using Place = std::tuple<double, bool, uint64, uint64, std::string>;
 		std::vector<Place> order;
 		order.reserve(claimers.size());
 		for (const auto &[name, claimer] : claimers)
-			order.emplace_back(static_cast<double>(claimer.cells + 1) / claimer.weight, in_zone[claimer.availability_zone],
-							   RendezvousWeight(std::to_string(cell), name), name);
+			order.emplace_back(static_cast<double>(claimer.cells + 1) / claimer.weight, !first.contains(name),
+							   in_zone[claimer.availability_zone], RendezvousWeight(std::to_string(cell), name), name);
 		std::sort(order.begin(), order.end());
 		size_t rank = 0;
 		while (rank < order.size() && std::get<std::string>(order[rank]) != this->self)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -17,12 +17,12 @@
 	Millis lease_ms = 2000;     ///< The longest that an owner may promise. Setting `owner_lease_ms`.
 	Millis slack_ms = 300;      ///< The owner stops this much earlier: the users' freeze slack (300 ms) covers clocks 2% apart as well.
 	Millis beat_ms = 500;       ///< Between heartbeats of an owner.
-	Millis idle_each_ms = 30;   ///< A host without cells beats at most once in this many ms for each host there is,
-	Millis idle_most_ms = 4000; ///< but at least once in this.
+	Millis idle_each_ms = 30;   ///< A host without cells beats at most once in this many ms for each host there is.
 	Millis read_each_ms = 30;   ///< It reads the others' once in this many ms for each host,
 	Millis read_least_ms = 500; ///< as owners do, or more seldom.
-	uint32 heirs = 10; ///< So many hosts, the first to take over a cell, beat and read as often as owners. One that is gone is then passed
-					   ///< over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
+	uint32 heirs =
+		10; ///< So many hosts, the first to take over a cell and shared out over the zones, beat and read as often as owners. One that is
+			///< gone is then passed over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
 	Millis give_on_ms = 2000; ///< A host that should give a cell on has stood so much worse than another for this long: no passing news.
 	Millis rank_ms = 350;     ///< A challenger waits this long for each host that comes before it.
 	Millis first_claim_ms =
@@ -156,6 +156,12 @@
 	Millis IdleInterval(Millis inNow) const;
 	/// How often a host reads the others' heartbeats.
 	Millis ReadInterval(bool inOwner, Millis inNow) const;
+	/// Whether this host is among the first that would take over a cell.
+	bool IsHeir(Millis inNow) const;
+	/// Newest heartbeats of the hosts that own something.
+	std::vector<HostBeat> OwnersBeats(Millis inNow) const;
+	/// Other hosts that read all heartbeats often: owners, and the first that would take over from them.
+	std::vector<Address> WellInformed(Millis inNow) const;
 	/// Whether a cell's last owner must have stopped acting.
 	bool IsFree(uint32 inCell, Millis inNow) const;
 	/// Whether this host, which owns `inOwn` cells, should give one on: another one would carry it with less than half of what this one
@@ -174,6 +180,7 @@
 	void PutOff(uint32 inCell, Millis inNow) { this->free_since[inCell] = inNow; }
 
 private:
+	static constexpr Millis cNeverWorkedOut = std::numeric_limits<Millis>::min() / 2;
 	/// A host's newest heartbeat and when it was first read.
 	struct Heard
 	{
@@ -197,12 +204,12 @@
 		std::string availability_zone;
 	};
 	std::map<std::string, Claimer> Claimers(Millis inNow, size_t inOwn) const;
+	/// The first that would take over a cell: the least loaded of each zone.
+	const std::set<std::string> &Heirs(Millis inNow) const;
 	/// Whether all hosts are at their first start, as far as is known: then others may not have been heard of yet.
 	bool IsFirstStart() const;
 	/// Whether anybody is known to have owned a cell.
 	bool WasOwned(uint32 inCell) const { return this->owned_once.contains(inCell) || this->claims.contains(inCell); }
-	/// Whether this host is among the first that would take over a cell.
-	bool IsHeir(Millis inNow) const;
 	/// The highest epoch of a cell that any heartbeat has told of.
 	uint64 ToldEpoch(uint32 inCell) const;
 	/// Whether a claim may still be acted on. `inToldEpoch`: see ToldEpoch.
@@ -216,6 +223,8 @@
 	std::set<uint32> owned_once; ///< Cells that any heartbeat has told of as owned: the newest of a host forgets what it has let go.
 	Millis unfair_since = -1;    ///< Since when a cell should be given on; -1: none should.
 	std::string claim_text;
+	mutable std::set<std::string> heirs;       ///< As last worked out,
+	mutable Millis heirs_at = cNeverWorkedOut; ///< and when.
 };
 
 /// The own lease: until when this process may act.
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -489,4 +489,46 @@
 	EXPECT_FALSE(in_part.contains(idle.BeatPart(4, false, 1100)));
 }
 
+/// Hosts without cells beat no more seldom than a fixed bound: what all of them read of all others grows with the square of the fleet.
+TEST(OwnerTable, IdleHostsTogetherTellNoMoreInALargerFleet)
+{
+	constexpr double cMostBeatsPerS = 35.0;
+	for (const size_t fleet : {300u, 585u, 1170u, 2340u})
+	{
+		OwnerTable table("host-z", LeaseTuning{});
+		for (size_t i = 0; i < fleet; ++i)
+			table.OnBeat(Beat("host-" + std::to_string(i), 1, {}), 1000);
+		table.OnBeat(Beat("host-z", 1, {}), 1000);
+		ASSERT_FALSE(table.IsHeir(1100));
+		EXPECT_LT(static_cast<double>(fleet) * 1000.0 / static_cast<double>(table.IdleInterval(1100)), cMostBeatsPerS) << fleet;
+	}
+}
+
+/// All hosts of a large fleet start at once and wait for each other in one partition, until the store refuses them.
+TEST(OwnerTable, HostsThatAllStartShareOutThePartitionsOfHeartbeats)
+{
+	std::map<uint32, size_t> in_part;
+	for (size_t i = 0; i < 400; ++i)
+	{
+		OwnerTable table("host-" + std::to_string(i), LeaseTuning{});
+		table.OnBeat(Beat("another", 1, {}), 1000);
+		++in_part[table.BeatPart(4, false, 1100)];
+	}
+	EXPECT_EQ(in_part.size(), 4u);
+	for (const auto &[part, count] : in_part)
+		EXPECT_LT(count, 150u) << part;
+}
+
+/// A host that is asked every few seconds only because it tells of itself seldom is removed from the log as gone.
+TEST(OwnerTable, AHostIsGoneOnlyAfterSeveralOfItsOwnHeartbeats)
+{
+	OwnerTable table("self", LeaseTuning{});
+	HostBeat seldom = Beat("seldom", 1, {});
+	seldom.every_ms = 17'000;
+	table.OnBeat(seldom, 1000);
+	table.OnBeat(Beat("often", 1, {}), 1000);
+	EXPECT_EQ(table.SilentFor(12'000, 20'000), std::vector<std::string>{"often"});
+	EXPECT_EQ(table.SilentFor(12'000, 60'000).size(), 2u);
+}
+
 } // namespace Loomreach::Jobs
