--- a/UnitTests/SharedStoreTests.cpp
+++ b/UnitTests/SharedStoreTests.cpp
@@ -1,8 +1,7 @@
 // Many entry hosts read one record through one store whose answers share its bandwidth, as on a change of the configuration.
 //
-// With 585 hosts a record of 50 KB is 29 MB: 0.37 s of all that the store can give. Reads that waited were all answered at that moment;
-// what else was read meanwhile took longer than ten usual answers, so each host gave its connections up and asked for the record once more.
-// The store was never heard again until the end of the day.
+// With 585 hosts a record of 50 KB is 29 MB: 0.37 s of all that the store can give. Reads that wait are all answered at that moment, and
+// what else is read meanwhile takes longer than ten usual answers. At 2,340 hosts the last answers come after their reads' time is over.
 
 #include <Loomreach/Loomreach.h>
 
@@ -54,6 +53,7 @@
 	Millis calm_after = 0; ///< How long after it the store's answers were delayed for the last time.
 };
 
+/// The store and its hosts, each with its own view of whether its connections can be trusted.
 class SharedStore
 {
 public:
@@ -175,7 +175,7 @@
 
 } // namespace
 
-/// A change of the configuration takes all of the store's bandwidth, and what is asked anew for that keeps it so.
+/// A change of the configuration takes all of the store's bandwidth for a while.
 TEST(SharedStore, AChangeReadByAllHostsDoesNotHoldUpTheStore)
 {
 	for (const size_t hosts : {585u, 1170u, 2340u})
