Name how pauses are drawn, and when heartbeats are read again

No change of behaviour: the part of a pause that is drawn was written as bare numbers, and the gap between two reads of the heartbeats as one nested condition.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -38,6 +38,7 @@
 	std::string MetricsText() override;
 
 private:
+	static constexpr Millis cPercent = 100;
 	/// A caller's request on its way into an inbox.
 	struct Entering
 	{
@@ -84,8 +85,12 @@
 	bool IsWellInformed(Millis inNow) const { return this->Owned() > 0 || this->owners.IsHeir(inNow); }
 	/// Asks a host that is well informed who owns what, if this one is not.
 	void AskOwners(Millis inNow);
-	/// A pause that differs from host to host.
-	Millis Spread(Millis inGap);
+	/// Percent of a pause after which this host acts: hosts that started together must not go on together.
+	Millis DrawPausePercent();
+	/// A pause of this mean.
+	Millis DrawPause(Millis inMean) { return inMean * this->DrawPausePercent() / cPercent; }
+	/// How soon to read the heartbeats again.
+	Millis HostsGap(Millis inNow);
 	/// How soon to look again while a cell seems free.
 	Millis FreeCellGap(Millis inNow) const;
 	void ReadHosts();
@@ -186,8 +191,8 @@
 	uint64 workers_reading = 0; ///< Which reading of the workers' entries is the one in force.
 	uint64 beat_number = 0;
 	Millis beat_sent_at = 0;
-	Millis beat_percent = 100;  ///< Of its interval after which a host without cells sends its next heartbeat.
-	Millis owners_asked_at = 0; ///< When another host was last asked who owns what.
+	Millis beat_percent = cPercent; ///< Of its interval after which a host without cells sends its next heartbeat.
+	Millis owners_asked_at = 0;     ///< When another host was last asked who owns what.
 	Millis started_at = 0;
 	Millis swept_at = 0; ///< When hosts that are gone were last looked for.
 	Millis tick_at = 0;  ///< Of the last tick.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -26,6 +26,8 @@
 inline constexpr Millis cBeatLeastPatienceMs = 500; ///< Another heartbeat leaves this long after one without an answer,
 inline constexpr double cBeatPatience = 2.0;        ///< or after this many times the time that answers take.
 inline constexpr uint32 cMostBeats = 3;             ///< So many under way at once.
+inline constexpr Millis cLeastPausePercent = 50;    ///< Pauses of hosts without cells differ from this
+inline constexpr Millis cMostPausePercent = 150;    ///< to this part of their mean.
 inline constexpr Millis cOwnersLeastMs = 1000;      ///< Who owns what is asked for this often by hosts that read it seldom,
 inline constexpr Millis cOwnersEachMs = 2;  ///< or once in so many ms for each host there is: the few that answer are as many in any fleet.
 inline constexpr Millis cAskOwnersMs = 300; ///< One without an answer is followed by the next in its time.
@@ -138,7 +140,8 @@
 	if (this->turned_away.Note(this->store_watch.IsSilent(now), others_reach, now) && this->Owned() > 0)
 		this->DropSeats("the store answers others, not this host");
 	// Also without cells: a host that is heard of may take over at once
-	if (now - this->beat_sent_at >= this->BeatInterval(now) * (this->Owned() > 0 ? 100 : this->beat_percent) / 100)
+	const Millis beat_percent = this->Owned() > 0 ? cPercent : this->beat_percent;
+	if (now - this->beat_sent_at >= this->BeatInterval(now) * beat_percent / cPercent)
 		this->Beat();
 	const Millis silent_after = cStoreSilentMs + cLooksUntilSilent * this->OperatorGap(now);
 	const bool heard = this->store_heard_at >= 0 && now - this->store_heard_at <= silent_after;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -40,7 +40,7 @@
 	if (gap == 0)
 		return this->FollowOperator(inFrom, cOperatorWaitMs);
 	// Reads that wait are all answered at the moment of a change. Each host looks by itself instead, some sooner and some later
-	this->operator_timer.Once(this->Spread(gap), [this, inFrom] { this->FollowOperator(inFrom, 0); });
+	this->operator_timer.Once(this->DrawPause(gap), [this, inFrom] { this->FollowOperator(inFrom, 0); });
 }
 
 template <class Hub>
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -43,17 +43,23 @@
 template <class Hub>
 void JobHost<Hub>::FollowHosts()
 {
-	const Millis now = NowMillis();
-	const Millis calm = this->owners.ReadInterval(this->Owned() > 0, now);
+	this->hosts_timer.Once(this->HostsGap(NowMillis()), [this] { this->ReadHosts(); });
+}
+
+template <class Hub>
+Millis JobHost<Hub>::HostsGap(Millis inNow)
+{
+	if (this->cells_free)
+		return this->FreeCellGap(inNow);
+	const Millis mean = this->owners.ReadInterval(this->Owned() > 0, inNow);
 	// What all hosts read at one moment, because they started at one, takes all that the store can give
-	const Millis gap = this->cells_free ? this->FreeCellGap(now) : (this->IsWellInformed(now) ? calm : this->Spread(calm));
-	this->hosts_timer.Once(gap, [this] { this->ReadHosts(); });
+	return this->IsWellInformed(inNow) ? mean : this->DrawPause(mean);
 }
 
 template <class Hub>
-Millis JobHost<Hub>::Spread(Millis inGap)
+Millis JobHost<Hub>::DrawPausePercent()
 {
-	return inGap / 2 + static_cast<Millis>(this->random.Below(static_cast<uint64>(inGap + 1)));
+	return cLeastPausePercent + static_cast<Millis>(this->random.Below(static_cast<uint64>(cMostPausePercent - cLeastPausePercent + 1)));
 }
 
 template <class Hub>
@@ -374,7 +380,7 @@
 	call.records.push_back({beat.host, EncodeValue(beat), 0});
 	call.timeout_ms = cBeatTimeoutMs;
 	this->beat_sent_at = sent_at;
-	this->beat_percent = 50 + static_cast<Millis>(this->random.Below(101));
+	this->beat_percent = this->DrawPausePercent();
 	++this->beats_under_way;
 	this->store_watch.OnSent(sent_at);
 	this->lease.OnSent(sent_at, beat.lease_ms);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -64,9 +64,9 @@
 	bool reaches = false;     ///< Counts always: the store answers the host that answers.
 	bool under_way = false;   ///< Counts always: the question was taken up, and its answer is still to come.
 	int64 clock_ms = 0;       ///< Counts always: the steady clock of the host that answers.
-	std::string record; ///< Counts always; Forward: the worker's encoded answer; Owners: their encoded heartbeats; empty: there is none to
-						///< be had here.
-	bool sure = false;  ///< Whether the owner has read its inbox up to a moment ago.
+	/// Counts always; Forward: the worker's encoded answer; Owners: their encoded heartbeats; empty: there is none to be had here.
+	std::string record;
+	bool sure = false;             ///< Whether the owner has read its inbox up to a moment ago.
 	EError refusal = EError::None; ///< Counts always; Enter: a newer configuration does not allow it.
 	bool known = false;
 	bool other_team = false; ///< Show: the job is not the asking team's.
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -20,9 +20,9 @@
 	Millis idle_each_ms = 30;   ///< A host without cells beats at most once in this many ms for each host there is.
 	Millis read_each_ms = 30;   ///< It reads the others' once in this many ms for each host,
 	Millis read_least_ms = 500; ///< as owners do, or more seldom.
-	uint32 heirs =
-		10; ///< So many hosts, the first to take over a cell and shared out over the zones, beat and read as often as owners. One that is
-			///< gone is then passed over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
+	/// So many hosts, the first to take over a cell and shared out over the zones, beat and read as often as owners. One that is gone is
+	/// then passed over within a lease; of the others a third may be out of reach for 9 s before anybody knows.
+	uint32 heirs = 10;
 	Millis give_on_ms = 2000; ///< A host that should give a cell on has stood so much worse than another for this long: no passing news.
 	Millis rank_ms = 350;     ///< A challenger waits this long for each host that comes before it.
 	Millis first_claim_ms =
