See a crash on trial at once, not up to 0.4 s late (known failure: sound jobs given up)

What callers saw: a task that crashes its workers took one worker more down, with all that ran there, before it was given up.

Cause: a crash counts as proof only within 150 ms of the task's start. A look that is answered at once puts off the next one by 400 ms, and the answer to a start did not bring it forward; so where a worker had just been looked at, the crash of a trial was seen 380 to 410 ms after its start. Evidence: the new field `after_start_ms` of `task_blamed` (280 of 1,440 trials in that range where workers keep their ids), and a trace of the looks of four of them.

Change: the answer to a trial's start has the next look sent at once, and looks at a worker on trial follow each other after 30 ms instead of 120. On the platform such a look waits 300 ms and ends with the connection, so that few are added.

CellCrash.SeesACrashOnTrialAtOnce: 104 of its checks fail without the change of the answer to a start, none with it.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -258,6 +258,8 @@
 	void PlanTrials(CellWorker &ioWorker);
 	/// A lasting task is at work for so long that it is suspected no more.
 	void Settle(CellWorker &ioWorker, const RunId &inRun);
+	/// Whether a run on trial there may still be in its start.
+	static bool HasYoungTrial(const CellWorker &inWorker);
 	/// Whether a task may start there as far as trials go, its own and others'.
 	bool AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const;
 	/// Keeps other starts off a worker for a task that is to be tried and found none.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -155,6 +155,14 @@
 		this->trial_racks.insert(ioWorker.entry.rack);
 }
 
+bool Cell::HasYoungTrial(const CellWorker &inWorker)
+{
+	return inWorker.open_trials > 0 &&
+		   std::any_of(inWorker.runs.begin(), inWorker.runs.end(),
+					   [&inWorker](const auto &inRun)
+					   { return inRun.second.trial != ETrial::None && IsTold(inRun.second.state) && IsYoung(inWorker, inRun.second); });
+}
+
 void Cell::Settle(CellWorker &ioWorker, const RunId &inRun)
 {
 	// Counted for ever, crashes by chance would end a job that lasts for months
@@ -316,6 +324,7 @@
 		.Field("at_once", crashes.at_once)
 		.Field("beside", crashes.beside)
 		.Field("seen_ms", SeenAlive(ioWorker, run))
+		.Field("after_start_ms", run.confirmed_at < 0 || ioWorker.closed_at < 0 ? -1 : ioWorker.closed_at - run.confirmed_at)
 		.Field("closed_ms_ago", ioWorker.closed_at < 0 ? -1 : inNow - ioWorker.closed_at)
 		.Field("silent", ioWorker.silent_at >= 0 ? 1 : 0)
 		.Field("trial", NameOf(cTrialNames, run.trial))
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -136,7 +136,8 @@
 void Cell::TakeHold(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
 {
 	// A waiting look that has just ended may be followed at once only if it waited
-	if (inNow < ioWorker.hold_at + this->tuning.hold_gap_ms)
+	const Millis gap = Cell::HasYoungTrial(ioWorker) ? this->tuning.trial_gap_ms : this->tuning.hold_gap_ms;
+	if (inNow < ioWorker.hold_at + gap)
 		return;
 	// See CanHandOver
 	if (this->retiring && !ioWorker.listed)
@@ -311,7 +312,9 @@
 			job->record.begun = true;
 			this->Touch(*job);
 		}
-		if (ioWorker.next_hold_at < inNow && !ioWorker.hold_sent)
+		// A look that was answered at once may have put off the next one: a crash on trial proves something only if it is seen at once
+		const bool tries = run.trial != ETrial::None;
+		if (tries || (ioWorker.next_hold_at < inNow && !ioWorker.hold_sent))
 			ioWorker.next_hold_at = inNow;
 		return;
 	}
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -19,6 +19,7 @@
 	Millis watch_wait_ms = 500;      ///< The same where tasks serve and others fill beside them: the tail must be seen within harm's bound.
 	Millis trial_wait_ms = 300;      ///< The same while a run is on trial: as long as a start is to be outlived.
 	Millis hold_gap_ms = 120;   ///< Between two looks at a worker: ends that come close together are seen together. Each look is paid for.
+	Millis trial_gap_ms = 30;   ///< The same while a run is on trial: it must be seen whether its worker goes right after its start.
 	Millis retry_hold_ms = 400; ///< Between holds that got no answer, and between holds while ends wait for the log.
 	Millis refused_pause_ms = 500; ///< A worker that refused gets nothing for this long.
 	Millis keep_ended_ms = 150000; ///< An ended job is shown for this long (users' figure 120 s, and a quarter).
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -67,6 +67,22 @@
 	}
 }
 
+/// A look that was answered at once, just before a trial's start, put off the next one, and the crash was seen too late to prove anything.
+TEST(CellCrash, SeesACrashOnTrialAtOnce)
+{
+	for (uint64 seed = 1; seed <= 200; ++seed)
+	{
+		CellWorld world(seed, Trouble{}, cWorkers);
+		world.crashed_keep_ids = true;
+		PutInRacks(world);
+		world.Run(500);
+		world.Submit(Crasher(world, "bad", 1, cCrashMs));
+		world.Run(30000);
+		EXPECT_EQ(world.Shown("bad").phase, EJobPhase::Failed) << seed;
+		EXPECT_EQ(world.CrashesUnder({"bad", 0, 0, 0}), 2u) << seed;
+	}
+}
+
 TEST(CellCrash, CountsOnWhenTheOwnerChanges)
 {
 	for (uint64 seed = 1; seed <= 20; ++seed)
