Date a crash by the life that crashed, not by an answer of the next one

What callers saw: a task that crashes its workers was started a sixth time, where the users bear five.

Cause: a worker had crashed and started again under its id; the first answer of the next life was to a stop, not to a look. Its clock told that it may be another life's (`worker_doubted`), and yet the answer counted as contact with the former one: the crash was forgotten, and all that had run there seemed to have outlived its start by seconds, so that nothing was blamed.

Change: such an answer is no contact until a look has told which life there is.

--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -234,7 +234,8 @@
 	if (inOrder.kind == EOrder::Hold && inOrder.serial == worker.newest_look)
 		worker.hold_sent = false;
 	const bool answered = inAnswer.result != EOrderResult::Unknown && inAnswer.result != EOrderResult::NotSent;
-	this->NoteContact(worker, inAnswer, answered, inNow);
+	// An answer that may be another life's says nothing of when this one was last there
+	this->NoteContact(worker, inAnswer, answered && !worker.doubted, inNow);
 	if (answered && inAnswer.clock_ms >= 0 && !worker.doubted)
 	{
 		worker.clock_ms = inAnswer.clock_ms;
