Give a task up with the fifth crash also where only the records tell of it

What callers saw: a task that crashes its workers was started a sixth time; the users bear five crashes.

Cause: a run that an owner only finds in the log, and whose worker has begun another life, is counted as one crash more; that count alone gave nothing up.

Change: a task that was blamed before, and so was on trial there, is given up with the fifth, as in all other cases.

--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -223,8 +223,12 @@
 	CellJob *job = this->OpenJobOf(inRun.task);
 	if (job == nullptr)
 		return;
-	++job->crashes[Cell::CrashKey(*job, inRun.task)].beside;
+	TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, inRun.task)];
+	++crashes.beside;
 	this->Touch(*job);
+	// Blamed before, it was on trial there
+	if (crashes.blamed > 0 && IsMoreThanBorne(crashes))
+		this->GiveUp(*job, crashes, this->now);
 }
 
 void Cell::ForgetAdvice(const std::string &inWorker)
