--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -257,6 +257,9 @@
 			this->AskAdvice(ioJob, inUnit, inNow);
 			continue;
 		}
+		// A straggler keeps away from one worker that is good enough for its like
+		if (worker == nullptr && inNow < ioJob.memory[inUnit][index].slow_until)
+			continue;
 		// What one task of the step does not find, its like will not find either
 		if (worker == nullptr)
 			return this->AskAdvice(ioJob, inUnit, inNow);
@@ -364,7 +367,8 @@
 							   const std::map<std::string, uint32> &inOnWorker)
 {
 	const StepSpec &step = inJob.StepOf(inUnit);
-	const std::string &failed_on = inJob.memory[inUnit][inTask].last_worker;
+	const TaskMemory &memory = inJob.memory[inUnit][inTask];
+	const std::string &failed_on = memory.last_worker;
 	const Resources room = step.Room();
 	// Something as small has been tried for this pool already
 	for (const PlanReject &reject : this->rejects)
@@ -379,6 +383,9 @@
 		if (worker.entry.pool != inJob.spec.pool || !this->CanTake(worker, inNow) || !room.FitsInto(worker.Free()))
 			continue;
 		any_fits = true;
+		// Stopped there to be started elsewhere, it waits until another worker has room
+		if (id == memory.slow_worker && inNow < memory.slow_until)
+			continue;
 		if (!this->AllowsStart(worker, trial, inNow))
 			continue;
 		if (!Cell::MayRun(worker, inJob, inUnit, inNow))
@@ -546,6 +553,8 @@
 		if (!may_help)
 			continue;
 		++memory.slow_runs;
+		memory.slow_worker = ioWorker.entry.id;
+		memory.slow_until = inNow + this->tuning.slow_ms;
 		this->StopRun(ioWorker, id, "far slower than expected", inNow);
 	}
 }
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -263,6 +263,8 @@
 	std::string last_worker; ///< Where it failed last.
 	Millis trial_since = -1; ///< When a worker for its trial was first looked for in vain; -1: was not.
 	uint32 slow_runs = 0;    ///< Runs of it that were stopped for being far slower than expected.
+	std::string slow_worker; ///< Where the last of them was,
+	Millis slow_until = 0;   ///< and until when it is not started there again.
 };
 
 /// How likely a job is to earn its credit still.
--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -117,6 +117,27 @@
 	EXPECT_EQ(world.Open(), "");
 }
 
+/// Where the other workers were full, a straggler's second run was placed on the slow one again.
+TEST(Cell, AStragglerIsNotStartedOnItsSlowWorkerAgain)
+{
+	size_t open = 0;
+	for (uint64 seed = 1; seed <= 200; ++seed)
+	{
+		CellWorld world(seed, Trouble{}, 3);
+		world.Run(200);
+		world.Workers().begin()->second.slow_factor = 20;
+		for (int i = 0; i < 12; ++i)
+		{
+			world.Submit(MakeJob("job" + std::to_string(i), 1, 4, 2000, 1000));
+			world.Run(400);
+		}
+		world.Run(8000);
+		EXPECT_EQ(world.Broken(), "") << seed;
+		open += world.AllEnded() ? 0 : 1;
+	}
+	EXPECT_EQ(open, 0u);
+}
+
 TEST(Cell, ATaskThatIsLongByItselfEnds)
 {
 	// Failed first (Scripts/test_jobs.sh beside load): ten times as long as its queue's others, a task was stopped as a straggler and
