--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -155,6 +155,8 @@
 	// CellDemand.cpp
 	/// What could start of each team with a limit, if it had room.
 	std::map<std::string, Resources> WantedByTeam(int64 inWallNow) const;
+	/// Tasks that have looked in vain for a worker to be tried on.
+	uint32 WaitingTrials(const std::string &inPool) const;
 	void NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: decisions
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -13,6 +13,8 @@
 /// A worker that has gone stays in the worker list for three of its heartbeats (users' figure, 1.5 s each), and a moment.
 static constexpr Millis cListLagMs = 5000;
 static constexpr size_t cSurgeJobs = 5;
+/// Tasks that wait for a trial need hosts apart from one another, whatever room they ask for: so many at most.
+static constexpr uint32 cTrialHosts = 8;
 
 void Cell::NeedNow(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const
 {
@@ -108,6 +110,24 @@
 	}
 }
 
+uint32 Cell::WaitingTrials(const std::string &inPool) const
+{
+	uint32 waiting = 0;
+	for (const std::string &id : this->unsettled)
+	{
+		const CellJob &job = this->jobs.at(id);
+		if (job.spec.pool != inPool)
+			continue;
+		for (size_t unit = 0; unit < job.memory.size(); ++unit)
+			for (size_t index = 0; index < job.memory[unit].size(); ++index)
+			{
+				const TaskRecord &task = job.record.steps[unit].tasks[index];
+				waiting += job.memory[unit][index].trial_since >= 0 && !task.done && task.runs.empty() ? 1 : 0;
+			}
+	}
+	return waiting;
+}
+
 PoolDemand Cell::Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow)
 {
 	this->now = inNow;
@@ -129,6 +149,7 @@
 			if (job.spec.pool == inPool && step.lasting && step.max_per_worker > 0)
 				demand.least_hosts = std::max(demand.least_hosts, (step.count + step.max_per_worker - 1) / step.max_per_worker);
 	}
+	demand.least_hosts = std::max(demand.least_hosts, std::min(this->WaitingTrials(inPool), cTrialHosts));
 	// The emptiest hosts that hold nothing lasting take no new work, and go once they are empty
 	std::vector<std::pair<int64, CellWorker *>> least_used;
 	for (auto &[id, worker] : this->workers)
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -83,6 +83,27 @@
 	}
 }
 
+/// A pool was sized by the room that its tasks ask for, and two hosts were left for sixty tasks that waited to be tried one by one.
+TEST(CellCrash, TasksThatWaitForATrialCountForTheSizeOfTheirPool)
+{
+	CellWorld world(1, Trouble{}, 2);
+	world.Run(500);
+	world.run_ms["sound"] = 1000;
+	world.Submit(MakeJob("sound", 1, 12, 500, 800));
+	world.Submit(Crasher(world, "bad", 1, cCrashMs));
+	uint32 most = 0;
+	for (int i = 0; i < 100; ++i)
+	{
+		world.Run(100);
+		most = std::max(most, world.Core().Demand("pool", 0, 1500, world.Now(), world.Now()).least_hosts);
+	}
+	EXPECT_GT(most, 2u);
+	world.Run(30000);
+	EXPECT_EQ(All(world), "");
+	EXPECT_EQ(world.Open(), "");
+	EXPECT_EQ(world.Core().Demand("pool", 0, 1500, world.Now(), world.Now()).least_hosts, 0u);
+}
+
 TEST(CellCrash, CountsOnWhenTheOwnerChanges)
 {
 	for (uint64 seed = 1; seed <= 20; ++seed)
