--- a/Loomreach/Schedule/TaskCrashes.cpp
+++ b/Loomreach/Schedule/TaskCrashes.cpp
@@ -15,9 +15,9 @@
 	return cases;
 }
 
-void TakeCases(CrashCounts &ioCounts, CrashCasesByTask inCases)
+void TakeCases(CrashCounts &ioCounts, const CrashCasesByTask &inCases)
 {
-	for (auto &[task, cases] : inCases)
+	for (const auto &[task, cases] : inCases)
 	{
 		auto counted = ioCounts.find(task);
 		if (counted == ioCounts.end())
@@ -31,7 +31,7 @@
 		const bool fits = blamed <= crashes.blamed && at_once <= crashes.at_once && cases.cases.size() - blamed <= crashes.beside;
 		if (!fits)
 			continue;
-		crashes.cases = std::move(cases.cases);
+		crashes.cases = cases.cases;
 		crashes.proved = cases.proved;
 	}
 }
--- a/Loomreach/Schedule/TaskCrashes.h
+++ b/Loomreach/Schedule/TaskCrashes.h
@@ -76,6 +76,6 @@
 /// What the log keeps beside the counts.
 CrashCasesByTask CasesOf(const CrashCounts &inCounts);
 /// Joins to the counts what the log kept beside them. An owner of an earlier version may have counted on, or removed counts, without it.
-void TakeCases(CrashCounts &ioCounts, CrashCasesByTask inCases);
+void TakeCases(CrashCounts &ioCounts, const CrashCasesByTask &inCases);
 
 } // namespace Loomreach::Jobs
--- a/UnitTests/CellCrashTests.cpp
+++ b/UnitTests/CellCrashTests.cpp
@@ -426,14 +426,9 @@
 TEST(CellCrash, GivesUpNoSoundJobWhereWorkersThatCrashByChanceKeepTheirIds) { PlayCrashDays(60, 6, 0, EIds::Kept); }
 
 // No job is given up that could have been done: that binds. The users allow a task to be given up once two workers have crashed under it,
-// so such a job breaks none of their rules, but its caller is told a falsehood.
-//
-// Some look like crashers by all that the owner sees. Chance crashed their worker right after their start, twice, the second time while
-// they were on trial alone, and until then the owner had heard of no worker that crashed with nothing just started on it:
-//     task_blamed task=sound36.0.0.0 run=1 ... at_once=1 ... alone=0 chance=0
-//     task_blamed task=sound36.0.0.0 run=2 ... at_once=2 ... trial=start alone=1 chance=0 outcome="given up"
-// All nine of 600 days each are of this kind. To remember chance for longer changes none of them. A worker that crashes with nothing on it
-// is not noticed at all, and would be the evidence that is missing.
+// so such a job breaks none of their rules, but its caller is told a falsehood. LOOM_SEEDS="first count" plays other seeds.
+
+/// A sound task started beside a crasher, and then chance crashed its worker on trial.
 TEST(CellCrash, TellsCrashersFromChance) { PlayCrashDays(60, 2, 0); }
 
 TEST(CellCrash, TellsCrashersFromChanceOnHundredsOfDays) { PlayCrashDays(600, 2, 0); }
