--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -287,9 +287,9 @@
 	/// Ends the job of a task that crashes its workers.
 	void GiveUp(CellJob &ioJob, TaskCrashes &ioCrashes, Millis inNow);
 	/// Starts a task no more until it is known what became of its rivals, or for long enough.
-	void Hold(CellJob &ioJob, const TaskId &inTask, Millis inNow);
-	/// Gives up held tasks that are proved now, and lets the others go on.
-	void PlanHeld(Millis inNow);
+	void AwaitRivals(CellJob &ioJob, const TaskId &inTask, Millis inNow);
+	/// Gives up those of them that are proved now, and starts the others again once their rivals are decided on.
+	void JudgeAwaiting(Millis inNow);
 	/// Whether a worker's process went right after a run's start.
 	static bool IsAtOnce(const CellWorker &inWorker, const Run &inRun);
 	/// One more crash under a run, one of those that may have done it; whether that is enough to give its job up.
@@ -367,7 +367,7 @@
 	uint64 inbox_logged = 0;
 	uint64 next_serial = 1;
 	std::vector<LostWorker> lost;      ///< Workers that were lost of late.
-	std::set<TaskId> held;             ///< Tasks that wait for what becomes of their rivals.
+	std::set<TaskId> awaiting_rivals;  ///< Tasks that wait for what becomes of their rivals.
 	std::set<std::string> trial_racks; ///< Racks with an open trial: should two of their workers go at once, it tells nothing.
 	Millis emptying_until = 0;         ///< Until then some worker is being emptied for maintenance.
 	bool retiring = false;             ///< See Retire.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -13,9 +13,8 @@
 //  same
 //    where an owner takes over a run of a worker that it never hears, and where a worker falls silent first;
 //  * with the second crash right after its start, if it was the only task that can have done both, its job is given up; with the third
-//  where
-//    something speaks for chance, or where the cause of the first is not known (CrashEvidence.h); with the fourth crash if two were blamed
-//    on it; with the fifth if it was on trial there. Crashes of which another task is proved to be the cause are not counted.
+//    if something speaks for chance, or the cause of the first is not known (CrashEvidence.h); with the fourth in all if two of them can
+//    have no other cause; with the fifth in any case. Crashes that another task is proved to have caused are not counted.
 //
 // A process that has crashed is told from a dark host and from a cut by its host, which closes connections and turns new ones away.
 
@@ -375,7 +374,7 @@
 	CrashWeight cleared = weight;
 	cleared.sole = cleared.at_once;
 	if (alone && at_once && !proved && IsCrasherProved(cleared, doubts))
-		this->Hold(job, inRun.task, inNow);
+		this->AwaitRivals(job, inRun.task, inNow);
 	const bool too_many = weight.clear >= cBlamedMost && weight.Total() >= cCrashesMost;
 	// What the users bear is bound by all crashes, explained or not
 	const bool given_up = proved || too_many || IsMoreThanBorne(crashes);
@@ -412,21 +411,21 @@
 	this->StopAll(ioJob, "job failed", inNow);
 }
 
-void Cell::Hold(CellJob &ioJob, const TaskId &inTask, Millis inNow)
+void Cell::AwaitRivals(CellJob &ioJob, const TaskId &inTask, Millis inNow)
 {
 	ioJob.memory[ioJob.Unit(inTask.round, inTask.step)][inTask.index].not_before = inNow + cRivalsMs;
-	this->held.insert(inTask);
+	this->awaiting_rivals.insert(inTask);
 }
 
-void Cell::PlanHeld(Millis inNow)
+void Cell::JudgeAwaiting(Millis inNow)
 {
-	for (auto it = this->held.begin(); it != this->held.end();)
+	for (auto it = this->awaiting_rivals.begin(); it != this->awaiting_rivals.end();)
 	{
 		const TaskId task = *it;
 		CellJob *job = this->OpenJobOf(task);
 		if (job == nullptr)
 		{
-			it = this->held.erase(it);
+			it = this->awaiting_rivals.erase(it);
 			continue;
 		}
 		TaskMemory &memory = *this->FindMemory(task);
@@ -441,7 +440,7 @@
 			++it;
 			continue;
 		}
-		it = this->held.erase(it);
+		it = this->awaiting_rivals.erase(it);
 		memory.not_before = inNow;
 		LogEvent(ELogLevel::Warning, "task_judged")
 			.Field("request", task.job)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -136,7 +136,7 @@
 		this->PlanPaces(worker, inNow);
 		this->PlanStragglers(worker, inNow);
 	}
-	this->PlanHeld(inNow);
+	this->JudgeAwaiting(inNow);
 	this->PlanJobs(inNow, inWallNow);
 }
 
--- a/Loomreach/Schedule/EndReplicas.cpp
+++ b/Loomreach/Schedule/EndReplicas.cpp
@@ -15,7 +15,7 @@
 
 void EndReplicas::OnUpdate(EndsUpdate inUpdate, Millis inNow)
 {
-	// An update that has been passed by a newer one releases no less than that one
+	// Its owner has logged these since
 	std::erase_if(this->kept,
 				  [&inUpdate](const Kept &inKept)
 				  {
