Log what keeps a task from its trial run (known failure: tasks wait too long for a trial)

Change: trial_waits, for a task once it has waited for 2 s and every 2 s from then on: since when, whether its job can still be in time, and the workers of its pool by what refuses it.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -275,6 +275,8 @@
 	bool AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const;
 	/// Reserves a worker for a task that found none for its trial run.
 	void ReserveForTrial(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow);
+	/// Logs why a task that waits for its trial run has found no worker, once every few seconds.
+	void LogTrialWait(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow);
 	/// Polls the other workers of a rack, to see whether they were lost together with one that had a trial run.
 	void PollRack(const CellWorker &inWorker, Millis inNow);
 	/// Workers of a pool that accept runs, and the number of them that are reserved for trial runs.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -60,6 +60,9 @@
 /// Longest wait of a task for an empty worker. After it a trial run as for the first crash is enough.
 static constexpr Millis cIsolationWaitMs = 1000;
 
+/// A task's wait for its trial run is logged each time that it has gone on for this long.
+static constexpr Millis cTrialWaitLogMs = 2000;
+
 /// For how long a run's worker is known to have survived it; -1: not at all.
 static Millis SurvivedMs(const CellWorker &inWorker, const Run &inRun)
 {
@@ -227,6 +230,62 @@
 		emptiest->trial_reserved_until = inNow + cTrialReservationMs;
 }
 
+void Cell::LogTrialWait(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow)
+{
+	VolatileTaskState &state = ioJob.volatile_state[inUnit][inTask];
+	if (inNow - std::max(state.trial_wanted_since, state.trial_wait_logged_at) < cTrialWaitLogMs)
+		return;
+	state.trial_wait_logged_at = inNow;
+	const ETrial trial = Cell::TrialOf(ioJob, inUnit, inTask, inNow);
+	const Resources reserved = ioJob.StepOf(inUnit).Reserved();
+	uint32 in_pool = 0;
+	uint32 not_accepting = 0;
+	uint32 no_room = 0;
+	uint32 on_trial = 0;
+	uint32 rack_on_trial = 0;
+	uint32 just_started = 0;
+	uint32 occupied = 0;
+	uint32 not_permitted = 0;
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.entry.pool != ioJob.spec.pool)
+			continue;
+		++in_pool;
+		if (!this->CanAcceptRuns(worker, inNow))
+			++not_accepting;
+		else if (!reserved.FitsInto(worker.Free()))
+			++no_room;
+		else if (worker.open_trials > 0)
+			++on_trial;
+		else if (!worker.entry.rack.empty() && this->trial_racks.contains(worker.entry.rack))
+			++rack_on_trial;
+		else if (trial == ETrial::Start && HasJustStartedRun(worker))
+			++just_started;
+		else if (trial == ETrial::Isolated && !worker.runs.empty())
+			++occupied;
+		else
+			++not_permitted;
+	}
+	LogEvent(ELogLevel::Info, "trial_waits")
+		.Field("request", ioJob.spec.id)
+		.Field("unit", inUnit)
+		.Field("task", inTask)
+		.Field("trial", NameOf(cTrialNames, trial))
+		.Field("outlook", NameOf(cDeadlineOutlookNames, ioJob.outlook))
+		.Field("waited_ms", inNow - state.trial_wanted_since)
+		.Field("workers", in_pool)
+		.Field("not_accepting", not_accepting)
+		.Field("no_room", no_room)
+		.Field("on_trial", on_trial)
+		.Field("rack_on_trial", rack_on_trial)
+		.Field("just_started", just_started)
+		.Field("occupied", occupied)
+		.Field("not_permitted", not_permitted)
+		.Field("rejects", this->capacity_rejects.size())
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 std::vector<RunId> Cell::CrashSuspects(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outLessLikely)
 {
 	std::vector<RunId> just_started;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -257,6 +257,7 @@
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
 		{
 			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			this->LogTrialWait(ioJob, inUnit, index, inNow);
 			this->AskAdvice(ioJob, inUnit, inNow);
 			continue;
 		}
@@ -294,7 +295,10 @@
 	{
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, on_worker);
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
+		{
 			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			this->LogTrialWait(ioJob, inUnit, index, inNow);
+		}
 		if (worker == nullptr)
 			break;
 		worker->used.Add(reserved);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -274,12 +274,13 @@
 /// State of a task that is not in the log.
 struct VolatileTaskState
 {
-	Millis not_before = 0;          ///< Not started before.
-	std::string last_failed_worker; ///< Worker of its last failed run.
-	Millis trial_wanted_since = -1; ///< Since when a worker for its trial run has been sought; -1: not sought.
-	uint32 slow_runs = 0;           ///< Its runs that were stopped as stragglers.
-	std::string slow_worker;        ///< Worker of the last of them.
-	Millis slow_until = 0;          ///< It is not started on `slow_worker` again until then.
+	Millis not_before = 0;            ///< Not started before.
+	std::string last_failed_worker;   ///< Worker of its last failed run.
+	Millis trial_wanted_since = -1;   ///< Since when a worker for its trial run has been sought; -1: not sought.
+	Millis trial_wait_logged_at = -1; ///< When that wait was last logged; -1: not yet.
+	uint32 slow_runs = 0;             ///< Its runs that were stopped as stragglers.
+	std::string slow_worker;          ///< Worker of the last of them.
+	Millis slow_until = 0;            ///< It is not started on `slow_worker` again until then.
 };
 
 /// Whether a job can still meet its objective.
@@ -290,6 +291,12 @@
 	NoCredit ///< Cannot finish within three times its objective, after which it earns nothing.
 };
 
+inline constexpr std::array cDeadlineOutlookNames = {
+	EnumName<EDeadlineOutlook>{EDeadlineOutlook::InTime, "in-time"},
+	EnumName<EDeadlineOutlook>{EDeadlineOutlook::Late, "late"},
+	EnumName<EDeadlineOutlook>{EDeadlineOutlook::NoCredit, "no-credit"},
+};
+
 /// One job of the cell. A unit is one step in one round, and indexes the vectors below.
 struct CellJob
 {
