--- /dev/null
+++ b/UnitTests/CellTrialWaitTests.cpp
@@ -0,0 +1,69 @@
+// Guards against tasks that wait for their trial runs although workers are free. After the crash of a worker every run that had just
+// started there is suspected, and waits for a trial run; one crashing task delays dozens of healthy ones.
+
+#include <Loomreach/Loomreach.h>
+
+#include <UnitTests/CellTroubles.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+constexpr Millis cCrashMs = 10;
+/// Longest time for which a trial run may keep others off its rack: start window, time within which losses have a common cause, and two
+/// polls and planning passes.
+constexpr Millis cRackHoldMs = 300 + 250 + 150;
+
+std::string Failures(const CellSimulation &inSimulation) { return inSimulation.Violations() + inSimulation.WronglyFailedJobs(); }
+
+/// Runs until a job has ended, at most for `inMost`. Returns the time that it took.
+Millis RunUntilEnded(CellSimulation &ioSimulation, const std::string &inJob, Millis inMost)
+{
+	const Millis begin = ioSimulation.Now();
+	while (!IsFinal(ioSimulation.QueryJob(inJob).phase) && ioSimulation.Now() - begin < inMost)
+		ioSimulation.Run(cSimulationStepMs);
+	return ioSimulation.Now() - begin;
+}
+
+/// Number of tasks of a job that are running or have run on some worker.
+size_t RunningTasks(CellSimulation &ioSimulation, const std::string &inJob)
+{
+	size_t count = 0;
+	for (const auto &[id, worker] : ioSimulation.Workers())
+		for (const auto &[run, work] : worker.running)
+			count += !worker.crashed && run.task.job == inJob ? 1 : 0;
+	return count;
+}
+
+} // namespace
+
+/// A worker that crashed during a trial run kept its rack from all other trial runs until its leases expired.
+TEST(CellTrialWait, ACrashDuringATrialRunDoesNotBlockItsRackUntilTheLeaseExpires)
+{
+	constexpr int cCrashers = 8;
+	const auto time_for = [](int inCrashers)
+	{
+		CellSimulation simulation(1, SimulationFaults{}, 3 * static_cast<size_t>(inCrashers));
+		simulation.back_after_ms = 20000;
+		simulation.Run(500);
+		for (int i = 0; i < inCrashers; ++i)
+		{
+			simulation.Submit(MakeCrashingJob(simulation, "bad" + std::to_string(i), 1, cCrashMs));
+			simulation.Run(400);
+		}
+		Millis last = 0;
+		for (int i = 0; i < inCrashers; ++i)
+			last += RunUntilEnded(simulation, "bad" + std::to_string(i), 60000);
+		EXPECT_EQ(Failures(simulation), "");
+		EXPECT_EQ(simulation.UnfinishedJobs(), "");
+		return last;
+	};
+	// All share one rack. Each crasher beyond the first adds its own trial runs, at most three
+	EXPECT_LE(time_for(cCrashers) - time_for(1), 3 * cCrashers * cRackHoldMs);
+}
+
+} // namespace Loomreach::Jobs
