Call for no trial run for a crash that another task is proved to have caused (known failure: tasks wait too long for a trial)

Cause: a crash that a proved crasher explains counts for nothing when a task is judged (CrashEvidence.h), but the choice of a trial run went by the plain counts. So some ten tasks beside each crasher waited for trial runs after the crasher's job had been failed.

Change: trial runs and isolation go by the crashes that no proved task explains.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -287,6 +287,10 @@
 	std::vector<RunId> CrashSuspects(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outLessLikely);
 	/// Whether other workers were lost at the same time for a reason that is no task's fault: in the same rack, or without a recent start.
 	bool IsChanceCrash(const CellWorker &inWorker) const;
+	/// Whether a task of another suspect of a crash is proved to crash its workers.
+	bool IsSuspectProved(const CrashSuspect &inSuspect);
+	/// A task's crashes without those that another suspect is proved to have caused.
+	CrashTotals UnexplainedCrashes(const TaskCrashes &inCrashes);
 	/// What is known of another suspect of a crash.
 	ESuspectState JudgeSuspect(const CrashSuspect &inSuspect);
 	/// Current weight of a task's crashes.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -114,8 +114,8 @@
 	return inRun.state != ERunState::Starting || before_close;
 }
 
-/// Whether a task's crash counts call for a trial run.
-static bool WarrantsTrial(const TaskCrashes &inCrashes) { return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial; }
+/// Whether crash counts call for a trial run.
+static bool WarrantsTrial(const CrashTotals &inCrashes) { return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial; }
 
 CrashCounts::key_type Cell::CrashKey(const CellJob &inJob, const TaskId &inTask)
 {
@@ -134,17 +134,20 @@
 	if (job == nullptr)
 		return false;
 	auto found = job->crashes.find(Cell::CrashKey(*job, inTask));
-	return found != job->crashes.end() && WarrantsTrial(found->second);
+	return found != job->crashes.end() && WarrantsTrial(this->UnexplainedCrashes(found->second));
 }
 
 ETrial Cell::TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow)
 {
 	auto found = inJob.crashes.find({inUnit, inTask});
-	if (found == inJob.crashes.end() || !WarrantsTrial(found->second))
+	if (found == inJob.crashes.end())
+		return ETrial::None;
+	const CrashTotals crashes = this->UnexplainedCrashes(found->second);
+	if (!WarrantsTrial(crashes))
 		return ETrial::None;
 	const Millis since = inJob.volatile_state[inUnit][inTask].trial_wanted_since;
 	const bool has_waited = since >= 0 && inNow - since > cIsolationWaitMs;
-	const bool isolate = found->second.blamed >= cBlamedCrashesToIsolate || found->second.Total() >= cCrashesToIsolate;
+	const bool isolate = crashes.blamed >= cBlamedCrashesToIsolate || crashes.Total() >= cCrashesToIsolate;
 	return isolate && !has_waited ? ETrial::Isolated : ETrial::Start;
 }
 
@@ -387,15 +390,27 @@
 	return false;
 }
 
+bool Cell::IsSuspectProved(const CrashSuspect &inSuspect)
+{
+	const CellJob *job = this->FindJob(inSuspect.job);
+	// Only a failed job has one
+	if (job == nullptr || job->record.phase != EJobPhase::Failed)
+		return false;
+	return std::any_of(job->crashes.begin(), job->crashes.end(),
+					   [&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
+}
+
+CrashTotals Cell::UnexplainedCrashes(const TaskCrashes &inCrashes)
+{
+	return SubtractExplained(inCrashes, [this](const CrashSuspect &inSuspect) { return this->IsSuspectProved(inSuspect); });
+}
+
 ESuspectState Cell::JudgeSuspect(const CrashSuspect &inSuspect)
 {
 	const CellJob *job = this->FindJob(inSuspect.job);
 	if (job == nullptr || inSuspect.unit >= job->record.steps.size())
 		return ESuspectState::Undecided;
-	const bool proved =
-		std::any_of(job->crashes.begin(), job->crashes.end(),
-					[&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
-	if (proved)
+	if (this->IsSuspectProved(inSuspect))
 		return ESuspectState::Proved;
 	return this->HasSurvivedStart(*job, inSuspect.unit) ? ESuspectState::Cleared : ESuspectState::Undecided;
 }
@@ -472,7 +487,7 @@
 		.Field("explained", weight.explained)
 		.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 		.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
-		.Field("outcome", given_up ? "given up" : (WarrantsTrial(crashes) ? "starts on trial" : "counted"))
+		.Field("outcome", given_up ? "given up" : (WarrantsTrial(this->UnexplainedCrashes(crashes)) ? "starts on trial" : "counted"))
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
 	return given_up;
--- a/UnitTests/CellTrialWaitTests.cpp
+++ b/UnitTests/CellTrialWaitTests.cpp
@@ -66,4 +66,23 @@
 	EXPECT_LE(time_for(cCrashers) - time_for(1), 3 * cCrashers * cRackHoldMs);
 }
 
+/// Tasks that had started beside a crashing task waited for trial runs also after that task had been identified.
+TEST(CellTrialWait, ACrashThatAnotherTaskIsProvedToHaveCausedCallsForNoTrialRun)
+{
+	constexpr uint32 cHealthyTasks = 31;
+	CellSimulation simulation(1, SimulationFaults{}, 6);
+	simulation.run_ms["sound"] = 20000;
+	simulation.Run(500);
+	// The healthy tasks fill one worker, together with the crasher
+	simulation.Submit(MakeCrashingJob(simulation, "bad", 1, cCrashMs));
+	simulation.Submit(MakeJob("sound", 1, cHealthyTasks, 500, 20000));
+	RunUntilEnded(simulation, "bad", 60000);
+	ASSERT_EQ(simulation.QueryJob("bad").phase, EJobPhase::Failed);
+	simulation.Run(500);
+	EXPECT_EQ(RunningTasks(simulation, "sound"), cHealthyTasks);
+	simulation.Run(60000);
+	EXPECT_EQ(Failures(simulation), "");
+	EXPECT_EQ(simulation.UnfinishedJobs(), "");
+}
+
 } // namespace Loomreach::Jobs
