Demand hosts for waiting trial runs beside those of crashed workers (known failure: tasks wait too long for a trial)

Cause: a pool's demand counted at most eight hosts for trial runs, and a host whose worker has crashed counts for its pool. With a crash every 0.3 s, of 4 to 5 s each, none of the eight was left: `trial_waits ... workers=31 not_accepting=23`, `pool_sized hosts=15 wanted=9`, and at 41 s `host_moves from` that pool to the spare one.

Change: the late demand of a pool, which takes only hosts that no pool needs for jobs in time, is at least sixteen workers for waiting trial runs and the hosts of crashed workers. The format of the demand is unchanged.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -155,6 +155,8 @@
 	std::map<std::string, Resources> WantedByTeam(int64 inWallNow) const;
 	/// Number of tasks that wait for a worker for their trial run.
 	uint32 WaitingTrials(const std::string &inPool) const;
+	/// Raises a pool's late demand to the workers that the trial runs of its waiting tasks take.
+	void AddTrialDemand(const std::string &inPool, PoolDemand &ioDemand) const;
 	void CurrentDemand(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: placement
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -14,8 +14,10 @@
 /// A lost worker stays in the worker list for three of its heartbeats, specified as 1.5 s each, plus a margin.
 static constexpr Millis cListLagMs = 5000;
 static constexpr size_t cSurgeJobs = 5;
-/// Tasks that wait for a trial run need separate hosts, whatever resources they request; at most this many.
+/// Tasks that wait for a trial run need separate hosts, whatever resources they request; at most this many while other pools lack hosts.
 static constexpr uint32 cMaxTrialHosts = 8;
+/// The same if no other pool lacks hosts.
+static constexpr int64 cMaxLateTrialHosts = 16;
 
 void Cell::CurrentDemand(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const
 {
@@ -130,6 +132,30 @@
 	return waiting;
 }
 
+void Cell::AddTrialDemand(const std::string &inPool, PoolDemand &ioDemand) const
+{
+	const uint32 waiting = this->WaitingTrials(inPool);
+	if (waiting == 0)
+		return;
+	int64 capacity = 0;
+	int64 crashed = 0;
+	int64 count = 0;
+	for (const auto &[id, worker] : this->workers)
+	{
+		if (worker.entry.pool != inPool || !worker.listed)
+			continue;
+		++count;
+		capacity += worker.entry.capacity.cpu_milli;
+		crashed += worker.connections_closed_at >= 0 ? 1 : 0;
+	}
+	if (count == 0)
+		return;
+	// A trial run takes a worker for itself, and a crashed worker's host still counts for its pool. Only hosts that no other pool needs
+	// for jobs in time are taken for this
+	const int64 hosts = std::min<int64>(waiting, cMaxLateTrialHosts) + crashed;
+	ioDemand.late.cpu_milli = std::max(ioDemand.late.cpu_milli, hosts * capacity / count - ioDemand.in_time.cpu_milli);
+}
+
 PoolDemand Cell::Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow)
 {
 	this->now = inNow;
@@ -152,6 +178,7 @@
 				demand.min_hosts = std::max(demand.min_hosts, (step.count + step.max_per_worker - 1) / step.max_per_worker);
 	}
 	demand.min_hosts = std::max(demand.min_hosts, std::min(this->WaitingTrials(inPool), cMaxTrialHosts));
+	this->AddTrialDemand(inPool, demand);
 	// Of the hosts without long-running tasks, the least used are drained first
 	std::vector<std::pair<int64, CellWorker *>> least_used;
 	for (auto &[id, worker] : this->workers)
--- a/UnitTests/CellTrialWaitTests.cpp
+++ b/UnitTests/CellTrialWaitTests.cpp
@@ -85,4 +85,27 @@
 	EXPECT_EQ(simulation.UnfinishedJobs(), "");
 }
 
+/// A pool with tasks that waited for trial runs gave hosts to spare pools, and crashed workers' hosts counted as if they ran.
+TEST(CellTrialWait, WaitingTrialRunsDemandHostsBesideThoseOfCrashedWorkers)
+{
+	CellSimulation simulation(1, SimulationFaults{}, 4);
+	simulation.back_after_ms = 20000;
+	simulation.run_ms["sound"] = 2000;
+	simulation.Run(500);
+	simulation.Submit(MakeJob("sound", 1, 40, 500, 2000));
+	simulation.Submit(MakeCrashingJob(simulation, "bad", 2, cCrashMs));
+	int64 most = 0;
+	for (int i = 0; i < 200; ++i)
+	{
+		simulation.Run(100);
+		const PoolDemand demand = simulation.Core().Demand("pool", 0, 1500, simulation.Now(), simulation.Now());
+		most = std::max(most, demand.in_time.cpu_milli + demand.late.cpu_milli);
+	}
+	// Sixteen for trial runs, and at least one of which the worker has crashed
+	EXPECT_GE(most, 17 * cWorkerCpuMilli);
+	simulation.Run(60000);
+	EXPECT_EQ(Failures(simulation), "");
+	EXPECT_EQ(simulation.UnfinishedJobs(), "");
+}
+
 } // namespace Loomreach::Jobs
