--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -48,9 +48,14 @@
 /// A job's rank is recomputed at this interval, and whenever the job changes.
 static constexpr Millis cRankIntervalMs = 100;
 
+/// A task that has waited for its trial run for longer goes before all others. Otherwise jobs that can still be in time would keep it from
+/// starting for as long as they arrive.
+static constexpr Millis cTrialOverdueMs = 3000;
+
 /// A job with its rank in the planning order.
 struct RankedJob
 {
+	Millis overdue_since = cNeverMs; ///< Since when a task of it has waited for its trial run, if that is overdue.
 	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
 	uint32 priority = 0;
 	int64 key = 0; ///< Due time, later for larger jobs.
@@ -58,7 +63,8 @@
 
 	bool operator<(const RankedJob &inOther) const
 	{
-		return std::tie(this->outlook, this->priority, this->key) < std::tie(inOther.outlook, inOther.priority, inOther.key);
+		return std::tie(this->overdue_since, this->outlook, this->priority, this->key) <
+			   std::tie(inOther.overdue_since, inOther.outlook, inOther.priority, inOther.key);
 	}
 };
 
@@ -171,6 +177,20 @@
 	return false;
 }
 
+Millis Cell::TrialOverdueSince(const CellJob &inJob, Millis inNow) const
+{
+	Millis oldest = cNeverMs;
+	for (const auto &[key, crashes] : inJob.crashes)
+	{
+		const auto &[unit, index] = key;
+		const TaskRecord &task = inJob.record.steps[unit].tasks[index];
+		const Millis since = inJob.volatile_state[unit][index].trial_wanted_since;
+		const bool is_overdue = since >= 0 && inNow - since > cTrialOverdueMs && !task.done && task.runs.empty();
+		oldest = is_overdue ? std::min(oldest, since) : oldest;
+	}
+	return oldest;
+}
+
 void Cell::PlanJobs(Millis inNow, int64 inWallNow)
 {
 	std::vector<RankedJob> order;
@@ -182,7 +202,7 @@
 	{
 		CellJob &job = *this->FindJob(id);
 		this->UpdateRank(job, inNow, inWallNow);
-		order.push_back({job.outlook, job.spec.priority, job.order_key, &job});
+		order.push_back({this->TrialOverdueSince(job, inNow), job.outlook, job.spec.priority, job.order_key, &job});
 	}
 	std::sort(order.begin(), order.end());
 	for (const RankedJob &entry : order)
--- a/UnitTests/CellTrialWaitTests.cpp
+++ b/UnitTests/CellTrialWaitTests.cpp
@@ -108,4 +108,26 @@
 	EXPECT_EQ(simulation.UnfinishedJobs(), "");
 }
 
+/// Tasks of jobs that could only be late waited for their trial runs as long as jobs that could be in time kept arriving.
+TEST(CellTrialWait, LaterJobsDoNotKeepATaskFromItsTrialRun)
+{
+	CellSimulation simulation(1, SimulationFaults{}, 2);
+	simulation.run_ms["first"] = 300;
+	simulation.Run(500);
+	simulation.Submit(MakeCrashingJob(simulation, "bad0", 1, cCrashMs));
+	simulation.Submit(MakeJob("first", 1, 8, 500, 300));
+	// Each second another crasher arrives beside healthy tasks, which need trial runs in turn
+	for (int i = 1; i <= 20; ++i)
+	{
+		simulation.Run(1000);
+		simulation.Submit(MakeCrashingJob(simulation, "bad" + std::to_string(i), 1, cCrashMs));
+		simulation.run_ms["sound" + std::to_string(i)] = 600;
+		simulation.Submit(MakeJob("sound" + std::to_string(i), 1, 8, 500, 600));
+	}
+	EXPECT_EQ(simulation.QueryJob("first").phase, EJobPhase::Completed);
+	simulation.Run(120000);
+	EXPECT_EQ(Failures(simulation), "");
+	EXPECT_EQ(simulation.UnfinishedJobs(), "");
+}
+
 } // namespace Loomreach::Jobs
