--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -293,8 +293,8 @@
 	bool IsChanceCrash(const CellWorker &inWorker) const;
 	/// Whether a task of another suspect of a crash is proved to crash its workers.
 	bool IsSuspectProved(const CrashSuspect &inSuspect);
-	/// A task's crashes without those that another suspect is proved to have caused.
-	CrashTotals UnexplainedCrashes(const TaskCrashes &inCrashes);
+	/// Whether a task's crashes call for a trial run.
+	bool WarrantsTrial(const TaskCrashes &inCrashes);
 	/// What is known of another suspect of a crash.
 	ESuspectState JudgeSuspect(const CrashSuspect &inSuspect);
 	/// Current weight of a task's crashes.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -114,9 +114,6 @@
 	return inRun.state != ERunState::Starting || before_close;
 }
 
-/// Whether crash counts call for a trial run.
-static bool WarrantsTrial(const CrashTotals &inCrashes) { return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial; }
-
 CrashCounts::key_type Cell::CrashKey(const CellJob &inJob, const TaskId &inTask)
 {
 	return {inJob.Unit(inTask.round, inTask.step), inTask.index};
@@ -134,20 +131,17 @@
 	if (job == nullptr)
 		return false;
 	auto found = job->crashes.find(Cell::CrashKey(*job, inTask));
-	return found != job->crashes.end() && WarrantsTrial(this->UnexplainedCrashes(found->second));
+	return found != job->crashes.end() && this->WarrantsTrial(found->second);
 }
 
 ETrial Cell::TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow)
 {
 	auto found = inJob.crashes.find({inUnit, inTask});
-	if (found == inJob.crashes.end())
-		return ETrial::None;
-	const CrashTotals crashes = this->UnexplainedCrashes(found->second);
-	if (!WarrantsTrial(crashes))
+	if (found == inJob.crashes.end() || !this->WarrantsTrial(found->second))
 		return ETrial::None;
 	const Millis since = inJob.volatile_state[inUnit][inTask].trial_wanted_since;
 	const bool has_waited = since >= 0 && inNow - since > cIsolationWaitMs;
-	const bool isolate = crashes.blamed >= cBlamedCrashesToIsolate || crashes.Total() >= cCrashesToIsolate;
+	const bool isolate = found->second.blamed >= cBlamedCrashesToIsolate || found->second.Total() >= cCrashesToIsolate;
 	return isolate && !has_waited ? ETrial::Isolated : ETrial::Start;
 }
 
@@ -400,9 +394,16 @@
 					   [&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
 }
 
-CrashTotals Cell::UnexplainedCrashes(const TaskCrashes &inCrashes)
+bool Cell::WarrantsTrial(const TaskCrashes &inCrashes)
 {
-	return SubtractExplained(inCrashes, [this](const CrashSuspect &inSuspect) { return this->IsSuspectProved(inSuspect); });
+	// Only a single crash may be excused by its proved cause. With more a task nears the limit for crashes of any kind, and must be kept
+	// from starting beside another cause
+	const bool is_excusable = inCrashes.Total() == 1 && inCrashes.cases.size() == 1;
+	if (!is_excusable)
+		return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial;
+	const std::vector<CrashSuspect> &others = inCrashes.cases[0].suspects;
+	return inCrashes.blamed > 0 &&
+		   std::none_of(others.begin(), others.end(), [this](const CrashSuspect &inOther) { return this->IsSuspectProved(inOther); });
 }
 
 ESuspectState Cell::JudgeSuspect(const CrashSuspect &inSuspect)
@@ -487,7 +488,7 @@
 		.Field("explained", weight.explained)
 		.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 		.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
-		.Field("outcome", given_up ? "given up" : (WarrantsTrial(this->UnexplainedCrashes(crashes)) ? "starts on trial" : "counted"))
+		.Field("outcome", given_up ? "given up" : (this->WarrantsTrial(crashes) ? "starts on trial" : "counted"))
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
 	return given_up;
--- a/Loomreach/Schedule/CrashEvidence.cpp
+++ b/Loomreach/Schedule/CrashEvidence.cpp
@@ -17,15 +17,6 @@
 
 bool ExceedsCrashLimit(const TaskCrashes &inCrashes) { return inCrashes.Total() >= cMaxCrashes; }
 
-CrashTotals SubtractExplained(const TaskCrashes &inCrashes, const SuspectProofLookup &inIsProved)
-{
-	CrashTotals totals{inCrashes.blamed, inCrashes.bystander};
-	for (const CrashCase &crash : inCrashes.cases)
-		if (std::any_of(crash.suspects.begin(), crash.suspects.end(), inIsProved))
-			--(crash.blamed ? totals.blamed : totals.bystander);
-	return totals;
-}
-
 CrashSummary SummarizeCrashes(const TaskCrashes &inCrashes, const SuspectStateLookup &inJudge)
 {
 	CrashSummary weight;
--- a/Loomreach/Schedule/CrashEvidence.h
+++ b/Loomreach/Schedule/CrashEvidence.h
@@ -36,21 +36,6 @@
 	uint32 Total() const { return this->blamed + this->bystander; }
 };
 
-/// Numbers of a task's crashes.
-struct CrashTotals
-{
-	uint32 blamed = 0;    ///< The task may have caused the crash.
-	uint32 bystander = 0; ///< Something else is the more likely cause.
-
-	uint32 Total() const { return this->blamed + this->bystander; }
-};
-
-/// Tells whether a suspect is proved to crash its workers.
-using SuspectProofLookup = std::function<bool(const CrashSuspect &)>;
-
-/// Counts a task's crashes without those that another suspect is proved to have caused.
-CrashTotals SubtractExplained(const TaskCrashes &inCrashes, const SuspectProofLookup &inIsProved);
-
 /// Counts a task's crashes by what is known of the other suspects.
 CrashSummary SummarizeCrashes(const TaskCrashes &inCrashes, const SuspectStateLookup &inJudge);
 
