Keep the rack of a crashed trial run until its worker's end is known, again (known failure: sound jobs given up)

Why a freed rack raises the crashes is not known. A sound job that is given up is worse than one that waits.

--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -89,13 +89,6 @@
 	return inWorker.unanswered_since >= 0 ? inWorker.unanswered_since : inNow;
 }
 
-/// Whether a worker was lost so long ago that a loss from now on has another cause.
-static bool IsPastCommonCause(const CellWorker &inWorker, Millis inNow)
-{
-	const Millis max_distance = inWorker.connections_closed_at >= 0 ? cCommonCauseMs : cUnresponsiveCommonCauseMs;
-	return inNow - LossTime(inWorker, inNow) > max_distance;
-}
-
 /// Whether a worker leaves, or has left, as planned.
 static bool LeavesAsPlanned(const CellWorker &inWorker, Millis inNow)
 {
@@ -158,9 +151,7 @@
 		const bool open = run.trial == ETrial::Isolated || (run.trial == ETrial::Start && HasJustStarted(ioWorker, run));
 		ioWorker.open_trials += open && !run.blame_exempt ? 1 : 0;
 	}
-	// A lost worker is not heard again, so its trial run stays open until its lease expires. Another loss in the rack that comes later than
-	// one of a common cause says nothing about it
-	if (ioWorker.open_trials > 0 && !IsPastCommonCause(ioWorker, this->now))
+	if (ioWorker.open_trials > 0)
 		this->trial_racks.insert(ioWorker.entry.rack);
 }
 
