Suspect a task of a crash also where its job has ended before the crash is counted

What callers saw: a sound job ended as failed with "a task crashes its workers" after one crash beside a real crasher and one by chance.

Cause: a crash is counted once its worker's end is certain, 0.4 to 4 s after it. Where the crasher's job was cancelled, or given up for another of its tasks, in between, Cell::OtherSuspects left it out, so that the task beside it counted as the only possible cause:

task_blamed task=sound.0.0.0 run=1 at_once=1 closed_ms_ago=2200 trial=none alone=0 rivals=0 sole=1 task_blamed task=sound.0.0.0 run=2 at_once=2 trial=start alone=1 rivals=0 sole=2 outcome="given up"

alone=0 beside rivals=0 sole=1 is the contradiction. Change: an ended job's tasks stay suspects; JudgeSuspect finds them proved where the job was given up for it, else undecided, and a third crash is needed.

--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -340,13 +340,12 @@
 std::vector<CrashSuspect> Cell::OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun)
 {
 	std::vector<CrashSuspect> suspects;
-	const auto unit_of = [this](const TaskId &inTask) -> uint64 { return this->FindJob(inTask.job)->Unit(inTask.round, inTask.step); };
 	for (const RunId &other : inSuspects)
 	{
-		if (this->OpenJobOf(other.task) == nullptr)
-			continue;
-		CrashSuspect suspect{other.task.job, unit_of(other.task)};
-		const bool is_own = suspect.job == inRun.task.job && suspect.unit == unit_of(inRun.task);
+		// Also one whose job has ended since: it may have caused the crash all the same
+		const CellJob *job = this->FindJob(other.task.job);
+		CrashSuspect suspect{other.task.job, job == nullptr ? 0 : job->Unit(other.task.round, other.task.step)};
+		const bool is_own = other.task.job == inRun.task.job && other.task.round == inRun.task.round && other.task.step == inRun.task.step;
 		if (!is_own && std::find(suspects.begin(), suspects.end(), suspect) == suspects.end())
 			suspects.push_back(std::move(suspect));
 	}
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -129,6 +129,8 @@
 	std::map<std::string, Millis> run_ms;
 	/// Jobs whose tasks all crash their worker, and the time from a run's start to the crash.
 	std::map<std::string, Millis> crash_after_ms;
+	/// Tasks that crash their worker although others of their job may not, and the time from a run's start to the crash.
+	std::map<TaskId, Millis> task_crash_after_ms;
 	/// Delay of the next incarnation after a crash by a task; 0: random, 0.5 to 3.5 s.
 	Millis back_after_ms = 0;
 	/// Ends a worker's process; the next one at its address starts after `inBackMs`. `inCloses`: see SimulatedWorker.
@@ -139,6 +141,8 @@
 	uint32 CrashesCausedBy(const TaskId &inTask) const;
 	/// All violations, one per line.
 	std::string Violations() const;
+	/// Whether a task of the job crashes its workers.
+	bool HasCrashingTask(const std::string &inJob) const;
 	/// Jobs reported as failed although their tasks crash no workers, one per line.
 	std::string WronglyFailedJobs() const;
 	/// Whether the deadline to stop a cancelled job's run applies only while the owner knows the worker's address.
--- a/UnitTests/CellWorldWorkers.cpp
+++ b/UnitTests/CellWorldWorkers.cpp
@@ -83,11 +83,17 @@
 	return text;
 }
 
+bool CellSimulation::HasCrashingTask(const std::string &inJob) const
+{
+	return this->crash_after_ms.contains(inJob) || std::any_of(this->task_crash_after_ms.begin(), this->task_crash_after_ms.end(),
+															   [&inJob](const auto &inCrashing) { return inCrashing.first.job == inJob; });
+}
+
 std::string CellSimulation::WronglyFailedJobs() const
 {
 	std::string wrongly_failed;
 	for (const auto &[id, spec] : this->specs)
-		if (this->QueryJob(id).phase == EJobPhase::Failed && !this->crash_after_ms.contains(id))
+		if (this->QueryJob(id).phase == EJobPhase::Failed && !this->HasCrashingTask(id))
 			wrongly_failed += "given up: " + id + '\n';
 	return wrongly_failed;
 }
@@ -362,6 +368,8 @@
 	work.fails = this->random.Chance(this->faults.failed_run);
 	auto crashes = this->crash_after_ms.find(inOrder.task.job);
 	work.crashes_at = crashes == this->crash_after_ms.end() ? -1 : this->now + crashes->second;
+	auto task_crashes = this->task_crash_after_ms.find(inOrder.task);
+	work.crashes_at = task_crashes == this->task_crash_after_ms.end() ? work.crashes_at : this->now + task_crashes->second;
 	ioWorker.running.emplace(id, work);
 	return answer;
 }
