Clear a suspect only by its own runs, not by those of its step

What callers saw: a sound job given up after one crash beside a real crasher and one by chance, where only one task of the crasher's step crashes.

Cause: JudgeSuspect cleared a step as soon as any of its tasks had outlived its start. A sibling that runs well so cleared the crasher, and the task beside it was left as the only suspect (rivals=1 sole=1 at the first crash, sole=2 "given up" at the second, before the crasher's own trial was counted). Change: a suspect is a task. The task is in the upper half of the number that names the step; the previous version reads a step that does not exist and takes the suspect for undecided (CrashEvidence.SuspectsAreReadByThePreviousVersion).

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -289,8 +289,10 @@
 	ESuspectState JudgeSuspect(const CrashSuspect &inSuspect);
 	/// Current weight of a task's crashes.
 	CrashSummary WeightOf(const TaskCrashes &inCrashes);
-	/// Whether any task of a unit has survived its start or is done.
-	bool HasSurvivedStart(const CellJob &inJob, uint64 inUnit) const;
+	/// Whether a task has survived its start or is done.
+	bool HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const;
+	/// The same for any task of a unit.
+	bool HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const;
 	/// Units of the runs other than `inRun` that may have crashed a worker. Tasks of its own unit count as the same suspect.
 	std::vector<CrashSuspect> OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun);
 	/// Fails the job of a task that crashes its workers.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -299,23 +299,27 @@
 		   after_start;
 }
 
-bool Cell::HasSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+bool Cell::HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const
 {
-	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+	const TaskRecord &task = inJob.record.steps[inUnit].tasks[inTask];
+	const uint64 steps = inJob.spec.steps.size();
+	const TaskId task_id{inJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask};
+	const auto has_survived = [this, &task_id](const RunRecord &inRecord)
 	{
-		if (task.done)
+		auto worker = this->workers.find(inRecord.worker);
+		if (worker == this->workers.end())
+			return false;
+		auto run = worker->second.runs.find({task_id, inRecord.run});
+		return run != worker->second.runs.end() && SurvivedMs(worker->second, run->second) >= cStartWindowMs;
+	};
+	return task.done || std::any_of(task.runs.begin(), task.runs.end(), has_survived);
+}
+
+bool Cell::HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+{
+	for (uint32 task = 0; task < inJob.record.steps[inUnit].tasks.size(); ++task)
+		if (this->HasTaskSurvivedStart(inJob, inUnit, task))
 			return true;
-		for (const RunRecord &record : task.runs)
-		{
-			auto worker = this->workers.find(record.worker);
-			if (worker == this->workers.end())
-				continue;
-			for (const auto &[id, run] : worker->second.runs)
-				if (id.run == record.run && id.task.job == inJob.spec.id && inJob.Unit(id.task.round, id.task.step) == inUnit &&
-					SurvivedMs(worker->second, run) >= cStartWindowMs)
-					return true;
-		}
-	}
 	return false;
 }
 
@@ -324,12 +328,16 @@
 	const CellJob *job = this->FindJob(inSuspect.job);
 	if (job == nullptr || inSuspect.unit >= job->record.steps.size())
 		return ESuspectState::Undecided;
+	if (inSuspect.task.has_value() && *inSuspect.task >= job->record.steps[inSuspect.unit].tasks.size())
+		return ESuspectState::Undecided;
 	const bool proved =
 		std::any_of(job->crashes.begin(), job->crashes.end(),
 					[&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
 	if (proved)
 		return ESuspectState::Proved;
-	return this->HasSurvivedStart(*job, inSuspect.unit) ? ESuspectState::Cleared : ESuspectState::Undecided;
+	const bool survived = inSuspect.task.has_value() ? this->HasTaskSurvivedStart(*job, inSuspect.unit, *inSuspect.task)
+													 : this->HasStepSurvivedStart(*job, inSuspect.unit);
+	return survived ? ESuspectState::Cleared : ESuspectState::Undecided;
 }
 
 CrashSummary Cell::WeightOf(const TaskCrashes &inCrashes)
@@ -344,7 +352,8 @@
 	{
 		// Also one whose job has ended since: it may have caused the crash all the same
 		const CellJob *job = this->FindJob(other.task.job);
-		CrashSuspect suspect{other.task.job, job == nullptr ? 0 : job->Unit(other.task.round, other.task.step)};
+		const size_t unit = job == nullptr ? 0 : job->Unit(other.task.round, other.task.step);
+		CrashSuspect suspect{other.task.job, static_cast<uint32>(unit), other.task.index};
 		const bool is_own = other.task.job == inRun.task.job && other.task.round == inRun.task.round && other.task.step == inRun.task.step;
 		if (!is_own && std::find(suspects.begin(), suspects.end(), suspect) == suspects.end())
 			suspects.push_back(std::move(suspect));
@@ -372,7 +381,7 @@
 	ChanceIndicators indicators;
 	indicators.other_workers_crashed =
 		std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [](const WorkerLoss &inLost) { return !inLost.just_started; });
-	indicators.step_task_survived = this->HasSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
+	indicators.step_task_survived = this->HasStepSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
 	const bool proved = only_suspect && after_start && IsCrashCauseProved(weight, indicators);
 	// The proof may depend on other suspects whose trial runs are outstanding
 	CrashSummary cleared = weight;
@@ -437,7 +446,7 @@
 		TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, task)];
 		const CrashSummary weight = this->WeightOf(crashes);
 		ChanceIndicators indicators;
-		indicators.step_task_survived = this->HasSurvivedStart(*job, job->Unit(task.round, task.step));
+		indicators.step_task_survived = this->HasStepSurvivedStart(*job, job->Unit(task.round, task.step));
 		const bool proved = IsCrashCauseProved(weight, indicators);
 		const bool decided = proved || weight.explained > 0 || indicators.step_task_survived || inNow >= state.not_before;
 		if (!decided)
--- a/Loomreach/Schedule/CrashEvidence.h
+++ b/Loomreach/Schedule/CrashEvidence.h
@@ -16,7 +16,7 @@
 enum class ESuspectState : uint8
 {
 	Undecided, ///< Undecided.
-	Cleared,   ///< A task of it has run past its start or has finished its work.
+	Cleared,   ///< It has run past its start or has finished its work.
 	Proved     ///< Its job was failed because a task of it crashes its workers.
 };
 
--- a/Loomreach/Schedule/TaskCrashes.h
+++ b/Loomreach/Schedule/TaskCrashes.h
@@ -7,18 +7,33 @@
 namespace Loomreach::Jobs
 {
 
-/// Another suspect of a crash: a step, whose tasks all run the same program.
+/// Another suspect of a crash: a task. Others of its step may run well although they run the same program.
 struct CrashSuspect
 {
 	std::string job;
-	uint64 unit = 0; ///< Index of the step's record.
+	uint32 unit = 0;            ///< Index of the step's record.
+	std::optional<uint32> task; ///< Not set in records of earlier versions: any task of the step.
 
 	bool operator==(const CrashSuspect &) const = default;
+	/// The task is in the upper half of the number, plus one. Earlier versions read the whole as a step that does not exist, and take the
+	/// suspect for undecided.
 	template <class Archive>
-	void serialize(Archive &ioArchive)
+	void save(Archive &ioArchive) const
 	{
-		ioArchive(this->job, this->unit);
+		const uint64 upper = this->task.has_value() ? uint64{*this->task} + 1 : 0;
+		ioArchive(this->job, this->unit | (upper << cTaskShift));
 	}
+	template <class Archive>
+	void load(Archive &ioArchive)
+	{
+		uint64 number = 0;
+		ioArchive(this->job, number);
+		this->unit = static_cast<uint32>(number);
+		this->task = number >> cTaskShift == 0 ? std::nullopt : std::optional(static_cast<uint32>((number >> cTaskShift) - 1));
+	}
+
+private:
+	static constexpr int cTaskShift = 32;
 };
 
 /// One worker crash during a run of a task.
--- a/UnitTests/CrashEvidenceTests.cpp
+++ b/UnitTests/CrashEvidenceTests.cpp
@@ -21,7 +21,7 @@
 	{
 		CrashCase crash{true, true, false, {}};
 		for (const ESuspectState suspect : suspects)
-			crash.suspects.push_back({"rival", static_cast<uint64>(suspect)});
+			crash.suspects.push_back({"rival", static_cast<uint32>(suspect), {}});
 		crashes.cases.push_back(crash);
 		++crashes.blamed;
 		++crashes.after_start;
@@ -93,4 +93,17 @@
 	EXPECT_TRUE(restarted.at({0, 1}).cases.empty());
 }
 
+/// An owner of the previous version must be able to read a suspect with its task, and this version one without.
+TEST(CrashEvidence, SuspectsAreReadByThePreviousVersion)
+{
+	const CrashSuspect with_task{"job", 2, 5};
+	const CrashSuspect without_task{"job", 2, std::nullopt};
+	const auto before = DecodeValue<std::pair<std::string, uint64>>(EncodeValue(with_task));
+	ASSERT_TRUE(before.has_value());
+	EXPECT_EQ(before->first, "job");
+	EXPECT_GE(before->second, uint64{1} << 32);
+	EXPECT_EQ(DecodeValue<CrashSuspect>(EncodeValue(with_task)), with_task);
+	EXPECT_EQ(DecodeValue<CrashSuspect>(EncodeValue(std::pair<std::string, uint64>("job", 2))), without_task);
+}
+
 } // namespace Loomreach::Jobs
