Judge a task that awaited other suspects also by crashes of other workers meanwhile

What callers saw: a sound job given up after two crashes, while other workers crashed by chance as well.

Cause: Cell::DecideAwaiting left ChanceIndicators::other_workers_crashed unset, which CountCrash sets. A task that waited for another suspect was judged as if no worker had crashed (task_judged at_once=2 sole=2 outcome="given up" after task_blamed task=filler.0.0.0 workers_crash=1).

CellCrash was not run on this commit yet.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -285,6 +285,8 @@
 	std::vector<RunId> CrashSuspects(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outLessLikely);
 	/// Whether other workers were lost at the same time for a reason that is no task's fault: in the same rack, or without a recent start.
 	bool IsChanceCrash(const CellWorker &inWorker) const;
+	/// Whether workers on which no run had just started have been lost lately.
+	bool HaveWorkersCrashedByChance(Millis inNow) const;
 	/// What is known of another suspect of a crash.
 	ESuspectState JudgeSuspect(const CrashSuspect &inSuspect);
 	/// Current weight of a task's crashes.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -277,6 +277,12 @@
 	return false;
 }
 
+bool Cell::HaveWorkersCrashedByChance(Millis inNow) const
+{
+	return std::any_of(this->recent_losses.begin(), this->recent_losses.end(),
+					   [inNow](const WorkerLoss &inLost) { return !inLost.just_started && inNow - inLost.at <= cLossRetentionMs; });
+}
+
 void Cell::PollRack(const CellWorker &inWorker, Millis inNow)
 {
 	if (inWorker.entry.rack.empty())
@@ -379,8 +385,7 @@
 	const bool only_suspect = inSuspects.size() == 1;
 	// Recent crashes without a recent start suggest that this one is random as well
 	ChanceIndicators indicators;
-	indicators.other_workers_crashed =
-		std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [](const WorkerLoss &inLost) { return !inLost.just_started; });
+	indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
 	indicators.step_task_survived = this->HasStepSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
 	const bool proved = only_suspect && after_start && IsCrashCauseProved(weight, indicators);
 	// The proof may depend on other suspects whose trial runs are outstanding
@@ -446,6 +451,7 @@
 		TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, task)];
 		const CrashSummary weight = this->WeightOf(crashes);
 		ChanceIndicators indicators;
+		indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
 		indicators.step_task_survived = this->HasStepSurvivedStart(*job, job->Unit(task.round, task.step));
 		const bool proved = IsCrashCauseProved(weight, indicators);
 		const bool decided = proved || weight.explained > 0 || indicators.step_task_survived || inNow >= state.not_before;
@@ -462,6 +468,7 @@
 			.Field("at_once", weight.after_start)
 			.Field("sole", weight.sole_suspect_after_start)
 			.Field("explained", weight.explained)
+			.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 			.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
 			.Field("outcome", proved ? "given up" : "starts on trial")
 			.Field("cell", this->run_events.Cell())
