--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -333,6 +333,12 @@
 	return false;
 }
 
+bool Cell::HaveWorkersCrashedByChance(Millis inNow) const
+{
+	return std::any_of(this->recent_losses.begin(), this->recent_losses.end(),
+					   [inNow](const WorkerLoss &inLost) { return !inLost.just_started && inNow - inLost.at <= cLossRetentionMs; });
+}
+
 void Cell::PollRack(const CellWorker &inWorker, Millis inNow)
 {
 	if (inWorker.entry.rack.empty())
@@ -355,23 +361,27 @@
 		   after_start;
 }
 
-bool Cell::HasSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+bool Cell::HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const
 {
-	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+	const TaskRecord &task = inJob.record.steps[inUnit].tasks[inTask];
+	const uint64 steps = inJob.spec.steps.size();
+	const TaskId task_id{inJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask};
+	const auto has_survived = [this, &task_id](const RunRecord &inRecord)
 	{
-		if (task.done)
+		auto worker = this->workers.find(inRecord.worker);
+		if (worker == this->workers.end())
+			return false;
+		auto run = worker->second.runs.find({task_id, inRecord.run});
+		return run != worker->second.runs.end() && SurvivedMs(worker->second, run->second) >= cStartWindowMs;
+	};
+	return task.done || std::any_of(task.runs.begin(), task.runs.end(), has_survived);
+}
+
+bool Cell::HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+{
+	for (uint32 task = 0; task < inJob.record.steps[inUnit].tasks.size(); ++task)
+		if (this->HasTaskSurvivedStart(inJob, inUnit, task))
 			return true;
-		for (const RunRecord &record : task.runs)
-		{
-			auto worker = this->workers.find(record.worker);
-			if (worker == this->workers.end())
-				continue;
-			for (const auto &[id, run] : worker->second.runs)
-				if (id.run == record.run && id.task.job == inJob.spec.id && inJob.Unit(id.task.round, id.task.step) == inUnit &&
-					SurvivedMs(worker->second, run) >= cStartWindowMs)
-					return true;
-		}
-	}
 	return false;
 }
 
@@ -402,9 +412,13 @@
 	const CellJob *job = this->FindJob(inSuspect.job);
 	if (job == nullptr || inSuspect.unit >= job->record.steps.size())
 		return ESuspectState::Undecided;
+	if (inSuspect.task.has_value() && *inSuspect.task >= job->record.steps[inSuspect.unit].tasks.size())
+		return ESuspectState::Undecided;
 	if (this->IsSuspectProved(inSuspect))
 		return ESuspectState::Proved;
-	return this->HasSurvivedStart(*job, inSuspect.unit) ? ESuspectState::Cleared : ESuspectState::Undecided;
+	const bool survived = inSuspect.task.has_value() ? this->HasTaskSurvivedStart(*job, inSuspect.unit, *inSuspect.task)
+													 : this->HasStepSurvivedStart(*job, inSuspect.unit);
+	return survived ? ESuspectState::Cleared : ESuspectState::Undecided;
 }
 
 CrashSummary Cell::WeightOf(const TaskCrashes &inCrashes)
@@ -415,13 +429,13 @@
 std::vector<CrashSuspect> Cell::OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun)
 {
 	std::vector<CrashSuspect> suspects;
-	const auto unit_of = [this](const TaskId &inTask) -> uint64 { return this->FindJob(inTask.job)->Unit(inTask.round, inTask.step); };
 	for (const RunId &other : inSuspects)
 	{
-		if (this->OpenJobOf(other.task) == nullptr)
-			continue;
-		CrashSuspect suspect{other.task.job, unit_of(other.task)};
-		const bool is_own = suspect.job == inRun.task.job && suspect.unit == unit_of(inRun.task);
+		// Also one whose job has ended since: it may have caused the crash all the same
+		const CellJob *job = this->FindJob(other.task.job);
+		const size_t unit = job == nullptr ? 0 : job->Unit(other.task.round, other.task.step);
+		CrashSuspect suspect{other.task.job, static_cast<uint32>(unit), other.task.index};
+		const bool is_own = other.task.job == inRun.task.job && other.task.round == inRun.task.round && other.task.step == inRun.task.step;
 		if (!is_own && std::find(suspects.begin(), suspects.end(), suspect) == suspects.end())
 			suspects.push_back(std::move(suspect));
 	}
@@ -446,9 +460,8 @@
 	const bool only_suspect = inSuspects.size() == 1;
 	// Recent crashes without a recent start suggest that this one is random as well
 	ChanceIndicators indicators;
-	indicators.other_workers_crashed =
-		std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [](const WorkerLoss &inLost) { return !inLost.just_started; });
-	indicators.step_task_survived = this->HasSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
+	indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
+	indicators.step_task_survived = this->HasStepSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
 	const bool proved = only_suspect && after_start && IsCrashCauseProved(weight, indicators);
 	// The proof may depend on other suspects whose trial runs are outstanding
 	CrashSummary cleared = weight;
@@ -513,7 +526,8 @@
 		TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, task)];
 		const CrashSummary weight = this->WeightOf(crashes);
 		ChanceIndicators indicators;
-		indicators.step_task_survived = this->HasSurvivedStart(*job, job->Unit(task.round, task.step));
+		indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
+		indicators.step_task_survived = this->HasStepSurvivedStart(*job, job->Unit(task.round, task.step));
 		const bool proved = IsCrashCauseProved(weight, indicators);
 		const bool decided = proved || weight.explained > 0 || indicators.step_task_survived || inNow >= state.not_before;
 		if (!decided)
@@ -529,6 +543,7 @@
 			.Field("at_once", weight.after_start)
 			.Field("sole", weight.sole_suspect_after_start)
 			.Field("explained", weight.explained)
+			.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 			.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
 			.Field("outcome", proved ? "given up" : "starts on trial")
 			.Field("cell", this->run_events.Cell())
