Keep an unanswered start's task on its worker while the start may still arrive

Cause: a start without an answer was followed by a stop, or by the token of a new incarnation; the worker then did not list the run, and its task was started elsewhere. Token and stop are forgotten with the incarnation that holds them. If that one ends too, its successor under the same id carries the delayed start out.

Change: such a run becomes Fenced and stays on its worker, with its room, until 12 s after its start was sent or until the worker lists it. It is not ended by its lease before that. Only where workers report when they started, since elsewhere each incarnation has a new id. Fenced runs are no suspects of a crash.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -335,6 +335,11 @@
 	void CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun);
 	void CloseIfEnded(CellJob &ioJob);
 	void CloseJob(CellJob &ioJob, EJobPhase inPhase, std::string_view inWhy);
+	/// Whether a run's start may still be carried out by a later incarnation of its worker. What makes the current one refuse it, a token
+	/// or a stop, is lost with it.
+	static bool MayStartLater(const CellWorker &inWorker, const Run &inRun, Millis inNow);
+	/// Keeps a run that its worker refuses on the worker, so that its task is not started elsewhere while its start may still arrive.
+	void FenceRun(CellWorker &ioWorker, const RunId &inId, Run &ioRun, Millis inNow);
 	/// Stops a run that a worker has and the records lack. It occupies capacity until it has ended.
 	void StopUnrecordedRun(CellWorker &ioWorker, const RunId &inRun, Millis inNow);
 	void StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow);
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -67,7 +67,10 @@
 }
 
 /// Whether a run may have just started when its worker was last heard.
-static bool HasJustStarted(const CellWorker &inWorker, const Run &inRun) { return SurvivedMs(inWorker, inRun) < cStartWindowMs; }
+static bool HasJustStarted(const CellWorker &inWorker, const Run &inRun)
+{
+	return inRun.state != ERunState::Fenced && SurvivedMs(inWorker, inRun) < cStartWindowMs;
+}
 
 static bool HasJustStartedRun(const CellWorker &inWorker)
 {
@@ -96,7 +99,7 @@
 /// Whether a run may have been on a worker when it was lost.
 static bool MayHaveBeenThere(const CellWorker &inWorker, const Run &inRun)
 {
-	if (!IsDispatched(inRun.state) || inRun.in_new_incarnation || inRun.crash_counted)
+	if (!IsDispatched(inRun.state) || inRun.state == ERunState::Fenced || inRun.in_new_incarnation || inRun.crash_counted)
 		return false;
 	// An order without an answer yet may have gone to the next incarnation
 	const bool before_close =
@@ -148,7 +151,8 @@
 			run.blame_exempt = true;
 			this->ClearCrashes(ioWorker, id);
 		}
-		const bool open = run.trial == ETrial::Isolated || (run.trial == ETrial::Start && HasJustStarted(ioWorker, run));
+		const bool isolated = run.trial == ETrial::Isolated && run.state != ERunState::Fenced;
+		const bool open = isolated || (run.trial == ETrial::Start && HasJustStarted(ioWorker, run));
 		ioWorker.open_trials += open && !run.blame_exempt ? 1 : 0;
 	}
 	if (ioWorker.open_trials > 0)
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -301,6 +301,28 @@
 		.Field("after_ms", this->now - ioJob.arrived_at);
 }
 
+bool Cell::MayStartLater(const CellWorker &inWorker, const Run &inRun, Millis inNow)
+{
+	// Where workers do not report when they started, each incarnation has a new id and refuses orders for another one
+	return inWorker.started_ms != cStartTimeUnknown && inNow < inRun.start_pending_until;
+}
+
+void Cell::FenceRun(CellWorker &ioWorker, const RunId &inId, Run &ioRun, Millis inNow)
+{
+	if (std::exchange(ioRun.state, ERunState::Fenced) == ERunState::Fenced)
+		return;
+	ioRun.since = inNow;
+	LogEvent(ELogLevel::Info, "run_fenced")
+		.Field("request", inId.task.job)
+		.Field("task", TaskText(inId.task))
+		.Field("run", inId.run)
+		.Field("worker", ioWorker.entry.id)
+		.Field("born_ms", ioWorker.started_ms)
+		.Field("wait_ms", ioRun.start_pending_until - inNow)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::StopUnrecordedRun(CellWorker &ioWorker, const RunId &inRun, Millis inNow)
 {
 	const CellJob *job = this->FindJob(inRun.task.job);
@@ -333,7 +355,7 @@
 		this->DropRun(ioWorker, inRun);
 		return;
 	}
-	if (run.state == ERunState::Stopping || run.state == ERunState::Writing)
+	if (run.state == ERunState::Stopping || run.state == ERunState::Writing || (run.state == ERunState::Fenced && run.stop_acked_at >= 0))
 		return;
 	LogEvent(ELogLevel::Info, "run_stopped")
 		.Field("request", inRun.task.job)
--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -16,8 +16,6 @@
 
 /// Tolerance for clock values, which are in whole milliseconds and are read some time before they are sent.
 static constexpr Millis cClockToleranceMs = 250;
-/// Longest expected delay of an order without an answer. The platform specifies "seconds"; the simulation delays orders by up to 12 s.
-static constexpr Millis cMaxOrderDelayMs = 12000;
 
 bool WorkerIncarnation::FitsClock(Millis inClock, Millis inSentAt, Millis inNow) const
 {
@@ -178,8 +176,9 @@
 		if (!IsDispatched(run.state))
 			continue;
 		any = true;
-		if (run.state == ERunState::Stopping)
+		if (run.state == ERunState::Stopping || (run.state == ERunState::Fenced && run.stop_acked_at >= 0))
 		{
+			run.state = ERunState::Stopping;
 			run.stop_sent = false;
 			run.stop_acked_at = -1;
 			run.next_stop_at = inNow;
@@ -217,6 +216,8 @@
 	const bool is_unverified = run != ioWorker.runs.end() && run->second.state == ERunState::Inherited;
 	const bool may_run =
 		inAnswer.result == EOrderResult::Done || inAnswer.result == EOrderResult::StaleRun || inAnswer.result == EOrderResult::Unknown;
+	if (run != ioWorker.runs.end() && inAnswer.result != EOrderResult::Unknown)
+		run->second.start_pending_until = 0;
 	// Neither incarnation has accepted the run
 	if (is_unverified && !may_run)
 		this->EndRun(ioWorker, id, ERunEnd::Stopped, "", NameOf(cOrderResultNames, inAnswer.result), inNow);
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -100,6 +100,7 @@
 		order.ticket = run.ticket;
 		order.until_ms = worker.ClockAt(inNow) + this->leases.LeaseToGrant();
 		run.start_expires_at = order.until_ms;
+		run.start_pending_until = inNow + cMaxOrderDelayMs;
 		worker.lease_expires_at = std::max(worker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 		orders.push_back(std::move(order));
 	}
@@ -293,6 +294,8 @@
 	if (found == ioWorker.runs.end())
 		return;
 	Run &run = found->second;
+	if (inAnswer.result != EOrderResult::Unknown)
+		run.start_pending_until = 0;
 	const bool open = run.state == ERunState::Starting || run.state == ERunState::Unconfirmed;
 	// The poll in flight tells which incarnation has the run
 	if (inAnswer.result == EOrderResult::Done && ioWorker.restart_suspected)
@@ -405,6 +408,7 @@
 			continue;
 		}
 		Run &run = found->second;
+		run.start_pending_until = 0;
 		const bool confirms = run.state == ERunState::Unconfirmed || run.state == ERunState::Inherited || run.state == ERunState::Starting;
 		if (confirms)
 		{
@@ -437,7 +441,13 @@
 		const bool stopped = run.state == ERunState::Stopping && run.stop_acked_at >= 0 && run.stop_acked_at < inSentAt;
 		// Once the worker has seen this owner's token, it refuses a previous owner's order
 		const bool fenced = run.state == ERunState::Inherited && inNow >= run.predecessor_wait_until;
-		const bool over = was_there || stopped || fenced;
+		const bool refused = stopped || fenced || run.state == ERunState::Fenced;
+		if (refused && Cell::MayStartLater(ioWorker, run, inNow))
+		{
+			this->FenceRun(ioWorker, id, run, inNow);
+			continue;
+		}
+		const bool over = was_there || refused;
 		// If the list of ends is partial, this run's end may be missing from it
 		if (over && !inAnswer.partial)
 			absent.push_back(id);
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -469,12 +469,28 @@
 	if (ioWorker.runs.empty() || inNow < ioWorker.lease_expires_at)
 		return;
 	std::vector<RunId> lapsed;
-	for (const auto &[id, run] : ioWorker.runs)
-		if (IsDispatched(run.state))
-			lapsed.push_back(id);
+	std::vector<Run *> pending;
+	bool is_new_loss = false;
+	for (auto &[id, run] : ioWorker.runs)
+	{
+		if (!IsDispatched(run.state))
+			continue;
+		if (Cell::MayStartLater(ioWorker, run, inNow))
+		{
+			pending.push_back(&run);
+			continue;
+		}
+		lapsed.push_back(id);
+		is_new_loss = is_new_loss || !run.crash_counted;
+	}
 	// Connections closed after the last answer show that the process has ended; an unresponsive worker may be partitioned and still run
-	if ((ioWorker.connections_closed_at >= 0 || ioWorker.ended) && !lapsed.empty())
+	if ((ioWorker.connections_closed_at >= 0 || ioWorker.ended) && is_new_loss)
+	{
 		this->AttributeCrash(ioWorker, inNow);
+		// Ended later, when the same crash must not count again
+		for (Run *run : pending)
+			run->crash_counted = true;
+	}
 	// Nothing has extended the leases, so they have expired wherever the worker is
 	for (const RunId &id : lapsed)
 		this->EndRun(ioWorker, id, ERunEnd::LeaseExpired, "", "lease expired without an answer", inNow);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -46,6 +46,9 @@
 /// Margin before a lease counts as expired: two message delays and a late timer.
 inline constexpr Millis cLeaseSlackMs = 150;
 
+/// Longest expected delay of an order without an answer. The platform specifies "seconds"; the simulation delays orders by up to 12 s.
+inline constexpr Millis cMaxOrderDelayMs = 12000;
+
 /// Longest time on the owner's clock, counted from sending, that a lease of `inLeaseMs` on a worker's clock may last.
 constexpr Millis LongestLease(Millis inLeaseMs) { return inLeaseMs * (1000 + cClockSlackPerMille) / 1000 + cLeaseSlackMs; }
 
@@ -62,7 +65,8 @@
 	Confirmed,   ///< The worker has it.
 	Unconfirmed, ///< No answer: the worker may have it, or may still start it.
 	Inherited,   ///< Found in the log at take-over, or dispatched to a previous incarnation; the current one has not been polled yet.
-	Stopping     ///< Being stopped.
+	Stopping,    ///< Being stopped.
+	Fenced       ///< The worker refuses it from now on, but its start has had no answer and may still reach a later incarnation.
 };
 
 inline constexpr std::array cRunStateNames = {
@@ -70,6 +74,7 @@
 	EnumName<ERunState>{ERunState::Logged, "logged"},       EnumName<ERunState>{ERunState::Starting, "starting"},
 	EnumName<ERunState>{ERunState::Confirmed, "confirmed"}, EnumName<ERunState>{ERunState::Unconfirmed, "doubtful"},
 	EnumName<ERunState>{ERunState::Inherited, "inherited"}, EnumName<ERunState>{ERunState::Stopping, "stopping"},
+	EnumName<ERunState>{ERunState::Fenced, "fenced"},
 };
 
 /// How a run is isolated so that a crash shows whether the run was the cause.
@@ -121,8 +126,10 @@
 	Millis since = 0;                ///< When it entered its state.
 	Millis confirmed_at = -1;        ///< When the worker was known to have it; -1: never.
 	Millis start_expires_at = 0;     ///< On the worker's clock. A start that arrives later has no effect.
-	bool stop_sent = false;          ///< A stop order is in flight.
-	Millis stop_acked_at = -1;       ///< When the worker accepted the stop; -1: not yet.
+	/// Its start may still arrive until then, and be carried out unless the incarnation there refuses it; 0: it has arrived.
+	Millis start_pending_until = 0;
+	bool stop_sent = false;    ///< A stop order is in flight.
+	Millis stop_acked_at = -1; ///< When the worker accepted the stop; -1: not yet.
 	Millis next_stop_at = 0;
 	int64 percent = 0;
 	Millis progress_at = 0;       ///< When `percent` was reported.
