Give a worker that is found again a higher token than before

Cause: a worker that had left the list and was removed, and then came back under its id, got the number of the newest incarnation seen. If no other worker had started again since, its orders had the same token as those to its previous incarnation, so that a delayed one was obeyed.

The owner has logged and acknowledged ends 1 to 6 (last_seen=6); after a silence it gets ends 12 and 13, and runs that were confirmed end as "worker does not have it". Nobody had acknowledged ends 7 to 11 of this incarnation. The delayed poll itself was not traced.

Change: a worker that is found is given the next number.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -232,9 +232,10 @@
 		present.insert(entry.id);
 		const auto [found, is_unknown] = this->workers.try_emplace(entry.id);
 		CellWorker &worker = found->second;
-		// The worker may have been known before and have seen the tokens of later incarnations
+		// The worker may have been known before. It may have seen the tokens of later incarnations, and orders for its previous incarnation
+		// may still arrive, which it must refuse
 		if (is_unknown)
-			worker.incarnation_number = this->incarnations_begun;
+			worker.incarnation_number = ++this->incarnations_begun;
 		const bool is_new = worker.entry.pool.empty();
 		// An entry of a previous incarnation says nothing about the current one
 		if (!this->UpdateIncarnation(worker, entry, inNow))
