Let a read of the store take longer while its answer keeps arriving

Cause: a read of a log's newest records, and a read from an offset, had a fixed time for the whole answer (1.5 s and 0.6 s). From then on nobody could claim the cell, whoever tried, to the end: 14.2404 front-hall-e-2 event=cells_claimed claims=219:rank0of17/front-hall-e-2/0ms 15.7401 front-hall-e-2 event=claim_lost topic=keyed.cell13 part=11 why="the newest records of the log could not be read" and again by three hosts every 1.5 to 4 s up to 44.5 s, each exactly 1500 ms after its claim.

The owners still lose their cells at the peak, which is another fault.

--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -39,8 +39,9 @@
 	std::string response_body;
 	Callback done;
 	Millis not_after = 0;
-	Millis deadline = 0;   ///< When the call times out.
-	uint32 send_count = 0; ///< How often the request was about to be sent: libcurl repeats it if a kept connection turns out closed.
+	Millis deadline = 0;      ///< When the call times out.
+	Millis last_deadline = 0; ///< `deadline` is not extended beyond this.
+	uint32 send_count = 0;    ///< How often the request was about to be sent: libcurl repeats it if a kept connection turns out closed.
 	bool has_side_effects = false; ///< Whether the call changes anything at the server.
 	HttpClient *client = nullptr;
 	std::shared_ptr<Peer> peer;
@@ -335,10 +336,22 @@
 
 size_t HttpClient::OnBody(char *inData, size_t inSize, size_t inCount, void *inPending)
 {
-	static_cast<Pending *>(inPending)->response_body.append(inData, inSize * inCount);
+	Pending *pending = static_cast<Pending *>(inPending);
+	pending->response_body.append(inData, inSize * inCount);
+	pending->client->ExtendDeadline(*pending, NowMillis());
 	return inSize * inCount;
 }
 
+void HttpClient::ExtendDeadline(Pending &ioPending, Millis inNow)
+{
+	const Millis extended = std::min(inNow + ioPending.timeout_ms, ioPending.last_deadline);
+	if (extended <= ioPending.deadline)
+		return;
+	this->deadlines.erase({ioPending.deadline, ioPending.easy});
+	ioPending.deadline = extended;
+	this->deadlines.emplace(ioPending.deadline, ioPending.easy);
+}
+
 /// Whether a call failed because the peer closed or refused the connection: its process has ended, or its host has reset the connection.
 static bool IsClosedByPeer(CURL *inEasy, CURLcode inCode)
 {
@@ -353,6 +366,7 @@
 HttpResult HttpClient::ResultOf(Pending &ioPending, CURLcode inCode)
 {
 	HttpResult result;
+	result.received = ioPending.response_body.size();
 	long request_bytes = 0;
 	long status = 0;
 	curl_easy_getinfo(ioPending.easy, CURLINFO_REQUEST_SIZE, &request_bytes);
@@ -491,7 +505,9 @@
 	}
 	this->SetUp(*pending, inCall);
 	pending->done = std::move(inDone);
-	pending->deadline = NowMillis() + pending->timeout_ms;
+	const Millis now = NowMillis();
+	pending->deadline = now + pending->timeout_ms;
+	pending->last_deadline = now + inCall.max_transfer_ms;
 	CURL *easy = pending->easy;
 	this->deadlines.emplace(pending->deadline, easy);
 	this->in_flight[easy] = std::move(pending);
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -33,6 +33,7 @@
 	bool refused = false; ///< The request was never sent (there was no connection): the call certainly had no effect.
 	bool closed = false;  ///< With status 0: the peer closed or refused the connection, which an unresponsive peer does not do.
 	std::string error;    ///< With status 0: the reason.
+	size_t received = 0;  ///< Bytes of the body that arrived, also of an incomplete one.
 
 	bool IsOk() const { return this->status >= 200 && this->status < 300; }
 };
@@ -47,6 +48,8 @@
 	std::string content_type = "application/json";
 	std::vector<std::pair<std::string, std::string>> headers;
 	Millis timeout_ms = 3000;
+	/// An answer that has begun to arrive may take this long in all: each part that arrives starts `timeout_ms` anew. 0: it may not.
+	Millis max_transfer_ms = 0;
 	Millis wait_ms = 0;      ///< The part of `timeout_ms` for which the server may delay its answer on purpose (long poll).
 	Millis not_after = 0;    ///< On the process's clock: the request is not sent after this time; 0: no limit.
 	bool repeatable = false; ///< Idempotent: it may use a kept connection, and is sent again if that turns out to be closed.
@@ -110,6 +113,8 @@
 	/// Ends the calls that have timed out.
 	void EndTimedOut();
 	void StartDeadlineTimer();
+	/// Part of an answer has arrived: its call may take longer, see `HttpCall::max_transfer_ms`.
+	void ExtendDeadline(Pending &ioPending, Millis inNow);
 	/// Records which call uses a connection, if any.
 	void SetSocketUser(curl_socket_t inSocket, CURL *inUser);
 	std::shared_ptr<Peer> FindOrAddPeer(const std::string &inAddress);
--- a/UnitTests/HttpClientTests.cpp
+++ b/UnitTests/HttpClientTests.cpp
@@ -2,9 +2,11 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/Clock.h>
 #include <Loomreach/Platform/HttpClient.h>
 #include <UnitTests/CannedServer.h>
 #include <UnitTests/FakeLog.h>
+#include <UnitTests/SlowTransferServer.h>
 
 #include <arpa/inet.h>
 #include <cerrno>
@@ -175,8 +177,74 @@
 	return results.empty() ? HttpResult{} : results[0];
 }
 
+constexpr std::string_view cPart = "0123456789";
+
+std::vector<std::string> Parts(size_t inCount) { return std::vector<std::string>(inCount, std::string(cPart)); }
+
+/// Result of a call with a timeout of 1500 ms, and when it came.
+struct TransferResult
+{
+	HttpResult http;
+	Millis after_ms = -1;
+};
+
+/// Reads one answer from the server, which may take `inMaxTransferMs` in all.
+TransferResult ReadSlowly(const SlowTransferServer &inServer, Millis inMaxTransferMs)
+{
+	HttpClient client(2);
+	HttpCall call;
+	call.to = {"127.0.0.1", inServer.Port()};
+	call.path = "/";
+	call.timeout_ms = 1500;
+	call.max_transfer_ms = inMaxTransferMs;
+	TransferResult result;
+	const Millis began = NowMillis();
+	client.Start(call,
+				 [&result, began](const HttpResult &inResult)
+				 {
+					 result.http = inResult;
+					 result.after_ms = NowMillis() - began;
+				 });
+	Jobs::FakeLog::RunMainLoopFor(4500);
+	return result;
+}
+
 } // namespace
 
+TEST(HttpClient, AnAnswerThatKeepsArrivingIsReadToItsEnd)
+{
+	// Guards against never reading a large answer over a slow link, however often the call is repeated
+	const SlowTransferServer server(Parts(20), 20 * cPart.size(), 100);
+	const TransferResult result = ReadSlowly(server, 5000);
+	EXPECT_EQ(result.http.status, 200u) << result.http.error << ' ' << result.http.received << " bytes after " << result.after_ms;
+	EXPECT_EQ(result.http.body.size(), 20 * cPart.size());
+	EXPECT_GE(result.after_ms, 2000);
+}
+
+TEST(HttpClient, AnAnswerThatStopsArrivingTimesOut)
+{
+	// Guards against waiting for the longest transfer when the server is lost in the middle of its answer
+	const SlowTransferServer server(Parts(3), 20 * cPart.size(), 100);
+	const TransferResult result = ReadSlowly(server, 5000);
+	EXPECT_EQ(result.http.status, 0u);
+	EXPECT_EQ(result.http.received, 3 * cPart.size());
+	EXPECT_GE(result.after_ms, 1500);
+	EXPECT_LE(result.after_ms, 4000);
+}
+
+TEST(HttpClient, ATransferIsBounded)
+{
+	// Guards against a call without an end where an answer trickles for ever; without a longest transfer the timeout is for the whole call
+	for (const Millis most : {Millis{2000}, Millis{0}})
+	{
+		const SlowTransferServer server(Parts(100), 100 * cPart.size(), 50);
+		const TransferResult result = ReadSlowly(server, most);
+		EXPECT_EQ(result.http.status, 0u);
+		EXPECT_GE(result.after_ms, 1500);
+		EXPECT_LE(result.after_ms, most + 2500);
+	}
+}
+
 TEST(HttpClient, AnAnswerThatArrivesDuringAPauseIsRead)
 {
 	// Guards against timing out a call whose answer arrived at the socket during the pause
