--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -12,8 +12,7 @@
 
 /// A job's record has 1 to 6 KB; the largest must fit into one datagram.
 static constexpr size_t cMaxDatagramBytes = 32768;
-/// Delay before a question is first repeated, which a lost datagram costs. A round trip between zones takes 2 ms. Each repeat doubles the
-/// delay: on a link whose queue is longer than this, repeats at a fixed interval and their answers keep the queue long.
+/// Delay before a question is repeated, which a lost datagram costs. A round trip between zones takes 2 ms.
 static constexpr Millis cResendMs = 60;
 /// Answers are kept much longer than the last repeat of any question (1.2 s) and the delay of a datagram.
 static constexpr Millis cAnswerCacheMs = 10000;
@@ -194,8 +193,7 @@
 	asked.done = std::move(inDone);
 	asked.limit_at = NowMillis() + inTimeoutMs;
 	asked.give_up_at = inInProgressMs > 0 ? NowMillis() + std::min(inInProgressMs, inTimeoutMs) : asked.limit_at;
-	asked.resend_ms = cResendMs;
-	asked.resend_at = NowMillis() + asked.resend_ms;
+	asked.resend_at = NowMillis() + cResendMs;
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 	if (!this->resend_timer.IsRunning())
 		this->resend_timer.Every(cResendMs / 2, [this] { this->ResendPending(); });
@@ -223,8 +221,7 @@
 		}
 		if (now >= asked.resend_at && !asked.in_progress)
 		{
-			asked.resend_ms *= 2;
-			asked.resend_at = now + asked.resend_ms;
+			asked.resend_at = now + cResendMs;
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 		}
 		++it;
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -129,7 +129,6 @@
 		Millis limit_at = 0;      ///< When to give up once the question is being handled.
 		bool in_progress = false; ///< The other host is handling the question: it is not repeated any more.
 		Millis resend_at = 0;
-		Millis resend_ms = 0; ///< Delay of the next repeat; doubles with each one.
 	};
 
 	static gboolean OnReadable(GSocket *, GIOCondition, gpointer inSelf);
