--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -162,8 +162,8 @@
 	// CellPlan.cpp: placement
 	void PlanJobs(Millis inNow, int64 inWallNow);
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
-	/// Since when a task of a job has waited for its trial run, if any wait is overdue; otherwise cNeverMs.
-	Millis TrialOverdueSince(const CellJob &inJob, Millis inNow) const;
+	/// Since when a task of a job has waited for its trial run, if any wait is overdue; otherwise the greatest time.
+	Millis TrialOverdueSince(const CellJob &inJob, Millis inNow);
 	/// Recomputes a job's outlook and order key if they are out of date.
 	void UpdateRank(CellJob &ioJob, Millis inNow, int64 inWallNow) const;
 	bool HasTasksToStart(const CellJob &inJob, int64 inWallNow) const;
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -61,7 +61,7 @@
 static constexpr Millis cIsolationWaitMs = 1000;
 
 /// A task's wait for its trial run is logged each time that it has gone on for this long.
-static constexpr Millis cTrialWaitLogMs = 2000;
+static constexpr Millis cTrialWaitLogMs = 5000;
 
 /// For how long a run's worker is known to have survived it; -1: not at all.
 static Millis SurvivedMs(const CellWorker &inWorker, const Run &inRun)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -52,10 +52,13 @@
 /// starting for as long as they arrive.
 static constexpr Millis cTrialOverdueMs = 3000;
 
+/// Since when a task waits whose wait is not overdue.
+static constexpr Millis cNotOverdue = std::numeric_limits<Millis>::max();
+
 /// A job with its rank in the planning order.
 struct RankedJob
 {
-	Millis overdue_since = cNeverMs; ///< Since when a task of it has waited for its trial run, if that is overdue.
+	Millis overdue_since = cNotOverdue; ///< Since when a task of it has waited for its trial run, if that is overdue.
 	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
 	uint32 priority = 0;
 	int64 key = 0; ///< Due time, later for larger jobs.
@@ -177,16 +180,19 @@
 	return false;
 }
 
-Millis Cell::TrialOverdueSince(const CellJob &inJob, Millis inNow) const
+Millis Cell::TrialOverdueSince(const CellJob &inJob, Millis inNow)
 {
-	Millis oldest = cNeverMs;
+	Millis oldest = cNotOverdue;
 	for (const auto &[key, crashes] : inJob.crashes)
 	{
 		const auto &[unit, index] = key;
 		const TaskRecord &task = inJob.record.steps[unit].tasks[index];
-		const Millis since = inJob.volatile_state[unit][index].trial_wanted_since;
-		const bool is_overdue = since >= 0 && inNow - since > cTrialOverdueMs && !task.done && task.runs.empty();
-		oldest = is_overdue ? std::min(oldest, since) : oldest;
+		const VolatileTaskState &state = inJob.volatile_state[unit][index];
+		const bool waits = state.trial_wanted_since >= 0 && state.not_before <= inNow && !task.done && task.runs.empty();
+		// The crash that called for the trial run may have been explained meanwhile
+		const bool is_overdue =
+			waits && inNow - state.trial_wanted_since > cTrialOverdueMs && this->TrialOf(inJob, unit, index, inNow) != ETrial::None;
+		oldest = is_overdue ? std::min(oldest, state.trial_wanted_since) : oldest;
 	}
 	return oldest;
 }
--- a/UnitTests/CellTrialWaitTests.cpp
+++ b/UnitTests/CellTrialWaitTests.cpp
@@ -63,7 +63,7 @@
 		return last;
 	};
 	// All share one rack. Each crasher beyond the first adds its own trial runs, at most three
-	EXPECT_LE(time_for(cCrashers) - time_for(1), 3 * cCrashers * cRackHoldMs);
+	EXPECT_LE(time_for(cCrashers) - time_for(1), Millis{3} * cCrashers * cRackHoldMs);
 }
 
 /// Tasks that had started beside a crashing task waited for trial runs also after that task had been identified.
