--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -155,11 +155,15 @@
 	std::map<std::string, Resources> WantedByTeam(int64 inWallNow) const;
 	/// Number of tasks that wait for a worker for their trial run.
 	uint32 WaitingTrials(const std::string &inPool) const;
+	/// Raises a pool's late demand to the workers that the trial runs of its waiting tasks take.
+	void AddTrialDemand(const std::string &inPool, PoolDemand &ioDemand) const;
 	void CurrentDemand(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: placement
 	void PlanJobs(Millis inNow, int64 inWallNow);
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	/// Since when a task of a job has waited for its trial run, if any wait is overdue; otherwise the greatest time.
+	Millis TrialOverdueSince(const CellJob &inJob, Millis inNow);
 	/// Recomputes a job's outlook and order key if they are out of date.
 	void UpdateRank(CellJob &ioJob, Millis inNow, int64 inWallNow) const;
 	bool HasTasksToStart(const CellJob &inJob, int64 inWallNow) const;
@@ -275,6 +279,8 @@
 	bool AllowsStart(const CellWorker &inWorker, ETrial inTrial, Millis inNow) const;
 	/// Reserves a worker for a task that found none for its trial run.
 	void ReserveForTrial(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow);
+	/// Logs why a task that waits for its trial run has found no worker, once every few seconds.
+	void LogTrialWait(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow);
 	/// Polls the other workers of a rack, to see whether they were lost together with one that had a trial run.
 	void PollRack(const CellWorker &inWorker, Millis inNow);
 	/// Workers of a pool that accept runs, and the number of them that are reserved for trial runs.
@@ -285,12 +291,20 @@
 	std::vector<RunId> CrashSuspects(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outLessLikely);
 	/// Whether other workers were lost at the same time for a reason that is no task's fault: in the same rack, or without a recent start.
 	bool IsChanceCrash(const CellWorker &inWorker) const;
+	/// Whether a task of another suspect of a crash is proved to crash its workers.
+	bool IsSuspectProved(const CrashSuspect &inSuspect);
+	/// Whether a task's crashes call for a trial run.
+	bool WarrantsTrial(const TaskCrashes &inCrashes);
+	/// Whether workers on which no run had just started have been lost lately.
+	bool HaveWorkersCrashedByChance(Millis inNow) const;
 	/// What is known of another suspect of a crash.
 	ESuspectState JudgeSuspect(const CrashSuspect &inSuspect);
 	/// Current weight of a task's crashes.
 	CrashSummary WeightOf(const TaskCrashes &inCrashes);
-	/// Whether any task of a unit has survived its start or is done.
-	bool HasSurvivedStart(const CellJob &inJob, uint64 inUnit) const;
+	/// Whether a task has survived its start or is done.
+	bool HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const;
+	/// The same for any task of a unit.
+	bool HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const;
 	/// Units of the runs other than `inRun` that may have crashed a worker. Tasks of its own unit count as the same suspect.
 	std::vector<CrashSuspect> OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun);
 	/// Fails the job of a task that crashes its workers.
@@ -335,6 +349,11 @@
 	void CountFailure(CellJob &ioJob, const TaskId &inTask, uint32 inRun);
 	void CloseIfEnded(CellJob &ioJob);
 	void CloseJob(CellJob &ioJob, EJobPhase inPhase, std::string_view inWhy);
+	/// Whether a run's start may still be carried out by a later incarnation of its worker. What makes the current one refuse it, a token
+	/// or a stop, is lost with it.
+	static bool MayStartLater(const CellWorker &inWorker, const Run &inRun, Millis inNow);
+	/// Keeps a run that its worker refuses on the worker, so that its task is not started elsewhere while its start may still arrive.
+	void FenceRun(CellWorker &ioWorker, const RunId &inId, Run &ioRun, Millis inNow);
 	/// Stops a run that a worker has and the records lack. It occupies capacity until it has ended.
 	void StopUnrecordedRun(CellWorker &ioWorker, const RunId &inRun, Millis inNow);
 	void StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow);
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -60,6 +60,9 @@
 /// Longest wait of a task for an empty worker. After it a trial run as for the first crash is enough.
 static constexpr Millis cIsolationWaitMs = 1000;
 
+/// A task's wait for its trial run is logged each time that it has gone on for this long.
+static constexpr Millis cTrialWaitLogMs = 5000;
+
 /// For how long a run's worker is known to have survived it; -1: not at all.
 static Millis SurvivedMs(const CellWorker &inWorker, const Run &inRun)
 {
@@ -67,7 +70,10 @@
 }
 
 /// Whether a run may have just started when its worker was last heard.
-static bool HasJustStarted(const CellWorker &inWorker, const Run &inRun) { return SurvivedMs(inWorker, inRun) < cStartWindowMs; }
+static bool HasJustStarted(const CellWorker &inWorker, const Run &inRun)
+{
+	return inRun.state != ERunState::Fenced && SurvivedMs(inWorker, inRun) < cStartWindowMs;
+}
 
 static bool HasJustStartedRun(const CellWorker &inWorker)
 {
@@ -96,7 +102,7 @@
 /// Whether a run may have been on a worker when it was lost.
 static bool MayHaveBeenThere(const CellWorker &inWorker, const Run &inRun)
 {
-	if (!IsDispatched(inRun.state) || inRun.in_new_incarnation || inRun.crash_counted)
+	if (!IsDispatched(inRun.state) || inRun.state == ERunState::Fenced || inRun.in_new_incarnation || inRun.crash_counted)
 		return false;
 	// An order without an answer yet may have gone to the next incarnation
 	const bool before_close =
@@ -104,9 +110,6 @@
 	return inRun.state != ERunState::Starting || before_close;
 }
 
-/// Whether a task's crash counts call for a trial run.
-static bool WarrantsTrial(const TaskCrashes &inCrashes) { return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial; }
-
 CrashCounts::key_type Cell::CrashKey(const CellJob &inJob, const TaskId &inTask)
 {
 	return {inJob.Unit(inTask.round, inTask.step), inTask.index};
@@ -124,13 +127,13 @@
 	if (job == nullptr)
 		return false;
 	auto found = job->crashes.find(Cell::CrashKey(*job, inTask));
-	return found != job->crashes.end() && WarrantsTrial(found->second);
+	return found != job->crashes.end() && this->WarrantsTrial(found->second);
 }
 
 ETrial Cell::TrialOf(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow)
 {
 	auto found = inJob.crashes.find({inUnit, inTask});
-	if (found == inJob.crashes.end() || !WarrantsTrial(found->second))
+	if (found == inJob.crashes.end() || !this->WarrantsTrial(found->second))
 		return ETrial::None;
 	const Millis since = inJob.volatile_state[inUnit][inTask].trial_wanted_since;
 	const bool has_waited = since >= 0 && inNow - since > cIsolationWaitMs;
@@ -148,7 +151,8 @@
 			run.blame_exempt = true;
 			this->ClearCrashes(ioWorker, id);
 		}
-		const bool open = run.trial == ETrial::Isolated || (run.trial == ETrial::Start && HasJustStarted(ioWorker, run));
+		const bool isolated = run.trial == ETrial::Isolated && run.state != ERunState::Fenced;
+		const bool open = isolated || (run.trial == ETrial::Start && HasJustStarted(ioWorker, run));
 		ioWorker.open_trials += open && !run.blame_exempt ? 1 : 0;
 	}
 	if (ioWorker.open_trials > 0)
@@ -227,6 +231,62 @@
 		emptiest->trial_reserved_until = inNow + cTrialReservationMs;
 }
 
+void Cell::LogTrialWait(CellJob &ioJob, size_t inUnit, uint32 inTask, Millis inNow)
+{
+	VolatileTaskState &state = ioJob.volatile_state[inUnit][inTask];
+	if (inNow - std::max(state.trial_wanted_since, state.trial_wait_logged_at) < cTrialWaitLogMs)
+		return;
+	state.trial_wait_logged_at = inNow;
+	const ETrial trial = Cell::TrialOf(ioJob, inUnit, inTask, inNow);
+	const Resources reserved = ioJob.StepOf(inUnit).Reserved();
+	uint32 in_pool = 0;
+	uint32 not_accepting = 0;
+	uint32 no_room = 0;
+	uint32 on_trial = 0;
+	uint32 rack_on_trial = 0;
+	uint32 just_started = 0;
+	uint32 occupied = 0;
+	uint32 not_permitted = 0;
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.entry.pool != ioJob.spec.pool)
+			continue;
+		++in_pool;
+		if (!this->CanAcceptRuns(worker, inNow))
+			++not_accepting;
+		else if (!reserved.FitsInto(worker.Free()))
+			++no_room;
+		else if (worker.open_trials > 0)
+			++on_trial;
+		else if (!worker.entry.rack.empty() && this->trial_racks.contains(worker.entry.rack))
+			++rack_on_trial;
+		else if (trial == ETrial::Start && HasJustStartedRun(worker))
+			++just_started;
+		else if (trial == ETrial::Isolated && !worker.runs.empty())
+			++occupied;
+		else
+			++not_permitted;
+	}
+	LogEvent(ELogLevel::Info, "trial_waits")
+		.Field("request", ioJob.spec.id)
+		.Field("unit", inUnit)
+		.Field("task", inTask)
+		.Field("trial", NameOf(cTrialNames, trial))
+		.Field("outlook", NameOf(cDeadlineOutlookNames, ioJob.outlook))
+		.Field("waited_ms", inNow - state.trial_wanted_since)
+		.Field("workers", in_pool)
+		.Field("not_accepting", not_accepting)
+		.Field("no_room", no_room)
+		.Field("on_trial", on_trial)
+		.Field("rack_on_trial", rack_on_trial)
+		.Field("just_started", just_started)
+		.Field("occupied", occupied)
+		.Field("not_permitted", not_permitted)
+		.Field("rejects", this->capacity_rejects.size())
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 std::vector<RunId> Cell::CrashSuspects(const CellWorker &inWorker, bool inChance, std::vector<RunId> &outLessLikely)
 {
 	std::vector<RunId> just_started;
@@ -277,6 +337,12 @@
 	return false;
 }
 
+bool Cell::HaveWorkersCrashedByChance(Millis inNow) const
+{
+	return std::any_of(this->recent_losses.begin(), this->recent_losses.end(),
+					   [inNow](const WorkerLoss &inLost) { return !inLost.just_started && inNow - inLost.at <= cLossRetentionMs; });
+}
+
 void Cell::PollRack(const CellWorker &inWorker, Millis inNow)
 {
 	if (inWorker.entry.rack.empty())
@@ -299,37 +365,64 @@
 		   after_start;
 }
 
-bool Cell::HasSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+bool Cell::HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const
 {
-	for (const TaskRecord &task : inJob.record.steps[inUnit].tasks)
+	const TaskRecord &task = inJob.record.steps[inUnit].tasks[inTask];
+	const uint64 steps = inJob.spec.steps.size();
+	const TaskId task_id{inJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask};
+	const auto has_survived = [this, &task_id](const RunRecord &inRecord)
 	{
-		if (task.done)
+		auto worker = this->workers.find(inRecord.worker);
+		if (worker == this->workers.end())
+			return false;
+		auto run = worker->second.runs.find({task_id, inRecord.run});
+		return run != worker->second.runs.end() && SurvivedMs(worker->second, run->second) >= cStartWindowMs;
+	};
+	return task.done || std::any_of(task.runs.begin(), task.runs.end(), has_survived);
+}
+
+bool Cell::HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const
+{
+	for (uint32 task = 0; task < inJob.record.steps[inUnit].tasks.size(); ++task)
+		if (this->HasTaskSurvivedStart(inJob, inUnit, task))
 			return true;
-		for (const RunRecord &record : task.runs)
-		{
-			auto worker = this->workers.find(record.worker);
-			if (worker == this->workers.end())
-				continue;
-			for (const auto &[id, run] : worker->second.runs)
-				if (id.run == record.run && id.task.job == inJob.spec.id && inJob.Unit(id.task.round, id.task.step) == inUnit &&
-					SurvivedMs(worker->second, run) >= cStartWindowMs)
-					return true;
-		}
-	}
 	return false;
 }
 
+bool Cell::IsSuspectProved(const CrashSuspect &inSuspect)
+{
+	const CellJob *job = this->FindJob(inSuspect.job);
+	// Only a failed job has one
+	if (job == nullptr || job->record.phase != EJobPhase::Failed)
+		return false;
+	return std::any_of(job->crashes.begin(), job->crashes.end(),
+					   [&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
+}
+
+bool Cell::WarrantsTrial(const TaskCrashes &inCrashes)
+{
+	// Only a single crash may be excused by its proved cause. With more a task nears the limit for crashes of any kind, and must be kept
+	// from starting beside another cause
+	const bool is_excusable = inCrashes.Total() == 1 && inCrashes.cases.size() == 1;
+	if (!is_excusable)
+		return inCrashes.blamed > 0 || inCrashes.bystander >= cUnblamedCrashesForTrial;
+	const std::vector<CrashSuspect> &others = inCrashes.cases[0].suspects;
+	return inCrashes.blamed > 0 &&
+		   std::none_of(others.begin(), others.end(), [this](const CrashSuspect &inOther) { return this->IsSuspectProved(inOther); });
+}
+
 ESuspectState Cell::JudgeSuspect(const CrashSuspect &inSuspect)
 {
 	const CellJob *job = this->FindJob(inSuspect.job);
 	if (job == nullptr || inSuspect.unit >= job->record.steps.size())
 		return ESuspectState::Undecided;
-	const bool proved =
-		std::any_of(job->crashes.begin(), job->crashes.end(),
-					[&inSuspect](const auto &inCounted) { return inCounted.first.first == inSuspect.unit && inCounted.second.proved; });
-	if (proved)
+	if (inSuspect.task.has_value() && *inSuspect.task >= job->record.steps[inSuspect.unit].tasks.size())
+		return ESuspectState::Undecided;
+	if (this->IsSuspectProved(inSuspect))
 		return ESuspectState::Proved;
-	return this->HasSurvivedStart(*job, inSuspect.unit) ? ESuspectState::Cleared : ESuspectState::Undecided;
+	const bool survived = inSuspect.task.has_value() ? this->HasTaskSurvivedStart(*job, inSuspect.unit, *inSuspect.task)
+													 : this->HasStepSurvivedStart(*job, inSuspect.unit);
+	return survived ? ESuspectState::Cleared : ESuspectState::Undecided;
 }
 
 CrashSummary Cell::WeightOf(const TaskCrashes &inCrashes)
@@ -340,13 +433,13 @@
 std::vector<CrashSuspect> Cell::OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun)
 {
 	std::vector<CrashSuspect> suspects;
-	const auto unit_of = [this](const TaskId &inTask) -> uint64 { return this->FindJob(inTask.job)->Unit(inTask.round, inTask.step); };
 	for (const RunId &other : inSuspects)
 	{
-		if (this->OpenJobOf(other.task) == nullptr)
-			continue;
-		CrashSuspect suspect{other.task.job, unit_of(other.task)};
-		const bool is_own = suspect.job == inRun.task.job && suspect.unit == unit_of(inRun.task);
+		// Also one whose job has ended since: it may have caused the crash all the same
+		const CellJob *job = this->FindJob(other.task.job);
+		const size_t unit = job == nullptr ? 0 : job->Unit(other.task.round, other.task.step);
+		CrashSuspect suspect{other.task.job, static_cast<uint32>(unit), other.task.index};
+		const bool is_own = other.task.job == inRun.task.job && other.task.round == inRun.task.round && other.task.step == inRun.task.step;
 		if (!is_own && std::find(suspects.begin(), suspects.end(), suspect) == suspects.end())
 			suspects.push_back(std::move(suspect));
 	}
@@ -371,9 +464,8 @@
 	const bool only_suspect = inSuspects.size() == 1;
 	// Recent crashes without a recent start suggest that this one is random as well
 	ChanceIndicators indicators;
-	indicators.other_workers_crashed =
-		std::any_of(this->recent_losses.begin(), this->recent_losses.end(), [](const WorkerLoss &inLost) { return !inLost.just_started; });
-	indicators.step_task_survived = this->HasSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
+	indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
+	indicators.step_task_survived = this->HasStepSurvivedStart(job, job.Unit(inRun.task.round, inRun.task.step));
 	const bool proved = only_suspect && after_start && IsCrashCauseProved(weight, indicators);
 	// The proof may depend on other suspects whose trial runs are outstanding
 	CrashSummary cleared = weight;
@@ -404,7 +496,7 @@
 		.Field("explained", weight.explained)
 		.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 		.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
-		.Field("outcome", given_up ? "given up" : (WarrantsTrial(crashes) ? "starts on trial" : "counted"))
+		.Field("outcome", given_up ? "given up" : (this->WarrantsTrial(crashes) ? "starts on trial" : "counted"))
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
 	return given_up;
@@ -438,7 +530,8 @@
 		TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, task)];
 		const CrashSummary weight = this->WeightOf(crashes);
 		ChanceIndicators indicators;
-		indicators.step_task_survived = this->HasSurvivedStart(*job, job->Unit(task.round, task.step));
+		indicators.other_workers_crashed = this->HaveWorkersCrashedByChance(inNow);
+		indicators.step_task_survived = this->HasStepSurvivedStart(*job, job->Unit(task.round, task.step));
 		const bool proved = IsCrashCauseProved(weight, indicators);
 		const bool decided = proved || weight.explained > 0 || indicators.step_task_survived || inNow >= state.not_before;
 		if (!decided)
@@ -454,6 +547,7 @@
 			.Field("at_once", weight.after_start)
 			.Field("sole", weight.sole_suspect_after_start)
 			.Field("explained", weight.explained)
+			.Field("workers_crash", indicators.other_workers_crashed ? 1 : 0)
 			.Field("unit_is_sound", indicators.step_task_survived ? 1 : 0)
 			.Field("outcome", proved ? "given up" : "starts on trial")
 			.Field("cell", this->run_events.Cell())
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -48,9 +48,17 @@
 /// A job's rank is recomputed at this interval, and whenever the job changes.
 static constexpr Millis cRankIntervalMs = 100;
 
+/// A task that has waited for its trial run for longer goes before all others. Otherwise jobs that can still be in time would keep it from
+/// starting for as long as they arrive.
+static constexpr Millis cTrialOverdueMs = 3000;
+
+/// Since when a task waits whose wait is not overdue.
+static constexpr Millis cNotOverdue = std::numeric_limits<Millis>::max();
+
 /// A job with its rank in the planning order.
 struct RankedJob
 {
+	Millis overdue_since = cNotOverdue; ///< Since when a task of it has waited for its trial run, if that is overdue.
 	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
 	uint32 priority = 0;
 	int64 key = 0; ///< Due time, later for larger jobs.
@@ -58,7 +66,8 @@
 
 	bool operator<(const RankedJob &inOther) const
 	{
-		return std::tie(this->outlook, this->priority, this->key) < std::tie(inOther.outlook, inOther.priority, inOther.key);
+		return std::tie(this->overdue_since, this->outlook, this->priority, this->key) <
+			   std::tie(inOther.overdue_since, inOther.outlook, inOther.priority, inOther.key);
 	}
 };
 
@@ -171,6 +180,23 @@
 	return false;
 }
 
+Millis Cell::TrialOverdueSince(const CellJob &inJob, Millis inNow)
+{
+	Millis oldest = cNotOverdue;
+	for (const auto &[key, crashes] : inJob.crashes)
+	{
+		const auto &[unit, index] = key;
+		const TaskRecord &task = inJob.record.steps[unit].tasks[index];
+		const VolatileTaskState &state = inJob.volatile_state[unit][index];
+		const bool waits = state.trial_wanted_since >= 0 && state.not_before <= inNow && !task.done && task.runs.empty();
+		// The crash that called for the trial run may have been explained meanwhile
+		const bool is_overdue =
+			waits && inNow - state.trial_wanted_since > cTrialOverdueMs && this->TrialOf(inJob, unit, index, inNow) != ETrial::None;
+		oldest = is_overdue ? std::min(oldest, state.trial_wanted_since) : oldest;
+	}
+	return oldest;
+}
+
 void Cell::PlanJobs(Millis inNow, int64 inWallNow)
 {
 	std::vector<RankedJob> order;
@@ -182,7 +208,7 @@
 	{
 		CellJob &job = *this->FindJob(id);
 		this->UpdateRank(job, inNow, inWallNow);
-		order.push_back({job.outlook, job.spec.priority, job.order_key, &job});
+		order.push_back({this->TrialOverdueSince(job, inNow), job.outlook, job.spec.priority, job.order_key, &job});
 	}
 	std::sort(order.begin(), order.end());
 	for (const RankedJob &entry : order)
@@ -257,6 +283,7 @@
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
 		{
 			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			this->LogTrialWait(ioJob, inUnit, index, inNow);
 			this->AskAdvice(ioJob, inUnit, inNow);
 			continue;
 		}
@@ -294,7 +321,10 @@
 	{
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, on_worker);
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
+		{
 			this->ReserveForTrial(ioJob, inUnit, index, inNow);
+			this->LogTrialWait(ioJob, inUnit, index, inNow);
+		}
 		if (worker == nullptr)
 			break;
 		worker->used.Add(reserved);
@@ -469,12 +499,28 @@
 	if (ioWorker.runs.empty() || inNow < ioWorker.lease_expires_at)
 		return;
 	std::vector<RunId> lapsed;
-	for (const auto &[id, run] : ioWorker.runs)
-		if (IsDispatched(run.state))
-			lapsed.push_back(id);
+	std::vector<Run *> pending;
+	bool is_new_loss = false;
+	for (auto &[id, run] : ioWorker.runs)
+	{
+		if (!IsDispatched(run.state))
+			continue;
+		if (Cell::MayStartLater(ioWorker, run, inNow))
+		{
+			pending.push_back(&run);
+			continue;
+		}
+		lapsed.push_back(id);
+		is_new_loss = is_new_loss || !run.crash_counted;
+	}
 	// Connections closed after the last answer show that the process has ended; an unresponsive worker may be partitioned and still run
-	if ((ioWorker.connections_closed_at >= 0 || ioWorker.ended) && !lapsed.empty())
+	if ((ioWorker.connections_closed_at >= 0 || ioWorker.ended) && is_new_loss)
+	{
 		this->AttributeCrash(ioWorker, inNow);
+		// Ended later, when the same crash must not count again
+		for (Run *run : pending)
+			run->crash_counted = true;
+	}
 	// Nothing has extended the leases, so they have expired wherever the worker is
 	for (const RunId &id : lapsed)
 		this->EndRun(ioWorker, id, ERunEnd::LeaseExpired, "", "lease expired without an answer", inNow);
