Defer jobs that cannot all be in time while a pool is short of capacity

Cause: waiting jobs go by due time. When more work arrives than a pool can do (a zone lost at the peak of demand), each job starts when its slack is used up and is then late: 22 of 346 jobs of the worst seconds in time, with the pool busy all the time.

Change: the order is a pure module of its own, WaitingOrder. While the last planning pass found a pool short, jobs that have not started and whose slack does not cover the usual delays are deferred, and of the others the largest that cannot all be done in time (Moore and Hodgson), from the team with the most work for its weight first. Teams above their share go behind the others. A pool with room keeps the order as it was.

WaitingOrder tests: twice the work leaves more than half of it in time, below half before; with ten times the load of one team every other team stays within two points.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -21,6 +21,7 @@
 #include <Loomreach/Schedule/PoolDemand.h>
 #include <Loomreach/Schedule/RunTimes.h>
 #include <Loomreach/Schedule/TeamUse.h>
+#include <Loomreach/Schedule/WaitingOrder.h>
 #include <Loomreach/Schedule/WorkerLeases.h>
 #include <Loomreach/Schedule/WorkerToken.h>
 
@@ -169,7 +170,12 @@
 	bool HasTasksToStart(const CellJob &inJob, int64 inWallNow) const;
 	void LogPlanned(const CellJob &inJob, size_t inUnit);
 	EDeadlineOutlook OutlookOf(const CellJob &inJob, int64 inWallNow) const;
-	/// Remaining work in core-milliseconds.
+	/// State of the pools that were short of capacity in the last planning pass.
+	std::map<std::string, PoolState, std::less<>> PoolStates(Millis inNow, int64 inWallNow);
+	WaitingJob DescribeWaiting(CellJob &ioJob, Millis inNow, int64 inWallNow);
+	/// The jobs to plan, in the order in which they are planned.
+	std::vector<WaitingJob> OrderWaiting(Millis inNow, int64 inWallNow);
+	/// Remaining work, thousandths of a core times seconds.
 	int64 WorkLeft(const CellJob &inJob) const;
 	/// Remaining time of the longest chain of dependent steps.
 	Millis CriticalPathLeft(const CellJob &inJob) const;
@@ -375,6 +381,7 @@
 	std::set<std::string> jobs_to_write;      ///< Jobs that the current series of appends has still to write.
 	std::set<std::string> in_batch;           ///< Jobs in the append in flight.
 	std::vector<PlanReject> capacity_rejects; ///< Of the last planning pass.
+	std::set<std::string> short_pools;        ///< Pools with such a reject when the last planning pass ended.
 	int64 ended_swept_wall_ms = 0;            ///< When ended jobs were last swept.
 	std::map<std::string, CellWorker> workers;
 	std::set<std::string> evacuated_zones;    ///< See SetEvacuated.
@@ -396,6 +403,7 @@
 	uint64 inbox_to_write = 0; ///< Position reached once the current series is in the log.
 	uint64 inbox_writing = 0;
 	uint64 inbox_logged = 0;
+	Millis deferred_logged_at = -cNeverMs; ///< When deferred jobs were last logged.
 	uint64 next_serial = 1;
 	std::vector<WorkerLoss> recent_losses; ///< Recently lost workers.
 	std::set<TaskId> awaiting_suspects;    ///< Tasks delayed until their other suspects are decided on.
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -52,24 +52,7 @@
 /// starting for as long as they arrive.
 static constexpr Millis cTrialOverdueMs = 3000;
 
-/// Since when a task waits whose wait is not overdue.
-static constexpr Millis cNotOverdue = std::numeric_limits<Millis>::max();
-
-/// A job with its rank in the planning order.
-struct RankedJob
-{
-	Millis overdue_since = cNotOverdue; ///< Since when a task of it has waited for its trial run, if that is overdue.
-	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
-	uint32 priority = 0;
-	int64 key = 0; ///< Due time, later for larger jobs.
-	CellJob *job = nullptr;
-
-	bool operator<(const RankedJob &inOther) const
-	{
-		return std::tie(this->overdue_since, this->outlook, this->priority, this->key) <
-			   std::tie(inOther.overdue_since, inOther.outlook, inOther.priority, inOther.key);
-	}
-};
+static constexpr Millis cLogDeferredMs = 1000; ///< Deferred jobs are logged at most this often.
 
 EDeadlineOutlook Cell::OutlookOf(const CellJob &inJob, int64 inWallNow) const
 {
@@ -159,7 +142,10 @@
 		return;
 	ioJob.ranked_at = inNow;
 	ioJob.outlook = this->OutlookOf(ioJob, inWallNow);
-	ioJob.order_key = this->DueWall(ioJob) + this->WorkLeft(ioJob) * cOrderMsPerCoreSecond / 1000;
+	ioJob.due_wall_ms = this->DueWall(ioJob);
+	ioJob.path_left_ms = this->CriticalPathLeft(ioJob);
+	ioJob.work_left = this->WorkLeft(ioJob);
+	ioJob.order_key = ioJob.due_wall_ms + ioJob.work_left * cOrderMsPerCoreSecond / 1000;
 }
 
 bool Cell::HasTasksToStart(const CellJob &inJob, int64 inWallNow) const
@@ -182,7 +168,7 @@
 
 Millis Cell::TrialOverdueSince(const CellJob &inJob, Millis inNow)
 {
-	Millis oldest = cNotOverdue;
+	Millis oldest = WaitingJob::cNotOverdue;
 	for (const auto &[key, crashes] : inJob.crashes)
 	{
 		const auto &[unit, index] = key;
@@ -197,26 +183,101 @@
 	return oldest;
 }
 
-void Cell::PlanJobs(Millis inNow, int64 inWallNow)
+std::map<std::string, PoolState, std::less<>> Cell::PoolStates(Millis inNow, int64 inWallNow)
 {
-	std::vector<RankedJob> order;
-	this->capacity_rejects.clear();
-	this->teams_at_limit.clear();
-	if (!this->inbox_fresh)
-		return;
+	std::map<std::string, PoolState, std::less<>> pools;
+	for (const std::string &name : this->short_pools)
+		pools[name].is_short = true;
+	if (pools.empty())
+		return pools;
+	for (const auto &[id, worker] : this->workers)
+		if (auto pool = pools.find(worker.entry.pool); pool != pools.end() && this->CanAcceptRuns(worker, inNow))
+			pool->second.cpu_milli += worker.entry.capacity.cpu_milli;
+	for (const std::string &id : this->active)
+	{
+		if (this->jobs_to_plan.contains(id))
+			continue;
+		CellJob &job = *this->FindJob(id);
+		auto pool = pools.find(job.spec.pool);
+		if (pool == pools.end() || job.spec.steps[0].long_running)
+			continue;
+		this->UpdateRank(job, inNow, inWallNow);
+		pool->second.started_work[job.spec.team] += job.work_left;
+	}
+	return pools;
+}
+
+/// Whether any task of a job has been started.
+static bool HasStarted(const CellJob &inJob)
+{
+	for (const StepRecord &step : inJob.record.steps)
+		for (const TaskRecord &task : step.tasks)
+			if (task.done || task.last_run > 0)
+				return true;
+	return false;
+}
+
+WaitingJob Cell::DescribeWaiting(CellJob &ioJob, Millis inNow, int64 inWallNow)
+{
+	WaitingJob waiting;
+	waiting.overdue_since = this->TrialOverdueSince(ioJob, inNow);
+	waiting.outlook = ioJob.outlook;
+	waiting.priority = ioJob.spec.priority;
+	waiting.order_key = ioJob.order_key;
+	waiting.job = &ioJob;
+	waiting.pool = ioJob.spec.pool;
+	waiting.team = ioJob.spec.team;
+	waiting.has_deadline = !ioJob.spec.steps[0].long_running;
+	waiting.deferrable = waiting.has_deadline && !HasStarted(ioJob);
+	waiting.due_wall_ms = ioJob.due_wall_ms;
+	waiting.earliest_end_wall_ms = inWallNow + ioJob.path_left_ms;
+	waiting.work = ioJob.work_left;
+	return waiting;
+}
+
+std::vector<WaitingJob> Cell::OrderWaiting(Millis inNow, int64 inWallNow)
+{
+	std::vector<WaitingJob> order;
+	order.reserve(this->jobs_to_plan.size());
 	for (const std::string &id : this->jobs_to_plan)
 	{
 		CellJob &job = *this->FindJob(id);
 		this->UpdateRank(job, inNow, inWallNow);
-		order.push_back({this->TrialOverdueSince(job, inNow), job.outlook, job.spec.priority, job.order_key, &job});
+		order.push_back(this->DescribeWaiting(job, inNow, inWallNow));
 	}
-	std::sort(order.begin(), order.end());
-	for (const RankedJob &entry : order)
+	const auto weight = [this](std::string_view inTeam)
+	{
+		const Team *team = this->catalogue == nullptr ? nullptr : this->catalogue->FindTeam(inTeam);
+		return team == nullptr ? 0 : team->weight;
+	};
+	const size_t deferred = OrderWaitingJobs(order, this->PoolStates(inNow, inWallNow), weight, inWallNow);
+	if (deferred > 0 && inNow - this->deferred_logged_at >= cLogDeferredMs)
+	{
+		this->deferred_logged_at = inNow;
+		LogEvent(ELogLevel::Info, "jobs_deferred")
+			.Field("deferred", deferred)
+			.Field("waiting", order.size())
+			.Field("cell", this->run_events.Cell());
+	}
+	return order;
+}
+
+void Cell::PlanJobs(Millis inNow, int64 inWallNow)
+{
+	this->capacity_rejects.clear();
+	this->teams_at_limit.clear();
+	if (!this->inbox_fresh)
+		return;
+	const std::vector<WaitingJob> order = this->OrderWaiting(inNow, inWallNow);
+	for (const WaitingJob &entry : order)
 	{
 		this->PlanJob(*entry.job, inNow, inWallNow);
 		if (!this->HasTasksToStart(*entry.job, inWallNow))
 			this->jobs_to_plan.erase(entry.job->spec.id);
 	}
+	this->short_pools.clear();
+	for (const PlanReject &reject : this->capacity_rejects)
+		this->short_pools.emplace(reject.pool);
 }
 
 bool Cell::IsDue(const CellJob &inJob, size_t inUnit, int64 inWallNow) const
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -319,8 +319,11 @@
 	bool spec_logged = false;
 	bool spec_appending = false;
 	Millis arrived_at = 0;
-	Millis ranked_at = -1; ///< When `outlook` and `order_key` were computed; -1: the job has changed since.
+	Millis ranked_at = -1; ///< When the following members were computed; -1: the job has changed since.
 	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
+	int64 due_wall_ms = 0;               ///< Due time on the wall clock.
+	Millis path_left_ms = 0;             ///< Remaining time of the longest chain of steps.
+	int64 work_left = 0;                 ///< Remaining work, thousandths of a core times seconds.
 	int64 order_key = 0;                 ///< Due time, plus a penalty for remaining work: small jobs go first when capacity is short.
 	std::map<size_t, StepAdvice> advice; ///< By unit; only for queues with a policy.
 
