Refuse submissions to pools all of whose zones are evacuated

Cause: while every zone of a pool's workers was evacuated, jobs were accepted and waited, so that all of them were late; hosts that own nothing did not know which zones have workers.

Change: PoolClosure decides which pools of a cell are closed; OwnedCell carries their hashes in heartbeats, which the owner also broadcasts when they change. A successor keeps its predecessor's state until it has read the workers. A heartbeat without closed pools is encoded as before. Among jobs that can no longer be in time and waited when a zone was reopened, those accepted first start first.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <Loomreach/Admission/PoolClosure.h>
 #include <Loomreach/Core/Metrics.h>
 #include <Loomreach/Entry/PeerQuery.h>
 #include <Loomreach/Ownership/CellNames.h>
@@ -61,7 +62,13 @@
 	uint64 Epoch() const { return this->log.Epoch(); }
 	void SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue) { this->cell.SetCatalogue(std::move(inCatalogue)); }
 	/// Sets the availability zones in which nothing may be started.
-	void SetEvacuated(const std::set<std::string> &inZones) { this->cell.SetEvacuated(inZones, NowMillis()); }
+	void SetEvacuated(const std::set<std::string> &inZones);
+	/// Takes over the closed pools that the previous owner announced, until the workers are known.
+	void InheritClosedPools(const std::vector<uint32> &inClosed) { this->closure.Inherit(inClosed); }
+	/// Hashes of the pools all of whose listed workers are in evacuated zones.
+	const std::vector<uint32> &ClosedPools() const { return this->closure.Closed(); }
+	/// Whether this host owns the cell and may act for it now.
+	bool MayAct(Millis inNow) const { return this->held && this->context.lease.MayAct(inNow); }
 	/// Sets the list of workers; those of other cells' pools are ignored. `inTrustUntil`: until then a worker whose entry is missing still
 	/// counts as present while it answers.
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil);
@@ -100,6 +107,7 @@
 	uint32 number;
 	OwnedLog<Store> log;
 	Cell cell;
+	PoolClosure closure;
 	OnOwnership on_ownership;
 	bool held = false;
 	Millis claimed_at = -1;    ///< When the claim was won.
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -84,6 +84,13 @@
 	this->ReadInbox();
 }
 
+template <class Hub>
+void CellDriver<Hub>::SetEvacuated(const std::set<std::string> &inZones)
+{
+	this->cell.SetEvacuated(inZones, NowMillis());
+	this->closure.SetEvacuated(inZones);
+}
+
 template <class Hub>
 void CellDriver<Hub>::SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil)
 {
@@ -91,7 +98,9 @@
 	for (const WorkerEntry &worker : inWorkers)
 		if (CellOf(worker.pool, static_cast<uint32>(this->context.config.log_partitions)) == this->number)
 			own_workers.push_back(worker);
-	this->cell.SetWorkers(own_workers, NowMillis(), inTrustUntil);
+	const Millis now = NowMillis();
+	this->cell.SetWorkers(own_workers, now, inTrustUntil);
+	this->closure.SetWorkers(own_workers, now < inTrustUntil);
 	this->ScheduleStep(cStepDelayMs);
 }
 
@@ -151,7 +160,7 @@
 {
 	const Millis now = NowMillis();
 	// Without the lease another owner may already be acting on this cell
-	if (!this->held || !this->context.lease.MayAct(now))
+	if (!this->MayAct(now))
 		return;
 	this->CheckInboxFreshness(now);
 	const double began = NowMillisExact();
@@ -255,7 +264,7 @@
 		order.not_after = this->context.lease.Until();
 		// The lease is checked again before each order: the process may have been paused since the previous one
 		const Millis sent_at = NowMillis();
-		if (!this->held || !this->context.lease.MayAct(sent_at))
+		if (!this->MayAct(sent_at))
 		{
 			OrderAnswer answer;
 			answer.result = EOrderResult::NotSent;
@@ -286,7 +295,7 @@
 {
 	const Millis now = NowMillis();
 	PeerAnswer answer;
-	answer.owner = this->held && this->context.lease.MayAct(now);
+	answer.owner = this->MayAct(now);
 	if (!answer.owner)
 		return answer;
 	answer.inbox_current = this->inbox_read_at >= 0 && now - this->inbox_read_at < 2 * cInboxReadWaitMs;
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -115,6 +115,12 @@
 	/// Tells other hosts by datagram that this host has released its cells, since its heartbeats cannot say so while it does not reach the
 	/// store. `inFleetCell`: the fleet cell, if an order to a host is in flight.
 	void AnnounceRelease(const std::optional<OwnedCell> &inFleetCell);
+	/// Tells all other hosts by datagram which pools are closed, if that has changed: most of them read the heartbeats seldom.
+	void AnnounceClosedPools();
+	/// Sends a heartbeat to all other hosts by datagram.
+	void BroadcastHeartbeat(const HostHeartbeat &inHeartbeat);
+	/// Closed pools of a cell: by its own driver if this host owns it, otherwise by its owner's newest heartbeat.
+	std::optional<ClosedPoolsNews> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
 	/// Handles a heartbeat or replicated run ends that another host sent by datagram.
 	void OnPeerMessage(EPeerMessage inKind, const std::string &inMessage);
 	void OnEndsUpdate(const std::string &inMessage);
@@ -185,8 +191,10 @@
 	std::unique_ptr<FleetDriver<Hub>> fleet_driver;
 	std::map<uint32, std::unique_ptr<InboxWriter<decltype(Hub::store)>>> writers; ///< Writers of the cells' inboxes, by cell.
 	EndsSubmitter<decltype(Hub::store)> ends_submitter;
-	RunEndReplicas end_replicas;    ///< Run ends replicated for other hosts' cells.
-	size_t polls_in_flight = 0;     ///< Polls to workers without an answer yet, for cells of this host.
+	RunEndReplicas end_replicas; ///< Run ends replicated for other hosts' cells.
+	size_t polls_in_flight = 0;  ///< Polls to workers without an answer yet, for cells of this host.
+	/// As last sent by datagram, by cell; cells without closed pools are left out.
+	std::map<uint32, std::vector<uint32>> announced_closed_pools;
 	std::vector<uint32> lost_cells; ///< Cells to release at the next tick: a driver must not be destroyed within its own callback.
 	std::array<uint64, cHeartbeatPartitions> hosts_next{}; ///< Offsets of the next reads, by partition.
 	uint64 start = 0; ///< Number of this start of the host, see HostHeartbeat; 0: the heartbeats have not been read yet.
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -41,7 +41,7 @@
 inline constexpr Millis cLostHostsCheckMs = 2000;  ///< Interval at which lost hosts are looked for.
 /// A host without heartbeats for this long is lost: six leases, and longer than a network partition of a zone is expected to last.
 inline constexpr Millis cHostLostMs = 12000;
-inline constexpr Millis cReleaseRepeatMs = 60;         ///< The release of cells is announced twice since datagrams may be lost.
+inline constexpr Millis cBroadcastRepeatMs = 60;       ///< Heartbeats are broadcast twice since datagrams may be lost.
 inline constexpr double cHeartbeatLatencyWeight = 0.4; ///< Weight of a faster answer in the mean latency; a slower one counts in full.
 inline constexpr Millis cFreeCellReadMs = 120;         ///< Interval between reads of the heartbeats while a cell seems free.
 inline constexpr Millis cHostTickMs = 50;
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -51,6 +51,23 @@
 void JobHost<Hub>::Submit(const JobCall &inCall, JobSpec inSpec, JobReply inReply)
 {
 	const Queue &queue = inCall.admission.queue;
+	const uint32 cell = CellOf(queue.pool, this->PartitionCount());
+	if (const std::optional<PoolRefusal> refusal = RefuseSubmission(queue.pool, inSpec.id, this->ClosedPoolsOf(cell, NowMillis())))
+	{
+		JobOutcome outcome;
+		outcome.error = EError::NoEndpoint;
+		outcome.retry_after_s = refusal->retry_after_s;
+		LogEvent(ELogLevel::Info, "call_refused")
+			.Field("request", inSpec.id)
+			.Field("queue", queue.name)
+			.Field("pool", queue.pool)
+			.Field("cell", cell)
+			.Field("evacuated_zones", this->evacuations.Zones().size())
+			.Field("heard_ms_ago", refusal->heard_ms_ago)
+			.Field("retry_after_s", refusal->retry_after_s)
+			.Field("outcome", AnswerOf(outcome.error).name);
+		return this->Answer(inReply, outcome);
+	}
 	inSpec.team = inCall.admission.team;
 	inSpec.queue = queue.name;
 	inSpec.pool = queue.pool;
@@ -62,7 +79,7 @@
 	inSpec.accepted_wall_ms = WallMillis();
 	auto request = std::make_shared<PendingRequest>();
 	request->record = {EInbox::Submit, std::move(inSpec)};
-	request->cell = CellOf(queue.pool, this->PartitionCount());
+	request->cell = cell;
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
 	request->reply = std::move(inReply);
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -140,6 +140,7 @@
 		driver->SetEvacuated(this->evacuations.Zones());
 	if (this->fleet_driver != nullptr)
 		this->fleet_driver->SetEvacuated(this->evacuations.Zones());
+	this->AnnounceClosedPools();
 }
 
 // ---- The workers' entries ----
@@ -238,6 +239,7 @@
 	for (auto &[cell, driver] : this->drivers)
 		if (driver->IsHeld())
 			driver->SetWorkers(all, this->store_recovered_at + cRelistedMs);
+	this->AnnounceClosedPools();
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -305,6 +305,8 @@
 	auto driver = std::make_unique<CellDriver<Hub>>(this->hub, this->DriverContextFor(inCell), inCell);
 	driver->SetCatalogue(this->catalogue);
 	driver->SetEvacuated(this->evacuations.Zones());
+	if (const std::optional<ClosedPoolsNews> news = this->owners.ClosedPoolsOf(inCell, NowMillis()))
+		driver->InheritClosedPools(news->pools);
 	CellDriver<Hub> *claimed = driver.get();
 	this->drivers[inCell] = std::move(driver);
 	claimed->Claim(this->heartbeat_number,
@@ -385,7 +387,7 @@
 	heartbeat.lease_ms = this->HeartbeatLease(inNow);
 	// Also during a planned stop: a cell that the heartbeat does not list counts as released, and other hosts claim it
 	for (const auto &[cell, driver] : this->drivers)
-		heartbeat.cells.push_back({cell, driver->Epoch(), driver->IsHeld()});
+		heartbeat.cells.push_back({cell, driver->Epoch(), driver->IsHeld(), driver->ClosedPools()});
 	if (this->fleet_driver != nullptr)
 		heartbeat.cells.push_back({cFleetCell, this->fleet_driver->Epoch(), this->fleet_driver->IsHeld()});
 	return heartbeat;
@@ -499,10 +501,46 @@
 	if (this->start == 0)
 		return;
 	// Nothing more is done under these claims, so successors need not wait for a lease counted from when they read of them
-	const HostHeartbeat heartbeat = MakeReleaseHeartbeat(this->NewHeartbeat(NowMillis()), inFleetCell, cOrderInFlightMs);
-	const std::string message = EncodeValue(heartbeat);
+	this->BroadcastHeartbeat(MakeReleaseHeartbeat(this->NewHeartbeat(NowMillis()), inFleetCell, cOrderInFlightMs));
+}
+
+template <class Hub>
+void JobHost<Hub>::BroadcastHeartbeat(const HostHeartbeat &inHeartbeat)
+{
+	const std::string message = EncodeValue(inHeartbeat);
 	this->peers.Notify(this->owners.Others(), EPeerMessage::Heartbeat, message);
-	After(cReleaseRepeatMs, [this, message] { this->peers.Notify(this->owners.Others(), EPeerMessage::Heartbeat, message); });
+	After(cBroadcastRepeatMs, [this, message] { this->peers.Notify(this->owners.Others(), EPeerMessage::Heartbeat, message); });
+}
+
+template <class Hub>
+void JobHost<Hub>::AnnounceClosedPools()
+{
+	const Millis now = NowMillis();
+	std::map<uint32, std::vector<uint32>> closed;
+	for (const auto &[cell, driver] : this->drivers)
+		if (driver->IsHeld() && !driver->ClosedPools().empty())
+			closed[cell] = driver->ClosedPools();
+	if (closed == this->announced_closed_pools || this->start == 0 || !this->lease.MayAct(now))
+		return;
+	this->announced_closed_pools = std::move(closed);
+	HostHeartbeat heartbeat = this->NewHeartbeat(now);
+	// Not acknowledged, so it does not renew the lease. Challengers who hear it count from its arrival, and must not wait less than for a
+	// heartbeat that was sent before and is acknowledged later
+	heartbeat.lease_ms = this->config.owner_lease_ms;
+	LogEvent(ELogLevel::Info, "closed_pools_announced")
+		.Field("cells", this->announced_closed_pools.size())
+		.Field("evacuated_zones", this->evacuations.Zones().size())
+		.Field("heartbeat", heartbeat.number);
+	this->BroadcastHeartbeat(heartbeat);
+}
+
+template <class Hub>
+std::optional<ClosedPoolsNews> JobHost<Hub>::ClosedPoolsOf(uint32 inCell, Millis inNow) const
+{
+	auto driver = this->drivers.find(inCell);
+	if (driver != this->drivers.end() && driver->second->MayAct(inNow))
+		return ClosedPoolsNews{driver->second->ClosedPools(), 0};
+	return this->owners.ClosedPoolsOf(inCell, inNow);
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -40,8 +40,22 @@
 	heard.heartbeat = inHeartbeat;
 	heard.at = inNow;
 	for (const OwnedCell &cell : inHeartbeat.cells)
-		if (cell.held)
-			this->ever_owned.insert(cell.cell);
+	{
+		if (!cell.held)
+			continue;
+		this->ever_owned.insert(cell.cell);
+		ClosedPoolsHeard &closed = this->closed_pools[cell.cell];
+		if (cell.epoch >= closed.epoch)
+			closed = {cell.epoch, cell.closed_pools, inNow};
+	}
+}
+
+std::optional<ClosedPoolsNews> OwnerTable::ClosedPoolsOf(uint32 inCell, Millis inNow) const
+{
+	auto heard = this->closed_pools.find(inCell);
+	if (heard == this->closed_pools.end())
+		return std::nullopt;
+	return ClosedPoolsNews{heard->second.pools, inNow - heard->second.at};
 }
 
 void OwnerTable::OnClaimSeen(uint32 inCell, const ClaimRecord &inClaim, Millis inNow)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -40,12 +40,39 @@
 	uint32 cell = 0;
 	uint64 epoch = 0;
 	bool held = true; ///< False while the host is only claiming the cell: others then neither claim it nor send requests for it here.
+	/// Hashes (PoolHash) of its pools all of whose workers are in evacuated zones.
+	std::vector<uint32> closed_pools = {};
 
+	// A cell without closed pools is encoded as by versions without this member, which encode `held` alone as one byte, 0 or 1
 	template <class Archive>
-	void serialize(Archive &ioArchive)
+	void save(Archive &ioArchive) const
+	{
+		const auto flags = static_cast<uint8>((this->held ? cHeldFlag : 0) | (this->closed_pools.empty() ? 0 : cClosedPoolsFlag));
+		ioArchive(this->cell, this->epoch, flags);
+		if (!this->closed_pools.empty())
+			ioArchive(this->closed_pools);
+	}
+	template <class Archive>
+	void load(Archive &ioArchive)
 	{
-		ioArchive(this->cell, this->epoch, this->held);
+		uint8 flags = 0;
+		ioArchive(this->cell, this->epoch, flags);
+		this->held = (flags & cHeldFlag) != 0;
+		this->closed_pools.clear();
+		if ((flags & cClosedPoolsFlag) != 0)
+			ioArchive(this->closed_pools);
 	}
+
+private:
+	static constexpr uint8 cHeldFlag = 1;
+	static constexpr uint8 cClosedPoolsFlag = 2;
+};
+
+/// Which pools of a cell are closed, as its owner last said.
+struct ClosedPoolsNews
+{
+	std::vector<uint32> pools; ///< As in OwnedCell.
+	Millis age_ms = 0;         ///< How long ago that was heard.
 };
 
 /// One heartbeat of an entry host.
@@ -141,6 +168,9 @@
 	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
 	/// The newest owner ever heard of, no matter how long ago: whom to ask while the store cannot be read.
 	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
+	/// The closed pools of a cell by the newest heartbeat of its newest owner, also after that owner was lost or released the cell.
+	/// Nothing: no owner was ever heard of.
+	std::optional<ClosedPoolsNews> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
 	/// Other hosts to ask for help while the store refuses this one: the last known owner of the cell first, then by how recently they
 	/// were heard.
 	std::vector<Address> Helpers(uint32 inCell) const;
@@ -203,6 +233,13 @@
 		ClaimRecord claim;
 		Millis at = 0;
 	};
+	/// The closed pools of a cell, by whom (epoch), and when that was heard.
+	struct ClosedPoolsHeard
+	{
+		uint64 epoch = 0;
+		std::vector<uint32> pools;
+		Millis at = 0;
+	};
 	/// How long a challenger waits after it first read this heartbeat.
 	Millis LeaseOf(const HeardHost &inHeard) const
 	{
@@ -235,7 +272,8 @@
 	std::map<uint32, Millis> free_since;
 	/// Cells that any heartbeat has listed as owned; the newest heartbeat of a host no longer lists what it has released.
 	std::set<uint32> ever_owned;
-	Millis overloaded_since = -1; ///< Since when a cell should be handed over; -1: none should.
+	std::map<uint32, ClosedPoolsHeard> closed_pools; ///< By cell. Kept until an owner with the same or a higher epoch is heard.
+	Millis overloaded_since = -1;                    ///< Since when a cell should be handed over; -1: none should.
 	std::string claim_reasons;
 	mutable std::set<std::string> candidate_successors; ///< As last computed,
 	mutable Millis successors_at = cNeverComputed;      ///< and when.
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -303,6 +303,8 @@
 	for (auto &[id, worker] : this->workers)
 		if (this->IsEvacuated(worker) && !inZones.contains(worker.entry.availability_zone))
 			worker.slow_until = std::max(worker.slow_until, inNow + this->tuning.slow_ms);
+	if (!std::includes(inZones.begin(), inZones.end(), this->evacuated_zones.begin(), this->evacuated_zones.end()))
+		this->zone_reopened_at = inNow;
 	this->evacuated_zones = inZones;
 }
 
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -164,6 +164,11 @@
 	void PlanJob(CellJob &ioJob, Millis inNow, int64 inWallNow);
 	/// Since when a task of a job has waited for its trial run, if any wait is overdue; otherwise the greatest time.
 	Millis TrialOverdueSince(const CellJob &inJob, Millis inNow);
+	/// Whether a job can no longer be in time and was waiting when a zone was reopened. Of such jobs those that waited longest start first.
+	bool IsHeldBack(const CellJob &inJob) const
+	{
+		return inJob.outlook != EDeadlineOutlook::InTime && inJob.arrived_at <= this->zone_reopened_at;
+	}
 	/// Recomputes a job's outlook and order key if they are out of date.
 	void UpdateRank(CellJob &ioJob, Millis inNow, int64 inWallNow) const;
 	bool HasTasksToStart(const CellJob &inJob, int64 inWallNow) const;
@@ -377,7 +382,9 @@
 	std::vector<PlanReject> capacity_rejects; ///< Of the last planning pass.
 	int64 ended_swept_wall_ms = 0;            ///< When ended jobs were last swept.
 	std::map<std::string, CellWorker> workers;
-	std::set<std::string> evacuated_zones;    ///< See SetEvacuated.
+	std::set<std::string> evacuated_zones; ///< See SetEvacuated.
+	/// When an evacuation last ended under this owner.
+	Millis zone_reopened_at = std::numeric_limits<Millis>::min();
 	std::vector<std::string> removed_workers; ///< Workers whose records are to be removed from the log.
 	TeamUsage teams;                          ///< Invariant: includes every run of the workers.
 	std::set<std::string> teams_at_limit;     ///< Teams whose limit stopped a task in the last planning pass.
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -61,7 +61,7 @@
 	Millis overdue_since = cNotOverdue; ///< Since when a task of it has waited for its trial run, if that is overdue.
 	EDeadlineOutlook outlook = EDeadlineOutlook::InTime;
 	uint32 priority = 0;
-	int64 key = 0; ///< Due time, later for larger jobs.
+	int64 key = 0; ///< Due time, later for larger jobs; of jobs that an evacuation held back until they were late: when they were accepted.
 	CellJob *job = nullptr;
 
 	bool operator<(const RankedJob &inOther) const
@@ -208,7 +208,11 @@
 	{
 		CellJob &job = *this->FindJob(id);
 		this->UpdateRank(job, inNow, inWallNow);
-		order.push_back({this->TrialOverdueSince(job, inNow), job.outlook, job.spec.priority, job.order_key, &job});
+		const Millis overdue_since = this->TrialOverdueSince(job, inNow);
+		if (this->IsHeldBack(job))
+			order.push_back({overdue_since, EDeadlineOutlook::Late, job.spec.priority, job.spec.accepted_wall_ms, &job});
+		else
+			order.push_back({overdue_since, job.outlook, job.spec.priority, job.order_key, &job});
 	}
 	std::sort(order.begin(), order.end());
 	for (const RankedJob &entry : order)
--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -204,6 +204,43 @@
 no_keys_logged() { ! grep -l 'key-one\|key-two' "$DIR"/e*.log; }
 check "no log line tells a key" no_keys_logged
 
+# --- Every zone is evacuated: all hosts refuse new jobs, and the owner's successor does as well
+# refused ENTRY ID: whether a job is refused as without an endpoint, with the time to come back.
+refused() {
+	curl -s -o /dev/null -D - --max-time 8 -H 'Host: jobs.example' -X POST "$(url "$1")/fast/$2" \
+		-d '{"spec":"ms=100 cpu=1000","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":300}]}' >"$DIR/refused"
+	grep -q ' 503 ' "$DIR/refused" && grep -qi '^Retry-After: [567]' "$DIR/refused" && grep -qi '^Loomreach-Reason: no-endpoint' "$DIR/refused"
+}
+all_refuse() { refused 1 00000000000000d1 && refused 2 00000000000000d1 && refused 3 00000000000000d1; }
+curl -s -X PUT "$CONTROL/operator/evacuate/z" -d '{}' >/dev/null
+# Accepted before the hosts know of the evacuation, or refused
+job 1 00000000000000d2 ms=100 1 1000 >/dev/null
+check "every host refuses jobs while all zones are evacuated" within 10 all_refuse
+check "and says why" grep -q 'event=call_refused request=00000000000000d1.*outcome=no-endpoint' "$DIR/e1.log" "$DIR/e2.log" "$DIR/e3.log"
+check "a question for the waiting jobs is answered" asked_is 2 "" 200
+check "a cancellation is accepted" test "$(curl -s -o /dev/null -w '%{http_code}' -X DELETE -H 'Host: jobs.example' "$(url 3)/fast/00000000000000d2")" = 200
+# The owner of the pool's cell refuses by what it knows itself; other pools' cells may have other owners
+OLD=$(grep -l 'event=call_refused request=00000000000000d1.*heard_ms_ago=0 ' "$DIR"/e*.log | head -n 1 | tr -dc '0-9' | tail -c 1)
+OTHER=$((OLD % 3 + 1))
+THIRD=$((OTHER % 3 + 1))
+kill -9 "${PIDS[$OLD]}"; unset "PIDS[$OLD]"
+NOT_REFUSED=0
+for _ in $(seq 40); do
+	for number in $OTHER $THIRD; do refused $number 00000000000000d3 || NOT_REFUSED=$((NOT_REFUSED + 1)); done
+	sleep 0.15
+done
+check "the others refuse without a gap while a killed owner is succeeded ($NOT_REFUSED of 80 not refused)" test $NOT_REFUSED = 0
+has_successor() { refused $OTHER 00000000000000d6 && refused $THIRD 00000000000000d6 && grep -q 'event=call_refused request=00000000000000d6.*heard_ms_ago=0 ' "$DIR"/e*.log; }
+check "and so does its successor" within 10 has_successor
+curl -s -X PUT "$CONTROL/operator/evacuate/z" -d '' >/dev/null
+accepted() { [ "$(job "$1" "$2" ms=100 1 1000)" = 200 ]; }
+check "jobs are accepted once the zone is taken back" within 5 accepted $OTHER 00000000000000d4
+check "by the other host as well" within 5 accepted $THIRD 00000000000000d5
+check "and run" within 20 is $OTHER 00000000000000d4 completed
+check "no rule was broken by the evacuation" unbroken
+start_entry "$OLD"
+check "the host that was killed meanwhile is back" within 20 ready "$OLD"
+
 # --- Every process killed right after an acceptance
 job 1 0000000000000007 ms=300 4 1000 >/dev/null
 for number in 1 2 3; do kill -9 "${PIDS[$number]}"; done
--- a/UnitTests/CellEvacuationTests.cpp
+++ b/UnitTests/CellEvacuationTests.cpp
@@ -87,6 +87,37 @@
 	EXPECT_EQ(simulation.Violations(), "");
 }
 
+/// Guards against younger jobs that start before jobs that waited longer, where the younger ones are due earlier, lose less credit or are
+/// smaller, and neither can be in time.
+TEST(CellEvacuation, StartsTheJobsThatWaitedLongestFirstWhenAZoneIsReopened)
+{
+	CellSimulation simulation(1, SimulationFaults{}, 1);
+	AssignZones(simulation);
+	simulation.Evacuate(ZoneOf(0));
+	std::vector<std::string> waiting;
+	for (int i = 0; i < 4; ++i)
+	{
+		const std::string id = "job" + std::to_string(i);
+		// Each takes the whole worker. The objectives become shorter, so that the youngest is due first, and the work becomes less
+		JobSpec job = MakeJob(id, 1, 1, cWorkerCpuMilli, 2000 - 300 * i);
+		job.target_ms = 6000 - 1900 * i;
+		simulation.run_ms[id] = 1000;
+		waiting.push_back(id);
+		simulation.Submit(job);
+		simulation.Run(1000);
+	}
+	simulation.Run(5000);
+	simulation.EndEvacuation(ZoneOf(0));
+	for (const std::string &oldest : waiting)
+	{
+		for (int i = 0; i < 300 && simulation.QueryJob(oldest).phase != EJobPhase::Running; ++i)
+			simulation.Run(cSimulationStepMs);
+		for (const std::string &id : waiting)
+			EXPECT_EQ(simulation.QueryJob(id).phase == EJobPhase::Queued, id > oldest) << id << " while " << oldest << " runs";
+	}
+	EXPECT_EQ(simulation.Violations(), "");
+}
+
 /// Guards against a record that is read again after a newer one and restores the older state.
 TEST(ZoneEvacuations, NeverGoesBackToAnOlderRecord)
 {
