--- a/Scripts/test_jobs.sh
+++ b/Scripts/test_jobs.sh
@@ -226,7 +226,7 @@
 kill -9 "${PIDS[$OLD]}"; unset "PIDS[$OLD]"
 NOT_REFUSED=0
 for _ in $(seq 40); do
-	for number in $OTHER $THIRD; do refused $number 00000000000000d3 || NOT_REFUSED=$((NOT_REFUSED + 1)); done
+	for number in $OTHER $THIRD; do refused "$number" 00000000000000d3 || NOT_REFUSED=$((NOT_REFUSED + 1)); done
 	sleep 0.15
 done
 check "the others refuse without a gap while a killed owner is succeeded ($NOT_REFUSED of 80 not refused)" test $NOT_REFUSED = 0
