--- /dev/null
+++ b/Loomreach/Admission/InboxPaths.cpp
@@ -0,0 +1,38 @@
+// Changes of the paths.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Admission/InboxPaths.h>
+
+namespace Loomreach::Jobs
+{
+
+EInboxPath InboxPaths::PathOf(uint32 inCell) const
+{
+	return this->slow && !this->direct_again.contains(inCell) ? EInboxPath::Collected : EInboxPath::Direct;
+}
+
+InboxPaths::SignEffect InboxPaths::OnSlowSign(ESlowSign inSign, Millis inNow)
+{
+	SignEffect effect;
+	effect.direct_before = this->direct_again.size();
+	effect.changed = !this->slow || !this->direct_again.empty();
+	if (effect.changed)
+		this->slow_since = inNow;
+	this->slow = true;
+	this->direct_again.clear();
+	// Reports are not passed on: the host that detected the slow store tells all others itself
+	effect.notify_all = inSign != ESlowSign::OtherHost && inNow - this->notified_at >= cNotifyIntervalMs;
+	if (effect.notify_all)
+		this->notified_at = inNow;
+	return effect;
+}
+
+bool InboxPaths::OnQuickAnswer(uint32 inCell) { return this->slow && this->direct_again.insert(inCell).second; }
+
+Millis InboxPaths::CollectedFor(uint32 inCell, Millis inNow) const
+{
+	return this->PathOf(inCell) == EInboxPath::Collected ? inNow - this->slow_since : 0;
+}
+
+} // namespace Loomreach::Jobs
--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -28,6 +28,8 @@
 	std::function<void(PeerQuestion, PeerQuery::OnAnswer)> ask_fleet = {};
 	/// Sends run ends to the hosts that keep replicas of them. Only set for cells of pools.
 	std::function<void(const RunEndsUpdate &)> replicate_ends = {};
+	/// Registers an append to the cell's log for the detection of a slow store, until the returned object is destroyed.
+	std::function<std::shared_ptr<void>()> watch_append = {};
 };
 
 /// What a driver requires of a client for worker agents.
@@ -67,6 +69,11 @@
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil);
 	/// Answers a question about the cell. The answer's `owner` is false while this host may not act as owner.
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
+	/// Whether the cell has the job of a submission, so that its record is in the inbox. False while this host may not act as owner.
+	bool KnowsJob(const JobSpec &inSpec) const
+	{
+		return this->held && this->context.lease.MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known;
+	}
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
 	void Step();
 	CellCounts Figures() const { return this->cell.Counts(); }
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -5,10 +5,11 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cStepDelayMs = 20;      ///< Batches updates that arrive together into one planning step.
-inline constexpr Millis cTickMs = 50;           ///< Resolution of the cell's timers.
-inline constexpr Millis cAppendIntervalMs = 35; ///< Minimum time between two appends: each append is a call that is charged for.
-inline constexpr double cSlowStepMs = 200.0;    ///< Slower steps are logged: half of the time that a lease leaves between heartbeats.
+inline constexpr Millis cStepDelayMs = 20;        ///< Batches updates that arrive together into one planning step.
+inline constexpr Millis cTickMs = 50;             ///< Resolution of the cell's timers.
+inline constexpr Millis cAppendIntervalMs = 35;   ///< Minimum time between two appends: each append is a call that is charged for.
+inline constexpr size_t cMaxWatchedBytes = 16384; ///< Appends up to this size show whether the store is slow.
+inline constexpr double cSlowStepMs = 200.0;      ///< Slower steps are logged: half of the time that a lease leaves between heartbeats.
 /// Long-poll time of inbox reads. Bounds the age of the information behind a "no such job" answer.
 inline constexpr Millis cInboxReadWaitMs = 1000;
 inline constexpr Millis cInboxRetryMs = 150;
@@ -229,8 +230,13 @@
 		records.push_back({std::move(record.key), std::move(record.value), 0});
 	if (records.empty())
 		return this->SendOrders();
+	size_t bytes = 0;
+	for (const LogRecord &record : records)
+		bytes += record.key.size() + record.value.size();
+	// Longer appends may take as long on a fast store, since a host's link has 10 Mbit/s
+	std::shared_ptr<void> watch = bytes <= cMaxWatchedBytes && this->context.watch_append ? this->context.watch_append() : nullptr;
 	this->log.Append(std::move(records), this->Guard(
-											 [this](bool inDone)
+											 [this, watch = std::move(watch)](bool inDone)
 											 {
 												 if (!inDone)
 												 {
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -3,6 +3,8 @@
 
 #pragma once
 
+#include <Loomreach/Admission/OpenAppends.h>
+#include <Loomreach/Admission/Submission.h>
 #include <Loomreach/Core/Random.h>
 #include <Loomreach/Entry/EndsSubmitter.h>
 #include <Loomreach/Entry/FleetSeat.h>
@@ -48,10 +50,9 @@
 		InboxRecord record;
 		uint32 cell = 0;
 		Millis give_up_at = 0;
-		uint64 key_hash = 0;             ///< Hash of the caller's key, see Admission.
-		bool maybe_appended = false;     ///< Whether an earlier attempt may have been appended: its outcome is unknown.
-		bool helpers_asked = false;      ///< Whether helpers have been asked to append it.
-		bool owner_unresponsive = false; ///< Whether the first helper, normally the cell's owner, did not answer.
+		uint64 key_hash = 0; ///< Hash of the caller's key, see Admission.
+		Submission submission{0};
+		bool timed = false; ///< Whether a timer reports the end of its time.
 		JobReply reply;
 	};
 
@@ -142,23 +143,46 @@
 	/// Whether run ends may still have to be submitted: a poll or a submission is in flight.
 	bool HasEndsToSubmit() const { return this->polls_in_flight > 0 || this->ends_submitter.InFlight() > 0; }
 	// Callers
-	void AppendToInbox(std::shared_ptr<PendingRequest> inRequest);
-	void OnAppendAnswer(const std::shared_ptr<PendingRequest> &inRequest, const AppendAnswer &inAnswer, Millis inSentAt);
+	void BeginRequest(std::shared_ptr<PendingRequest> inRequest);
+	/// What is known about the way of a record to the inbox. `inWithCandidates`: also which collectors there are, which takes a pass over
+	/// all hosts.
+	SubmissionView ViewOf(const PendingRequest &inRequest, bool inWithCandidates = true) const;
+	/// Carries out the next step for a request.
+	void Execute(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep);
+	void AppendOwn(const std::shared_ptr<PendingRequest> &inRequest, Millis inLimitMs);
+	void OnAppendAnswer(const std::shared_ptr<PendingRequest> &inRequest, const AppendAnswer &inAnswer, Millis inSentAt, bool inCollected);
+	void AskCollector(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep);
+	void OnCollectorAnswer(const std::shared_ptr<PendingRequest> &inRequest, const CollectorHost &inCollector,
+						   const std::optional<PeerAnswer> &inAnswer);
+	/// Writes the line about an accepted record and answers the caller.
+	void Accept(const PendingRequest &inRequest, std::string_view inKey, std::string_view inValue);
+	void Refuse(const PendingRequest &inRequest, const SubmissionStep &inStep);
 	InboxWriter<decltype(Hub::store)> &WriterOf(uint32 inCell);
-	/// Whether the store is slow in taking this host's appends to a cell's inbox, so that the cell's owner should append instead.
-	bool IsSlowFor(uint32 inCell);
+	/// Whether this host owns the cell and knows the job of a submission, so that the record need not be appended (again).
+	bool KnowsJob(uint32 inCell, const InboxRecord &inRecord) const;
+	/// Candidates for the collector of a cell's inbox, in order.
+	std::vector<CollectorHost> Collectors(uint32 inCell, Millis inNow) const;
+	/// Registers an append for the detection of a slow store, until the returned object is destroyed.
+	std::shared_ptr<void> WatchAppend(ESlowSign inSign);
+	void CheckOpenAppends();
+	/// The store is slow: collects the records of all inboxes, and hands over those that wait in this host.
+	void OnSlowSign(ESlowSign inSign, Millis inWaitedMs);
+	/// Hands records that this host has not sent yet to the collectors of their inboxes.
+	void HandOverUnsent();
+	/// Whether this host's appends to an inbox are fast. `inTookMs`: duration of its last append.
+	bool IsQuick(uint32 inCell, Millis inTookMs);
+	/// How long a record would wait for this host's append.
+	Millis ExpectedWaitMs(uint32 inCell, size_t inBytes);
+	/// The collector of an inbox appends fast.
+	void OnQuickAnswer(uint32 inCell, std::string_view inCollector);
 	/// Why this host's configuration does not allow a record. None: it is allowed, or the configuration is not newer than that of the
 	/// asking host.
 	EError RefusalOf(const InboxRecord &inRecord, const PeerQuestion &inQuestion) const;
-	/// Refuses a request because another host's newer configuration does not allow it.
-	void RefuseByNewerConfig(const std::shared_ptr<PendingRequest> &inRequest, EError inRefusal);
-	void AppendByHelper(const std::shared_ptr<PendingRequest> &inRequest, size_t inHelper);
-	/// Hosts that may append to a cell's inbox on behalf of this one, in order of preference.
-	std::vector<Address> HelpersFor(uint32 inCell) const;
-	void RetryOrRefuse(const std::shared_ptr<PendingRequest> &inRequest);
 	/// Asks other hosts whether they reach the store.
 	void SearchHelpers(Millis inNow);
 	void OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply);
+	/// Appends a record for another host.
+	void AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, std::function<void(PeerAnswer)> inReply);
 	void Answer(const JobReply &inReply, JobOutcome inOutcome);
 	void AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone);
 	PeerAnswer AnswerPeer(const PeerQuestion &inQuestion);
@@ -170,6 +194,9 @@
 	LeaseTuning lease_tuning;
 	OwnLease lease;
 	OwnerTable owners;
+	OpenAppends open_appends; ///< Declared before `hub`, whose callbacks refer to it until they are destroyed.
+	InboxPaths inbox_paths;
+	CollectorChoice collector_choice;
 	uint64 incarnation;
 	Random random; ///< Spreads the reads and questions of hosts that started together.
 	Hub hub;
@@ -184,6 +211,9 @@
 	std::map<uint32, std::unique_ptr<CellDriver<Hub>>> drivers;
 	std::unique_ptr<FleetDriver<Hub>> fleet_driver;
 	std::map<uint32, std::unique_ptr<InboxWriter<decltype(Hub::store)>>> writers; ///< Writers of the cells' inboxes, by cell.
+	/// Requests whose record this host is appending itself.
+	std::set<std::shared_ptr<PendingRequest>> own_appends;
+	bool handing_over = false; ///< Records that this host has not sent are being returned.
 	EndsSubmitter<decltype(Hub::store)> ends_submitter;
 	RunEndReplicas end_replicas;    ///< Run ends replicated for other hosts' cells.
 	size_t polls_in_flight = 0;     ///< Polls to workers without an answer yet, for cells of this host.
@@ -219,6 +249,8 @@
 	bool stopping = false;
 	Millis stop_at = 0;
 	std::function<void()> on_stopped;
+	Millis append_check_due = 0; ///< When the next check of `open_appends` is due.
+	Timer append_check;
 	Timer tick;
 	Timer hosts_timer;
 	Timer operator_timer;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -48,19 +48,21 @@
 inline constexpr Millis cLateTickMs = 200;     ///< A later tick means that the host lacks processor time: four ticks were missed.
 inline constexpr Millis cCpuStarvedMs = 10000; ///< The host counts as starved for this long after a late tick.
 inline constexpr Millis cProcessPauseMs = 400; ///< A later tick is logged: the process was paused or starved of processor time.
-/// A submission whose outcome is unknown is appended again after this; its id keeps it one job.
-inline constexpr Millis cSubmissionRetryMs = 60;
 inline constexpr Millis cAnswerMarginMs = 150; ///< Callers get their final answer this long before their deadline.
 inline constexpr Millis cMaxAppendTimeoutMs = 700;
 /// Lower bound for the timeout of an append: a late answer serves a caller better than an unknown outcome.
 inline constexpr Millis cMinAppendTimeoutMs = 200;
 inline constexpr Millis cAskTimeoutMs = 700;
 inline constexpr Millis cAskSharesTimeoutMs = 300; ///< Timeout of a question for the teams' shares; the next one carries newer data.
-inline constexpr size_t cMaxHelpers = 2;           ///< Hosts that are asked in turn to append a record for this one.
 /// A host that does not confirm within this time that it reaches the store is not used as a helper.
 inline constexpr Millis cReachTimeoutMs = 200;
-inline constexpr Millis cHelperTimeoutMs = 500;      ///< Time that each helper has to append a record.
-inline constexpr Millis cSlowHelperTimeoutMs = 1200; ///< The same while the store is slow and the helper's own append takes half a second.
+/// A collector that does not acknowledge a record within this time is skipped: two repeats may be lost.
+inline constexpr Millis cCollectorAckMs = 150;
+/// A collector that was silent for this long after an acknowledgement is skipped: two repeats of the question were not acknowledged.
+inline constexpr Millis cCollectorSilenceMs = 600;
+/// Limit of the time that a collector keeps a record; answers to repeated questions are kept longer than this.
+inline constexpr Millis cMaxCollectMs = 8000;
+inline constexpr double cQuickFactor = 5.0; ///< Appends up to this many times the usual duration count as fast.
 /// An order to a host that was in flight when the fleet cell was released has arrived or failed after this: its call has timed out.
 inline constexpr Millis cOrderInFlightMs = 1000;
 inline constexpr Millis cStoreUnresponsiveMs = 1800; ///< The store counts as unresponsive after this long without an answer.
@@ -98,7 +100,7 @@
 template <class Hub>
 JobHost<Hub>::JobHost(JobHostConfig inConfig)
 	: config(std::move(inConfig)), budget(StoreLimits{config.store_reads_per_s, config.store_read_mb_per_s * cKbPerMb}),
-	  lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning),
+	  lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning), open_appends(config.store_append_ms),
 	  incarnation(HashBytes(config.name, static_cast<uint64>(g_get_real_time()) ^ (static_cast<uint64>(g_random_int()) << 32))),
 	  random(incarnation), hub(config), caller_listener(*this),
 	  peers(
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -1,4 +1,7 @@
-// Callers' requests, and questions that other entry hosts ask on behalf of callers or cells.
+// Callers' requests, and questions that other entry hosts ask on behalf of callers or cells. Submission (Loomreach/Admission) decides how
+// a caller's record reaches its inbox; this file carries out its steps.
+
+#include <Loomreach/Admission/RetryAfter.h>
 
 namespace Loomreach::Jobs
 {
@@ -66,7 +69,7 @@
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
 	request->reply = std::move(inReply);
-	this->AppendToInbox(std::move(request));
+	this->BeginRequest(std::move(request));
 }
 
 template <class Hub>
@@ -82,34 +85,225 @@
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
 	request->reply = std::move(inReply);
-	this->AppendToInbox(std::move(request));
+	this->BeginRequest(std::move(request));
+}
+
+// ---- The way of a record to the inbox ----
+
+template <class Hub>
+void JobHost<Hub>::BeginRequest(std::shared_ptr<PendingRequest> inRequest)
+{
+	const bool is_cancel = inRequest->record.kind == EInbox::Cancel;
+	inRequest->submission = Submission(inRequest->give_up_at, is_cancel);
+	SubmissionView view = this->ViewOf(*inRequest, false);
+	if (view.path == EInboxPath::Collected || view.store_unresponsive)
+		view = this->ViewOf(*inRequest);
+	this->Execute(inRequest, inRequest->submission.Begin(view));
+}
+
+template <class Hub>
+SubmissionView JobHost<Hub>::ViewOf(const PendingRequest &inRequest, bool inWithCandidates) const
+{
+	SubmissionView view;
+	view.now = NowMillis();
+	view.path = this->inbox_paths.PathOf(inRequest.cell);
+	view.store_unresponsive = this->store_watch.IsUnresponsive(view.now);
+	if (!inWithCandidates)
+		return view;
+	view.candidates = this->Collectors(inRequest.cell, view.now);
+	if (const std::optional<CellOwner> owner = this->owners.LastOwnerOf(inRequest.cell))
+		view.owner = CollectorHost{owner->host, owner->address, owner->host == this->config.name, true};
+	return view;
+}
+
+template <class Hub>
+std::vector<CollectorHost> JobHost<Hub>::Collectors(uint32 inCell, Millis inNow) const
+{
+	std::vector<CollectorHost> hosts = this->owners.Collectors(inCell, inNow);
+	// Which hosts are known to reach the store differs between hosts. It only counts where this host does not reach the store itself, so
+	// that all others agree on the order
+	if (this->store_watch.IsUnresponsive(inNow))
+	{
+		const std::vector<Address> reaching = this->helper_search.Reaching(inNow);
+		for (CollectorHost &host : hosts)
+			host.reaches_store = std::find(reaching.begin(), reaching.end(), host.address) != reaching.end();
+	}
+	else if (!this->stopping)
+	{
+		auto driver = this->drivers.find(inCell);
+		const bool is_owner = driver != this->drivers.end() && driver->second->IsHeld();
+		hosts.push_back({this->config.name, this->config.peers, true, is_owner});
+		for (CollectorHost &host : hosts)
+			host.is_owner = host.is_owner && (host.is_self || !is_owner);
+	}
+	return this->collector_choice.Candidates(inCell, hosts, inNow);
 }
 
 template <class Hub>
-void JobHost<Hub>::AppendToInbox(std::shared_ptr<PendingRequest> inRequest)
+void JobHost<Hub>::Execute(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep)
 {
-	// The store handles appends to an inbox one by one. While it is slow, one host that appends for all waits for it once; hosts that
-	// append separately wait for each other
-	if (this->IsSlowFor(inRequest->cell) && !inRequest->owner_unresponsive && this->owners.LastOwnerOf(inRequest->cell).has_value())
-		return this->AppendByHelper(inRequest, 0);
+	switch (inStep.kind)
+	{
+	case ESubmissionStep::Wait: break;
+	case ESubmissionStep::Append: this->AppendOwn(inRequest, inStep.limit_ms); break;
+	case ESubmissionStep::Ask: this->AskCollector(inRequest, inStep); break;
+	case ESubmissionStep::AskLater:
+		After(inStep.delay_ms,
+			  [this, request = inRequest] { this->Execute(request, request->submission.OnDelayOver(this->ViewOf(*request))); });
+		break;
+	case ESubmissionStep::Accept: break; // Answered by the handler of the outcome, which knows what to log
+	case ESubmissionStep::Refuse: this->Refuse(*inRequest, inStep); break;
+	}
+}
+
+template <class Hub>
+void JobHost<Hub>::AppendOwn(const std::shared_ptr<PendingRequest> &inRequest, Millis inLimitMs)
+{
+	if (this->KnowsJob(inRequest->cell, inRequest->record))
+	{
+		inRequest->submission.OnOwnAppend(true, EOwnAppend::None, {});
+		return this->Accept(*inRequest, "known", "1");
+	}
+	std::string record = EncodeValue(inRequest->record);
+	const bool collected = this->inbox_paths.PathOf(inRequest->cell) == EInboxPath::Collected;
+	if (const Millis wait_ms = collected ? this->ExpectedWaitMs(inRequest->cell, record.size()) : 0; wait_ms > inLimitMs)
+		return this->Execute(inRequest, inRequest->submission.OnOwnBusy(wait_ms, this->ViewOf(*inRequest)));
 	const Millis sent_at = NowMillis();
-	// The outcome of an append to an unresponsive store would be unknown. Another host may reach the store; if none does, the caller is
-	// refused immediately
-	if (this->store_watch.IsUnresponsive(sent_at))
-		return this->AppendByHelper(inRequest, 0);
 	this->store_watch.OnSent(sent_at);
-	const Millis time_left = std::clamp<Millis>(inRequest->give_up_at - sent_at, cMinAppendTimeoutMs, cMaxAppendTimeoutMs);
-	InboxWriter<decltype(Hub::store)> &writer = this->WriterOf(inRequest->cell);
-	std::string record = EncodeValue(inRequest->record);
-	writer.Append(std::move(record), time_left,
-				  [this, request = std::move(inRequest), sent_at](const AppendAnswer &inAnswer)
-				  { this->OnAppendAnswer(request, inAnswer, sent_at); });
+	this->own_appends.insert(inRequest);
+	const Millis limit_ms = std::clamp<Millis>(inLimitMs, cMinAppendTimeoutMs, collected ? cMaxCollectMs : cMaxAppendTimeoutMs);
+	this->WriterOf(inRequest->cell)
+		.Append(std::move(record), limit_ms,
+				[this, request = inRequest, sent_at, collected, watch = this->WatchAppend(ESlowSign::InboxAppend)](
+					const AppendAnswer &inAnswer) { this->OnAppendAnswer(request, inAnswer, sent_at, collected); });
+}
+
+template <class Hub>
+void JobHost<Hub>::OnAppendAnswer(const std::shared_ptr<PendingRequest> &inRequest, const AppendAnswer &inAnswer, Millis inSentAt,
+								  bool inCollected)
+{
+	this->own_appends.erase(inRequest);
+	const bool done = inAnswer.result == EAppend::Done;
+	if (done)
+	{
+		this->store_answered_at = NowMillis();
+		this->store_watch.OnAnswered(inSentAt, this->store_answered_at);
+		if (inCollected && this->IsQuick(inRequest->cell, this->store_answered_at - inSentAt))
+			this->OnQuickAnswer(inRequest->cell, this->config.name);
+	}
+	if (inRequest->submission.IsEnded())
+		return;
+	const EOwnAppend outcome = inAnswer.result == EAppend::Unknown ? EOwnAppend::Unknown : EOwnAppend::Refused;
+	const SubmissionStep step = inRequest->submission.OnOwnAppend(done, outcome, this->ViewOf(*inRequest, !done));
+	if (done)
+		return this->Accept(*inRequest, "offset", std::to_string(inAnswer.offset));
+	this->Execute(inRequest, step);
+}
+
+template <class Hub>
+void JobHost<Hub>::AskCollector(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep)
+{
+	if (!std::exchange(inRequest->timed, true))
+		After(inStep.limit_ms,
+			  [this, weak = std::weak_ptr<PendingRequest>(inRequest)]
+			  {
+				  if (const std::shared_ptr<PendingRequest> request = weak.lock())
+					  this->Execute(request, request->submission.OnTimeUp());
+			  });
+	PeerQuestion question;
+	question.kind = EQuestion::AppendInbox;
+	question.cell = inRequest->cell;
+	question.record = EncodeValue(inRequest->record);
+	question.version = this->catalogue->version;
+	question.key_hash = inRequest->key_hash;
+	question.for_ms = inStep.limit_ms;
+	this->peers.Ask(
+		inStep.collector.address, std::move(question), inStep.limit_ms,
+		[this, request = inRequest, collector = inStep.collector](const std::optional<PeerAnswer> &inAnswer)
+		{ this->OnCollectorAnswer(request, collector, inAnswer); },
+		cCollectorAckMs, cCollectorSilenceMs);
+}
+
+/// What a collector's answer says about the record.
+inline CollectorReply CollectorReplyOf(const std::optional<PeerAnswer> &inAnswer)
+{
+	CollectorReply reply;
+	if (!inAnswer.has_value())
+		return reply;
+	reply.refusal = inAnswer->refusal;
+	reply.expected_wait_ms = inAnswer->busy_ms;
+	if (inAnswer->in_progress)
+		reply.outcome = ECollected::Silent;
+	else if (inAnswer->appended)
+		reply.outcome = ECollected::Appended;
+	else if (!inAnswer->not_done)
+		reply.outcome = ECollected::Unknown;
+	else if (inAnswer->refusal != EError::None)
+		reply.outcome = ECollected::Refused;
+	else if (inAnswer->busy_ms > 0)
+		reply.outcome = ECollected::Busy;
+	else
+		reply.outcome = inAnswer->reaches_store ? ECollected::NotDone : ECollected::CannotReach;
+	return reply;
+}
+
+template <class Hub>
+void JobHost<Hub>::OnCollectorAnswer(const std::shared_ptr<PendingRequest> &inRequest, const CollectorHost &inCollector,
+									 const std::optional<PeerAnswer> &inAnswer)
+{
+	const Millis now = NowMillis();
+	const CollectorReply reply = CollectorReplyOf(inAnswer);
+	// A request that ended because its time was up says nothing about the collector
+	const bool silent = reply.outcome == ECollected::NoAnswer || reply.outcome == ECollected::Silent;
+	if (silent && now < inRequest->give_up_at)
+		this->collector_choice.OnSilent(inCollector.address, now);
+	if (reply.outcome == ECollected::CannotReach)
+		this->collector_choice.OnCannotReachStore(inCollector.address, now);
+	if (inAnswer.has_value() && inAnswer->store_quick)
+		this->OnQuickAnswer(inRequest->cell, inCollector.name);
+	if (inRequest->submission.IsEnded())
+		return;
+	const bool appended = reply.outcome == ECollected::Appended;
+	const SubmissionStep step = inRequest->submission.OnReply(reply, this->ViewOf(*inRequest, !appended));
+	if (appended)
+		return this->Accept(*inRequest, "collector", inCollector.name);
+	this->Execute(inRequest, step);
+}
+
+template <class Hub>
+void JobHost<Hub>::Accept(const PendingRequest &inRequest, std::string_view inKey, std::string_view inValue)
+{
+	const bool is_cancel = inRequest.record.kind == EInbox::Cancel;
+	LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
+		.Field("request", inRequest.record.spec.id)
+		.Field("queue", inRequest.record.spec.queue)
+		.Field("version", this->catalogue->version)
+		.Field("cell", inRequest.cell)
+		.Field(inKey, inValue);
+	this->Answer(inRequest.reply, JobOutcome{});
 }
 
 template <class Hub>
-bool JobHost<Hub>::IsSlowFor(uint32 inCell)
+void JobHost<Hub>::Refuse(const PendingRequest &inRequest, const SubmissionStep &inStep)
 {
-	return !this->drivers.contains(inCell) && (this->store_read_latency_ms > cSlowStoreMs || this->WriterOf(inCell).IsSlow());
+	const Millis now = NowMillis();
+	const bool store_silent = this->store_watch.IsUnresponsive(now);
+	JobOutcome outcome;
+	outcome.error = inStep.error;
+	outcome.retry_after_s =
+		RetryAfterSeconds({inRequest.record.spec.id, inStep.expected_wait_ms, store_silent ? this->store_watch.UnansweredFor(now) : 0});
+	LogEvent line(ELogLevel::Warning, "job_not_accepted");
+	line.Field("request", inRequest.record.spec.id).Field("queue", inRequest.record.spec.queue);
+	if (inStep.error != EError::PlatformDown && inStep.error != EError::OutcomeLost)
+		line.Field("version", this->catalogue->version).Field("why", "another host has a newer configuration");
+	line.Field("outcome", AnswerOf(outcome.error).name)
+		.Field("store_heard_ms_ago", now - this->store_answered_at)
+		.Field("store_silent", store_silent ? 1 : 0)
+		.Field("helpers", this->helper_search.Reaching(now).size())
+		.Field("retry_after_s", outcome.retry_after_s)
+		.Field("path", NameOf(cInboxPathNames, this->inbox_paths.PathOf(inRequest.cell)))
+		.Field("tried", inRequest.submission.Tried());
+	this->Answer(inRequest.reply, outcome);
 }
 
 template <class Hub>
@@ -122,96 +316,115 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::OnAppendAnswer(const std::shared_ptr<PendingRequest> &inRequest, const AppendAnswer &inAnswer, Millis inSentAt)
+bool JobHost<Hub>::KnowsJob(uint32 inCell, const InboxRecord &inRecord) const
 {
-	if (inAnswer.result == EAppend::Done)
+	auto driver = this->drivers.find(inCell);
+	return inRecord.kind == EInbox::Submit && driver != this->drivers.end() && driver->second->KnowsJob(inRecord.spec);
+}
+
+// ---- Slow stores ----
+
+template <class Hub>
+std::shared_ptr<void> JobHost<Hub>::WatchAppend(ESlowSign inSign)
+{
+	const Millis now = NowMillis();
+	const uint64 number = this->open_appends.Add(inSign, now);
+	if (!this->append_check.IsRunning())
 	{
-		this->store_answered_at = NowMillis();
-		this->store_watch.OnAnswered(inSentAt, this->store_answered_at);
-		const bool is_cancel = inRequest->record.kind == EInbox::Cancel;
-		LogEvent(ELogLevel::Info, is_cancel ? "cancel_accepted" : "job_accepted")
-			.Field("request", inRequest->record.spec.id)
-			.Field("queue", inRequest->record.spec.queue)
-			.Field("version", this->catalogue->version)
-			.Field("cell", inRequest->cell)
-			.Field("offset", inAnswer.offset);
-		return this->Answer(inRequest->reply, JobOutcome{});
+		this->append_check_due = now + this->open_appends.OverdueAfter();
+		this->append_check.Once(this->open_appends.OverdueAfter(), [this] { this->CheckOpenAppends(); });
 	}
-	inRequest->maybe_appended = inRequest->maybe_appended || inAnswer.result == EAppend::Unknown;
-	// The store answers other calls of this host, so it loses or delays some: an append by another host would only lengthen its queue
-	const bool answers_others = inAnswer.result == EAppend::Unknown && this->store_answered_at >= inSentAt;
-	if (answers_others || std::exchange(inRequest->helpers_asked, true))
-		return this->RetryOrRefuse(inRequest);
-	this->AppendByHelper(inRequest, 0);
+	return {nullptr, [appends = &this->open_appends, number](void *) { appends->Remove(number); }};
 }
 
 template <class Hub>
-std::vector<Address> JobHost<Hub>::HelpersFor(uint32 inCell) const
+void JobHost<Hub>::CheckOpenAppends()
 {
 	const Millis now = NowMillis();
-	return this->store_watch.IsUnresponsive(now) ? this->helper_search.Reaching(now) : this->owners.Helpers(inCell);
+	const OpenAppends::Verdict verdict = this->open_appends.Check(this->append_check_due, now);
+	if (verdict.next_check_ms >= 0)
+	{
+		this->append_check_due = now + verdict.next_check_ms;
+		this->append_check.Once(verdict.next_check_ms, [this] { this->CheckOpenAppends(); });
+	}
+	if (verdict.sign.has_value())
+		this->OnSlowSign(*verdict.sign, verdict.waited_ms);
 }
 
 template <class Hub>
-void JobHost<Hub>::AppendByHelper(const std::shared_ptr<PendingRequest> &inRequest, size_t inHelper)
-{
-	const std::vector<Address> helpers = this->HelpersFor(inRequest->cell);
-	const Millis left = inRequest->give_up_at - NowMillis();
-	const bool slow = this->IsSlowFor(inRequest->cell);
-	const Millis wait_ms = slow ? cSlowHelperTimeoutMs : cHelperTimeoutMs;
-	if (inHelper >= std::min(helpers.size(), slow ? 1 : cMaxHelpers) || left < cHelperTimeoutMs / 2)
-		return this->RetryOrRefuse(inRequest);
-	// The store may be unreachable for this host alone
-	PeerQuestion question;
-	question.kind = EQuestion::AppendInbox;
-	question.cell = inRequest->cell;
-	question.record = EncodeValue(inRequest->record);
-	question.version = this->catalogue->version;
-	question.key_hash = inRequest->key_hash;
-	question.for_ms = std::min(left, wait_ms);
-	this->peers.Ask(helpers[inHelper], std::move(question), std::min(left, wait_ms),
-					[this, inRequest, inHelper](const std::optional<PeerAnswer> &inAnswer)
-					{
-						const bool entered = inAnswer.has_value() && inAnswer->appended;
-						inRequest->owner_unresponsive = inRequest->owner_unresponsive || (inHelper == 0 && !inAnswer.has_value());
-						inRequest->maybe_appended = inRequest->maybe_appended || !inAnswer.has_value() || (!entered && !inAnswer->not_done);
-						const EError refusal = inAnswer.has_value() ? inAnswer->refusal : EError::None;
-						if (refusal != EError::None && !inRequest->maybe_appended)
-							return this->RefuseByNewerConfig(inRequest, refusal);
-						if (!entered)
-							return this->AppendByHelper(inRequest, inHelper + 1);
-						LogEvent(ELogLevel::Info, "job_accepted")
-							.Field("request", inRequest->record.spec.id)
-							.Field("queue", inRequest->record.spec.queue)
-							.Field("cell", inRequest->cell)
-							.Field("helper", inHelper);
-						this->Answer(inRequest->reply, JobOutcome{});
-					});
-}
-
-template <class Hub>
-void JobHost<Hub>::RetryOrRefuse(const std::shared_ptr<PendingRequest> &inRequest)
+void JobHost<Hub>::OnSlowSign(ESlowSign inSign, Millis inWaitedMs)
 {
-	const bool is_cancel = inRequest->record.kind == EInbox::Cancel;
 	const Millis now = NowMillis();
-	// No host is known that reaches the store: the caller finds another way sooner than this host does
-	const bool store_unreachable = this->store_watch.IsUnresponsive(now) && this->helper_search.Reaching(now).empty();
-	// A record that may have been appended is appended again: its id keeps it one job, and only a confirmed append settles the outcome
-	const bool time_left = now + cSubmissionRetryMs < inRequest->give_up_at;
-	if ((inRequest->maybe_appended || is_cancel) && time_left && !store_unreachable)
+	const InboxPaths::SignEffect effect = this->inbox_paths.OnSlowSign(inSign, now);
+	if (effect.notify_all)
+		this->peers.Notify(this->owners.Others(), EPeerMessage::SlowStore, "");
+	if (!effect.changed)
+		return;
+	LogEvent(ELogLevel::Warning, "inbox_path")
+		.Field("path", NameOf(cInboxPathNames, EInboxPath::Collected))
+		.Field("cell", "all")
+		.Field("why", NameOf(cSlowSignNames, inSign))
+		.Field("waited_ms", inWaitedMs)
+		.Field("limit_ms", this->open_appends.OverdueAfter())
+		.Field("direct_before", effect.direct_before)
+		.Field("own_appends", this->own_appends.size());
+	this->HandOverUnsent();
+	for (const std::shared_ptr<PendingRequest> &request : std::set(this->own_appends))
+		this->Execute(request, request->submission.OnCollected(this->ViewOf(*request)));
+}
+
+template <class Hub>
+void JobHost<Hub>::HandOverUnsent()
+{
+	AppendAnswer unsent;
+	unsent.result = EAppend::Refused;
+	this->handing_over = true;
+	for (const auto &entry : this->writers)
 	{
-		return After(cSubmissionRetryMs, [this, inRequest] { this->AppendToInbox(inRequest); });
+		InboxWriter<decltype(Hub::store)> &writer = *entry.second;
+		const std::vector<CollectorHost> collectors = this->Collectors(entry.first, NowMillis());
+		if (!collectors.empty() && collectors.front().is_self)
+			continue;
+		// The writer may not be able to return records yet. Those that it keeps are in doubt until their outcome is known
+		if constexpr (requires { writer.TakeUnsent().front().done(unsent); })
+			for (auto &item : writer.TakeUnsent())
+				item.done(unsent);
 	}
-	JobOutcome outcome;
-	outcome.error = inRequest->maybe_appended ? EError::OutcomeLost : EError::PlatformDown;
-	LogEvent(ELogLevel::Warning, "job_not_accepted")
-		.Field("request", inRequest->record.spec.id)
-		.Field("queue", inRequest->record.spec.queue)
-		.Field("outcome", AnswerOf(outcome.error).name)
-		.Field("store_heard_ms_ago", now - this->store_answered_at)
-		.Field("store_silent", this->store_watch.IsUnresponsive(now) ? 1 : 0)
-		.Field("helpers", this->helper_search.Reaching(now).size());
-	this->Answer(inRequest->reply, outcome);
+	this->handing_over = false;
+}
+
+template <class Hub>
+bool JobHost<Hub>::IsQuick(uint32 inCell, Millis inTookMs)
+{
+	auto &writer = this->WriterOf(inCell);
+	if constexpr (requires { writer.IsQuick(); })
+		return writer.IsQuick();
+	else
+		return static_cast<double>(inTookMs) <= cQuickFactor * this->config.store_append_ms;
+}
+
+template <class Hub>
+Millis JobHost<Hub>::ExpectedWaitMs(uint32 inCell, size_t inBytes)
+{
+	auto &writer = this->WriterOf(inCell);
+	if constexpr (requires { writer.ExpectedWaitMs(inBytes); })
+		return static_cast<Millis>(writer.ExpectedWaitMs(inBytes));
+	else
+		return 0;
+}
+
+template <class Hub>
+void JobHost<Hub>::OnQuickAnswer(uint32 inCell, std::string_view inCollector)
+{
+	const Millis collected_ms = this->inbox_paths.CollectedFor(inCell, NowMillis());
+	if (!this->inbox_paths.OnQuickAnswer(inCell))
+		return;
+	LogEvent(ELogLevel::Info, "inbox_path")
+		.Field("path", NameOf(cInboxPathNames, EInboxPath::Direct))
+		.Field("cell", inCell)
+		.Field("why", "collector-quick")
+		.Field("collector", inCollector)
+		.Field("collected_ms", collected_ms);
 }
 
 template <class Hub>
@@ -224,20 +437,6 @@
 	return this->catalogue->StillAdmits(spec.queue, spec.pool, spec.team, inQuestion.key_hash) ? EError::None : LastReason().kind;
 }
 
-template <class Hub>
-void JobHost<Hub>::RefuseByNewerConfig(const std::shared_ptr<PendingRequest> &inRequest, EError inRefusal)
-{
-	LogEvent(ELogLevel::Info, "job_not_accepted")
-		.Field("request", inRequest->record.spec.id)
-		.Field("queue", inRequest->record.spec.queue)
-		.Field("version", this->catalogue->version)
-		.Field("why", "another host has a newer configuration")
-		.Field("outcome", AnswerOf(inRefusal).name);
-	JobOutcome outcome;
-	outcome.error = inRefusal;
-	this->Answer(inRequest->reply, outcome);
-}
-
 template <class Hub>
 void JobHost<Hub>::OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 {
@@ -248,20 +447,50 @@
 	// Appends only records that can be decoded and that the newest configuration known here allows, and only while the store answers
 	const std::optional<InboxRecord> record = DecodeValue<InboxRecord>(inQuestion.record);
 	const EError refusal = record.has_value() ? this->RefusalOf(*record, inQuestion) : EError::Corrupt;
-	if (refusal != EError::None || this->store_watch.IsUnresponsive(NowMillis()))
+	PeerAnswer answer;
+	answer.reaches_store = !this->store_watch.IsUnresponsive(NowMillis());
+	// Also spares the partition a second append after one whose response was lost
+	answer.appended = record.has_value() && this->KnowsJob(inQuestion.cell, *record);
+	if (answer.appended)
+		return inReply(answer);
+	if (refusal != EError::None || !answer.reaches_store)
 	{
-		PeerAnswer answer;
 		answer.not_done = true;
 		answer.refusal = record.has_value() ? refusal : EError::None;
 		return inReply(answer);
 	}
+	if (const Millis wait_ms = this->ExpectedWaitMs(inQuestion.cell, inQuestion.record.size()); wait_ms > inQuestion.for_ms)
+	{
+		answer.not_done = true;
+		answer.busy_ms = wait_ms;
+		return inReply(answer);
+	}
+	this->AppendForPeer(inQuestion, NowMillis() + std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cMaxCollectMs), std::move(inReply));
+}
+
+template <class Hub>
+void JobHost<Hub>::AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, std::function<void(PeerAnswer)> inReply)
+{
+	const Millis sent_at = NowMillis();
+	this->store_watch.OnSent(sent_at);
 	this->WriterOf(inQuestion.cell)
-		.Append(inQuestion.record, std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cSlowHelperTimeoutMs),
-				[reply = std::move(inReply)](const AppendAnswer &inAnswer)
+		.Append(inQuestion.record, std::max(inUntil - sent_at, cMinAppendTimeoutMs),
+				[this, inQuestion, inUntil, sent_at, reply = std::move(inReply),
+				 watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
 				{
+					// Another host has chosen this one as the collector: the record stays here
+					if (inAnswer.result == EAppend::Refused && this->handing_over)
+						return this->AppendForPeer(inQuestion, inUntil, reply);
+					const Millis now = NowMillis();
 					PeerAnswer answer;
 					answer.appended = inAnswer.result == EAppend::Done;
 					answer.not_done = inAnswer.result == EAppend::Refused;
+					answer.reaches_store = !this->store_watch.IsUnresponsive(now);
+					if (answer.appended)
+					{
+						this->store_watch.OnAnswered(sent_at, now);
+						answer.store_quick = this->IsQuick(inQuestion.cell, now - sent_at);
+					}
 					reply(answer);
 				});
 }
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -234,8 +234,9 @@
 	{ this->AskCell(cFleetCell, std::move(inQuestion), cAskSharesTimeoutMs, std::move(inDone)); };
 	const auto replicate_ends = [this](const RunEndsUpdate &inUpdate)
 	{ this->peers.Notify(this->owners.ReplicaHosts(NowMillis()), EPeerMessage::Ends, EncodeValue(inUpdate)); };
-	return {this->config, this->metrics, this->lease,   this->owners, {this->config.name, this->incarnation, this->start},
-			send,         ask_fleet,     replicate_ends};
+	const auto watch_append = [this] { return this->WatchAppend(ESlowSign::CellLog); };
+	return {this->config, this->metrics, this->lease,    this->owners, {this->config.name, this->incarnation, this->start},
+			send,         ask_fleet,     replicate_ends, watch_append};
 }
 
 template <class Hub>
@@ -396,6 +397,8 @@
 {
 	if (inKind == EPeerMessage::Ends)
 		return this->OnEndsUpdate(inMessage);
+	if (inKind == EPeerMessage::SlowStore)
+		return this->OnSlowSign(ESlowSign::OtherHost, 0);
 	const std::optional<HostHeartbeat> heartbeat = DecodeValue<HostHeartbeat>(inMessage);
 	if (!heartbeat.has_value() || heartbeat->host == this->config.name)
 		return this->metrics.Count(ECounter::PeerRejects, "corrupt");
@@ -427,8 +430,10 @@
 	++this->heartbeats_in_flight;
 	this->store_watch.OnSent(sent_at);
 	this->lease.OnSent(sent_at, heartbeat.lease_ms);
-	this->hub.store.Append(call, [this, sent_at, lease_ms = heartbeat.lease_ms](const AppendAnswer &inAnswer)
-						   { this->OnHeartbeatAnswer(inAnswer, sent_at, lease_ms); });
+	// Heartbeats of hosts without cells share a partition and wait for each other also while the store is fast
+	this->hub.store.Append(
+		call, [this, sent_at, lease_ms = heartbeat.lease_ms, watch = this->Owned() > 0 ? this->WatchAppend(ESlowSign::Heartbeat) : nullptr](
+				  const AppendAnswer &inAnswer) { this->OnHeartbeatAnswer(inAnswer, sent_at, lease_ms); });
 }
 
 template <class Hub>
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -18,10 +18,29 @@
 static constexpr Millis cAnswerCacheMs = 10000;
 /// Questions that take longer are reported as being handled: a worker answers the start of a run within a few ms.
 static constexpr Millis cInProgressMs = 30;
+/// Delay before a question that is being handled is repeated, to learn whether the other host still responds: twice within the time after
+/// which it counts as silent.
+static constexpr Millis cResendInProgressMs = 240;
 static constexpr char cQuestionMark = 'Q';
 static constexpr char cAnswerMark = 'A';
 static constexpr char cHeartbeatMark = 'N';
 static constexpr char cEndsMark = 'E';
+static constexpr char cSlowStoreMark = 'S';
+
+/// Marks of the messages that are not questions or answers.
+static constexpr std::array cMessageMarks = {
+	std::pair{cHeartbeatMark, EPeerMessage::Heartbeat},
+	std::pair{cEndsMark, EPeerMessage::Ends},
+	std::pair{cSlowStoreMark, EPeerMessage::SlowStore},
+};
+
+static char MarkOf(EPeerMessage inKind)
+{
+	for (const auto &[mark, kind] : cMessageMarks)
+		if (kind == inKind)
+			return mark;
+	return cHeartbeatMark;
+}
 
 /// Converts an address for the socket.
 static ObjectPtr<GSocketAddress> ToSocketAddress(const Address &inAddress)
@@ -91,8 +110,9 @@
 void PeerQuery::Handle(const std::string &inBytes, GSocketAddress *inFrom)
 {
 	const std::string_view body = std::string_view(inBytes).substr(1);
-	if (inBytes[0] == cHeartbeatMark || inBytes[0] == cEndsMark)
-		return this->message_handler(inBytes[0] == cHeartbeatMark ? EPeerMessage::Heartbeat : EPeerMessage::Ends, std::string(body));
+	for (const auto &[mark, kind] : cMessageMarks)
+		if (inBytes[0] == mark)
+			return this->message_handler(kind, std::string(body));
 	if (inBytes[0] == cAnswerMark)
 	{
 		const std::optional<PeerAnswer> answer = DecodeValue<PeerAnswer>(body);
@@ -104,8 +124,11 @@
 			return;
 		if (answer->in_progress)
 		{
-			found->second.in_progress = true;
-			found->second.give_up_at = found->second.limit_at;
+			Pending &asked = found->second;
+			const Millis now = NowMillis();
+			if (!std::exchange(asked.in_progress, true) && asked.silence_ms > 0)
+				asked.resend_at = now + cResendInProgressMs;
+			asked.give_up_at = asked.silence_ms > 0 ? std::min(asked.limit_at, now + asked.silence_ms) : asked.limit_at;
 			return;
 		}
 		const OnAnswer done = std::move(found->second.done);
@@ -116,15 +139,22 @@
 	if (inBytes[0] != cQuestionMark || !question.has_value())
 		return this->metrics.Count(ECounter::PeerRejects, "corrupt");
 	const std::string sender = SenderText(inFrom) + '/' + std::to_string(question->nonce);
-	if (this->ResendAnswer(sender, inFrom) || !this->answering.insert(sender).second)
+	if (this->ResendAnswer(sender, inFrom))
+		return;
+	const bool is_append = question->kind == EQuestion::AppendInbox;
+	if (!this->answering.insert(sender).second)
+	{
+		// The asking host repeats such a question to learn whether this host still responds
+		if (is_append)
+			this->SendInProgress(question->nonce, inFrom);
 		return;
+	}
 	std::shared_ptr<GSocketAddress> to(static_cast<GSocketAddress *>(g_object_ref(inFrom)),
 									   [](GSocketAddress *inOld) { g_object_unref(inOld); });
-	if (question->kind == EQuestion::Forward)
+	if (is_append || question->kind == EQuestion::Forward)
 		this->ReportInProgress(sender, question->nonce, to);
 	this->question_handler(*question,
-						   [this, to, sender, nonce = question->nonce,
-							changes = question->kind == EQuestion::AppendInbox || question->kind == EQuestion::Forward,
+						   [this, to, sender, nonce = question->nonce, changes = is_append || question->kind == EQuestion::Forward,
 							alive = std::weak_ptr<bool>(this->alive)](PeerAnswer inAnswer)
 						   {
 							   if (alive.expired())
@@ -147,14 +177,19 @@
 		  {
 			  if (alive.expired() || !this->answering.contains(sender))
 				  return;
-			  PeerAnswer answer;
-			  answer.nonce = nonce;
-			  answer.in_progress = true;
-			  answer.clock_ms = NowMillis();
-			  this->SendTo(to.get(), cAnswerMark + EncodeValue(answer));
+			  this->SendInProgress(nonce, to.get());
 		  });
 }
 
+void PeerQuery::SendInProgress(uint64 inNonce, GSocketAddress *inTo)
+{
+	PeerAnswer answer;
+	answer.nonce = inNonce;
+	answer.in_progress = true;
+	answer.clock_ms = NowMillis();
+	this->SendTo(inTo, cAnswerMark + EncodeValue(answer));
+}
+
 bool PeerQuery::ResendAnswer(const std::string &inSender, GSocketAddress *inTo)
 {
 	// A repeat may arrive after the answer was sent. What was reported as not done must not be done then
@@ -184,7 +219,8 @@
 		this->metrics.Count(ECounter::PeerRejects, "send-failed");
 }
 
-void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs)
+void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs,
+					Millis inSilenceMs)
 {
 	inQuestion.nonce = this->next_nonce++;
 	Pending &asked = this->pending[inQuestion.nonce];
@@ -193,6 +229,7 @@
 	asked.done = std::move(inDone);
 	asked.limit_at = NowMillis() + inTimeoutMs;
 	asked.give_up_at = inInProgressMs > 0 ? NowMillis() + std::min(inInProgressMs, inTimeoutMs) : asked.limit_at;
+	asked.silence_ms = inSilenceMs;
 	asked.resend_at = NowMillis() + cResendMs;
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 	if (!this->resend_timer.IsRunning())
@@ -201,35 +238,40 @@
 
 void PeerQuery::Notify(const std::vector<Address> &inTo, EPeerMessage inKind, const std::string &inMessage)
 {
-	const std::string bytes = (inKind == EPeerMessage::Heartbeat ? cHeartbeatMark : cEndsMark) + inMessage;
+	const std::string bytes = MarkOf(inKind) + inMessage;
 	for (const Address &to : inTo)
 		this->SendTo(ToSocketAddress(to).get(), bytes);
 }
 
 void PeerQuery::ResendPending()
 {
+	// After a pause of this process, answers that arrived meanwhile come before what is overdue
+	this->Receive();
 	const Millis now = NowMillis();
-	std::vector<OnAnswer> given_up;
+	std::vector<std::pair<OnAnswer, std::optional<PeerAnswer>>> given_up;
 	for (auto it = this->pending.begin(); it != this->pending.end();)
 	{
 		Pending &asked = it->second;
 		if (now >= asked.give_up_at)
 		{
-			given_up.push_back(std::move(asked.done));
+			std::optional<PeerAnswer> silent;
+			if (asked.in_progress && asked.silence_ms > 0)
+				silent.emplace().in_progress = true;
+			given_up.emplace_back(std::move(asked.done), std::move(silent));
 			it = this->pending.erase(it);
 			continue;
 		}
-		if (now >= asked.resend_at && !asked.in_progress)
+		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
 		{
-			asked.resend_at = now + cResendMs;
+			asked.resend_at = now + (asked.in_progress ? cResendInProgressMs : cResendMs);
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
 		}
 		++it;
 	}
 	if (this->pending.empty())
 		this->resend_timer.Stop();
-	for (const OnAnswer &done : given_up)
-		done(std::nullopt);
+	for (const auto &[done, silent] : given_up)
+		done(silent);
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -61,7 +61,7 @@
 	uint64 nonce = 0;
 	bool owner = false;         ///< Whether the answering host owns the cell.
 	Address owner_address;      ///< Any host: the cell's owner as the answering host knows it; port 0: none.
-	bool appended = false;      ///< Any host: the record is in the inbox.
+	bool appended = false;      ///< Any host: the record is in the inbox, or the owner knows its job.
 	bool not_done = false;      ///< Any host: the record is certainly not in the inbox. Forward: the order was certainly not sent.
 	bool reaches_store = false; ///< Any host: the answering host reaches the store.
 	bool in_progress = false;   ///< Any host: the question is being handled, and its answer will follow.
@@ -77,13 +77,16 @@
 	bool drained = false; ///< Empty: the worker is drained and will stay so for the time asked.
 	PoolDemand demand;
 	ShareAnswer shares;
+	bool store_quick = false; ///< Any host. AppendInbox: the answering host's appends to this inbox are fast.
+	/// Any host. AppendInbox, above 0: refused since the backlog would take longer than `for_ms`; the expected wait, ms.
+	int64 busy_ms = 0;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->nonce, this->owner, this->owner_address, this->appended, this->not_done, this->reaches_store, this->in_progress,
 				  this->clock_ms, this->record, this->inbox_current, this->refusal, this->known, this->other_team, this->phase,
-				  this->waiting, this->drained, this->demand, this->shares);
+				  this->waiting, this->drained, this->demand, this->shares, this->store_quick, this->busy_ms);
 	}
 };
 
@@ -91,7 +94,8 @@
 enum class EPeerMessage : uint8
 {
 	Heartbeat, ///< A heartbeat (HostHeartbeat).
-	Ends       ///< Run ends for replication (RunEndsUpdate).
+	Ends,      ///< Run ends for replication (RunEndsUpdate).
+	SlowStore  ///< The sender has detected that the store is slow. Empty.
 };
 
 /// Asks questions and answers those of other hosts.
@@ -113,8 +117,11 @@
 	/// Binds the UDP socket. Returns false if that fails, with BadConfig as the last error.
 	bool Open();
 	/// Repeats the question until an answer arrives or `inTimeoutMs` is over, and calls back once; nothing: no answer. `inInProgressMs`
-	/// above 0: gives up after this if the other host has not reported that it is handling the question.
-	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs = 0);
+	/// above 0: gives up after this if the other host has not reported that it is handling the question. `inSilenceMs` above 0: the
+	/// question is still repeated after such a report, and given up when no report has arrived for this long. The answer is then one with
+	/// `in_progress` set.
+	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs = 0,
+			 Millis inSilenceMs = 0);
 	/// Sends a message to other hosts, once each.
 	void Notify(const std::vector<Address> &inTo, EPeerMessage inKind, const std::string &inMessage);
 
@@ -127,7 +134,8 @@
 		OnAnswer done;
 		Millis give_up_at = 0;
 		Millis limit_at = 0;      ///< When to give up once the question is being handled.
-		bool in_progress = false; ///< The other host is handling the question: it is not repeated any more.
+		Millis silence_ms = 0;    ///< Above 0: reports must follow each other within this time.
+		bool in_progress = false; ///< The other host is handling the question: it is repeated only if `silence_ms` is set.
 		Millis resend_at = 0;
 	};
 
@@ -138,6 +146,7 @@
 	void ResendPending();
 	/// Tells the asking host that its question is being handled, unless it is answered within a short time.
 	void ReportInProgress(const std::string &inSender, uint64 inNonce, const std::shared_ptr<GSocketAddress> &inTo);
+	void SendInProgress(uint64 inNonce, GSocketAddress *inTo);
 	/// Sends the answer to a repeated question again. Returns false if there is none.
 	bool ResendAnswer(const std::string &inSender, GSocketAddress *inTo);
 	void CacheAnswer(const std::string &inSender, const std::string &inBytes);
--- a/Loomreach/Entry/StoreWatch.h
+++ b/Loomreach/Entry/StoreWatch.h
@@ -20,6 +20,8 @@
 	bool IsUnresponsive(Millis inNow) const;
 	/// Whether an answer is late enough to look for helpers, although it may still arrive.
 	bool IsLate(Millis inNow) const;
+	/// How long calls have gone without any success; 0: none is waited for.
+	Millis UnansweredFor(Millis inNow) const { return this->unanswered_since < 0 ? 0 : inNow - this->unanswered_since; }
 	/// How long a call may take before the store counts as unresponsive.
 	Millis AnswerTimeout() const;
 
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -104,6 +104,24 @@
 	return others;
 }
 
+std::vector<CollectorHost> OwnerTable::Collectors(uint32 inCell, Millis inNow) const
+{
+	const std::optional<CellOwner> owner = this->LastOwnerOf(inCell);
+	std::vector<CollectorHost> collectors;
+	collectors.reserve(this->hosts.size());
+	for (const auto &[name, heard] : this->hosts)
+	{
+		if (name == this->self || !heard.heartbeat.claims || heard.heartbeat.address.port == 0)
+			continue;
+		CollectorHost &host = collectors.emplace_back();
+		host.name = name;
+		host.address = heard.heartbeat.address;
+		host.is_owner = owner.has_value() && owner->host == name;
+		host.is_live = this->IsLive(heard, inNow);
+	}
+	return collectors;
+}
+
 std::vector<IdleHost> OwnerTable::IdleHosts(Millis inNow) const
 {
 	std::vector<IdleHost> idle;
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -8,6 +8,7 @@
 
 #pragma once
 
+#include <Loomreach/Admission/CollectorChoice.h>
 #include <Loomreach/Settings/DaemonConfig.h>
 
 namespace Loomreach::Jobs
@@ -144,6 +145,8 @@
 	/// Other hosts to ask for help while the store refuses this one: the last known owner of the cell first, then by how recently they
 	/// were heard.
 	std::vector<Address> Helpers(uint32 inCell) const;
+	/// All other hosts that do not stop, as possible collectors of a cell's inbox; see CollectorChoice.
+	std::vector<CollectorHost> Collectors(uint32 inCell, Millis inNow) const;
 	/// Other live hosts that own no cells and have processor time to spare.
 	std::vector<IdleHost> IdleHosts(Millis inNow) const;
 	/// Addresses of all other hosts ever heard of.
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -14,6 +14,7 @@
 
 constexpr double cMaxCores = 1024.0;
 constexpr double cMaxSeconds = 86'400.0;
+constexpr double cMaxAppendMs = 1000.0;
 
 /// A key with an integer value.
 struct NumberKey
@@ -124,6 +125,8 @@
 			return this->ReadThousandths(inValue, name, cMaxCores, this->config.processor_milli);
 		if (name == "maintenance_s")
 			return this->ReadThousandths(inValue, name, cMaxSeconds, this->config.maintenance_ms);
+		if (name == "store_append_ms")
+			return this->ReadFraction(inValue, name, cMaxAppendMs, this->config.store_append_ms);
 		if (name == "adviser")
 			return this->ReadOptional(inValue, name, this->config.adviser);
 		if (name == "machines")
@@ -155,11 +158,21 @@
 
 	/// Reads a number of cores or seconds, which may be a fraction, and stores it in thousandths.
 	bool ReadThousandths(const toml::node &inValue, std::string_view inName, double inMax, int64 &outThousandths)
+	{
+		double number = 0.0;
+		if (!this->ReadFraction(inValue, inName, inMax, number))
+			return false;
+		outThousandths = std::max<int64>(1, static_cast<int64>(number * 1000.0));
+		return true;
+	}
+
+	/// Reads a number above 0, which may be a fraction.
+	bool ReadFraction(const toml::node &inValue, std::string_view inName, double inMax, double &outNumber)
 	{
 		const std::optional<double> number = inValue.value<double>();
 		if (!number.has_value() || *number <= 0.0 || *number > inMax)
 			return this->FailAt(inValue.source(), std::string(inName) + " must be above 0 and at most " + std::to_string(inMax));
-		outThousandths = std::max<int64>(1, static_cast<int64>(*number * 1000.0));
+		outNumber = *number;
 		return true;
 	}
 
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -23,6 +23,7 @@
 	int64 log_partitions = 8;          ///< Number of partitions of a log topic.
 	int64 store_reads_per_s = 2000;    ///< Limit of the store for read calls from all entry hosts together.
 	int64 store_read_mb_per_s = 80;    ///< Limit of the store for data read by all entry hosts together, MB/s.
+	double store_append_ms = 4.0;      ///< Usual duration of an append to the store, ms.
 	int64 worker_lease_ms = 4000;      ///< Lease of runs on workers; capped by `worker_most_lease_ms`.
 	int64 worker_max_lease_ms = 10000; ///< Longest lease that workers grant.
 	int64 maintenance_ms = 2000;       ///< Duration of a host's maintenance.
--- /dev/null
+++ b/UnitTests/AdmissionWorld.cpp
@@ -0,0 +1,566 @@
+// Events of the modelled hosts and of the partition.
+
+#include <Loomreach/Loomreach.h>
+
+#include <UnitTests/AdmissionWorld.h>
+
+namespace Loomreach::Jobs
+{
+
+static constexpr Millis cNetworkMs = 1;
+static constexpr Millis cCallTimeoutMs = 700; ///< As in InboxWriter.
+static constexpr Millis cMaxQueueMs = 2000;   ///< The store refuses calls that have waited longer.
+static constexpr Millis cAckMs = 30;          ///< As in PeerQuery: acknowledgement,
+static constexpr Millis cNoAckMs = 150;       ///< time without one,
+static constexpr Millis cSilenceMs = 600;     ///< silence after one,
+static constexpr Millis cRepeatMs = 60;       ///< repeats before
+static constexpr Millis cRepeatAckedMs = 240; ///< and after it.
+static constexpr Millis cAskTickMs = 30;
+static constexpr size_t cMaxRecords = 500;
+static constexpr size_t cMaxCalls = 3;
+static constexpr double cAppendMs = 4.0;
+static constexpr double cQuickMs = 20.0;
+
+/// An attempt that is being handled by a host.
+struct AdmissionWorld::Request
+{
+	std::string id;
+	size_t attempt = 0;
+	size_t record = 0;
+	size_t retries_left = 0;
+	Submission submission{0};
+	bool own_in_flight = false;
+	bool done = false;
+};
+
+/// A question to a collector, on both sides.
+struct AdmissionWorld::Asked
+{
+	std::shared_ptr<Request> request;
+	size_t from = 0;
+	CollectorHost collector;
+	size_t to = 0;
+	Millis give_up_at = 0;
+	Millis limit_at = 0;
+	Millis resend_at = 0;
+	bool acked = false;
+	bool ended = false;
+	// The collector's side
+	bool handling = false;
+	std::optional<CollectorReply> answer;
+	bool quick = false;
+};
+
+/// One entry host.
+struct AdmissionWorld::Host
+{
+	size_t index = 0;
+	std::string name;
+	Address address;
+	Faults faults;
+	std::vector<std::function<void()>> postponed;
+	InboxPaths paths;
+	OpenAppends open_appends{cAppendMs};
+	bool checking = false;
+	CollectorChoice choice;
+	StoreWatch watch;
+	std::set<std::shared_ptr<Request>> own_appends;
+	/// Writer
+	struct Item
+	{
+		std::string id;
+		Millis give_up_at = 0;
+		std::function<void(EAppendResult)> done;
+	};
+	std::deque<Item> waiting;
+	size_t in_flight = 0;
+	Millis sent_at = -1000;
+	double latency_ms = cAppendMs;
+	bool flush_planned = false;
+};
+
+AdmissionWorld::AdmissionWorld(size_t inHosts, uint64 inSeed) : random(inSeed)
+{
+	for (size_t i = 0; i < inHosts; ++i)
+	{
+		Host &host = *this->hosts.emplace_back(std::make_unique<Host>());
+		host.index = i;
+		host.name = "h" + std::to_string(i);
+		host.address = {"10.0.0." + std::to_string(i), 1};
+	}
+}
+
+AdmissionWorld::~AdmissionWorld() = default;
+
+AdmissionWorld::Faults &AdmissionWorld::FaultsOf(size_t inHost) { return this->hosts[inHost]->faults; }
+
+const InboxPaths &AdmissionWorld::PathsOf(size_t inHost) const { return this->hosts[inHost]->paths; }
+
+void AdmissionWorld::RunUntil(Millis inUntil)
+{
+	while (!this->events.empty() && this->events.begin()->first <= inUntil)
+	{
+		auto next = this->events.extract(this->events.begin());
+		this->now = std::max(this->now, next.key());
+		next.mapped()();
+	}
+	this->now = inUntil;
+}
+
+void AdmissionWorld::HostAt(Host &ioHost, Millis inAt, std::function<void()> inCall)
+{
+	this->At(inAt,
+			 [host = &ioHost, call = std::move(inCall)]
+			 {
+				 if (host->faults.frozen)
+					 host->postponed.push_back(call);
+				 else if (!host->faults.killed)
+					 call();
+			 });
+}
+
+void AdmissionWorld::Thaw(size_t inHost)
+{
+	Host &host = *this->hosts[inHost];
+	host.faults.frozen = false;
+	for (const std::function<void()> &call : std::exchange(host.postponed, {}))
+		call();
+}
+
+// ---- Callers ----
+
+void AdmissionWorld::Submit(size_t inHost, Millis inAt)
+{
+	this->At(inAt, [this, inHost, record = this->records++] { this->Arrive(record, inHost, this->retries); });
+}
+
+void AdmissionWorld::Arrive(size_t inRecord, size_t inHost, size_t inRetriesLeft)
+{
+	Host &host = *this->hosts[inHost];
+	// The load balancer sends callers to live hosts only
+	if (host.faults.killed || host.faults.frozen)
+		return this->Arrive(inRecord, (inHost + 1) % this->hosts.size(), inRetriesLeft);
+	auto request = std::make_shared<Request>();
+	request->id = "r" + std::to_string(inRecord);
+	request->attempt = this->attempts.size();
+	request->record = inRecord;
+	request->retries_left = inRetriesLeft;
+	Attempt &attempt = this->attempts.emplace_back();
+	attempt.record = inRecord;
+	attempt.arrived_at = this->now;
+	const Millis give_up_at = this->now + this->deadline_ms - 150;
+	request->submission = Submission(give_up_at);
+	this->HostAt(host, give_up_at, [this, &host, request] { this->Execute(host, request, request->submission.OnTimeUp()); });
+	this->Execute(host, request, request->submission.Begin(this->ViewOf(host)));
+}
+
+void AdmissionWorld::Finish(const std::shared_ptr<Request> &inRequest, EError inError, int inRetryAfterS)
+{
+	if (std::exchange(inRequest->done, true))
+		return;
+	Attempt &attempt = this->attempts[inRequest->attempt];
+	attempt.answered_at = this->now;
+	attempt.error = inError;
+	attempt.retry_after_s = inRetryAfterS;
+	attempt.tried = inRequest->submission.Tried();
+	if (inError != EError::PlatformDown)
+		return;
+	this->certain_refusal[inRequest->id] = this->now;
+	if (inRequest->retries_left == 0)
+		return;
+	// The caller returns as a new attempt with the same id, at another host
+	const size_t host = this->random.Below(this->hosts.size());
+	this->At(this->now + Millis{1000} * inRetryAfterS,
+			 [this, request = inRequest, host] { this->Arrive(request->record, host, request->retries_left - 1); });
+}
+
+// ---- Hosts ----
+
+std::vector<CollectorHost> AdmissionWorld::Collectors(Host &ioHost)
+{
+	std::vector<CollectorHost> all;
+	const bool unresponsive = ioHost.watch.IsUnresponsive(this->now);
+	for (const std::unique_ptr<Host> &host : this->hosts)
+	{
+		const bool is_self = host.get() == &ioHost;
+		if (is_self && unresponsive)
+			continue;
+		const bool reaches = unresponsive && !host->faults.cut_off && !this->store_down;
+		all.push_back({host->name, host->address, is_self, host->index == this->owner, true, reaches});
+	}
+	return ioHost.choice.Candidates(0, all, this->now);
+}
+
+std::string AdmissionWorld::FirstCollector(size_t inAsking)
+{
+	const std::vector<CollectorHost> hosts_in_order = this->Collectors(*this->hosts[inAsking]);
+	return hosts_in_order.empty() ? "" : hosts_in_order.front().name;
+}
+
+SubmissionView AdmissionWorld::ViewOf(Host &ioHost)
+{
+	SubmissionView view;
+	view.now = this->now;
+	view.path = ioHost.paths.PathOf(0);
+	view.store_unresponsive = ioHost.watch.IsUnresponsive(this->now);
+	view.candidates = this->Collectors(ioHost);
+	const Host &owning = *this->hosts[this->owner];
+	view.owner = CollectorHost{owning.name, owning.address, &owning == &ioHost, true};
+	return view;
+}
+
+void AdmissionWorld::Execute(Host &ioHost, const std::shared_ptr<Request> &inRequest, const SubmissionStep &inStep)
+{
+	switch (inStep.kind)
+	{
+	case ESubmissionStep::Wait: break;
+	case ESubmissionStep::Append: this->AppendOwn(ioHost, inRequest, inStep.limit_ms); break;
+	case ESubmissionStep::Ask: this->Ask(ioHost, inRequest, inStep); break;
+	case ESubmissionStep::AskLater:
+		this->HostAt(ioHost, this->now + inStep.delay_ms,
+					 [this, &ioHost, inRequest]
+					 { this->Execute(ioHost, inRequest, inRequest->submission.OnDelayOver(this->ViewOf(ioHost))); });
+		break;
+	case ESubmissionStep::Accept: this->Finish(inRequest, EError::None, 0); break;
+	case ESubmissionStep::Refuse:
+		this->Finish(inRequest, inStep.error,
+					 RetryAfterSeconds({inRequest->id, inStep.expected_wait_ms,
+										ioHost.watch.IsUnresponsive(this->now) ? ioHost.watch.UnansweredFor(this->now) : 0}));
+		break;
+	}
+}
+
+void AdmissionWorld::AppendOwn(Host &ioHost, const std::shared_ptr<Request> &inRequest, Millis inLimitMs)
+{
+	if (ioHost.index == this->owner && this->inbox.contains(inRequest->id))
+		return this->Execute(ioHost, inRequest, inRequest->submission.OnOwnAppend(true, EOwnAppend::None, {}));
+	this->appended_in_flight += std::exchange(inRequest->own_in_flight, true) ? 1 : 0;
+	ioHost.own_appends.insert(inRequest);
+	const bool collected = ioHost.paths.PathOf(0) == EInboxPath::Collected;
+	const Millis sent_at = this->now;
+	this->Write(ioHost, inRequest->id, this->now + inLimitMs,
+				[this, &ioHost, inRequest, collected, sent_at](EAppendResult inResult)
+				{
+					inRequest->own_in_flight = false;
+					ioHost.own_appends.erase(inRequest);
+					const bool done = inResult == EAppendResult::Done;
+					if (done && collected && static_cast<double>(this->now - sent_at) <= cQuickMs)
+						ioHost.paths.OnQuickAnswer(0);
+					const EOwnAppend outcome = inResult == EAppendResult::Unknown ? EOwnAppend::Unknown : EOwnAppend::Refused;
+					this->Execute(ioHost, inRequest, inRequest->submission.OnOwnAppend(done, outcome, this->ViewOf(ioHost)));
+				});
+}
+
+void AdmissionWorld::OnSlowSign(Host &ioHost, ESlowSign inSign)
+{
+	const InboxPaths::SignEffect effect = ioHost.paths.OnSlowSign(inSign, this->now);
+	if (effect.notify_all)
+		for (const std::unique_ptr<Host> &other : this->hosts)
+			if (other.get() != &ioHost)
+				this->Send(ioHost.index, other->index, [this, to = other.get()] { this->OnSlowSign(*to, ESlowSign::OtherHost); });
+	if (!effect.changed)
+		return;
+	if (this->FirstCollector(ioHost.index) != ioHost.name)
+		for (const Host::Item &item : std::exchange(ioHost.waiting, {}))
+			item.done(EAppendResult::Refused);
+	for (const std::shared_ptr<Request> &request : std::set(ioHost.own_appends))
+		this->Execute(ioHost, request, request->submission.OnCollected(this->ViewOf(ioHost)));
+}
+
+void AdmissionWorld::WatchAppend(Host &ioHost)
+{
+	if (std::exchange(ioHost.checking, true))
+		return;
+	const Millis due = this->now + ioHost.open_appends.OverdueAfter();
+	this->HostAt(ioHost, due, [this, &ioHost] { this->CheckAppends(ioHost); });
+}
+
+void AdmissionWorld::CheckAppends(Host &ioHost)
+{
+	const OpenAppends::Verdict verdict = ioHost.open_appends.Check(this->now, this->now);
+	ioHost.checking = verdict.next_check_ms >= 0;
+	if (ioHost.checking)
+		this->HostAt(ioHost, this->now + verdict.next_check_ms, [this, &ioHost] { this->CheckAppends(ioHost); });
+	if (verdict.sign.has_value())
+		this->OnSlowSign(ioHost, *verdict.sign);
+}
+
+// ---- Transport ----
+
+void AdmissionWorld::Send(size_t inFrom, size_t inTo, std::function<void()> inReceive)
+{
+	++this->datagrams;
+	if (!this->hosts[inFrom]->faults.no_link.contains(inTo) && !this->hosts[inTo]->faults.no_link.contains(inFrom))
+		this->HostAt(*this->hosts[inTo], this->now + cNetworkMs, std::move(inReceive));
+}
+
+void AdmissionWorld::Ask(Host &ioHost, const std::shared_ptr<Request> &inRequest, const SubmissionStep &inStep)
+{
+	auto asked = std::make_shared<Asked>();
+	asked->request = inRequest;
+	asked->from = ioHost.index;
+	asked->collector = inStep.collector;
+	for (const std::unique_ptr<Host> &host : this->hosts)
+		if (host->name == inStep.collector.name)
+			asked->to = host->index;
+	asked->limit_at = this->now + inStep.limit_ms;
+	asked->give_up_at = std::min(asked->limit_at, this->now + cNoAckMs);
+	asked->resend_at = this->now + cRepeatMs;
+	this->SendQuestion(ioHost, asked);
+	this->HostAt(ioHost, this->now + cAskTickMs, [this, &ioHost, asked] { this->CheckAsked(ioHost, asked); });
+}
+
+void AdmissionWorld::SendQuestion(Host &ioHost, const std::shared_ptr<Asked> &inAsked)
+{
+	Host &to = *this->hosts[inAsked->to];
+	this->Send(ioHost.index, to.index, [this, &to, inAsked] { this->OnQuestion(to, inAsked->from, inAsked); });
+}
+
+void AdmissionWorld::CheckAsked(Host &ioHost, const std::shared_ptr<Asked> &inAsked)
+{
+	if (inAsked->ended)
+		return;
+	if (this->now >= inAsked->give_up_at)
+	{
+		inAsked->ended = true;
+		CollectorReply reply;
+		reply.outcome = inAsked->acked ? ECollected::Silent : ECollected::NoAnswer;
+		if (this->now < inAsked->limit_at)
+			ioHost.choice.OnSilent(inAsked->collector.address, this->now);
+		return this->Execute(ioHost, inAsked->request, inAsked->request->submission.OnReply(reply, this->ViewOf(ioHost)));
+	}
+	if (this->now >= inAsked->resend_at)
+	{
+		inAsked->resend_at = this->now + (inAsked->acked ? cRepeatAckedMs : cRepeatMs);
+		this->SendQuestion(ioHost, inAsked);
+	}
+	this->HostAt(ioHost, this->now + cAskTickMs, [this, &ioHost, inAsked] { this->CheckAsked(ioHost, inAsked); });
+}
+
+void AdmissionWorld::OnQuestion(Host &ioHost, size_t inFrom, const std::shared_ptr<Asked> &inAsked)
+{
+	Host &asking = *this->hosts[inFrom];
+	const auto acknowledge = [this, &ioHost, &asking, inAsked]
+	{
+		this->Send(ioHost.index, asking.index,
+				   [this, inAsked]
+				   {
+					   if (!std::exchange(inAsked->acked, true))
+						   inAsked->resend_at = this->now + cRepeatAckedMs;
+					   inAsked->give_up_at = std::min(inAsked->limit_at, this->now + cSilenceMs);
+				   });
+	};
+	const auto answer = [this, &ioHost, &asking, inAsked](ECollected inOutcome, bool inQuick, Millis inWaitMs)
+	{
+		inAsked->answer = CollectorReply{inOutcome, EError::None, inWaitMs};
+		inAsked->quick = inQuick;
+		this->Send(ioHost.index, asking.index,
+				   [this, &asking, inAsked]
+				   {
+					   if (std::exchange(inAsked->ended, true))
+						   return;
+					   if (inAsked->quick)
+						   asking.paths.OnQuickAnswer(0);
+					   if (inAsked->answer->outcome == ECollected::CannotReach)
+						   asking.choice.OnCannotReachStore(inAsked->collector.address, this->now);
+					   this->Execute(asking, inAsked->request,
+									 inAsked->request->submission.OnReply(*inAsked->answer, this->ViewOf(asking)));
+				   });
+	};
+	if (inAsked->answer.has_value())
+		return answer(inAsked->answer->outcome, inAsked->quick, inAsked->answer->expected_wait_ms);
+	if (std::exchange(inAsked->handling, true))
+		return acknowledge();
+	const std::string &id = inAsked->request->id;
+	if (ioHost.index == this->owner && this->inbox.contains(id))
+		return answer(ECollected::Appended, false, 0);
+	if (ioHost.watch.IsUnresponsive(this->now))
+		return answer(ECollected::CannotReach, false, 0);
+	const size_t batches = ioHost.in_flight + 1 + ioHost.waiting.size() / cMaxRecords;
+	const auto wait = static_cast<Millis>(static_cast<double>(batches) * ioHost.latency_ms);
+	if (this->now + wait > inAsked->limit_at)
+		return answer(ECollected::Busy, false, wait);
+	this->HostAt(ioHost, this->now + cAckMs,
+				 [inAsked, acknowledge]
+				 {
+					 if (!inAsked->answer.has_value())
+						 acknowledge();
+				 });
+	const Millis sent_at = this->now;
+	this->Write(ioHost, id, inAsked->limit_at,
+				[this, answer, sent_at](EAppendResult inResult)
+				{
+					const bool quick = inResult == EAppendResult::Done && static_cast<double>(this->now - sent_at) <= cQuickMs;
+					const ECollected failed = inResult == EAppendResult::Refused ? ECollected::NotDone : ECollected::Unknown;
+					answer(inResult == EAppendResult::Done ? ECollected::Appended : failed, quick, 0);
+				});
+}
+
+// ---- Writer ----
+
+void AdmissionWorld::Write(Host &ioHost, const std::string &inId, Millis inGiveUpAt, std::function<void(EAppendResult)> inDone)
+{
+	ioHost.watch.OnSent(this->now);
+	const uint64 watched = ioHost.open_appends.Add(ESlowSign::InboxAppend, this->now);
+	const Millis sent_at = this->now;
+	this->WatchAppend(ioHost);
+	ioHost.waiting.push_back({inId, inGiveUpAt,
+							  [this, &ioHost, watched, sent_at, done = std::move(inDone)](EAppendResult inResult)
+							  {
+								  ioHost.open_appends.Remove(watched);
+								  if (inResult == EAppendResult::Done)
+									  ioHost.watch.OnAnswered(sent_at, this->now);
+								  done(inResult);
+							  }});
+	this->Flush(ioHost);
+}
+
+void AdmissionWorld::Flush(Host &ioHost)
+{
+	if (ioHost.waiting.empty())
+		return;
+	// One call, another one only after twice the latency, doubled for each call in flight
+	const Millis gap = std::max<Millis>(40, static_cast<Millis>(2.0 * ioHost.latency_ms)) << ioHost.in_flight;
+	if (ioHost.in_flight > 0 && (ioHost.in_flight >= cMaxCalls || this->now - ioHost.sent_at < gap))
+	{
+		if (!std::exchange(ioHost.flush_planned, true))
+			this->HostAt(ioHost, std::max(this->now + 1, ioHost.sent_at + gap),
+						 [this, &ioHost]
+						 {
+							 ioHost.flush_planned = false;
+							 this->Flush(ioHost);
+						 });
+		return;
+	}
+	std::vector<Host::Item> items;
+	while (!ioHost.waiting.empty() && items.size() < cMaxRecords)
+	{
+		Host::Item item = std::move(ioHost.waiting.front());
+		ioHost.waiting.pop_front();
+		if (item.give_up_at <= this->now)
+			item.done(EAppendResult::Refused);
+		else
+			items.push_back(std::move(item));
+	}
+	if (items.empty())
+		return;
+	Call call;
+	for (const Host::Item &item : items)
+		call.ids.push_back(item.id);
+	++ioHost.in_flight;
+	ioHost.sent_at = this->now;
+	auto ended = std::make_shared<bool>(false);
+	auto done = [this, &ioHost, ended, items = std::move(items), sent_at = this->now](EAppendResult inResult)
+	{
+		if (std::exchange(*ended, true))
+			return;
+		--ioHost.in_flight;
+		if (inResult == EAppendResult::Done)
+			ioHost.latency_ms += 0.4 * (static_cast<double>(this->now - sent_at) - ioHost.latency_ms);
+		for (const Host::Item &item : items)
+			item.done(inResult);
+		this->Flush(ioHost);
+	};
+	this->HostAt(ioHost, this->now + cCallTimeoutMs, [done] { done(EAppendResult::Unknown); });
+	call.done = [this, &ioHost, done](EAppendResult inResult)
+	{ this->HostAt(ioHost, this->now + cNetworkMs, [done, inResult] { done(inResult); }); };
+	++this->calls;
+	if (!this->store_down && !ioHost.faults.cut_off)
+		this->At(this->now + ioHost.faults.slow_ms, [this, call = std::move(call)]() mutable { this->Receive(std::move(call)); });
+}
+
+// ---- Partition ----
+
+void AdmissionWorld::Receive(Call inCall)
+{
+	inCall.arrived_at = this->now;
+	this->queue.push_back(std::move(inCall));
+	this->max_open_calls = std::max(this->max_open_calls, this->queue.size());
+	if (!this->serving)
+		this->Serve();
+}
+
+void AdmissionWorld::Serve()
+{
+	while (!this->queue.empty() && this->now - this->queue.front().arrived_at > cMaxQueueMs)
+	{
+		this->queue.front().done(EAppendResult::Refused);
+		this->queue.pop_front();
+	}
+	this->serving = !this->queue.empty();
+	if (!this->serving)
+		return;
+	this->At(this->now + this->append_ms,
+			 [this]
+			 {
+				 for (const std::string &id : this->queue.front().ids)
+					 ++this->inbox[id];
+				 this->queue.front().done(EAppendResult::Done);
+				 this->queue.pop_front();
+				 this->Serve();
+			 });
+}
+
+// ---- Reports ----
+
+std::string AdmissionWorld::Violations() const
+{
+	std::string text;
+	std::set<std::string> accepted;
+	for (const Attempt &attempt : this->attempts)
+	{
+		const std::string id = "r" + std::to_string(attempt.record);
+		if (attempt.answered_at < 0)
+			text += id + " without an answer; ";
+		else if (attempt.error == EError::None)
+			accepted.insert(id);
+		if (attempt.error == EError::None && attempt.answered_at >= 0 && !this->inbox.contains(id))
+			text += id + " accepted but lost; ";
+	}
+	// A record whose attempts were all refused for certain must not be in the inbox
+	for (const auto &[id, count] : this->inbox)
+	{
+		bool only_certain = !accepted.contains(id);
+		for (const Attempt &attempt : this->attempts)
+			only_certain = only_certain && ("r" + std::to_string(attempt.record) != id || attempt.error == EError::PlatformDown);
+		if (only_certain)
+			text += id + " refused for certain but appended; ";
+	}
+	if (this->appended_in_flight > 0)
+		text += "appended again while in flight; ";
+	return text;
+}
+
+double AdmissionWorld::Served(Millis inFrom, Millis inUntil, Millis inWithinMs) const
+{
+	double arrived = 0.0;
+	double served = 0.0;
+	for (const Attempt &attempt : this->attempts)
+	{
+		if (attempt.arrived_at < inFrom || attempt.arrived_at >= inUntil)
+			continue;
+		++arrived;
+		if (attempt.error == EError::None && attempt.answered_at >= 0 && attempt.answered_at - attempt.arrived_at <= inWithinMs)
+			++served;
+	}
+	return arrived == 0.0 ? 1.0 : served / arrived;
+}
+
+std::string AdmissionWorld::AcceptedBySecond(Millis inFrom, Millis inUntil) const
+{
+	std::string text;
+	for (Millis from = inFrom; from < inUntil; from += 1000)
+	{
+		size_t arrived = 0;
+		size_t accepted = 0;
+		for (const Attempt &attempt : this->attempts)
+		{
+			arrived += attempt.arrived_at >= from && attempt.arrived_at < from + 1000 ? 1 : 0;
+			accepted += attempt.error == EError::None && attempt.answered_at >= from && attempt.answered_at < from + 1000 ? 1 : 0;
+		}
+		text += (text.empty() ? "" : " ") + std::to_string(accepted) + '/' + std::to_string(arrived);
+	}
+	return text;
+}
+
+} // namespace Loomreach::Jobs
