Keep the collector while a slow store's queue delays its appends

Appends that wait for each other in a slow partition made StoreWatch take the store for unresponsive after 350 ms, so that the collector turned records away and several hosts collected. Appends on the collected path are no longer reported to StoreWatch; owners send a heartbeat at once when the path changes, which tells a slow store from one that is down. A host that does not reach the store asks only the owner and hosts that confirmed that they do. A host whose own append was refused does not choose itself again.

--- a/Loomreach/Admission/Submission.cpp
+++ b/Loomreach/Admission/Submission.cpp
@@ -39,6 +39,7 @@
 SubmissionStep Submission::AppendStep(const SubmissionView &inView)
 {
 	this->own = EOwnAppend::Unanswered;
+	this->self_tried = true;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::Append;
 	step.limit_ms = this->give_up_at - inView.now;
@@ -64,6 +65,7 @@
 	this->delayed = true;
 	// The candidates may be tried again, since skipped ones come back and a lost owner is replaced
 	this->tried.clear();
+	this->self_tried = false;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::AskLater;
 	step.delay_ms = this->next_delay_ms;
@@ -81,7 +83,7 @@
 	{
 		if (exhausted || this->tried.size() >= CollectorChoice::cMaxTried)
 			break;
-		if (this->tried.contains(host.name) || (host.is_self && inView.store_unresponsive))
+		if (this->tried.contains(host.name) || (host.is_self && (this->self_tried || inView.store_unresponsive)))
 			continue;
 		// The own append is that of the collector: its outcome decides
 		if (host.is_self && this->own == EOwnAppend::Unanswered)
--- a/Loomreach/Admission/Submission.h
+++ b/Loomreach/Admission/Submission.h
@@ -141,6 +141,7 @@
 	bool maybe_appended = false; ///< An attempt without a certain outcome may have appended the record, or may do so later.
 	CollectorHost asked;         ///< The collector that was asked last.
 	std::set<std::string> tried; ///< Names of the candidates that were tried since the last delay.
+	bool self_tried = false;     ///< Whether this host has tried to append since the last delay.
 	size_t tries = 0;            ///< Candidates tried over all.
 	Millis next_delay_ms = cAskAgainMs;
 	std::string tried_text;
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -121,12 +121,14 @@
 {
 	std::vector<CollectorHost> hosts = this->owners.Collectors(inCell, inNow);
 	// Which hosts are known to reach the store differs between hosts. It only counts where this host does not reach the store itself, so
-	// that all others agree on the order
+	// that all others agree on the order. Hosts that did not confirm it may not have noticed yet that the store is down: a record that they
+	// take is in doubt
 	if (this->store_watch.IsUnresponsive(inNow))
 	{
 		const std::vector<Address> reaching = this->helper_search.Reaching(inNow);
 		for (CollectorHost &host : hosts)
 			host.reaches_store = std::find(reaching.begin(), reaching.end(), host.address) != reaching.end();
+		std::erase_if(hosts, [](const CollectorHost &inHost) { return !inHost.reaches_store && !inHost.is_owner; });
 	}
 	else if (!this->stopping)
 	{
@@ -169,7 +171,9 @@
 	if (const Millis wait_ms = collected ? this->ExpectedWaitMs(inRequest->cell, record.size()) : 0; wait_ms > inLimitMs)
 		return this->Execute(inRequest, inRequest->submission.OnOwnBusy(wait_ms, this->ViewOf(*inRequest)));
 	const Millis sent_at = NowMillis();
-	this->store_watch.OnSent(sent_at);
+	// In a slow store appends wait for each other, so that a late answer does not show that it is unresponsive
+	if (!collected)
+		this->store_watch.OnSent(sent_at);
 	this->own_appends.insert(inRequest);
 	const Millis limit_ms = std::clamp<Millis>(inLimitMs, cMinAppendTimeoutMs, collected ? cMaxCollectMs : cMaxAppendTimeoutMs);
 	this->WriterOf(inRequest->cell)
@@ -368,6 +372,10 @@
 		.Field("limit_ms", this->open_appends.OverdueAfter())
 		.Field("direct_before", effect.direct_before)
 		.Field("own_appends", this->own_appends.size());
+	// An owner collects for others, and should know soon whether the store is slow or down
+	this->store_watch.OnSlow(now);
+	if (this->Owned() > 0)
+		this->SendHeartbeat();
 	this->HandOverUnsent();
 	for (const std::shared_ptr<PendingRequest> &request : std::set(this->own_appends))
 		this->Execute(request, request->submission.OnCollected(this->ViewOf(*request)));
@@ -472,7 +480,6 @@
 void JobHost<Hub>::AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, std::function<void(PeerAnswer)> inReply)
 {
 	const Millis sent_at = NowMillis();
-	this->store_watch.OnSent(sent_at);
 	this->WriterOf(inQuestion.cell)
 		.Append(inQuestion.record, std::max(inUntil - sent_at, cMinAppendTimeoutMs),
 				[this, inQuestion, inUntil, sent_at, reply = std::move(inReply),
--- a/Loomreach/Entry/StoreWatch.h
+++ b/Loomreach/Entry/StoreWatch.h
@@ -16,6 +16,12 @@
 	void OnSent(Millis inNow);
 	/// A call sent at `inSentAt` succeeded.
 	void OnAnswered(Millis inSentAt, Millis inNow);
+	/// The store is slow, and appends to a partition wait for each other: the calls in flight no longer show whether it responds.
+	void OnSlow(Millis inNow)
+	{
+		if (!this->IsUnresponsive(inNow))
+			this->unanswered_since = -1;
+	}
 	/// Whether calls have gone without any success for so long that another one would hardly succeed.
 	bool IsUnresponsive(Millis inNow) const;
 	/// Whether an answer is late enough to look for helpers, although it may still arrive.
--- a/UnitTests/AdmissionWorld.cpp
+++ b/UnitTests/AdmissionWorld.cpp
@@ -16,6 +16,7 @@
 static constexpr Millis cRepeatMs = 60;       ///< repeats before
 static constexpr Millis cRepeatAckedMs = 240; ///< and after it.
 static constexpr Millis cAskTickMs = 30;
+static constexpr Millis cReadIntervalMs = 1000; ///< Interval of a host's reads of heartbeats.
 static constexpr size_t cMaxRecords = 500;
 static constexpr size_t cMaxCalls = 3;
 static constexpr double cAppendMs = 4.0;
@@ -87,6 +88,7 @@
 		host.index = i;
 		host.name = "h" + std::to_string(i);
 		host.address = {"10.0.0." + std::to_string(i), 1};
+		this->HostAt(host, static_cast<Millis>(this->random.Below(cReadIntervalMs)), [this, &host] { this->ReadStore(host, true); });
 	}
 }
 
@@ -185,8 +187,11 @@
 		const bool is_self = host.get() == &ioHost;
 		if (is_self && unresponsive)
 			continue;
+		const bool is_owner = host->index == this->owner;
 		const bool reaches = unresponsive && !host->faults.cut_off && !this->store_down;
-		all.push_back({host->name, host->address, is_self, host->index == this->owner, true, reaches});
+		if (unresponsive && !reaches && !is_owner)
+			continue;
+		all.push_back({host->name, host->address, is_self, is_owner, true, reaches});
 	}
 	return ioHost.choice.Candidates(0, all, this->now);
 }
@@ -260,6 +265,9 @@
 				this->Send(ioHost.index, other->index, [this, to = other.get()] { this->OnSlowSign(*to, ESlowSign::OtherHost); });
 	if (!effect.changed)
 		return;
+	ioHost.watch.OnSlow(this->now);
+	if (ioHost.index == this->owner)
+		this->ReadStore(ioHost, false);
 	if (this->FirstCollector(ioHost.index) != ioHost.name)
 		for (const Host::Item &item : std::exchange(ioHost.waiting, {}))
 			item.done(EAppendResult::Refused);
@@ -400,7 +408,8 @@
 
 void AdmissionWorld::Write(Host &ioHost, const std::string &inId, Millis inGiveUpAt, std::function<void(EAppendResult)> inDone)
 {
-	ioHost.watch.OnSent(this->now);
+	if (ioHost.paths.PathOf(0) == EInboxPath::Direct)
+		ioHost.watch.OnSent(this->now);
 	const uint64 watched = ioHost.open_appends.Add(ESlowSign::InboxAppend, this->now);
 	const Millis sent_at = this->now;
 	this->WatchAppend(ioHost);
@@ -419,8 +428,9 @@
 {
 	if (ioHost.waiting.empty())
 		return;
-	// One call, another one only after twice the latency, doubled for each call in flight
-	const Millis gap = std::max<Millis>(40, static_cast<Millis>(2.0 * ioHost.latency_ms)) << ioHost.in_flight;
+	// One call, another one only after twice the latency, doubled for each further call in flight
+	const double latency = std::max(ioHost.latency_ms, ioHost.in_flight > 0 ? static_cast<double>(this->now - ioHost.sent_at) : 0.0);
+	const Millis gap = std::max<Millis>(40, static_cast<Millis>(2.0 * latency)) << (ioHost.in_flight > 0 ? ioHost.in_flight - 1 : 0);
 	if (ioHost.in_flight > 0 && (ioHost.in_flight >= cMaxCalls || this->now - ioHost.sent_at < gap))
 	{
 		if (!std::exchange(ioHost.flush_planned, true))
@@ -454,9 +464,18 @@
 	{
 		if (std::exchange(*ended, true))
 			return;
-		--ioHost.in_flight;
-		if (inResult == EAppendResult::Done)
-			ioHost.latency_ms += 0.4 * (static_cast<double>(this->now - sent_at) - ioHost.latency_ms);
+		const auto took = static_cast<double>(this->now - sent_at);
+		ioHost.latency_ms = std::max(took, ioHost.latency_ms + 0.4 * (took - ioHost.latency_ms));
+		if (inResult != EAppendResult::Unknown)
+			--ioHost.in_flight;
+		else
+			// The call may be in the partition's queue until the store refuses it
+			this->HostAt(ioHost, sent_at + cMaxQueueMs,
+						 [this, &ioHost]
+						 {
+							 --ioHost.in_flight;
+							 this->Flush(ioHost);
+						 });
 		for (const Host::Item &item : items)
 			item.done(inResult);
 		this->Flush(ioHost);
@@ -469,6 +488,16 @@
 		this->At(this->now + ioHost.faults.slow_ms, [this, call = std::move(call)]() mutable { this->Receive(std::move(call)); });
 }
 
+void AdmissionWorld::ReadStore(Host &ioHost, bool inRepeats)
+{
+	const Millis sent_at = this->now;
+	ioHost.watch.OnSent(sent_at);
+	if (!this->store_down && !ioHost.faults.cut_off)
+		this->HostAt(ioHost, this->now + this->append_ms, [this, &ioHost, sent_at] { ioHost.watch.OnAnswered(sent_at, this->now); });
+	if (inRepeats)
+		this->HostAt(ioHost, this->now + cReadIntervalMs, [this, &ioHost] { this->ReadStore(ioHost, true); });
+}
+
 // ---- Partition ----
 
 void AdmissionWorld::Receive(Call inCall)
--- a/UnitTests/AdmissionWorld.h
+++ b/UnitTests/AdmissionWorld.h
@@ -107,6 +107,8 @@
 	void CheckAsked(Host &ioHost, const std::shared_ptr<Asked> &inAsked);
 	void SendQuestion(Host &ioHost, const std::shared_ptr<Asked> &inAsked);
 	void OnQuestion(Host &ioHost, size_t inFrom, const std::shared_ptr<Asked> &inAsked);
+	/// Reads other hosts' heartbeats, which also shows whether the store responds.
+	void ReadStore(Host &ioHost, bool inRepeats);
 	// Writer
 	void Write(Host &ioHost, const std::string &inId, Millis inGiveUpAt, std::function<void(EAppendResult)> inDone);
 	void Flush(Host &ioHost);
