--- a/UnitTests/PeerQueryTests.cpp
+++ b/UnitTests/PeerQueryTests.cpp
@@ -102,6 +102,70 @@
 	EXPECT_EQ(carried_out, 2u);
 }
 
+/// Guards against taking a collector that waits for a slow store for a dead one.
+TEST(PeerQuery, AQuestionToAppendIsAcknowledgedAndEachRepeatToo)
+{
+	Metrics metrics;
+	size_t handled = 0;
+	const uint16 port = FreePort();
+	PeerQuery collector(
+		{"127.0.0.1", port}, metrics, [&handled](const PeerQuestion &, const std::function<void(PeerAnswer)> &) { ++handled; },
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(collector.Open());
+	const UdpSocket client;
+	PeerQuestion question;
+	question.kind = EQuestion::AppendInbox;
+	question.nonce = 7;
+	for (int i = 0; i < 3; ++i)
+	{
+		client.Send(port, 'Q' + EncodeValue(question));
+		FakeLog::RunMainLoopFor(60);
+		EXPECT_EQ(client.Receive(), 1u);
+	}
+	EXPECT_EQ(handled, 1u);
+}
+
+/// Guards against waiting until the caller's deadline for a collector that was killed or frozen.
+TEST(PeerQuery, ASilentHostIsGivenUpBeforeAndAfterItsAcknowledgement)
+{
+	Metrics metrics;
+	const UdpSocket collector;
+	PeerQuery asking(
+		{"127.0.0.1", FreePort()}, metrics, [](const PeerQuestion &, const std::function<void(PeerAnswer)> &) {},
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(asking.Open());
+	PeerQuestion question;
+	question.kind = EQuestion::AppendInbox;
+	std::optional<PeerAnswer> answer;
+	bool done = false;
+	const auto on_answer = [&answer, &done](const std::optional<PeerAnswer> &inAnswer)
+	{
+		answer = inAnswer;
+		done = true;
+	};
+	asking.Ask({"127.0.0.1", collector.Port()}, question, 60000, on_answer, 150, 600);
+	while (!done)
+		g_main_context_iteration(nullptr, TRUE);
+	EXPECT_FALSE(answer.has_value());
+	EXPECT_GE(collector.Receive(), 2u);
+	// Acknowledged once by a second host that stays silent afterwards
+	done = false;
+	size_t handled = 0;
+	const uint16 port = FreePort();
+	auto frozen = std::make_unique<PeerQuery>(
+		Address{"127.0.0.1", port}, metrics, [&handled](const PeerQuestion &, const std::function<void(PeerAnswer)> &) { ++handled; },
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(frozen->Open());
+	asking.Ask({"127.0.0.1", port}, question, 60000, on_answer, 10000, 600);
+	FakeLog::RunMainLoopFor(60);
+	frozen.reset();
+	while (!done)
+		g_main_context_iteration(nullptr, TRUE);
+	EXPECT_EQ(handled, 1u);
+	ASSERT_TRUE(answer.has_value());
+	EXPECT_TRUE(answer->in_progress);
+}
+
 TEST(PeerQuery, NotificationsReachTheirDestinations)
 {
 	Metrics metrics;
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -217,4 +217,14 @@
 	EXPECT_FALSE(ParseJobHostConfig(text + "owner_lease_ms = 500\nowner_slack_ms = 400\n", "f").has_value());
 }
 
+/// The platform gives the time as a fraction. Guards against a host that does not start because of it.
+TEST(JobHostConfig, TheTimeOfAnAppendMayBeAFraction)
+{
+	const std::string text = "name = \"n\"\navailability_zone = \"z\"\ncallers = \"10.0.0.1:1\"\nready = \"10.0.0.1:2\"\n"
+							 "peers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:1\"\n";
+	EXPECT_EQ(ParseJobHostConfig(text, "f").value_or(JobHostConfig()).store_append_ms, 4.0);
+	EXPECT_EQ(ParseJobHostConfig(text + "store_append_ms = 2.5\n", "f").value_or(JobHostConfig()).store_append_ms, 2.5);
+	EXPECT_FALSE(ParseJobHostConfig(text + "store_append_ms = 0.0\n", "f").has_value());
+}
+
 } // namespace Loomreach::Jobs::Platform
