Pace the appends to an inbox by its load

Cause: while the store is slow, the writer sent a call every 40 ms although the first was still in the partition's queue, learned of the latency only from answers, and passed each refusal on to the callers.

Change: InboxLoad (pure) decides when the next call is sent, how long it may take, whether the inbox is quick, and how long a new record waits. The writer sends cancellations and run ends first, sends the records of refused calls again, ends records at their deadline, and logs inbox_behind. Its clock and timers are a template parameter.

--- a/Loomreach/Entry/EndsSubmitter.inl
+++ b/Loomreach/Entry/EndsSubmitter.inl
@@ -19,7 +19,8 @@
 	std::string record = EncodeValue(InboxRecord{EInbox::Ends, {}, inItem->report});
 	this->writer_of(inItem->cell)
 		.Append(std::move(record), cAttemptTimeoutMs,
-				this->Guard([this, item = inItem](const AppendAnswer &inAnswer) { this->OnAnswer(item, inAnswer); }));
+				this->Guard([this, item = inItem](const AppendAnswer &inAnswer) { this->OnAnswer(item, inAnswer); }),
+				EInboxPriority::Control);
 }
 
 template <class Store>
--- a/Loomreach/Entry/InboxWriter.h
+++ b/Loomreach/Entry/InboxWriter.h
@@ -1,69 +1,119 @@
 // Appends records to one cell's inbox in batches. A partition handles its appends one by one, in some milliseconds each: with one call per
 // record all entry hosts together could append only a few hundred records per second, and callers that time out and retry would lengthen
-// the queue.
+// the queue. InboxLoad decides when calls are sent, also while the store is slow.
 
 #pragma once
 
-#include <Loomreach/Core/Clock.h>
-#include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Admission/InboxLoad.h>
+#include <Loomreach/Core/EnumTable.h>
 #include <Loomreach/Core/Guarded.h>
+#include <Loomreach/Core/TimeSource.h>
 #include <Loomreach/Ownership/LogTypes.h>
 
 namespace Loomreach::Jobs
 {
 
+/// Order in which the records of an inbox are sent. Records of one priority are sent in the order in which they arrived.
+enum class EInboxPriority : uint8
+{
+	Control, ///< Cancellations and run ends: they free capacity.
+	Bulk,    ///< Submissions.
+	Count
+};
+
+/// A record that no call has carried yet, with what its caller gave. It is certainly not appended.
+struct UnsentRecord
+{
+	std::string record;
+	Millis left_ms = 0; ///< Time until it was to be given up.
+	EInboxPriority priority = EInboxPriority::Bulk;
+	std::function<void(const AppendAnswer &)> done; ///< Not called yet; the receiver must call it.
+};
+
 /// Writer of one inbox. A record that arrives while no call is in flight is sent immediately; others wait until that call ends or should
-/// have ended.
-template <class Store>
+/// have ended. Every record gets exactly one outcome, unless it is taken back (TakeUnsent) or the writer is destroyed.
+template <class Store, TimeSource Time = GlibTime>
 class InboxWriter : private Guarded
 {
 public:
-	/// Receives the outcome of a record. Refused: certainly not appended; also used for a record that was not sent in time.
+	/// Receives the outcome of a record. Refused: certainly not appended; also used for a record that was not sent in time. Unknown: a call
+	/// with the record has had no answer.
 	using OnOutcome = std::function<void(const AppendAnswer &)>;
 
-	InboxWriter(Store &inStore, LogName inInbox) : store(inStore), inbox(std::move(inInbox)) {}
+	InboxWriter(Store &inStore, LogName inInbox, InboxLoad inLoad = InboxLoad(), Time inTime = Time())
+		: store(inStore), inbox(std::move(inInbox)), load(std::move(inLoad)), time(std::move(inTime)), flush_timer(time), check_timer(time)
+	{
+	}
+
+	/// Appends a record, or gives up `inTimeoutMs` from now. A record in a call waits for its answer until then, and at least for
+	/// `InboxLoad::cMaxQuickTimeoutMs` from the time at which the call was sent.
+	void Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone, EInboxPriority inPriority = EInboxPriority::Bulk);
 
-	/// Appends a record, or gives up `inTimeoutMs` from now.
-	void Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone);
+	/// Removes and returns the records that no call has carried yet, in the order in which they would have been sent.
+	std::vector<UnsentRecord> TakeUnsent();
 
 	/// Whether recent calls were slow. One host that appends for all hosts is then faster than all of them one by one.
-	bool IsSlow() const { return this->latency_ms > cSlowLatencyMs && NowMillis() - this->answered_at < cSlowExpiryMs; }
+	bool IsSlow() const { return this->load.IsSlow(this->time.Now()); }
+	/// Whether appends are so fast and so few that each host may append its own records.
+	bool IsQuick() const { return this->load.IsQuick(this->time.Now()); }
+	/// Expected time from now until a new record of this size would be appended, ms.
+	Millis ExpectedWaitMs(size_t inBytes) const { return this->load.ExpectedWaitMs(inBytes, this->time.Now()); }
+	/// Figures of the inbox for metrics.
+	InboxFigures Figures() const;
 
 private:
 	/// A record without an outcome yet.
 	struct Item
 	{
 		std::string record;
+		Millis arrived_at = 0;
 		Millis give_up_at = 0;
-		OnOutcome done;
+		OnOutcome done;       ///< Empty once the outcome was reported.
+		bool carried = false; ///< Whether any call has carried it.
+	};
+
+	/// A call in flight. The records of a refused call wait again, so they are kept.
+	struct Call
+	{
+		Millis sent_at = 0;
+		std::vector<Item> items;
+		std::vector<EInboxPriority> priorities; ///< Of each item.
 	};
 
-	/// Limits of one call, in records and bytes. The latter is a quarter of what a call may contain (2 MB) and of what a link transfers in
-	/// a second.
-	static constexpr size_t cMaxRecords = 500;
-	static constexpr size_t cMaxBytes = size_t{512} * 1024;
-	static constexpr Millis cMinGapMs = 40;      ///< About ten appends. While a call has no answer, the next one is sent after this long,
-	static constexpr Millis cGapPerLatency = 2;  ///< or after this many times the mean latency if that is longer,
-	static constexpr Millis cMaxGapMs = 700;     ///< but at the latest after this long. A store that is behind thus gets fewer calls.
-	static constexpr Millis cMinTimeoutMs = 200; ///< Lower bound of a call's timeout.
-	static constexpr Millis cMaxTimeoutMs = 700; ///< Upper bound of a call's timeout; a slow store answers in 240 ms.
-	static constexpr double cSlowLatencyMs = 100.0; ///< The store usually answers in 4 ms, in 240 ms when slow.
-	/// After this long without an answer the store no longer counts as slow, so that it is tried again.
-	static constexpr Millis cSlowExpiryMs = 2000;
-	static constexpr double cLatencyWeight = 0.4; ///< Weight of a new answer in the mean latency.
+	/// Interval at which records past their deadline are given up. Runs only while a record has no outcome.
+	static constexpr Millis cCheckMs = 50;
 
+	std::deque<Item> &Waiting(EInboxPriority inPriority) { return this->waiting[static_cast<size_t>(inPriority)]; }
 	void Flush();
-	std::vector<Item> TakeItems(Millis inNow);
-	void Send(std::vector<Item> inItems, Millis inNow);
+	/// Moves the records of the next call out of the queues.
+	Call TakeItems(Millis inNow);
+	void Send(Call inCall, Millis inNow);
+	void OnAnswer(uint64 inCall, const AppendAnswer &inAnswer);
+	/// Puts the records of a refused call back to the front of their queues.
+	void Return(Call inCall);
+	/// Removes the waiting records whose deadline is over, and returns their callbacks.
+	std::vector<OnOutcome> RemoveLate(Millis inNow);
+	/// Ends the records whose deadline is over.
+	void GiveUpLate(Millis inNow);
+	static void Report(const std::vector<OnOutcome> &inRecords, EAppend inResult);
+	/// Periodic work while records have no outcome.
+	void Check();
+	/// Logs the backlog if a line is due.
+	void LogBacklog(Millis inNow);
+	Millis OldestMs(Millis inNow) const;
 
 	Store &store;
 	LogName inbox;
-	std::deque<Item> waiting;
-	size_t in_flight = 0;
-	Millis sent_at = 0;
-	double latency_ms = 0.0; ///< Decaying mean of the calls' latency.
-	Millis answered_at = 0;
-	Timer flush_timer;
+	InboxLoad load;
+	Time time;
+	std::array<std::deque<Item>, static_cast<size_t>(EInboxPriority::Count)> waiting; ///< By priority.
+	std::map<uint64, Call> calls;                                                     ///< Calls in flight by their number in `load`.
+	Millis flush_at = 0;                                                              ///< When the flush timer fires, while it runs.
+	uint64 abandoned_reported = 0;                                                    ///< Figures of the last log line.
+	uint64 refused_reported = 0;
+	uint64 done_late_reported = 0;
+	typename Time::OneShot flush_timer;
+	typename Time::OneShot check_timer;
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -3,6 +3,9 @@
 namespace Loomreach::Jobs
 {
 
+/// Priority of a record in its inbox: jobs that end make room for those that are submitted.
+inline EInboxPriority PriorityOf(EInbox inKind) { return inKind == EInbox::Submit ? EInboxPriority::Bulk : EInboxPriority::Control; }
+
 // ---- Callers ----
 
 template <class Hub>
@@ -101,9 +104,11 @@
 	const Millis time_left = std::clamp<Millis>(inRequest->give_up_at - sent_at, cMinAppendTimeoutMs, cMaxAppendTimeoutMs);
 	InboxWriter<decltype(Hub::store)> &writer = this->WriterOf(inRequest->cell);
 	std::string record = EncodeValue(inRequest->record);
-	writer.Append(std::move(record), time_left,
-				  [this, request = std::move(inRequest), sent_at](const AppendAnswer &inAnswer)
-				  { this->OnAppendAnswer(request, inAnswer, sent_at); });
+	const EInboxPriority priority = PriorityOf(inRequest->record.kind);
+	writer.Append(
+		std::move(record), time_left,
+		[this, request = std::move(inRequest), sent_at](const AppendAnswer &inAnswer) { this->OnAppendAnswer(request, inAnswer, sent_at); },
+		priority);
 }
 
 template <class Hub>
@@ -256,14 +261,16 @@
 		return inReply(answer);
 	}
 	this->WriterOf(inQuestion.cell)
-		.Append(inQuestion.record, std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cSlowHelperTimeoutMs),
-				[reply = std::move(inReply)](const AppendAnswer &inAnswer)
-				{
-					PeerAnswer answer;
-					answer.appended = inAnswer.result == EAppend::Done;
-					answer.not_done = inAnswer.result == EAppend::Refused;
-					reply(answer);
-				});
+		.Append(
+			inQuestion.record, std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cSlowHelperTimeoutMs),
+			[reply = std::move(inReply)](const AppendAnswer &inAnswer)
+			{
+				PeerAnswer answer;
+				answer.appended = inAnswer.result == EAppend::Done;
+				answer.not_done = inAnswer.result == EAppend::Refused;
+				reply(answer);
+			},
+			PriorityOf(record->kind));
 }
 
 template <class Hub>
@@ -373,6 +380,19 @@
 		this->metrics.Gauge(name + "_runs", static_cast<double>(figures.runs));
 		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
 	}
+	for (const auto &[cell, writer] : this->writers)
+	{
+		const InboxFigures figures = writer->Figures();
+		const std::string name = "loomreach_inbox" + std::to_string(cell);
+		this->metrics.Gauge(name + "_in_flight", static_cast<double>(figures.in_flight));
+		this->metrics.Gauge(name + "_waiting", static_cast<double>(figures.waiting));
+		this->metrics.Gauge(name + "_waiting_bytes", static_cast<double>(figures.waiting_bytes));
+		this->metrics.Gauge(name + "_oldest_ms", static_cast<double>(figures.oldest_ms));
+		this->metrics.Gauge(name + "_latency_ms", static_cast<double>(figures.latency_ms));
+		this->metrics.Gauge(name + "_abandoned", static_cast<double>(figures.abandoned));
+		this->metrics.Gauge(name + "_refused", static_cast<double>(figures.refused));
+		this->metrics.Gauge(name + "_done_late", static_cast<double>(figures.done_late));
+	}
 	this->metrics.Gauge("loomreach_cells_owned", static_cast<double>(this->Owned()));
 	this->metrics.Gauge("loomreach_configuration_version",
 						this->catalogue == nullptr ? 0.0 : static_cast<double>(this->catalogue->version));
