--- a/UnitTests/InboxLoadTests.cpp
+++ b/UnitTests/InboxLoadTests.cpp
@@ -85,7 +85,7 @@
 	const double bytes = static_cast<double>(max_bytes) / 2.0;
 	const double full = std::min(static_cast<double>(InboxLoad::cMaxRecords), static_cast<double>(InboxLoad::cMaxBytes) / bytes);
 	const double call_ms = static_cast<double>(inbox.log.append_ms) + full * bytes / static_cast<double>(VirtualPartition::cBytesPerMs);
-	const double per_ms = full / call_ms * (0.002 + 0.848 * Unit(random));
+	const double per_ms = full / call_ms * (0.002 + 0.978 * Unit(random));
 	const auto duration = static_cast<Millis>(std::clamp(20'000.0 / per_ms, 12.0 * call_ms, 8000.0));
 	Arrive(inbox, random, per_ms, duration, max_bytes, 3000);
 	inbox.time.RunFor(4000);
@@ -256,6 +256,25 @@
 	EXPECT_FALSE(load.IsQuick(now + 1));
 }
 
+/// Guards against calls that follow each other as if the unanswered ones had been lost.
+TEST(InboxLoad, UnansweredCallsDelayTheNextOne)
+{
+	const Millis start = 1'000'000;
+	InboxLoad load(4);
+	load.OnEnded(load.OnSent(100, start - 4), EAppend::Done, start);
+	EXPECT_LE(load.NextCallAt(), start) << "nothing is in flight";
+	const uint64 first = load.OnSent(100, start);
+	EXPECT_EQ(load.NextCallAt(), start + 40);
+	load.OnSent(100, start + 40);
+	EXPECT_EQ(load.NextCallAt(), start + 40 + 2 * 2 * 40) << "the first has been unanswered for 40 ms";
+	load.OnSent(100, start + 200);
+	EXPECT_EQ(load.NextCallAt(), std::nullopt) << "three are in flight";
+	load.OnEnded(first, EAppend::Done, start + 300);
+	EXPECT_EQ(load.NextCallAt(), start + 200 + 2 * 2 * 300);
+	EXPECT_EQ(load.CallTimeout(10'000, start + 300), 4 * 300);
+	EXPECT_EQ(load.CallTimeout(300, start + 300), 300);
+}
+
 /// Guards against an estimate so far off that records are refused which would be in time, or the reverse.
 RC_GTEST_PROP(InboxWriter, TheExpectedWaitIsAboutTheWait, (uint64 inSeed))
 {
