Bound the delay after a refused call by the slowest answer of a store

Change: refused calls use the same latency as the gap between calls, in which a call without an answer counts as 400 ms at most.

--- a/Loomreach/Admission/InboxLoad.cpp
+++ b/Loomreach/Admission/InboxLoad.cpp
@@ -54,7 +54,7 @@
 		++this->refused;
 		++this->unreported;
 		this->quick_calls = 0;
-		this->retry_at = inNow + std::max(this->LatencyMs(inNow), cMinRetryDelayMs);
+		this->retry_at = inNow + std::max(this->PacingLatency(this->OldestCallAge(inNow)), cMinRetryDelayMs);
 		return;
 	}
 	this->ended_at = inNow;
@@ -80,8 +80,7 @@
 	if (this->calls.empty())
 		return this->retry_at;
 	// The age is taken when the last call was sent: a present age would grow as fast as the wait that it asks for
-	const Millis unanswered = std::min(std::max(this->age_at_last_sent, this->abandoned_after_ms), cMaxUnansweredMs);
-	const Millis latency = std::max(static_cast<Millis>(this->AnsweredLatency()), unanswered);
+	const Millis latency = this->PacingLatency(this->age_at_last_sent);
 	const Millis doubled = Millis{1} << (this->calls.size() - 1);
 	return std::max(this->retry_at, this->last_sent_at + std::max(cMinGapMs, cGapPerLatency * latency * doubled));
 }
@@ -128,6 +127,12 @@
 	return std::max({static_cast<Millis>(this->AnsweredLatency()), this->abandoned_after_ms, this->OldestCallAge(inNow)});
 }
 
+Millis InboxLoad::PacingLatency(Millis inAge) const
+{
+	const Millis unanswered = std::min(std::max(inAge, this->abandoned_after_ms), cMaxUnansweredMs);
+	return std::max(static_cast<Millis>(this->AnsweredLatency()), unanswered);
+}
+
 bool InboxLoad::TakeReportDue(Millis inNow)
 {
 	const bool slow = !this->IsFast(inNow) && (this->waiting > 0 || !this->calls.empty());
--- a/Loomreach/Admission/InboxLoad.h
+++ b/Loomreach/Admission/InboxLoad.h
@@ -85,13 +85,14 @@
 
 	static constexpr Millis cMinGapMs = 40;     ///< About ten appends. While a call has no answer, the next one is sent after this long,
 	static constexpr Millis cGapPerLatency = 2; ///< or after this many times the latency if that is longer.
-	/// A call without an answer counts as at most this latency when the gap is computed. The slowest store answers in this time; a call
-	/// that takes longer is probably lost, and must not hold up the records behind it.
+	/// A call without an answer counts as at most this latency when the next call is put off. The slowest store answers in this time; a
+	/// call that takes longer is probably lost, and must not hold up the records behind it.
 	static constexpr Millis cMaxUnansweredMs = 400;
-	static constexpr Millis cTimeoutPerLatency = 4;   ///< Upper bound of a call's timeout, times the latency, but at least the above.
-	static constexpr Millis cMaxTimeoutMs = 2500;     ///< The store refuses calls that would wait longer than 2 s.
-	static constexpr Millis cSlowPerUsual = 5;        ///< A call is slow from this many times the usual time on.
-	static constexpr uint32 cQuickCalls = 3;          ///< So many calls in a row must not be slow for the inbox to be quick.
+	static constexpr Millis cTimeoutPerLatency =
+		4;                                        ///< Upper bound of a call's timeout, times the latency, but at least cMaxQuickTimeoutMs.
+	static constexpr Millis cMaxTimeoutMs = 2500; ///< The store refuses calls that would wait longer than 2 s.
+	static constexpr Millis cSlowPerUsual = 5;    ///< A call is slow from this many times the usual time on.
+	static constexpr uint32 cQuickCalls = 3;      ///< So many calls in a row must not be slow for the inbox to be quick.
 	static constexpr double cMaxQuickOccupancy = 0.5; ///< Part of the time in which single appends would occupy the partition.
 	static constexpr double cLatencyWeight = 0.4;     ///< Weight of a new answer in the mean latency.
 	static constexpr double cBytesPerMs = 20'000;     ///< 20 MB/s of one partition.
@@ -103,6 +104,8 @@
 
 	/// The last answer or the mean, whichever is longer.
 	double AnsweredLatency() const { return std::max(this->last_ms, this->mean_ms); }
+	/// Latency by which the next call is put off. `inAge`: age of an unanswered call.
+	Millis PacingLatency(Millis inAge) const;
 	/// Whether the last calls were fast, and no call in flight is already slow.
 	bool IsFast(Millis inNow) const;
 	/// Time for which the oldest unanswered call has been in flight; 0: there is none.
@@ -126,7 +129,7 @@
 	double service_ms = 0.0;
 	Millis abandoned_after_ms = 0;                            ///< Time after which a call ended without an answer since the last answer.
 	Millis ended_at = std::numeric_limits<Millis>::min() / 2; ///< When a call last ended.
-	uint32 quick_calls = cQuickCalls;                         ///< Number of calls since the last slow one.
+	uint32 quick_calls = cQuickCalls;                         ///< Number of calls since the last slow one, at most cQuickCalls.
 	uint64 abandoned = 0;
 	uint64 refused = 0;
 	uint64 done_late = 0;
--- a/UnitTests/InboxLoadTests.cpp
+++ b/UnitTests/InboxLoadTests.cpp
@@ -266,11 +266,11 @@
 	const uint64 first = load.OnSent(100, start);
 	EXPECT_EQ(load.NextCallAt(), start + 40);
 	load.OnSent(100, start + 40);
-	EXPECT_EQ(load.NextCallAt(), start + 40 + 2 * 2 * 40) << "the first has been unanswered for 40 ms";
+	EXPECT_EQ(load.NextCallAt(), start + 40 + Millis{4} * 40) << "the first has been unanswered for 40 ms";
 	load.OnSent(100, start + 200);
 	EXPECT_EQ(load.NextCallAt(), std::nullopt) << "three are in flight";
 	load.OnEnded(first, EAppend::Done, start + 300);
-	EXPECT_EQ(load.NextCallAt(), start + 200 + 2 * 2 * 300);
+	EXPECT_EQ(load.NextCallAt(), start + 200 + Millis{4} * 300);
 	EXPECT_EQ(load.CallTimeout(10'000, start + 300), 4 * 300);
 	EXPECT_EQ(load.CallTimeout(300, start + 300), 300);
 }
