--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -179,10 +179,6 @@
 	void OnSlowSign(ESlowSign inSign, Millis inWaitedMs);
 	/// Hands records that this host has not sent yet to the collectors of their inboxes.
 	void HandOverUnsent();
-	/// Whether this host's appends to an inbox are fast. `inTookMs`: duration of its last append.
-	bool IsQuick(uint32 inCell, Millis inTookMs);
-	/// How long a record would wait for this host's append.
-	Millis ExpectedWaitMs(uint32 inCell, size_t inBytes);
 	/// The collector of an inbox appends fast.
 	void OnQuickAnswer(uint32 inCell, std::string_view inCollector);
 	/// Why this host's configuration does not allow a record. None: it is allowed, or the configuration is not newer than that of the
@@ -192,7 +188,7 @@
 	void SearchHelpers(Millis inNow);
 	void OnQuestion(const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply);
 	/// Appends a record for another host.
-	void AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, std::function<void(PeerAnswer)> inReply);
+	void AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, EInboxPriority inPriority, std::function<void(PeerAnswer)> inReply);
 	void Answer(const JobReply &inReply, JobOutcome inOutcome);
 	void AskCell(uint32 inCell, PeerQuestion inQuestion, Millis inTimeoutMs, PeerQuery::OnAnswer inDone);
 	PeerAnswer AnswerPeer(const PeerQuestion &inQuestion);
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -62,7 +62,6 @@
 inline constexpr Millis cCollectorSilenceMs = 600;
 /// Limit of the time that a collector keeps a record; answers to repeated questions are kept longer than this.
 inline constexpr Millis cMaxCollectMs = 8000;
-inline constexpr double cQuickFactor = 5.0; ///< Appends up to this many times the usual duration count as fast.
 /// An order to a host that was in flight when the fleet cell was released has arrived or failed after this: its call has timed out.
 inline constexpr Millis cOrderInFlightMs = 1000;
 inline constexpr Millis cStoreUnresponsiveMs = 1800; ///< The store counts as unresponsive after this long without an answer.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -6,6 +6,9 @@
 namespace Loomreach::Jobs
 {
 
+/// Priority of a record in its inbox: jobs that end make room for those that are submitted.
+inline EInboxPriority PriorityOf(EInbox inKind) { return inKind == EInbox::Submit ? EInboxPriority::Bulk : EInboxPriority::Control; }
+
 // ---- Callers ----
 
 template <class Hub>
@@ -210,7 +213,7 @@
 	}
 	std::string record = EncodeValue(inRequest->record);
 	const bool collected = this->inbox_paths.PathOf(inRequest->cell) == EInboxPath::Collected;
-	if (const Millis wait_ms = collected ? this->ExpectedWaitMs(inRequest->cell, record.size()) : 0; wait_ms > inLimitMs)
+	if (const Millis wait_ms = collected ? this->WriterOf(inRequest->cell).ExpectedWaitMs(record.size()) : 0; wait_ms > inLimitMs)
 		return this->Execute(inRequest, inRequest->submission.OnOwnBusy(wait_ms, this->ViewOf(*inRequest)));
 	const Millis sent_at = NowMillis();
 	// In a slow store appends wait for each other, so that a late answer does not show that it is unresponsive
@@ -219,9 +222,11 @@
 	this->own_appends.insert(inRequest);
 	const Millis limit_ms = std::clamp<Millis>(inLimitMs, cMinAppendTimeoutMs, collected ? cMaxCollectMs : cMaxAppendTimeoutMs);
 	this->WriterOf(inRequest->cell)
-		.Append(std::move(record), limit_ms,
-				[this, request = inRequest, sent_at, collected, watch = this->WatchAppend(ESlowSign::InboxAppend)](
-					const AppendAnswer &inAnswer) { this->OnAppendAnswer(request, inAnswer, sent_at, collected); });
+		.Append(
+			std::move(record), limit_ms,
+			[this, request = inRequest, sent_at, collected, watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
+			{ this->OnAppendAnswer(request, inAnswer, sent_at, collected); },
+			PriorityOf(inRequest->record.kind));
 }
 
 template <class Hub>
@@ -234,7 +239,7 @@
 	{
 		this->store_answered_at = NowMillis();
 		this->store_watch.OnAnswered(inSentAt, this->store_answered_at);
-		if (inCollected && this->IsQuick(inRequest->cell, this->store_answered_at - inSentAt))
+		if (inCollected && this->WriterOf(inRequest->cell).IsQuick())
 			this->OnQuickAnswer(inRequest->cell, this->config.name);
 	}
 	if (inRequest->submission.IsEnded())
@@ -357,7 +362,8 @@
 {
 	std::unique_ptr<InboxWriter<decltype(Hub::store)>> &writer = this->writers[inCell];
 	if (writer == nullptr)
-		writer = std::make_unique<InboxWriter<decltype(Hub::store)>>(this->hub.store, InboxLog(inCell, this->PartitionCount()));
+		writer = std::make_unique<InboxWriter<decltype(Hub::store)>>(this->hub.store, InboxLog(inCell, this->PartitionCount()),
+																	 InboxLoad(static_cast<Millis>(this->config.store_append_ms)));
 	return *writer;
 }
 
@@ -435,34 +441,12 @@
 		const std::vector<CollectorHost> collectors = this->Collectors(entry.first, NowMillis());
 		if (!collectors.empty() && collectors.front().is_self)
 			continue;
-		// The writer may not be able to return records yet. Those that it keeps are in doubt until their outcome is known
-		if constexpr (requires { writer.TakeUnsent().front().done(unsent); })
-			for (auto &item : writer.TakeUnsent())
-				item.done(unsent);
+		for (const UnsentRecord &item : writer.TakeUnsent())
+			item.done(unsent);
 	}
 	this->handing_over = false;
 }
 
-template <class Hub>
-bool JobHost<Hub>::IsQuick(uint32 inCell, Millis inTookMs)
-{
-	auto &writer = this->WriterOf(inCell);
-	if constexpr (requires { writer.IsQuick(); })
-		return writer.IsQuick();
-	else
-		return static_cast<double>(inTookMs) <= cQuickFactor * this->config.store_append_ms;
-}
-
-template <class Hub>
-Millis JobHost<Hub>::ExpectedWaitMs(uint32 inCell, size_t inBytes)
-{
-	auto &writer = this->WriterOf(inCell);
-	if constexpr (requires { writer.ExpectedWaitMs(inBytes); })
-		return static_cast<Millis>(writer.ExpectedWaitMs(inBytes));
-	else
-		return 0;
-}
-
 template <class Hub>
 void JobHost<Hub>::OnQuickAnswer(uint32 inCell, std::string_view inCollector)
 {
@@ -509,39 +493,43 @@
 		answer.refusal = record.has_value() ? refusal : EError::None;
 		return inReply(answer);
 	}
-	if (const Millis wait_ms = this->ExpectedWaitMs(inQuestion.cell, inQuestion.record.size()); wait_ms > inQuestion.for_ms)
+	if (const Millis wait_ms = this->WriterOf(inQuestion.cell).ExpectedWaitMs(inQuestion.record.size()); wait_ms > inQuestion.for_ms)
 	{
 		answer.not_done = true;
 		answer.busy_ms = wait_ms;
 		return inReply(answer);
 	}
-	this->AppendForPeer(inQuestion, NowMillis() + std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cMaxCollectMs), std::move(inReply));
+	this->AppendForPeer(inQuestion, NowMillis() + std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cMaxCollectMs),
+						PriorityOf(record->kind), std::move(inReply));
 }
 
 template <class Hub>
-void JobHost<Hub>::AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, std::function<void(PeerAnswer)> inReply)
+void JobHost<Hub>::AppendForPeer(const PeerQuestion &inQuestion, Millis inUntil, EInboxPriority inPriority,
+								 std::function<void(PeerAnswer)> inReply)
 {
 	const Millis sent_at = NowMillis();
 	this->WriterOf(inQuestion.cell)
-		.Append(inQuestion.record, std::max(inUntil - sent_at, cMinAppendTimeoutMs),
-				[this, inQuestion, inUntil, sent_at, reply = std::move(inReply),
-				 watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
+		.Append(
+			inQuestion.record, std::max(inUntil - sent_at, cMinAppendTimeoutMs),
+			[this, inQuestion, inUntil, inPriority, sent_at, reply = std::move(inReply),
+			 watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
+			{
+				// Another host has chosen this one as the collector: the record stays here
+				if (inAnswer.result == EAppend::Refused && this->handing_over)
+					return this->AppendForPeer(inQuestion, inUntil, inPriority, reply);
+				const Millis now = NowMillis();
+				PeerAnswer answer;
+				answer.appended = inAnswer.result == EAppend::Done;
+				answer.not_done = inAnswer.result == EAppend::Refused;
+				answer.reaches_store = !this->store_watch.IsUnresponsive(now);
+				if (answer.appended)
 				{
-					// Another host has chosen this one as the collector: the record stays here
-					if (inAnswer.result == EAppend::Refused && this->handing_over)
-						return this->AppendForPeer(inQuestion, inUntil, reply);
-					const Millis now = NowMillis();
-					PeerAnswer answer;
-					answer.appended = inAnswer.result == EAppend::Done;
-					answer.not_done = inAnswer.result == EAppend::Refused;
-					answer.reaches_store = !this->store_watch.IsUnresponsive(now);
-					if (answer.appended)
-					{
-						this->store_watch.OnAnswered(sent_at, now);
-						answer.store_quick = this->IsQuick(inQuestion.cell, now - sent_at);
-					}
-					reply(answer);
-				});
+					this->store_watch.OnAnswered(sent_at, now);
+					answer.store_quick = this->WriterOf(inQuestion.cell).IsQuick();
+				}
+				reply(answer);
+			},
+			inPriority);
 }
 
 template <class Hub>
@@ -651,6 +639,19 @@
 		this->metrics.Gauge(name + "_runs", static_cast<double>(figures.runs));
 		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
 	}
+	for (const auto &[cell, writer] : this->writers)
+	{
+		const InboxFigures figures = writer->Figures();
+		const std::string name = "loomreach_inbox" + std::to_string(cell);
+		this->metrics.Gauge(name + "_in_flight", static_cast<double>(figures.in_flight));
+		this->metrics.Gauge(name + "_waiting", static_cast<double>(figures.waiting));
+		this->metrics.Gauge(name + "_waiting_bytes", static_cast<double>(figures.waiting_bytes));
+		this->metrics.Gauge(name + "_oldest_ms", static_cast<double>(figures.oldest_ms));
+		this->metrics.Gauge(name + "_latency_ms", static_cast<double>(figures.latency_ms));
+		this->metrics.Gauge(name + "_abandoned", static_cast<double>(figures.abandoned));
+		this->metrics.Gauge(name + "_refused", static_cast<double>(figures.refused));
+		this->metrics.Gauge(name + "_done_late", static_cast<double>(figures.done_late));
+	}
 	this->metrics.Gauge("loomreach_cells_owned", static_cast<double>(this->Owned()));
 	this->metrics.Gauge("loomreach_configuration_version",
 						this->catalogue == nullptr ? 0.0 : static_cast<double>(this->catalogue->version));
