Let a stopping owner and a host without others collect, and test the fast store

A stopping host that still owns the cell, or that knows no other host, turned its own callers away while the store was slow.

A test shows that a fast store gets no more calls than records and that no datagram is sent (45 hosts, 120 records a second).

--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -130,13 +130,15 @@
 			host.reaches_store = std::find(reaching.begin(), reaching.end(), host.address) != reaching.end();
 		std::erase_if(hosts, [](const CollectorHost &inHost) { return !inHost.reaches_store && !inHost.is_owner; });
 	}
-	else if (!this->stopping)
+	else
 	{
 		auto driver = this->drivers.find(inCell);
 		const bool is_owner = driver != this->drivers.end() && driver->second->IsHeld();
-		hosts.push_back({this->config.name, this->config.peers, true, is_owner});
 		for (CollectorHost &host : hosts)
-			host.is_owner = host.is_owner && (host.is_self || !is_owner);
+			host.is_owner = host.is_owner && !is_owner;
+		// A stopping host does not begin to collect
+		if (!this->stopping || is_owner || hosts.empty())
+			hosts.push_back({this->config.name, this->config.peers, true, is_owner});
 	}
 	return this->collector_choice.Candidates(inCell, hosts, inNow);
 }
--- a/UnitTests/AdmissionTests.cpp
+++ b/UnitTests/AdmissionTests.cpp
@@ -53,6 +53,19 @@
 	EXPECT_EQ(after, 1.0);
 }
 
+/// Guards against additional calls, datagrams or delays while the store is fast.
+TEST(Admission, AFastStoreIsReachedDirectly)
+{
+	AdmissionWorld world(45, 5);
+	Random random(5);
+	SubmitAtRate(world, random, 45, 0, 5000, 120.0);
+	world.RunUntil(8000);
+	EXPECT_EQ(world.Violations(), "");
+	EXPECT_EQ(world.datagrams, 0u);
+	EXPECT_LE(world.calls, world.attempts.size());
+	EXPECT_EQ(world.Served(0, 5000, 20), 1.0);
+}
+
 /// A world in which the store is slow, the hosts know it, and host 0 collects. One record arrives at host 5 at `cAskedAt`.
 class AdmissionFailure : public ::testing::Test
 {
