--- a/Loomreach/Entry/InboxWriter.h
+++ b/Loomreach/Entry/InboxWriter.h
@@ -5,7 +5,6 @@
 #pragma once
 
 #include <Loomreach/Admission/InboxLoad.h>
-#include <Loomreach/Core/EnumTable.h>
 #include <Loomreach/Core/Guarded.h>
 #include <Loomreach/Core/TimeSource.h>
 #include <Loomreach/Ownership/LogTypes.h>
