Report a refused append at once where another host may reach the store

Cause: the writer repeats refused calls until the record's time is over. While the store turns one host away (503, 429 or a reset), its callers waited 700 ms before a collector was asked, where they were served at once before.

--- a/Loomreach/Entry/InboxWriter.h
+++ b/Loomreach/Entry/InboxWriter.h
@@ -45,8 +45,13 @@
 	}
 
 	/// Appends a record, or gives up `inTimeoutMs` from now. A record in a call waits for its answer until then, and at least for
-	/// `InboxLoad::cMaxQuickTimeoutMs` from the time at which the call was sent.
-	void Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone, EInboxPriority inPriority = EInboxPriority::Bulk);
+	/// `InboxLoad::cMaxQuickTimeoutMs` from the time at which the call was sent. `inRetryRefusedMs`: a call that the store refuses is
+	/// repeated for this long; 0: the refusal is reported at once, since another host may reach the store.
+	void Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone, EInboxPriority inPriority = EInboxPriority::Bulk,
+				Millis inRetryRefusedMs = cRetryUntilTimeout);
+
+	/// Repeats refused calls until the record's time is over.
+	static constexpr Millis cRetryUntilTimeout = std::numeric_limits<Millis>::max() / 4;
 
 	/// Removes and returns the records that no call has carried yet, in the order in which they would have been sent.
 	std::vector<UnsentRecord> TakeUnsent();
@@ -67,8 +72,9 @@
 		std::string record;
 		Millis arrived_at = 0;
 		Millis give_up_at = 0;
-		OnOutcome done;       ///< Empty once the outcome was reported.
-		bool carried = false; ///< Whether any call has carried it.
+		OnOutcome done;         ///< Empty once the outcome was reported.
+		bool carried = false;   ///< Whether any call has carried it.
+		Millis retry_until = 0; ///< A refusal after this is reported.
 	};
 
 	/// A call in flight. The records of a refused call wait again, so they are kept.
@@ -88,8 +94,8 @@
 	Call TakeItems(Millis inNow);
 	void Send(Call inCall, Millis inNow);
 	void OnAnswer(uint64 inCall, const AppendAnswer &inAnswer);
-	/// Puts the records of a refused call back to the front of their queues.
-	void Return(Call inCall);
+	/// Puts the records of a refused call back to the front of their queues. Returns the callbacks of those that are not repeated.
+	std::vector<OnOutcome> Return(Call inCall, Millis inNow);
 	/// Removes the waiting records whose deadline is over, and returns their callbacks.
 	std::vector<OnOutcome> RemoveLate(Millis inNow);
 	/// Ends the records whose deadline is over.
--- a/Loomreach/Entry/InboxWriter.inl
+++ b/Loomreach/Entry/InboxWriter.inl
@@ -6,11 +6,12 @@
 {
 
 template <class Store, TimeSource Time>
-void InboxWriter<Store, Time>::Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone, EInboxPriority inPriority)
+void InboxWriter<Store, Time>::Append(std::string inRecord, Millis inTimeoutMs, OnOutcome inDone, EInboxPriority inPriority,
+									  Millis inRetryRefusedMs)
 {
 	const Millis now = this->time.Now();
 	this->load.OnArrived(inRecord.size(), now);
-	this->Waiting(inPriority).push_back({std::move(inRecord), now, now + inTimeoutMs, std::move(inDone)});
+	this->Waiting(inPriority).push_back({std::move(inRecord), now, now + inTimeoutMs, std::move(inDone), false, now + inRetryRefusedMs});
 	if (!this->check_timer.IsRunning())
 		this->check_timer.Once(cCheckMs, [this] { this->Check(); });
 	this->Flush();
@@ -124,8 +125,9 @@
 	Call &call = node.mapped();
 	if (inAnswer.result == EAppend::Refused)
 	{
-		this->Return(std::move(call));
+		const std::vector<OnOutcome> refused_records = this->Return(std::move(call), now);
 		this->GiveUpLate(now);
+		Report(refused_records, EAppend::Refused);
 	}
 	else
 	{
@@ -147,17 +149,24 @@
 }
 
 template <class Store, TimeSource Time>
-void InboxWriter<Store, Time>::Return(Call inCall)
+std::vector<typename InboxWriter<Store, Time>::OnOutcome> InboxWriter<Store, Time>::Return(Call inCall, Millis inNow)
 {
+	std::vector<OnOutcome> refused_records;
 	for (size_t i = inCall.items.size(); i-- > 0;)
 	{
 		Item &item = inCall.items[i];
 		// Without a callback it was given up in the meantime
 		if (item.done == nullptr)
 			continue;
+		if (inNow >= item.retry_until)
+		{
+			refused_records.push_back(std::move(item.done));
+			continue;
+		}
 		this->load.OnReturned(1, item.record.size());
 		this->Waiting(inCall.priorities[i]).push_front(std::move(item));
 	}
+	return refused_records;
 }
 
 template <class Store, TimeSource Time>
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -52,6 +52,9 @@
 inline constexpr Millis cMaxAppendTimeoutMs = 700;
 /// Lower bound for the timeout of an append: a late answer serves a caller better than an unknown outcome.
 inline constexpr Millis cMinAppendTimeoutMs = 200;
+/// A collector repeats calls that the store refuses for this long: a partition with a backlog of 2 s refuses calls and accepts them again
+/// soon. After this the store more likely turns this host away, and another one may reach it.
+inline constexpr Millis cRetryRefusedMs = 1000;
 inline constexpr Millis cAskTimeoutMs = 700;
 inline constexpr Millis cAskSharesTimeoutMs = 300; ///< Timeout of a question for the teams' shares; the next one carries newer data.
 /// A host that does not confirm within this time that it reaches the store is not used as a helper.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -228,7 +228,7 @@
 			std::move(record), limit_ms,
 			[this, request = inRequest, sent_at, collected, watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
 			{ this->OnAppendAnswer(request, inAnswer, sent_at, collected); },
-			PriorityOf(inRequest->record.kind));
+			PriorityOf(inRequest->record.kind), collected ? cRetryRefusedMs : 0);
 }
 
 template <class Hub>
@@ -531,7 +531,7 @@
 				}
 				reply(answer);
 			},
-			inPriority);
+			inPriority, cRetryRefusedMs);
 }
 
 template <class Hub>
--- a/UnitTests/InboxWriterTests.cpp
+++ b/UnitTests/InboxWriterTests.cpp
@@ -119,4 +119,29 @@
 	EXPECT_EQ(log.open.size(), 1u);
 }
 
+/// Guards against a record that waits for its whole time while the store turns only this host away.
+TEST(InboxWriter, ARefusalIsReportedAtOnceIfItIsNotToBeRepeated)
+{
+	/// Refuses every call.
+	struct Refusing
+	{
+		void Append(const AppendCall &, const std::function<void(const AppendAnswer &)> &inDone)
+		{
+			AppendAnswer answer;
+			answer.result = EAppend::Refused;
+			After(1, [answer, inDone] { inDone(answer); });
+		}
+	} log;
+	InboxWriter<Refusing> writer(log, cInbox);
+	std::optional<EAppend> at_once;
+	std::optional<EAppend> repeated;
+	writer.Append(
+		"record", 5000, [&](const AppendAnswer &inAnswer) { at_once = inAnswer.result; }, EInboxPriority::Bulk, 0);
+	writer.Append(
+		"record", 5000, [&](const AppendAnswer &inAnswer) { repeated = inAnswer.result; }, EInboxPriority::Bulk, 4000);
+	FakeLog::RunMainLoopFor(200);
+	EXPECT_EQ(at_once, EAppend::Refused);
+	EXPECT_FALSE(repeated.has_value());
+}
+
 } // namespace Loomreach::Jobs
