Ask a new owner of the fleet cell for teams' shares at once

Cause: after the fleet's owner was killed, cells' owners learned of the new one by reading its heartbeat in the store, and asked at their next regular question (200 ms) or after the timeout of the one to the former owner (300 ms). A new owner needs two questions from each cell.

Change: on its claim the new owner sends its heartbeat by datagram if teams have limits. Cells' owners that see a higher epoch of the fleet ask at once, do not wait for the question in flight, and ask again at once after the first answer.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -67,6 +67,8 @@
 	void SetWorkers(const std::vector<WorkerEntry> &inWorkers, Millis inTrustUntil);
 	/// Answers a question about the cell. The answer's `owner` is false while this host may not act as owner.
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
+	/// Asks for the teams' shares at once if the owner of the fleet cell with this epoch has not been asked yet.
+	void OnFleetOwner(uint64 inFleetEpoch);
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
 	void Step();
 	CellCounts Figures() const { return this->cell.Counts(); }
@@ -105,7 +107,7 @@
 	Millis claimed_at = -1;    ///< When the claim was won.
 	Millis inbox_read_at = -1; ///< Send time of the newest read that reached the end of the inbox; -1: none yet.
 	bool inbox_fresh = true;   ///< Whether `inbox_read_at` is within `cInboxStaleMs`.
-	bool awaiting_shares = false;
+	uint64 awaited_shares = 0; ///< Number of the question for shares that has no answer yet; 0: none.
 	Timer step_timer;
 	Timer tick;
 	Timer inbox_retry_timer;
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -195,7 +195,7 @@
 template <class Hub>
 void CellDriver<Hub>::AskShares(Millis inNow)
 {
-	if (this->awaiting_shares || inNow < this->cell.NextSharesAt())
+	if (this->awaited_shares != 0 || inNow < this->cell.NextSharesAt())
 		return;
 	std::optional<ShareQuestion> shares = this->cell.AskShares(inNow, WallMillis());
 	if (!shares.has_value())
@@ -203,12 +203,13 @@
 	PeerQuestion question;
 	question.kind = EQuestion::Shares;
 	question.cell = cFleetCell;
+	this->awaited_shares = shares->number;
 	question.shares = std::move(*shares);
-	this->awaiting_shares = true;
 	this->context.ask_fleet(std::move(question), this->Guard(
-													 [this](const std::optional<PeerAnswer> &inAnswer)
+													 [this, number = this->awaited_shares](const std::optional<PeerAnswer> &inAnswer)
 													 {
-														 this->awaiting_shares = false;
+														 if (this->awaited_shares == number)
+															 this->awaited_shares = 0;
 														 if (!inAnswer.has_value() || !inAnswer->owner)
 															 return;
 														 this->cell.OnShares(inAnswer->shares, NowMillis());
@@ -216,6 +217,16 @@
 													 }));
 }
 
+template <class Hub>
+void CellDriver<Hub>::OnFleetOwner(uint64 inFleetEpoch)
+{
+	if (!this->held || !this->cell.OnFleetOwner(inFleetEpoch))
+		return;
+	// The question in flight went to the previous owner, and would be awaited until its timeout
+	this->awaited_shares = 0;
+	this->ScheduleStep(0);
+}
+
 template <class Hub>
 void CellDriver<Hub>::Write()
 {
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -117,6 +117,10 @@
 	void AnnounceRelease(const std::optional<OwnedCell> &inFleetCell);
 	/// Handles a heartbeat or replicated run ends that another host sent by datagram.
 	void OnPeerMessage(EPeerMessage inKind, const std::string &inMessage);
+	/// Tells the owners of cells by datagram that this host owns the fleet cell, so that they ask for teams' shares at once.
+	void AnnounceFleetOwner();
+	/// Lets the cells of this host ask a new owner of the fleet cell at once.
+	void AskNewFleetOwner();
 	void OnEndsUpdate(const std::string &inMessage);
 	/// Submits replicated run ends to the inboxes of cells whose owners have stopped acting.
 	void SubmitOrphanedEnds(Millis inNow);
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -155,6 +155,7 @@
 void JobHost<Hub>::OnHostsRead(bool inAll)
 {
 	this->MarkSupersededCells();
+	this->AskNewFleetOwner();
 	if (!this->drivers.empty())
 		this->orders.SetHosts(this->owners.IdleHosts(NowMillis()));
 	// A partition that was not read may contain the heartbeat of an active owner
@@ -337,6 +338,7 @@
 								  this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
 								  if (!inHeld)
 									  return this->lost_cells.push_back(cFleetCell);
+								  this->AnnounceFleetOwner();
 								  this->SendHeartbeat();
 								  this->fleet_driver->SetWaves(this->waves);
 							  });
@@ -401,6 +403,32 @@
 		return this->metrics.Count(ECounter::PeerRejects, "corrupt");
 	// The lease counted here starts at reception and the owner's own at sending, so the owner's ends first
 	this->owners.OnHeartbeat(*heartbeat, NowMillis());
+	this->AskNewFleetOwner();
+}
+
+template <class Hub>
+void JobHost<Hub>::AnnounceFleetOwner()
+{
+	if (!this->catalogue->teams.has_value())
+		return;
+	const Millis now = NowMillis();
+	const HostHeartbeat heartbeat = this->NewHeartbeat(now);
+	this->lease.OnSent(now, heartbeat.lease_ms);
+	this->peers.Notify(this->owners.Others(), EPeerMessage::Heartbeat, EncodeValue(heartbeat));
+	for (const auto &[cell, driver] : this->drivers)
+		driver->OnFleetOwner(this->fleet_driver->Epoch());
+}
+
+template <class Hub>
+void JobHost<Hub>::AskNewFleetOwner()
+{
+	if (this->drivers.empty())
+		return;
+	const std::optional<CellOwner> owner = this->owners.LastOwnerOf(cFleetCell);
+	if (!owner.has_value())
+		return;
+	for (const auto &[cell, driver] : this->drivers)
+		driver->OnFleetOwner(owner->epoch);
 }
 
 template <class Hub>
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -101,6 +101,7 @@
 	Millis NextSharesAt() const { return this->teams.NextQuestionAt(!this->teams_at_limit.empty()); }
 	std::optional<ShareQuestion> AskShares(Millis inNow, int64 inWallNow);
 	void OnShares(const ShareAnswer &inAnswer, Millis inNow);
+	bool OnFleetOwner(uint64 inFleetEpoch) { return this->teams.OnFleetOwner(inFleetEpoch); }
 
 	/// What callers may see of a job.
 	JobAnswer Query(std::string_view inQueue, std::string_view inId) const;
--- a/Loomreach/Schedule/TeamUse.cpp
+++ b/Loomreach/Schedule/TeamUse.cpp
@@ -46,7 +46,7 @@
 
 Millis TeamUsage::NextQuestionAt(bool inShortOfShare) const
 {
-	if (this->asked_at < 0)
+	if (this->asked_at < 0 || this->ask_at_once)
 		return 0;
 	return this->asked_at + (inShortOfShare || this->fleet_owner_changed ? cShortQuestionIntervalMs : cQuestionIntervalMs);
 }
@@ -76,17 +76,28 @@
 		++it;
 	}
 	this->asked_at = inNow;
+	this->ask_at_once = false;
 	question.number = ++this->number;
 	question.fleet_epoch = this->fleet_epoch;
 	return question;
 }
 
+bool TeamUsage::OnFleetOwner(uint64 inFleetEpoch)
+{
+	if (inFleetEpoch <= std::max(this->fleet_epoch, this->announced_fleet_epoch))
+		return false;
+	this->announced_fleet_epoch = inFleetEpoch;
+	this->ask_at_once = true;
+	return true;
+}
+
 void TeamUsage::OnAnswer(const ShareAnswer &inAnswer, Millis inNow)
 {
 	// The fleet's owner may have counted the share of an older answer as returned since
 	if (inAnswer.number != this->number || this->number == 0 || inAnswer.fleet_epoch < this->fleet_epoch)
 		return;
 	this->fleet_owner_changed = inAnswer.fleet_epoch > this->fleet_epoch;
+	this->ask_at_once = this->fleet_owner_changed;
 	this->fleet_epoch = inAnswer.fleet_epoch;
 	for (const TeamShare &row : inAnswer.shares)
 	{
--- a/Loomreach/Schedule/TeamUse.h
+++ b/Loomreach/Schedule/TeamUse.h
@@ -25,6 +25,8 @@
 	/// Builds the question to the fleet's owner; it returns the shares of idle teams. It is sent even if it lists no team, because a new
 	/// owner of the fleet waits until it has heard from all cells.
 	ShareQuestion BuildQuestion(uint64 inEpoch, const std::map<std::string, Resources> &inWanted, Millis inNow);
+	/// Call when a host is known to own the fleet with this epoch. Returns whether it is a new owner: a question is due at once.
+	bool OnFleetOwner(uint64 inFleetEpoch);
 	/// Takes an answer; answers to older questions are ignored.
 	void OnAnswer(const ShareAnswer &inAnswer, Millis inNow);
 
@@ -42,6 +44,8 @@
 	uint64 number = 0;                   ///< Of the newest question.
 	uint64 fleet_epoch = 0;              ///< Highest epoch in an accepted answer.
 	bool fleet_owner_changed = false;    ///< A new owner of the fleet has answered; it counts this cell as heard from at the next question.
+	uint64 announced_fleet_epoch = 0;    ///< Highest epoch passed to OnFleetOwner.
+	bool ask_at_once = false;            ///< A new owner of the fleet has not been asked yet, or only its first answer has arrived.
 	Millis asked_at = -1;                ///< When the newest question was built; -1: none yet.
 	Millis valid_until = 0;              ///< Until then the held shares may be used.
 };
