Leave the cells' shares to the successor in a planned hand-over of the fleet cell

Cause: a new owner of the fleet cell granted nothing until all cells had asked it twice. When one cell had no owner for 2.1 s, no cell started a task for 3.1 s.

Change: the owner that stops appends what each cell may hold (ShareHandOver), grants nothing more, and releases the fleet cell without waiting for its other cells. The successor counts these cells as heard from if the record's epoch is that of the newest claim before its own, so no later owner can use it; its first append removes it. A cell that was heard from stays so when it gets a new owner.

--- a/Loomreach/Entry/FleetSeat.h
+++ b/Loomreach/Entry/FleetSeat.h
@@ -34,10 +34,11 @@
 	void SetEvacuated(const std::set<std::string> &inZones) { this->balancer.SetEvacuated(inZones); }
 	/// Answers a question for teams' shares. The answer's `owner` is false while this host may not act as owner.
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
-	/// Prepares a planned hand-over: no new orders to hosts.
-	void BeginHandOver() { this->retiring = true; }
-	/// Whether a successor may start immediately: no append and no order to a host is in flight.
-	bool IsReadyToHandOver() const { return !this->log.IsBusy() && !this->HasOrdersInFlight(); }
+	/// Prepares a planned hand-over: no new orders to hosts, and a record of what the cells may hold of the teams' limits, after which
+	/// nothing more is granted.
+	void BeginHandOver();
+	/// Whether a successor may start immediately: no append and no order to a host is in flight, and the log contains that record.
+	bool IsReadyToHandOver() const { return !this->log.IsBusy() && !this->HasOrdersInFlight() && !this->HasSharesToHandOver(); }
 	/// Whether an order to a host may still be carried out.
 	bool HasOrdersInFlight() const { return this->host_orders_in_flight > 0 || NowMillis() - this->last_unknown_at < cUnknownOutcomeMs; }
 
@@ -48,6 +49,14 @@
 	static constexpr Millis cUnknownOutcomeMs = 1500;
 
 	void Step();
+	/// Takes over the teams' shares that the previous owner has left in the log.
+	void TakeOverShares(const typename OwnedLog<Store>::Records &inRecords);
+	/// Whether the record of the teams' shares still has to be appended. It is taken when no order to a host is in flight any more, since
+	/// nothing is granted between it and the successor's claim.
+	bool HasSharesToHandOver() const
+	{
+		return this->held && this->retiring && !this->shares_handed_over && this->shares.has_value() && !this->shares->IsEmpty();
+	}
 	void ListHosts();
 	void RequestDrains(Millis inNow);
 	void RequestDemands(Millis inNow);
@@ -76,6 +85,8 @@
 	uint32 host_orders_in_flight = 0;
 	Millis last_unknown_at = std::numeric_limits<Millis>::min() / 2; ///< When an order last ended without an answer.
 	bool retiring = false;                                           ///< Set by BeginHandOver.
+	bool shares_handed_over = false;                                 ///< The record of the teams' shares has been taken.
+	bool has_old_shares = false;                                     ///< The log contains a previous owner's record of them.
 	bool listing = false;
 	Millis listed_at = 0;
 	Timer tick;
--- a/Loomreach/Entry/FleetSeat.inl
+++ b/Loomreach/Entry/FleetSeat.inl
@@ -1,5 +1,8 @@
 // Driver of the fleet cell: maintenance waves, moves of hosts and teams' shares.
 
+#include <Loomreach/Core/Hash.h>
+#include <Loomreach/State/Codec.h>
+
 namespace Loomreach::Jobs
 {
 
@@ -15,6 +18,24 @@
 inline constexpr Millis cHostOrderValidMs = 1200;
 inline constexpr char cWaveKey = 'w';
 inline constexpr char cHostOrderKey = 'd';
+inline constexpr std::string_view cSharesKey = "s"; ///< Key of the ShareHandOver record.
+
+/// Encodes a ShareHandOver with a hash of its bytes: a damaged number could exceed a limit without a failure to decode.
+inline std::string EncodeHandOver(const ShareHandOver &inHandOver)
+{
+	std::string bytes = EncodeValue(inHandOver);
+	const uint64 hash = HashBytes(bytes);
+	return EncodeValue(std::pair(hash, std::move(bytes)));
+}
+
+/// Decodes it; nothing if it is damaged.
+inline std::optional<ShareHandOver> DecodeHandOver(const std::string &inValue)
+{
+	const std::optional<std::pair<uint64, std::string>> hashed = DecodeValue<std::pair<uint64, std::string>>(inValue);
+	if (!hashed.has_value() || HashBytes(hashed->second) != hashed->first)
+		return std::nullopt;
+	return DecodeValue<ShareHandOver>(hashed->second);
+}
 
 /// Parameters of the balancer, from the host's configuration.
 inline BalanceTuning BalanceTuningOf(const JobHostConfig &inConfig)
@@ -59,6 +80,7 @@
 					}
 					this->held = true;
 					this->shares.emplace(this->log.Epoch(), NowMillis(), LongestLease(this->context.config.worker_lease_ms));
+					this->TakeOverShares(inRecords);
 					if (this->catalogue != nullptr)
 						this->SetCatalogue(this->catalogue);
 					LogEvent(ELogLevel::Info, "fleet_owned").Field("epoch", this->log.Epoch()).Field("waves", this->logged_hosts.size());
@@ -69,6 +91,33 @@
 			}));
 }
 
+template <class Hub>
+void FleetDriver<Hub>::TakeOverShares(const typename OwnedLog<Store>::Records &inRecords)
+{
+	auto found = inRecords.find(std::string(cSharesKey));
+	if (found == inRecords.end() || found->second.empty())
+		return;
+	this->has_old_shares = true;
+	const std::optional<ShareHandOver> left = DecodeHandOver(found->second);
+	if (!left.has_value())
+		LogEvent(ELogLevel::Error, "fleet_shares_damaged").Field("bytes", found->second.size());
+	const bool valid = left.has_value() && this->shares->TakeOver(*left, this->log.PreviousEpoch(), NowMillis());
+	LogEvent(ELogLevel::Info, "fleet_shares_taken_over")
+		.Field("valid", valid ? 1 : 0)
+		.Field("cells", left.has_value() ? left->cells.size() : 0)
+		.Field("left_by", left.has_value() ? left->fleet_epoch : 0)
+		.Field("previous", this->log.PreviousEpoch());
+}
+
+template <class Hub>
+void FleetDriver<Hub>::BeginHandOver()
+{
+	this->retiring = true;
+	const Millis now = NowMillis();
+	if (this->HasSharesToHandOver() && !this->HasOrdersInFlight() && this->context.lease.MayAct(now))
+		this->Write(now);
+}
+
 template <class Hub>
 void FleetDriver<Hub>::SetCatalogue(const std::shared_ptr<const Catalogue> &inCatalogue)
 {
@@ -266,6 +315,14 @@
 		host_order.not_after = std::min(this->context.lease.Until(), valid_until);
 		records.push_back({cHostOrderKey + host_order.host, host_order.pool, 0});
 	}
+	if (this->HasSharesToHandOver() && !this->HasOrdersInFlight())
+	{
+		records.push_back({std::string(cSharesKey), EncodeHandOver(this->shares->HandOver()), 0});
+		this->shares_handed_over = true;
+	}
+	else if (this->has_old_shares)
+		records.push_back({std::string(cSharesKey), "", 0});
+	this->has_old_shares = false;
 	if (records.empty())
 		return;
 	// The platform does not check fencing tokens here: a successful append proves that no other host has claimed the fleet cell
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -236,7 +236,8 @@
 	const Millis since = NowMillis() - this->stop_at;
 	if (this->fleet_driver != nullptr)
 		this->fleet_driver->BeginHandOver();
-	bool quiet = this->fleet_driver == nullptr || this->fleet_driver->IsReadyToHandOver();
+	const bool fleet_ready = this->fleet_driver != nullptr && this->fleet_driver->IsReadyToHandOver();
+	bool quiet = this->fleet_driver == nullptr || fleet_ready;
 	for (const auto &[cell, driver] : this->drivers)
 	{
 		// A cell may have been claimed after the stop began
@@ -249,6 +250,13 @@
 		this->ReleaseAllCells();
 		this->SendHeartbeat(true);
 	}
+	else if (fleet_ready)
+	{
+		// Does not wait for the other cells' drain grants: after the record of the teams' shares nothing is granted until the fleet cell
+		// has a successor
+		this->fleet_driver.reset();
+		this->SendHeartbeat(true);
+	}
 	const bool ends_pending = this->HasEndsToSubmit() && since < cStopSubmitEndsMs;
 	if (since < cStopServeMs || ends_pending || this->caller_listener.InFlight() > 0 || this->on_stopped == nullptr)
 		return;
--- a/Loomreach/Fleet/TeamShares.cpp
+++ b/Loomreach/Fleet/TeamShares.cpp
@@ -39,17 +39,52 @@
 	this->limits.Update(inCatalogue);
 }
 
+bool TeamShares::TakeOver(const ShareHandOver &inHandOver, uint64 inPrevious, Millis inNow)
+{
+	if (inHandOver.fleet_epoch == 0 || inHandOver.fleet_epoch != inPrevious || inPrevious >= this->epoch)
+		return false;
+	this->handed_over_by = inPrevious;
+	for (const HandedOverCell &cell : inHandOver.cells)
+	{
+		KnownCell &known = this->known_cells[cell.cell];
+		known = {cell.epoch, cell.number, inNow, true, {}};
+		for (const HandedOverTeam &team : cell.teams)
+			known.teams[team.claim.team] = {team.claim, team.may_hold};
+	}
+	return true;
+}
+
+ShareHandOver TeamShares::HandOver()
+{
+	this->handed_over = true;
+	ShareHandOver hand_over;
+	hand_over.fleet_epoch = this->epoch;
+	for (const auto &[number, known] : this->known_cells)
+	{
+		// A cell that this owner has not heard from may hold what only an earlier owner knows
+		if (!known.heard_from)
+			continue;
+		HandedOverCell &cell = hand_over.cells.emplace_back();
+		cell.cell = number;
+		cell.epoch = known.epoch;
+		cell.number = known.number;
+		for (const auto &[name, team] : known.teams)
+			cell.teams.push_back({team.claim, team.may_hold});
+	}
+	return hand_over;
+}
+
 bool TeamShares::KnowsAllGrants(Millis inNow) const
 {
 	// By then, a cell that has not asked holds nothing any more, and the runs that it started have ended
 	if (inNow - this->began_at >= cShareValidMs + this->runs_ended_ms)
 		return true;
-	const auto has_asked = [this](uint32 inCell)
+	const auto heard_from = [this](uint32 inCell)
 	{
 		auto found = this->known_cells.find(inCell);
-		return found != this->known_cells.end() && found->second.asked_this_owner;
+		return found != this->known_cells.end() && found->second.heard_from;
 	};
-	return !this->cells.empty() && std::all_of(this->cells.begin(), this->cells.end(), has_asked);
+	return !this->cells.empty() && std::all_of(this->cells.begin(), this->cells.end(), heard_from);
 }
 
 bool TeamShares::Precedes(uint32 inOther, const TeamClaim &inOthers, uint32 inCell, const TeamClaim &inClaim, const Resources &inLimit)
@@ -112,7 +147,10 @@
 			known_team.may_hold = MaxOf(known_team.may_hold, earlier->second.may_hold);
 	}
 	const bool asked_this_owner = inQuestion.fleet_epoch == this->epoch;
-	known = {inQuestion.epoch, inQuestion.number, inNow, asked_this_owner, std::move(teams)};
+	// After its record the previous owner has granted nothing more, so its answers in transit do not matter
+	const bool asked_previous_owner = known.heard_from && this->handed_over_by != 0 && inQuestion.fleet_epoch == this->handed_over_by;
+	const bool may_grant = !this->handed_over && (asked_this_owner || asked_previous_owner);
+	known = {inQuestion.epoch, inQuestion.number, inNow, known.heard_from || asked_this_owner, std::move(teams)};
 	answer.number = inQuestion.number;
 	answer.fleet_epoch = this->epoch;
 	const bool knows_all = this->KnowsAllGrants(inNow);
@@ -122,7 +160,7 @@
 		if (limit == nullptr)
 			continue;
 		Resources share = this->LimitOf(inQuestion.cell, known_team.claim, *limit, inNow);
-		if (!knows_all || !asked_this_owner)
+		if (!knows_all || !may_grant)
 			share = MinOf(share, known_team.claim.held);
 		known_team.may_hold = MaxOf(known_team.may_hold, share);
 		answer.shares.push_back({team, share});
--- a/Loomreach/Fleet/TeamShares.h
+++ b/Loomreach/Fleet/TeamShares.h
@@ -17,6 +17,13 @@
 	/// asked since have ended after this long.
 	TeamShares(uint64 inEpoch, Millis inNow, Millis inRunsEndedMs) : epoch(inEpoch), began_at(inNow), runs_ended_ms(inRunsEndedMs) {}
 
+	/// Takes over what the previous owner has left, before the first question. `inPrevious`: epoch of the newest claim of the fleet cell
+	/// before this owner's. Returns false, and changes nothing, if another owner has left it.
+	bool TakeOver(const ShareHandOver &inHandOver, uint64 inPrevious, Millis inNow);
+	/// Returns what the next owner needs to know. From then on nothing more is granted.
+	ShareHandOver HandOver();
+	/// Whether no question has been accepted and nothing taken over.
+	bool IsEmpty() const { return this->known_cells.empty(); }
 	/// Sets the limits of the teams; keeps the present ones if the catalogue has none.
 	void SetTeams(const Catalogue &inCatalogue);
 	/// Sets the cells that have pools.
@@ -38,7 +45,7 @@
 		uint64 epoch = 0;
 		uint64 number = 0;
 		Millis heard_at = 0;
-		bool asked_this_owner = false; ///< Whether it was asked after an answer of this owner of the fleet cell.
+		bool heard_from = false; ///< By rules 5 and 7.
 		std::map<std::string, KnownTeam> teams;
 	};
 
@@ -50,6 +57,8 @@
 	static bool Precedes(uint32 inOther, const TeamClaim &inOthers, uint32 inCell, const TeamClaim &inClaim, const Resources &inLimit);
 
 	uint64 epoch;
+	uint64 handed_over_by = 0; ///< Epoch of the owner whose record was taken over; 0: none.
+	bool handed_over = false;  ///< Nothing more is granted.
 	Millis began_at;
 	Millis runs_ended_ms;
 	TeamLimits limits;
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -45,6 +45,8 @@
 	void Append(const std::vector<LogRecord> &inRecords, const OnAppended &inDone);
 	bool IsBusy() const { return this->busy; }
 	uint64 Epoch() const { return this->epoch; }
+	/// Epoch of the newest claim in the log before this owner's; 0: there was none.
+	uint64 PreviousEpoch() const { return this->previous_epoch; }
 	Millis LastSentAt() const { return this->last_sent_at; }
 
 private:
@@ -69,6 +71,7 @@
 	ClaimRecord newest_claim; ///< The newest claim in the log.
 	uint64 end = 0;           ///< Offset up to which the log has been read.
 	uint64 epoch = 0;
+	uint64 previous_epoch = 0;
 	uint64 number = 0; ///< Sequence number of the next append within the epoch.
 	bool busy = false;
 	uint32 claim_attempts = 0;
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -90,7 +90,8 @@
 	}
 	if (!this->claim_check(this->newest_claim) || ++this->claim_attempts > cMaxClaimAttempts)
 		return this->FailClaim("another owner holds the log, or too many attempts failed");
-	this->epoch = NextEpoch(this->newest_claim.epoch);
+	this->previous_epoch = this->newest_claim.epoch;
+	this->epoch = NextEpoch(this->previous_epoch);
 	AppendCall call;
 	call.log = this->name;
 	call.keyed = true;
--- a/UnitTests/FleetDriverTests.cpp
+++ b/UnitTests/FleetDriverTests.cpp
@@ -120,8 +120,101 @@
 	FleetDriver<TestHub> driver;
 };
 
+/// A configuration with a limit for one team, and two pools in different cells.
+Catalogue WithTeam()
+{
+	Catalogue catalogue;
+	catalogue.pools["busy"] = {"busy", false, false};
+	catalogue.pools["other"] = {"other", false, false};
+	catalogue.teams.emplace();
+	(*catalogue.teams)["a"] = {"a", {"key"}, {10000, 0, 0}, 1};
+	return catalogue;
+}
+
+/// Share that the driver grants to the owner of a pool's cell, which holds `inHeld` and wants more.
+int64 AskShare(FleetDriver<TestHub> &ioDriver, const std::string &inPool, uint64 inNumber, uint64 inFleetEpoch, int64 inHeld)
+{
+	const uint32 cell = CellOf(inPool, static_cast<uint32>(JobHostConfig().log_partitions));
+	PeerQuestion question;
+	question.kind = EQuestion::Shares;
+	question.shares = {cell, 1, inNumber, inFleetEpoch, {{"a", {}, {inHeld, 0, 0}, {4000, 0, 0}}}};
+	const PeerAnswer answer = ioDriver.Answer(question);
+	return answer.shares.shares.empty() ? -1 : answer.shares.shares[0].limit.cpu_milli;
+}
+
+/// Claims the fleet cell for another host after the first one has released it, or is known to be gone.
+template <class Driver>
+bool ClaimAfter(Driver &ioDriver, OwnerTable &ioOwners, OwnLease &ioLease, const std::string &inFormer, uint64 inFormerLife)
+{
+	const Millis now = NowMillis();
+	ioLease.OnAcknowledged(now, cLongLeaseMs, now);
+	HostHeartbeat released;
+	released.host = inFormer;
+	released.incarnation = inFormerLife;
+	released.start = 1;
+	released.number = 1;
+	ioOwners.OnHeartbeat(released, now);
+	ioDriver.SetCatalogue(std::make_shared<const Catalogue>(WithTeam()));
+	ioDriver.Claim(0, [](bool) {});
+	for (int i = 0; i < 40 && !ioDriver.IsHeld(); ++i)
+		FakeLog::RunMainLoopFor(50);
+	return ioDriver.IsHeld();
+}
+
 } // namespace
 
+TEST(FleetDriver, TheSuccessorInAPlannedHandOverGrantsSharesAtOnce)
+{
+	// Guards against a stop of all starts until every cell has asked the successor, and against the use of the record by a later owner,
+	// to which the successor's grants are unknown
+	TestFleetDriver fleet;
+	ASSERT_TRUE(fleet.driver.IsHeld());
+	fleet.driver.SetCatalogue(std::make_shared<const Catalogue>(WithTeam()));
+	const uint64 epoch = fleet.driver.Epoch();
+	AskShare(fleet.driver, "other", 1, epoch, 0);
+	EXPECT_EQ(AskShare(fleet.driver, "busy", 1, epoch, 0), 5000);
+	EXPECT_EQ(AskShare(fleet.driver, "other", 2, epoch, 0), 5000);
+	fleet.driver.BeginHandOver();
+	EXPECT_FALSE(fleet.driver.IsReadyToHandOver());
+	EXPECT_EQ(AskShare(fleet.driver, "busy", 2, epoch, 1000), 1000);
+	for (int i = 0; i < 20 && !fleet.driver.IsReadyToHandOver(); ++i)
+		FakeLog::RunMainLoopFor(10);
+	EXPECT_TRUE(fleet.driver.IsReadyToHandOver());
+
+	const auto ask = [](const std::string &, const PeerQuestion &, const PeerQuery::OnAnswer &inDone) { inDone(std::nullopt); };
+	OwnLease next_lease{LeaseTuning{}};
+	OwnerTable next_owners("next", LeaseTuning{});
+	auto next = std::make_unique<FleetDriver<TestHub>>(
+		fleet.hub, DriverContext{fleet.config, fleet.metrics, next_lease, next_owners, {"next", 2, 1}}, ask);
+	ASSERT_TRUE(ClaimAfter(*next, next_owners, next_lease, "host", 1));
+	// The cell of the other pool has not asked; it may hold 5000 of 10000
+	EXPECT_EQ(AskShare(*next, "busy", 3, epoch, 1000), 5000);
+	next.reset();
+
+	OwnLease last_lease{LeaseTuning{}};
+	OwnerTable last_owners("last", LeaseTuning{});
+	FleetDriver<TestHub> last(fleet.hub, DriverContext{fleet.config, fleet.metrics, last_lease, last_owners, {"last", 3, 1}}, ask);
+	ASSERT_TRUE(ClaimAfter(last, last_owners, last_lease, "next", 2));
+	EXPECT_EQ(AskShare(last, "busy", 4, epoch, 1000), 1000);
+}
+
+TEST(FleetDriver, ADamagedRecordOfSharesIsNotUsed)
+{
+	// Guards against a damaged number that still decodes and would let the successor grant too much
+	ShareHandOver record;
+	record.fleet_epoch = 1'000'000;
+	record.cells.push_back({1, 1, 1, {{{"a", {}, {}, {}}, {4000, 0, 0}}}});
+	const std::string value = EncodeHandOver(record);
+	ASSERT_TRUE(DecodeHandOver(value).has_value());
+	for (size_t i = 0; i < value.size(); ++i)
+	{
+		std::string damaged = value;
+		damaged[i] = static_cast<char>(damaged[i] ^ 4);
+		EXPECT_FALSE(DecodeHandOver(damaged).has_value()) << i;
+	}
+	EXPECT_FALSE(DecodeHandOver(value.substr(0, value.size() - 1)).has_value());
+}
+
 TEST(FleetDriver, DoesNotHandOverWhileAnOrderIsInFlight)
 {
 	// Guards against handing over while an order is in flight: the successor starts at once, and the order arrives after its own and
--- a/UnitTests/TeamSharesTests.cpp
+++ b/UnitTests/TeamSharesTests.cpp
@@ -21,6 +21,7 @@
 constexpr Millis cStepMs = 5;
 constexpr Millis cLongestRunMs = 1500;
 constexpr Millis cTakeOverMs = 2000;
+constexpr Millis cHandOverMs = 500; ///< Time without an owner of the fleet in a planned hand-over.
 constexpr int64 cLimit = 10000;
 
 Catalogue Limited(int64 inCpuMilli, int64 inVersion = 1)
@@ -37,8 +38,10 @@
 {
 	uint64 lost = 0;
 	uint64 late = 0;
-	uint64 cell_owner_lost = 0;  ///< Per second and cell.
-	uint64 fleet_owner_lost = 0; ///< Per second.
+	uint64 cell_owner_lost = 0;   ///< Per second and cell.
+	uint64 fleet_owner_lost = 0;  ///< Per second.
+	uint64 fleet_handed_over = 0; ///< Per second.
+	uint64 record_unread = 0;     ///< Per new owner of the fleet.
 };
 
 /// Simulates the owners of several cells, which start tasks of one team as their shares allow, and the fleet's owner.
@@ -91,8 +94,15 @@
 	void LoseFleetOwner()
 	{
 		this->fleet.reset();
+		this->fleet_stops_at = -1;
 		this->fleet_back_at = this->now + cTakeOverMs;
 	}
+	/// Lets the fleet's owner hand over. It answers for another `inAnswersMs`; the record stays in the log.
+	void HandOverFleet(Millis inAnswersMs)
+	{
+		this->record = this->fleet->HandOver();
+		this->fleet_stops_at = this->now + inAnswersMs;
+	}
 	void LoseOwner(size_t inCell)
 	{
 		this->cells[inCell].owner.reset();
@@ -100,6 +110,7 @@
 	}
 	std::string violations;
 	int64 max_running = 0;
+	bool announces = false; ///< Whether a new owner of the fleet tells the owners of the cells.
 
 private:
 	/// A running task. Its owner learns of its end some time later.
@@ -160,6 +171,9 @@
 			return;
 		if (this->fleet.has_value() && this->random.Chance(this->faults.fleet_owner_lost))
 			this->LoseFleetOwner();
+		const bool may_hand_over = this->faults.fleet_handed_over > 0 && this->fleet.has_value() && this->fleet_stops_at < 0;
+		if (may_hand_over && this->random.Chance(this->faults.fleet_handed_over))
+			this->HandOverFleet(static_cast<Millis>(this->random.Below(1500)));
 		for (size_t i = 0; i < this->cells.size(); ++i)
 			if (this->cells[i].owner.has_value() && this->random.Chance(this->faults.cell_owner_lost))
 				this->LoseOwner(i);
@@ -231,10 +245,22 @@
 	{
 		this->now += cStepMs;
 		this->InjectFaults();
+		if (this->fleet.has_value() && this->fleet_stops_at >= 0 && this->now >= this->fleet_stops_at)
+		{
+			this->fleet.reset();
+			this->fleet_stops_at = -1;
+			this->fleet_back_at = this->now + cHandOverMs;
+		}
 		if (!this->fleet.has_value() && this->now >= this->fleet_back_at)
 		{
 			this->fleet.emplace(++this->fleet_epoch, this->now, cLongestRunMs);
+			const bool unread = this->faults.record_unread > 0 && this->random.Chance(this->faults.record_unread);
+			if (this->record.has_value() && !unread)
+				this->fleet->TakeOver(*this->record, this->fleet_epoch - 1, this->now);
 			this->SetUp(*this->fleet);
+			for (CellState &cell : this->cells)
+				if (this->announces && cell.owner.has_value())
+					cell.owner->OnFleetOwner(this->fleet_epoch);
 		}
 		for (CellState &cell : this->cells)
 			if (!cell.owner.has_value() && this->now >= cell.back_at)
@@ -252,6 +278,8 @@
 	std::optional<TeamShares> fleet;
 	uint64 fleet_epoch = 0;
 	Millis fleet_back_at = 0;
+	Millis fleet_stops_at = -1;          ///< When an owner that hands over stops; -1: it does not hand over.
+	std::optional<ShareHandOver> record; ///< The newest record in the fleet cell's log.
 	std::vector<Message> messages;
 };
 
@@ -390,6 +418,128 @@
 	RC_ASSERT(simulation.Waiting() == 0);
 }
 
+/// Guards against a stop of all starts until a cell without an owner, whose host is slow to read its log, has asked the new fleet owner.
+TEST(TeamShares, AHandOverDoesNotWaitForACellWithoutAnOwner)
+{
+	ShareSimulation simulation(8, {}, 4);
+	simulation.AddTasks(1, 2, 1000);
+	simulation.Run(1000);
+	simulation.HandOverFleet(50);
+	simulation.LoseOwner(1);
+	simulation.AddTasks(0, 60, 1000);
+	simulation.Run(50 + cHandOverMs + 250);
+	EXPECT_GE(simulation.Running(), cLimit / 2);
+	simulation.Run(60000);
+	EXPECT_EQ(simulation.Waiting(), 0u);
+	EXPECT_EQ(simulation.violations, "");
+}
+
+/// Guards against a pause in the grants to all cells whenever one of them gets a new owner.
+TEST(TeamShares, ANewOwnerOfACellDoesNotStopTheOthers)
+{
+	TeamShares shares(3, 0, 1000);
+	shares.SetCells({1, 2});
+	shares.SetTeams(Limited(cLimit));
+	shares.OnQuestion({1, 5, 1, 3, {}}, 10);
+	shares.OnQuestion({2, 5, 1, 3, {}}, 10);
+	EXPECT_EQ(shares.OnQuestion({2, 6, 1, 0, {{"a", {}, {}, {4000, 0, 0}}}}, 20).shares.at(0).limit.cpu_milli, 0);
+	EXPECT_EQ(shares.OnQuestion({1, 5, 2, 3, {{"a", {}, {}, {4000, 0, 0}}}}, 30).shares.at(0).limit.cpu_milli, 5000);
+}
+
+/// Guards against a share that is granted after the record, or on the basis of a record that lacks a later owner's grants.
+TEST(TeamShares, ARecordHoldsForTheNextOwnerOnly)
+{
+	const ShareQuestion asked{1, 5, 2, 3, {{"a", {}, {}, {4000, 0, 0}}}};
+	const auto start = [](uint64 inEpoch)
+	{
+		TeamShares shares(inEpoch, 0, 1000);
+		shares.SetCells({1, 2});
+		shares.SetTeams(Limited(cLimit));
+		return shares;
+	};
+	TeamShares former = start(3);
+	former.OnQuestion({1, 5, 1, 3, {}}, 10);
+	former.OnQuestion({2, 5, 1, 3, {{"a", {2000, 0, 0}, {6000, 0, 0}, {}}}}, 10);
+	const ShareHandOver record = former.HandOver();
+	EXPECT_EQ(former.OnQuestion(asked, 20).shares.at(0).limit.cpu_milli, 0);
+	TeamShares successor = start(4);
+	ASSERT_TRUE(successor.TakeOver(record, 3, 0));
+	// Cell 2 has not asked, and counts with the most that it held
+	EXPECT_EQ(successor.OnQuestion(asked, 20).shares.at(0).limit.cpu_milli, 4000);
+	TeamShares later = start(5);
+	EXPECT_FALSE(later.TakeOver(record, 4, 0));
+	EXPECT_EQ(later.OnQuestion(asked, 20).shares.at(0).limit.cpu_milli, 0);
+}
+
+/// Guards against a record that lists a cell by an old question, although it may hold what an earlier owner of the fleet has granted since.
+TEST(TeamShares, ARecordLacksACellThatWasNotHeardFrom)
+{
+	TeamShares former(3, 0, 1000);
+	former.SetCells({1, 2});
+	former.SetTeams(Limited(cLimit));
+	former.OnQuestion({1, 5, 1, 3, {}}, 10);
+	former.OnQuestion({2, 5, 1, 2, {}}, 10);
+	const ShareHandOver record = former.HandOver();
+	ASSERT_EQ(record.cells.size(), 1u);
+	EXPECT_EQ(record.cells[0].cell, 1u);
+	TeamShares successor(4, 0, 1000);
+	successor.SetCells({1, 2});
+	successor.SetTeams(Limited(cLimit));
+	ASSERT_TRUE(successor.TakeOver(record, 3, 0));
+	EXPECT_EQ(successor.OnQuestion({1, 5, 2, 3, {{"a", {}, {}, {4000, 0, 0}}}}, 20).shares.at(0).limit.cpu_milli, 0);
+}
+
+/// Guards against a wait for the next regular question, 200 ms later, after the owner of the fleet was killed.
+TEST(TeamShares, OwnersAskANewFleetOwnerAtOnce)
+{
+	// Mean time in ms from the claim until the waiting tasks have started
+	const auto mean_wait = [](bool inAnnounces)
+	{
+		constexpr uint64 cSeeds = 50;
+		Millis sum = 0;
+		for (uint64 seed = 1; seed <= cSeeds; ++seed)
+		{
+			ShareSimulation simulation(seed, {}, 4);
+			simulation.announces = inAnnounces;
+			// The claim falls anywhere into the interval between questions
+			simulation.Run(1000 + static_cast<Millis>(seed) * 4);
+			simulation.LoseFleetOwner();
+			simulation.Run(cTakeOverMs - cStepMs);
+			simulation.AddTasks(0, 10, 1000);
+			for (; simulation.Waiting() > 0; sum += cStepMs)
+				simulation.Run(cStepMs);
+		}
+		return sum / static_cast<Millis>(cSeeds);
+	};
+	EXPECT_LT(2 * mean_wait(true), mean_wait(false));
+}
+
+RC_GTEST_PROP(TeamShares, KeepTheLimitThroughHandOvers, ())
+{
+	SetInvariantsAbort(true);
+	const uint64 seed = *rc::gen::inRange<uint64>(1, 1'000'000'000);
+	Random random(seed);
+	ShareFaults faults;
+	faults.lost = random.Below(40);
+	faults.late = random.Below(40);
+	faults.cell_owner_lost = random.Below(15);
+	faults.fleet_owner_lost = random.Below(15);
+	faults.fleet_handed_over = 10 + random.Below(40);
+	faults.record_unread = random.Below(30);
+	const size_t cells = 1 + random.Below(5);
+	ShareSimulation simulation(seed, faults, cells);
+	simulation.announces = random.Chance(50);
+	for (int i = 0; i < 40; ++i)
+	{
+		simulation.AddTasks(random.Below(cells), random.Below(12), 300 + static_cast<int64>(random.Below(6000)));
+		simulation.Run(100 + static_cast<Millis>(random.Below(1500)));
+	}
+	simulation.ClearFaults();
+	simulation.Run(300000);
+	RC_ASSERT(simulation.violations == "");
+	RC_ASSERT(simulation.Waiting() == 0);
+}
+
 TEST(TeamUsage, ACellStartsNothingBeyondItsTeamsShare)
 {
 	static constexpr int64 cWallMs = 1'700'000'000'000;
