--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -79,8 +79,10 @@
 	/// Whether the cell has the job of a submission, so that its record is in the inbox. False while this host may not act as owner.
 	bool KnowsJob(const JobSpec &inSpec) const
 	{
-		return this->held && this->context.lease.MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known;
+		return this->MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known;
 	}
+	/// Asks for the teams' shares at once if the owner of the fleet cell with this epoch has not been asked yet.
+	void OnFleetOwner(uint64 inFleetEpoch);
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
 	void Step();
 	CellCounts Figures() const { return this->cell.Counts(); }
@@ -120,7 +122,7 @@
 	Millis claimed_at = -1;    ///< When the claim was won.
 	Millis inbox_read_at = -1; ///< Send time of the newest read that reached the end of the inbox; -1: none yet.
 	bool inbox_fresh = true;   ///< Whether `inbox_read_at` is within `cInboxStaleMs`.
-	bool awaiting_shares = false;
+	uint64 awaited_shares = 0; ///< Number of the question for shares that has no answer yet; 0: none.
 	Timer step_timer;
 	Timer tick;
 	Timer inbox_retry_timer;
