--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -77,10 +77,7 @@
 	/// Answers a question about the cell. The answer's `owner` is false while this host may not act as owner.
 	PeerAnswer Answer(const PeerQuestion &inQuestion);
 	/// Whether the cell has the job of a submission, so that its record is in the inbox. False while this host may not act as owner.
-	bool KnowsJob(const JobSpec &inSpec) const
-	{
-		return this->MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known;
-	}
+	bool KnowsJob(const JobSpec &inSpec) const { return this->MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known; }
 	/// Asks for the teams' shares at once if the owner of the fleet cell with this epoch has not been asked yet.
 	void OnFleetOwner(uint64 inFleetEpoch);
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
