Replace lost owners sooner, and mend what a review of the admission found

Cause: a successor counts an owner's lease from when it reads the heartbeat, every 500 ms, and notices its end at a read, too: a lost cell had no owner for 1.8 s on average. Review: an owner that had its own append in flight when the store became slow asked a second collector; each host with an append in flight reported the slow store to all; run ends were taken back by a change of the path; an answer could come after the caller's deadline; a question about a closed pool did not count against it; hosts of two versions could not decode each other's answers. Change: owners send acknowledged heartbeats to the candidate successors by datagram, and these read when the first lease expires. The collector's status travels in the answer's record. A submission to a closed pool is only refused while the store is fast, since an earlier one may still be on its way. An owner that announces itself promises the longest lease.

--- a/Loomreach/Admission/InboxPaths.cpp
+++ b/Loomreach/Admission/InboxPaths.cpp
@@ -21,9 +21,10 @@
 		this->slow_since = inNow;
 	this->slow = true;
 	this->direct_again.clear();
+	const bool is_report = inSign == ESlowSign::OtherHost;
 	// Reports are not passed on: the host that detected the slow store tells all others itself
-	effect.notify_all = inSign != ESlowSign::OtherHost && inNow - this->notified_at >= cNotifyIntervalMs;
-	if (effect.notify_all)
+	effect.notify_all = !is_report && inNow - this->notified_at >= cNotifyIntervalMs;
+	if (effect.notify_all || is_report)
 		this->notified_at = inNow;
 	return effect;
 }
--- a/Loomreach/Admission/InboxPaths.h
+++ b/Loomreach/Admission/InboxPaths.h
@@ -62,7 +62,9 @@
 	Millis CollectedFor(uint32 inCell, Millis inNow) const;
 
 private:
-	static constexpr Millis cNotifyIntervalMs = 1000; ///< The own report reaches all hosts; repeats only replace lost datagrams.
+	/// One report reaches all hosts, whoever sends it; repeats only replace lost datagrams. Without this limit each host with an append in
+	/// flight would report, and the datagrams would grow with the square of the hosts.
+	static constexpr Millis cNotifyIntervalMs = 1000;
 
 	bool slow = false;             ///< Whether any sign was seen: inboxes are collected, except those in `direct_again`.
 	Millis slow_since = 0;         ///< First sign since an inbox was last reached directly.
--- a/Loomreach/Admission/Submission.cpp
+++ b/Loomreach/Admission/Submission.cpp
@@ -59,7 +59,8 @@
 
 SubmissionStep Submission::AskLater(const SubmissionView &inView)
 {
-	if (this->give_up_at - inView.now < this->next_delay_ms + cMinLeftMs)
+	const Millis left_ms = this->give_up_at - inView.now - cMinLeftMs;
+	if (left_ms <= 0)
 		// An own append may still end in time
 		return this->own == EOwnAppend::Unanswered ? SubmissionStep{} : this->OnTimeUp();
 	this->delayed = true;
@@ -68,7 +69,7 @@
 	this->self_tried = false;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::AskLater;
-	step.delay_ms = this->next_delay_ms;
+	step.delay_ms = std::min(this->next_delay_ms, left_ms);
 	this->next_delay_ms = std::min(2 * this->next_delay_ms, cMaxAskAgainMs);
 	return step;
 }
@@ -83,11 +84,11 @@
 	{
 		if (exhausted || this->tried.size() >= CollectorChoice::cMaxTried)
 			break;
+		// The own append is that of the collector: its outcome decides. Asking the next host would make it a second collector
+		if (host.is_self && this->own == EOwnAppend::Unanswered && !inView.store_unresponsive)
+			return SubmissionStep{};
 		if (this->tried.contains(host.name) || (host.is_self && (this->self_tried || inView.store_unresponsive)))
 			continue;
-		// The own append is that of the collector: its outcome decides
-		if (host.is_self && this->own == EOwnAppend::Unanswered)
-			return SubmissionStep{};
 		this->tried.insert(host.name);
 		++this->tries;
 		return host.is_self ? this->AppendStep(inView) : this->AskStep(host, inView);
--- a/Loomreach/Entry/InboxWriter.h
+++ b/Loomreach/Entry/InboxWriter.h
@@ -53,8 +53,9 @@
 	/// Repeats refused calls until the record's time is over.
 	static constexpr Millis cRetryUntilTimeout = std::numeric_limits<Millis>::max() / 4;
 
-	/// Removes and returns the records that no call has carried yet, in the order in which they would have been sent.
-	std::vector<UnsentRecord> TakeUnsent();
+	/// Removes and returns the records of this priority and lower ones that no call has carried yet, in the order in which they would have
+	/// been sent.
+	std::vector<UnsentRecord> TakeUnsent(EInboxPriority inHighest = EInboxPriority::Control);
 
 	/// Whether recent calls were slow. One host that appends for all hosts is then faster than all of them one by one.
 	bool IsSlow() const { return this->load.IsSlow(this->time.Now()); }
--- a/Loomreach/Entry/InboxWriter.inl
+++ b/Loomreach/Entry/InboxWriter.inl
@@ -18,11 +18,11 @@
 }
 
 template <class Store, TimeSource Time>
-std::vector<UnsentRecord> InboxWriter<Store, Time>::TakeUnsent()
+std::vector<UnsentRecord> InboxWriter<Store, Time>::TakeUnsent(EInboxPriority inHighest)
 {
 	const Millis now = this->time.Now();
 	std::vector<UnsentRecord> unsent;
-	for (size_t i = 0; i < this->waiting.size(); ++i)
+	for (size_t i = static_cast<size_t>(inHighest); i < this->waiting.size(); ++i)
 	{
 		std::deque<Item> kept;
 		for (Item &item : this->waiting[i])
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -52,7 +52,7 @@
 		Millis give_up_at = 0;
 		uint64 key_hash = 0; ///< Hash of the caller's key, see Admission.
 		Submission submission{0};
-		bool timed = false; ///< Whether a timer reports the end of its time.
+		bool deadline_timer_set = false; ///< Whether a timer reports the end of its time.
 		JobReply reply;
 	};
 
@@ -165,6 +165,8 @@
 	void Execute(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep);
 	void AppendOwn(const std::shared_ptr<PendingRequest> &inRequest, Millis inLimitMs);
 	void OnAppendAnswer(const std::shared_ptr<PendingRequest> &inRequest, const AppendAnswer &inAnswer, Millis inSentAt, bool inCollected);
+	/// Ends the request after this time at the latest, unless that is arranged already.
+	void SetDeadlineTimer(const std::shared_ptr<PendingRequest> &inRequest, Millis inLeftMs);
 	void AskCollector(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep);
 	void OnCollectorAnswer(const std::shared_ptr<PendingRequest> &inRequest, const CollectorHost &inCollector,
 						   const std::optional<PeerAnswer> &inAnswer);
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -58,7 +58,10 @@
 {
 	const Queue &queue = inCall.admission.queue;
 	const uint32 cell = CellOf(queue.pool, this->PartitionCount());
-	if (const std::optional<PoolRefusal> refusal = RefuseSubmission(queue.pool, inSpec.id, this->ClosedPoolsOf(cell, NowMillis())))
+	const Millis now = NowMillis();
+	const std::optional<PoolRefusal> refusal = RefuseSubmission(queue.pool, inSpec.id, this->ClosedPoolsOf(cell, now));
+	// While the store is slow an earlier submission of the job may still be on its way to the inbox, and a refusal could be untrue
+	if (refusal.has_value() && this->inbox_paths.PathOf(cell) == EInboxPath::Direct)
 		return this->RefuseUnlessKnown(inCall, std::move(inSpec), std::move(inReply), *refusal);
 	this->SubmitToInbox(inCall, std::move(inSpec), std::move(inReply));
 }
@@ -74,9 +77,10 @@
 	question.team = inCall.admission.team;
 	// The submission may repeat one that was accepted before the pool was closed. A refusal says that the job will never run
 	this->AskCell(CellOf(queue.pool, this->PartitionCount()), std::move(question), std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
-				  [this, call = inCall, spec = std::move(inSpec), reply = std::move(inReply),
-				   refusal = inRefusal](const std::optional<PeerAnswer> &inAnswer) mutable
+				  [this, call = inCall, spec = std::move(inSpec), reply = std::move(inReply), refusal = inRefusal,
+				   asked_at = NowMillis()](const std::optional<PeerAnswer> &inAnswer) mutable
 				  {
+					  call.deadline_ms -= NowMillis() - asked_at;
 					  const bool is_unknown = inAnswer.has_value() && inAnswer->owner && !inAnswer->known && inAnswer->inbox_current;
 					  if (!is_unknown)
 						  return this->SubmitToInbox(call, std::move(spec), std::move(reply));
@@ -182,10 +186,13 @@
 		for (CollectorHost &host : hosts)
 			host.is_owner = host.is_owner && !is_owner;
 		// A stopping host does not begin to collect
-		if (!this->stopping || is_owner || hosts.empty())
+		if (!this->stopping || is_owner)
 			hosts.push_back({this->config.name, this->config.peers, true, is_owner});
 	}
-	return this->collector_choice.Candidates(inCell, hosts, inNow);
+	std::vector<CollectorHost> candidates = this->collector_choice.Candidates(inCell, hosts, inNow);
+	if (candidates.empty() && this->stopping && !this->store_watch.IsUnresponsive(inNow))
+		candidates.push_back({this->config.name, this->config.peers, true, false});
+	return candidates;
 }
 
 template <class Hub>
@@ -219,7 +226,9 @@
 		return this->Execute(inRequest, inRequest->submission.OnOwnBusy(wait_ms, this->ViewOf(*inRequest)));
 	const Millis sent_at = NowMillis();
 	// In a slow store appends wait for each other, so that a late answer does not show that it is unresponsive
-	if (!collected)
+	if (collected)
+		this->SetDeadlineTimer(inRequest, inLimitMs);
+	else
 		this->store_watch.OnSent(sent_at);
 	this->own_appends.insert(inRequest);
 	const Millis limit_ms = std::clamp<Millis>(inLimitMs, cMinAppendTimeoutMs, collected ? cMaxCollectMs : cMaxAppendTimeoutMs);
@@ -253,16 +262,23 @@
 	this->Execute(inRequest, step);
 }
 
+template <class Hub>
+void JobHost<Hub>::SetDeadlineTimer(const std::shared_ptr<PendingRequest> &inRequest, Millis inLeftMs)
+{
+	if (std::exchange(inRequest->deadline_timer_set, true))
+		return;
+	After(inLeftMs,
+		  [this, weak = std::weak_ptr<PendingRequest>(inRequest)]
+		  {
+			  if (const std::shared_ptr<PendingRequest> request = weak.lock())
+				  this->Execute(request, request->submission.OnTimeUp());
+		  });
+}
+
 template <class Hub>
 void JobHost<Hub>::AskCollector(const std::shared_ptr<PendingRequest> &inRequest, const SubmissionStep &inStep)
 {
-	if (!std::exchange(inRequest->timed, true))
-		After(inStep.limit_ms,
-			  [this, weak = std::weak_ptr<PendingRequest>(inRequest)]
-			  {
-				  if (const std::shared_ptr<PendingRequest> request = weak.lock())
-					  this->Execute(request, request->submission.OnTimeUp());
-			  });
+	this->SetDeadlineTimer(inRequest, inStep.limit_ms);
 	PeerQuestion question;
 	question.kind = EQuestion::AppendInbox;
 	question.cell = inRequest->cell;
@@ -284,7 +300,8 @@
 	if (!inAnswer.has_value())
 		return reply;
 	reply.refusal = inAnswer->refusal;
-	reply.expected_wait_ms = inAnswer->busy_ms;
+	const CollectorStatus status = DecodeValue<CollectorStatus>(inAnswer->record).value_or(CollectorStatus{});
+	reply.expected_wait_ms = status.busy_ms;
 	if (inAnswer->in_progress)
 		reply.outcome = ECollected::Silent;
 	else if (inAnswer->appended)
@@ -293,7 +310,7 @@
 		reply.outcome = ECollected::Unknown;
 	else if (inAnswer->refusal != EError::None)
 		reply.outcome = ECollected::Refused;
-	else if (inAnswer->busy_ms > 0)
+	else if (status.busy_ms > 0)
 		reply.outcome = ECollected::Busy;
 	else
 		reply.outcome = inAnswer->reaches_store ? ECollected::NotDone : ECollected::CannotReach;
@@ -312,7 +329,7 @@
 		this->collector_choice.OnSilent(inCollector.address, now);
 	if (reply.outcome == ECollected::CannotReach)
 		this->collector_choice.OnCannotReachStore(inCollector.address, now);
-	if (inAnswer.has_value() && inAnswer->store_quick)
+	if (inAnswer.has_value() && DecodeValue<CollectorStatus>(inAnswer->record).value_or(CollectorStatus{}).quick)
 		this->OnQuickAnswer(inRequest->cell, inCollector.name);
 	if (inRequest->submission.IsEnded())
 		return;
@@ -443,7 +460,7 @@
 		const std::vector<CollectorHost> collectors = this->Collectors(entry.first, NowMillis());
 		if (!collectors.empty() && collectors.front().is_self)
 			continue;
-		for (const UnsentRecord &item : writer.TakeUnsent())
+		for (const UnsentRecord &item : writer.TakeUnsent(EInboxPriority::Bulk))
 			item.done(unsent);
 	}
 	this->handing_over = false;
@@ -498,7 +515,7 @@
 	if (const Millis wait_ms = this->WriterOf(inQuestion.cell).ExpectedWaitMs(inQuestion.record.size()); wait_ms > inQuestion.for_ms)
 	{
 		answer.not_done = true;
-		answer.busy_ms = wait_ms;
+		answer.record = EncodeValue(CollectorStatus{false, wait_ms});
 		return inReply(answer);
 	}
 	this->AppendForPeer(inQuestion, NowMillis() + std::clamp(inQuestion.for_ms, cMinAppendTimeoutMs, cMaxCollectMs),
@@ -527,7 +544,7 @@
 				if (answer.appended)
 				{
 					this->store_watch.OnAnswered(sent_at, now);
-					answer.store_quick = this->WriterOf(inQuestion.cell).IsQuick();
+					answer.record = EncodeValue(CollectorStatus{this->WriterOf(inQuestion.cell).IsQuick(), 0});
 				}
 				reply(answer);
 			},
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -53,7 +53,9 @@
 		return this->FreeCellReadDelay(inNow);
 	const Millis mean = this->owners.ReadInterval(this->Owned() > 0, inNow);
 	// Hosts that started together would all read at the same moment and use up the read capacity of the store
-	return this->IsWellInformed(inNow) ? mean : this->RandomizeDelay(mean);
+	if (!this->IsWellInformed(inNow))
+		return this->RandomizeDelay(mean);
+	return std::min(mean, this->owners.NextLeaseExpiry(inNow).value_or(mean));
 }
 
 template <class Hub>
@@ -417,7 +419,9 @@
 	if (!this->catalogue->teams.has_value())
 		return;
 	const Millis now = NowMillis();
-	const HostHeartbeat heartbeat = this->NewHeartbeat(now);
+	HostHeartbeat heartbeat = this->NewHeartbeat(now);
+	// An earlier heartbeat with the longest lease may still be acknowledged; challengers must not wait less than for that one
+	heartbeat.lease_ms = this->config.owner_lease_ms;
 	this->lease.OnSent(now, heartbeat.lease_ms);
 	this->peers.Notify(this->owners.Others(), EPeerMessage::Heartbeat, EncodeValue(heartbeat));
 	for (const auto &[cell, driver] : this->drivers)
@@ -453,7 +457,8 @@
 		this->owners.HeartbeatPartition(this->HeartbeatPartitionCount(), this->Owned() > 0, sent_at) + this->heartbeat_partition_shift;
 	call.log = HeartbeatLog(part % this->HeartbeatPartitionCount());
 	call.keyed = true;
-	call.records.push_back({heartbeat.host, EncodeValue(heartbeat), 0});
+	const std::string message = EncodeValue(heartbeat);
+	call.records.push_back({heartbeat.host, message, 0});
 	call.timeout_ms = cHeartbeatTimeoutMs;
 	this->heartbeat_sent_at = sent_at;
 	this->heartbeat_delay_percent = this->RandomDelayPercent();
@@ -461,9 +466,16 @@
 	this->store_watch.OnSent(sent_at);
 	this->lease.OnSent(sent_at, heartbeat.lease_ms);
 	// Heartbeats of hosts without cells share a partition and wait for each other also while the store is fast
-	this->hub.store.Append(
-		call, [this, sent_at, lease_ms = heartbeat.lease_ms, watch = this->Owned() > 0 ? this->WatchAppend(ESlowSign::Heartbeat) : nullptr](
-				  const AppendAnswer &inAnswer) { this->OnHeartbeatAnswer(inAnswer, sent_at, lease_ms); });
+	this->hub.store.Append(call,
+						   [this, sent_at, lease_ms = heartbeat.lease_ms, message,
+							watch = this->Owned() > 0 ? this->WatchAppend(ESlowSign::Heartbeat) : nullptr](const AppendAnswer &inAnswer)
+						   {
+							   this->OnHeartbeatAnswer(inAnswer, sent_at, lease_ms);
+							   // Successors count the lease from when they hear of it: by datagram at once, otherwise at their next read. A
+							   // heartbeat that was not acknowledged must not prolong their wait
+							   if (inAnswer.result == EAppend::Done && this->Owned() > 0)
+								   this->peers.Notify(this->owners.FrequentReaders(NowMillis()), EPeerMessage::Heartbeat, message);
+						   });
 }
 
 template <class Hub>
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -66,7 +66,8 @@
 	bool reaches_store = false; ///< Any host: the answering host reaches the store.
 	bool in_progress = false;   ///< Any host: the question is being handled, and its answer will follow.
 	int64 clock_ms = 0;         ///< Any host: steady clock of the answering host.
-	/// Any host. Forward: the worker's encoded answer. Owners: the encoded heartbeats of hosts that own cells. Empty: not available here.
+	/// Any host. Forward: the worker's encoded answer. Owners: the encoded heartbeats of hosts that own cells. AppendInbox: an encoded
+	/// CollectorStatus. Empty: not available here.
 	std::string record;
 	bool inbox_current = false;    ///< Whether the owner has recently read its inbox to the end.
 	EError refusal = EError::None; ///< Any host. Enter: why a newer configuration does not allow the record.
@@ -77,16 +78,26 @@
 	bool drained = false; ///< Empty: the worker is drained and will stay so for the time asked.
 	PoolDemand demand;
 	ShareAnswer shares;
-	bool store_quick = false; ///< Any host. AppendInbox: the answering host's appends to this inbox are fast.
-	/// Any host. AppendInbox, above 0: refused since the backlog would take longer than `for_ms`; the expected wait, ms.
-	int64 busy_ms = 0;
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
 		ioArchive(this->nonce, this->owner, this->owner_address, this->appended, this->not_done, this->reaches_store, this->in_progress,
 				  this->clock_ms, this->record, this->inbox_current, this->refusal, this->known, this->other_team, this->phase,
-				  this->waiting, this->drained, this->demand, this->shares, this->store_quick, this->busy_ms);
+				  this->waiting, this->drained, this->demand, this->shares);
+	}
+};
+
+/// What a collector says about an inbox, in `PeerAnswer::record`: hosts of earlier versions, which do not know it, can decode the answer.
+struct CollectorStatus
+{
+	bool quick = false; ///< The collector's appends to the inbox are fast.
+	int64 busy_ms = 0;  ///< Above 0: refused since the backlog would take longer than `for_ms`; the expected wait, ms.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->quick, this->busy_ms);
 	}
 };
 
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -94,6 +94,19 @@
 	return owner;
 }
 
+std::optional<Millis> OwnerTable::NextLeaseExpiry(Millis inNow) const
+{
+	std::optional<Millis> next;
+	for (const auto &[name, heard] : this->hosts)
+	{
+		// An expired lease is noticed at every read, until its cells are claimed
+		const Millis left = heard.at + this->LeaseOf(heard) + 1 - inNow;
+		if (name != this->self && !heard.heartbeat.cells.empty() && left > 0)
+			next = std::min(left, next.value_or(left));
+	}
+	return next;
+}
+
 std::vector<Address> OwnerTable::Helpers(uint32 inCell) const
 {
 	const std::optional<CellOwner> owner = this->LastOwnerOf(inCell);
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -167,6 +167,9 @@
 	bool IsSuperseded(uint32 inCell, uint64 inEpoch) const;
 	/// The owner of a cell, if its lease has not expired on the clock of this host.
 	std::optional<CellOwner> OwnerOf(uint32 inCell, Millis inNow) const;
+	/// Time until the first lease of an owner expires unless it is renewed; nothing: no other host owns a cell. A successor reads the
+	/// heartbeats then instead of at its next regular read, half a second later at worst.
+	std::optional<Millis> NextLeaseExpiry(Millis inNow) const;
 	/// The newest owner ever heard of, no matter how long ago: whom to ask while the store cannot be read.
 	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
 	/// The closed pools of a cell by the newest heartbeat of its newest owner, also after that owner was lost or released the cell.
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -482,6 +482,27 @@
 	EXPECT_LE(topics.size(), 100u);
 }
 
+/// Guards against a successor that notices the end of a lease only at its next regular read.
+TEST(OwnerTable, TheNextReadIsDueWhenTheFirstLeaseExpires)
+{
+	LeaseTuning tuning;
+	OwnerTable table("a", tuning);
+	EXPECT_FALSE(table.NextLeaseExpiry(0).has_value());
+	HostHeartbeat short_lease = MakeHeartbeat("b", 1, {{1, 5, true}});
+	short_lease.lease_ms = 1500;
+	table.OnHeartbeat(short_lease, 1000);
+	table.OnHeartbeat(MakeHeartbeat("c", 1, {{2, 5, true}}), 1000);
+	table.OnHeartbeat(MakeHeartbeat("d", 1, {}), 0);
+	EXPECT_EQ(table.NextLeaseExpiry(1200), 1301);
+	EXPECT_FALSE(table.IsFree(1, 2500));
+	EXPECT_TRUE(table.IsFree(1, 2501));
+	// The expired lease causes no more reads; the other one is next
+	EXPECT_EQ(table.NextLeaseExpiry(2501), tuning.lease_ms - 1500);
+	// Heard again, by datagram or in the log: the same heartbeat does not start its lease anew
+	table.OnHeartbeat(short_lease, 2600);
+	EXPECT_TRUE(table.IsFree(1, 2600));
+}
+
 TEST(OwnerTable, AnOlderStartsHeartbeatCountsForNothing)
 {
 	// Heartbeats are spread over several partitions: one that an earlier process of a host left in one of them may be read after a newer
--- a/UnitTests/SubmissionTests.cpp
+++ b/UnitTests/SubmissionTests.cpp
@@ -164,9 +164,11 @@
 	InboxPaths paths;
 	EXPECT_FALSE(paths.OnSlowSign(ESlowSign::OtherHost, 1000).notify_all);
 	EXPECT_EQ(paths.PathOf(7), EInboxPath::Collected);
-	EXPECT_TRUE(paths.OnSlowSign(ESlowSign::InboxAppend, 1100).notify_all);
-	EXPECT_FALSE(paths.OnSlowSign(ESlowSign::InboxAppend, 2099).notify_all);
-	EXPECT_TRUE(paths.OnSlowSign(ESlowSign::Heartbeat, 2100).notify_all);
+	// All hosts have heard the report of the other host
+	EXPECT_FALSE(paths.OnSlowSign(ESlowSign::InboxAppend, 1100).notify_all);
+	EXPECT_TRUE(paths.OnSlowSign(ESlowSign::InboxAppend, 2000).notify_all);
+	EXPECT_FALSE(paths.OnSlowSign(ESlowSign::InboxAppend, 2999).notify_all);
+	EXPECT_TRUE(paths.OnSlowSign(ESlowSign::Heartbeat, 3000).notify_all);
 }
 
 /// Partitions recover one by one. Guards against direct appends to those that are still slow.
@@ -183,6 +185,18 @@
 	EXPECT_EQ(paths.PathOf(7), EInboxPath::Collected);
 }
 
+/// Guards against a collector whose own records go to a second collector as soon as the store becomes slow.
+TEST(Submission, TheCollectorsOwnAppendIsNotGivenToTheNextHost)
+{
+	Submission submission(5000);
+	SubmissionView view;
+	view.now = 1000;
+	view.candidates = {{"self", {}, true, true}, {"other", {"10.0.0.2", 1}}};
+	EXPECT_EQ(submission.Begin(view).kind, ESubmissionStep::Append);
+	view.path = EInboxPath::Collected;
+	EXPECT_EQ(submission.OnCollected(view).kind, ESubmissionStep::Wait);
+}
+
 /// Guards against hosts that turn to different collectors when the owner fails.
 TEST(CollectorChoice, AllHostsAgreeOnTheOrder)
 {
