--- a/Loomreach/Admission/InboxLoad.cpp
+++ b/Loomreach/Admission/InboxLoad.cpp
@@ -101,12 +101,6 @@
 	return this->quick_calls >= cQuickCalls && this->OldestCallAge(inNow) < cSlowPerUsual * this->usual_append_ms;
 }
 
-bool InboxLoad::IsSlow(Millis inNow) const
-{
-	const Millis mean = std::max(static_cast<Millis>(this->mean_ms), this->abandoned_after_ms);
-	return mean > cSlowLatencyMs && inNow - this->ended_at < cSlowExpiryMs;
-}
-
 Millis InboxLoad::ExpectedWaitMs(size_t inBytes, Millis inNow) const
 {
 	const double service = this->ServiceMs(inNow);
--- a/Loomreach/Admission/InboxLoad.h
+++ b/Loomreach/Admission/InboxLoad.h
@@ -62,8 +62,6 @@
 	Millis CallTimeout(Millis inLongestMs, Millis inNow) const;
 	/// Whether appends are fast, and so few records arrive that hosts which each append their own do not overload the partition.
 	bool IsQuick(Millis inNow) const;
-	/// Whether recent calls were slow.
-	bool IsSlow(Millis inNow) const;
 	/// Expected time from now until a new record of this size is appended, ms.
 	Millis ExpectedWaitMs(size_t inBytes, Millis inNow) const;
 	/// Time that a call takes, ms: the last answer or the mean, whichever is longer, or the age of an unanswered call if that is longer.
@@ -96,8 +94,6 @@
 	static constexpr double cMaxQuickOccupancy = 0.5; ///< Part of the time in which single appends would occupy the partition.
 	static constexpr double cLatencyWeight = 0.4;     ///< Weight of a new answer in the mean latency.
 	static constexpr double cBytesPerMs = 20'000;     ///< 20 MB/s of one partition.
-	static constexpr Millis cSlowLatencyMs = 100;     ///< See IsSlow.
-	static constexpr Millis cSlowExpiryMs = 2000;     ///< See IsSlow: the store is then tried again.
 	static constexpr Millis cRateSlotMs = 100;        ///< Arrivals are counted in slots of this length,
 	static constexpr size_t cRateSlots = 10;          ///< of which so many are kept.
 	static constexpr Millis cReportIntervalMs = 1000; ///< Least time between two log lines.
--- a/Loomreach/Admission/InboxPaths.cpp
+++ b/Loomreach/Admission/InboxPaths.cpp
@@ -9,18 +9,18 @@
 
 EInboxPath InboxPaths::PathOf(uint32 inCell) const
 {
-	return this->slow && !this->direct_again.contains(inCell) ? EInboxPath::Collected : EInboxPath::Direct;
+	return this->slow && !this->direct_cells.contains(inCell) ? EInboxPath::Collected : EInboxPath::Direct;
 }
 
 InboxPaths::SignEffect InboxPaths::OnSlowSign(ESlowSign inSign, Millis inNow)
 {
 	SignEffect effect;
-	effect.direct_before = this->direct_again.size();
-	effect.changed = !this->slow || !this->direct_again.empty();
+	effect.direct_before = this->direct_cells.size();
+	effect.changed = !this->slow || !this->direct_cells.empty();
 	if (effect.changed)
 		this->slow_since = inNow;
 	this->slow = true;
-	this->direct_again.clear();
+	this->direct_cells.clear();
 	const bool is_report = inSign == ESlowSign::OtherHost;
 	// Reports are not passed on: the host that detected the slow store tells all others itself
 	effect.notify_all = !is_report && inNow - this->notified_at >= cNotifyIntervalMs;
@@ -29,7 +29,7 @@
 	return effect;
 }
 
-bool InboxPaths::OnQuickAnswer(uint32 inCell) { return this->slow && this->direct_again.insert(inCell).second; }
+bool InboxPaths::OnQuickAnswer(uint32 inCell) { return this->slow && this->direct_cells.insert(inCell).second; }
 
 Millis InboxPaths::CollectedFor(uint32 inCell, Millis inNow) const
 {
--- a/Loomreach/Admission/InboxPaths.h
+++ b/Loomreach/Admission/InboxPaths.h
@@ -66,9 +66,9 @@
 	/// flight would report, and the datagrams would grow with the square of the hosts.
 	static constexpr Millis cNotifyIntervalMs = 1000;
 
-	bool slow = false;             ///< Whether any sign was seen: inboxes are collected, except those in `direct_again`.
+	bool slow = false;             ///< Whether any sign was seen: inboxes are collected, except those in `direct_cells`.
 	Millis slow_since = 0;         ///< First sign since an inbox was last reached directly.
-	std::set<uint32> direct_again; ///< Inboxes whose collector has answered since the last sign that its appends are fast.
+	std::set<uint32> direct_cells; ///< Inboxes whose collector has answered since the last sign that its appends are fast.
 	Millis notified_at = std::numeric_limits<Millis>::min() / 2;
 };
 
--- a/Loomreach/Admission/PoolClosure.cpp
+++ b/Loomreach/Admission/PoolClosure.cpp
@@ -11,9 +11,9 @@
 static constexpr int cRetryAfterS = 5;
 /// Callers are told to wait up to this much longer, by a hash of the job's id, so that they do not all return at once.
 static constexpr uint64 cRetrySpreadS = 2;
-/// Older news does not count. Hosts hear of each owner every 0.5 to 1.5 s, and a successor takes over within 4 s: nobody confirms such news
+/// Older reports do not count. Hosts hear of each owner every 0.5 to 1.5 s, and a successor takes over within 4 s: nobody confirms these
 /// any more.
-static constexpr Millis cMaxNewsAgeMs = 10000;
+static constexpr Millis cMaxReportAgeMs = 10000;
 
 uint32 PoolHash(std::string_view inPool)
 {
@@ -54,12 +54,13 @@
 			this->closed.push_back(pool);
 }
 
-std::optional<PoolRefusal> RefuseSubmission(std::string_view inPool, std::string_view inJob, const std::optional<ClosedPoolsNews> &inNews)
+std::optional<PoolRefusal> RefuseSubmission(std::string_view inPool, std::string_view inJob,
+											const std::optional<ClosedPoolsReport> &inReport)
 {
-	if (!inNews.has_value() || inNews->age_ms > cMaxNewsAgeMs ||
-		std::find(inNews->pools.begin(), inNews->pools.end(), PoolHash(inPool)) == inNews->pools.end())
+	if (!inReport.has_value() || inReport->age_ms > cMaxReportAgeMs ||
+		std::find(inReport->pools.begin(), inReport->pools.end(), PoolHash(inPool)) == inReport->pools.end())
 		return std::nullopt;
-	return PoolRefusal{cRetryAfterS + static_cast<int>(HashBytes(inJob) % (cRetrySpreadS + 1)), inNews->age_ms};
+	return PoolRefusal{cRetryAfterS + static_cast<int>(HashBytes(inJob) % (cRetrySpreadS + 1)), inReport->age_ms};
 }
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Admission/PoolClosure.h
+++ b/Loomreach/Admission/PoolClosure.h
@@ -42,10 +42,12 @@
 struct PoolRefusal
 {
 	int retry_after_s = 0;
-	Millis heard_ms_ago = 0; ///< Age of the news that the pool is closed.
+	Millis heard_ms_ago = 0; ///< Age of the report that the pool is closed.
 };
 
-/// Whether the submission of job `inJob` to a pool is refused. `inNews`: the newest news about the pool's cell; nothing: none was heard.
-std::optional<PoolRefusal> RefuseSubmission(std::string_view inPool, std::string_view inJob, const std::optional<ClosedPoolsNews> &inNews);
+/// Whether the submission of job `inJob` to a pool is refused. `inReport`: the newest report about the pool's cell; nothing: none was
+/// heard.
+std::optional<PoolRefusal> RefuseSubmission(std::string_view inPool, std::string_view inJob,
+											const std::optional<ClosedPoolsReport> &inReport);
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Admission/Submission.cpp
+++ b/Loomreach/Admission/Submission.cpp
@@ -38,8 +38,8 @@
 
 SubmissionStep Submission::AppendStep(const SubmissionView &inView)
 {
-	this->own = EOwnAppend::Unanswered;
-	this->self_tried = true;
+	this->own = EOwnAppend::InFlight;
+	this->own_append_tried = true;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::Append;
 	step.limit_ms = this->give_up_at - inView.now;
@@ -62,11 +62,11 @@
 	const Millis left_ms = this->give_up_at - inView.now - cMinLeftMs;
 	if (left_ms <= 0)
 		// An own append may still end in time
-		return this->own == EOwnAppend::Unanswered ? SubmissionStep{} : this->OnTimeUp();
+		return this->own == EOwnAppend::InFlight ? SubmissionStep{} : this->OnTimeUp();
 	this->delayed = true;
 	// The candidates may be tried again, since skipped ones come back and a lost owner is replaced
 	this->tried.clear();
-	this->self_tried = false;
+	this->own_append_tried = false;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::AskLater;
 	step.delay_ms = std::min(this->next_delay_ms, left_ms);
@@ -77,7 +77,7 @@
 SubmissionStep Submission::Next(const SubmissionView &inView)
 {
 	if (inView.now + cMinLeftMs > this->give_up_at)
-		return this->own == EOwnAppend::Unanswered ? SubmissionStep{} : this->OnTimeUp();
+		return this->own == EOwnAppend::InFlight ? SubmissionStep{} : this->OnTimeUp();
 	// A record in doubt is not limited: it is asked for until its outcome is known or the time is up
 	const bool exhausted = this->tries >= CollectorChoice::cMaxTried && !this->IsInDoubt() && !this->persistent;
 	for (const CollectorHost &host : inView.candidates)
@@ -85,9 +85,9 @@
 		if (exhausted || this->tried.size() >= CollectorChoice::cMaxTried)
 			break;
 		// The own append is that of the collector: its outcome decides. Asking the next host would make it a second collector
-		if (host.is_self && this->own == EOwnAppend::Unanswered && !inView.store_unresponsive)
+		if (host.is_self && this->own == EOwnAppend::InFlight && !inView.store_unresponsive)
 			return SubmissionStep{};
-		if (this->tried.contains(host.name) || (host.is_self && (this->self_tried || inView.store_unresponsive)))
+		if (this->tried.contains(host.name) || (host.is_self && (this->own_append_tried || inView.store_unresponsive)))
 			continue;
 		this->tried.insert(host.name);
 		++this->tries;
@@ -143,7 +143,7 @@
 
 SubmissionStep Submission::OnCollected(const SubmissionView &inView)
 {
-	if (this->ended || this->asking || this->delayed || this->own != EOwnAppend::Unanswered)
+	if (this->ended || this->asking || this->delayed || this->own != EOwnAppend::InFlight)
 		return {};
 	return this->Next(inView);
 }
@@ -178,7 +178,7 @@
 		return this->Next(inView);
 	// All candidates are skipped. The owner knows best whether it has the job
 	if (inView.now + cMinLeftMs > this->give_up_at)
-		return this->own == EOwnAppend::Unanswered ? SubmissionStep{} : this->OnTimeUp();
+		return this->own == EOwnAppend::InFlight ? SubmissionStep{} : this->OnTimeUp();
 	this->tried.insert(inView.owner->name);
 	++this->tries;
 	return this->AskStep(*inView.owner, inView);
--- a/Loomreach/Admission/Submission.h
+++ b/Loomreach/Admission/Submission.h
@@ -52,10 +52,10 @@
 /// Outcome of this host's own append.
 enum class EOwnAppend : uint8
 {
-	None,       ///< Not sent.
-	Unanswered, ///< Sent, without an outcome.
-	Refused,    ///< Certainly not appended.
-	Unknown     ///< May have been appended, or may still be.
+	None,     ///< Not sent.
+	InFlight, ///< Sent, without an outcome.
+	Refused,  ///< Certainly not appended.
+	Unknown   ///< May have been appended, or may still be.
 };
 
 /// Outcome of a request to a collector.
@@ -110,10 +110,10 @@
 	SubmissionStep OnTimeUp();
 
 	/// Whether the record may be in the inbox, now or later.
-	bool IsInDoubt() const { return this->own == EOwnAppend::Unanswered || this->maybe_appended || this->asking; }
+	bool IsInDoubt() const { return this->own == EOwnAppend::InFlight || this->maybe_appended || this->asking; }
 	bool IsEnded() const { return this->ended; }
 	/// Candidates that were tried, with their outcomes, for log lines.
-	const std::string &Tried() const { return this->tried_text; }
+	const std::string &TriedText() const { return this->tried_text; }
 
 private:
 	static constexpr Millis cMinLeftMs = 50;      ///< A request with less time left could not be answered in time.
@@ -136,13 +136,13 @@
 	bool persistent;
 	bool ended = false;
 	EOwnAppend own = EOwnAppend::None;
-	bool asking = false;         ///< A collector is being asked.
-	bool delayed = false;        ///< An AskLater step is under way.
-	bool maybe_appended = false; ///< An attempt without a certain outcome may have appended the record, or may do so later.
-	CollectorHost asked;         ///< The collector that was asked last.
-	std::set<std::string> tried; ///< Names of the candidates that were tried since the last delay.
-	bool self_tried = false;     ///< Whether this host has tried to append since the last delay.
-	size_t tries = 0;            ///< Candidates tried over all.
+	bool asking = false;           ///< A collector is being asked.
+	bool delayed = false;          ///< An AskLater step is under way.
+	bool maybe_appended = false;   ///< An attempt without a certain outcome may have appended the record, or may do so later.
+	CollectorHost asked;           ///< The collector that was asked last.
+	std::set<std::string> tried;   ///< Names of the candidates that were tried since the last delay.
+	bool own_append_tried = false; ///< Whether this host has tried to append since the last delay.
+	size_t tries = 0;              ///< Candidates tried over all.
 	Millis next_delay_ms = cAskAgainMs;
 	std::string tried_text;
 };
--- a/Loomreach/Entry/InboxWriter.h
+++ b/Loomreach/Entry/InboxWriter.h
@@ -57,8 +57,6 @@
 	/// been sent.
 	std::vector<UnsentRecord> TakeUnsent(EInboxPriority inHighest = EInboxPriority::Control);
 
-	/// Whether recent calls were slow. One host that appends for all hosts is then faster than all of them one by one.
-	bool IsSlow() const { return this->load.IsSlow(this->time.Now()); }
 	/// Whether appends are so fast and so few that each host may append its own records.
 	bool IsQuick() const { return this->load.IsQuick(this->time.Now()); }
 	/// Expected time from now until a new record of this size would be appended, ms.
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -121,7 +121,7 @@
 	/// Sends a heartbeat to all other hosts by datagram.
 	void BroadcastHeartbeat(const HostHeartbeat &inHeartbeat);
 	/// Closed pools of a cell: by its own driver if this host owns it, otherwise by its owner's newest heartbeat.
-	std::optional<ClosedPoolsNews> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
+	std::optional<ClosedPoolsReport> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
 	/// Handles a heartbeat or replicated run ends that another host sent by datagram.
 	void OnPeerMessage(EPeerMessage inKind, const std::string &inMessage);
 	/// Tells the owners of cells by datagram that this host owns the fleet cell, so that they ask for teams' shares at once.
@@ -156,9 +156,9 @@
 	/// Refuses a submission to a closed pool, unless the owner of the cell already has the job or does not answer.
 	void RefuseUnlessKnown(const JobCall &inCall, JobSpec inSpec, JobReply inReply, const PoolRefusal &inRefusal);
 	/// Submits a job to the inbox of its pool's cell.
-	void SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply inReply);
+	void SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply &&inReply);
 	void BeginRequest(std::shared_ptr<PendingRequest> inRequest);
-	/// What is known about the way of a record to the inbox. `inWithCandidates`: also which collectors there are, which takes a pass over
+	/// What is known that decides how a record is submitted. `inWithCandidates`: also which collectors there are, which takes a pass over
 	/// all hosts.
 	SubmissionView ViewOf(const PendingRequest &inRequest, bool inWithCandidates = true) const;
 	/// Carries out the next step for a request.
@@ -225,7 +225,7 @@
 	std::map<uint32, std::unique_ptr<InboxWriter<decltype(Hub::store)>>> writers; ///< Writers of the cells' inboxes, by cell.
 	/// Requests whose record this host is appending itself.
 	std::set<std::shared_ptr<PendingRequest>> own_appends;
-	bool handing_over = false; ///< Records that this host has not sent are being returned.
+	bool returning_unsent = false; ///< True inside HandOverUnsent: Refused then means taken back, not refused by the store.
 	EndsSubmitter<decltype(Hub::store)> ends_submitter;
 	RunEndReplicas end_replicas; ///< Run ends replicated for other hosts' cells.
 	size_t polls_in_flight = 0;  ///< Polls to workers without an answer yet, for cells of this host.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -100,7 +100,7 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply inReply)
+void JobHost<Hub>::SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply &&inReply)
 {
 	const Queue &queue = inCall.admission.queue;
 	inSpec.team = inCall.admission.team;
@@ -137,7 +137,7 @@
 	this->BeginRequest(std::move(request));
 }
 
-// ---- The way of a record to the inbox ----
+// ---- Submission of records to inboxes ----
 
 template <class Hub>
 void JobHost<Hub>::BeginRequest(std::shared_ptr<PendingRequest> inRequest)
@@ -372,7 +372,7 @@
 		.Field("helpers", this->helper_search.Reaching(now).size())
 		.Field("retry_after_s", outcome.retry_after_s)
 		.Field("path", NameOf(cInboxPathNames, this->inbox_paths.PathOf(inRequest.cell)))
-		.Field("tried", inRequest.submission.Tried());
+		.Field("tried", inRequest.submission.TriedText());
 	this->Answer(inRequest.reply, outcome);
 }
 
@@ -453,7 +453,7 @@
 {
 	AppendAnswer unsent;
 	unsent.result = EAppend::Refused;
-	this->handing_over = true;
+	this->returning_unsent = true;
 	for (const auto &entry : this->writers)
 	{
 		InboxWriter<decltype(Hub::store)> &writer = *entry.second;
@@ -463,7 +463,7 @@
 		for (const UnsentRecord &item : writer.TakeUnsent(EInboxPriority::Bulk))
 			item.done(unsent);
 	}
-	this->handing_over = false;
+	this->returning_unsent = false;
 }
 
 template <class Hub>
@@ -534,7 +534,7 @@
 			 watch = this->WatchAppend(ESlowSign::InboxAppend)](const AppendAnswer &inAnswer)
 			{
 				// Another host has chosen this one as the collector: the record stays here
-				if (inAnswer.result == EAppend::Refused && this->handing_over)
+				if (inAnswer.result == EAppend::Refused && this->returning_unsent)
 					return this->AppendForPeer(inQuestion, inUntil, inPriority, reply);
 				const Millis now = NowMillis();
 				PeerAnswer answer;
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -309,7 +309,7 @@
 	auto driver = std::make_unique<CellDriver<Hub>>(this->hub, this->DriverContextFor(inCell), inCell);
 	driver->SetCatalogue(this->catalogue);
 	driver->SetEvacuated(this->evacuations.Zones());
-	if (const std::optional<ClosedPoolsNews> news = this->owners.ClosedPoolsOf(inCell, NowMillis()))
+	if (const std::optional<ClosedPoolsReport> news = this->owners.ClosedPoolsOf(inCell, NowMillis()))
 		driver->InheritClosedPools(news->pools);
 	CellDriver<Hub> *claimed = driver.get();
 	this->drivers[inCell] = std::move(driver);
@@ -580,11 +580,11 @@
 }
 
 template <class Hub>
-std::optional<ClosedPoolsNews> JobHost<Hub>::ClosedPoolsOf(uint32 inCell, Millis inNow) const
+std::optional<ClosedPoolsReport> JobHost<Hub>::ClosedPoolsOf(uint32 inCell, Millis inNow) const
 {
 	auto driver = this->drivers.find(inCell);
 	if (driver != this->drivers.end() && driver->second->MayAct(inNow))
-		return ClosedPoolsNews{driver->second->ClosedPools(), 0};
+		return ClosedPoolsReport{driver->second->ClosedPools(), 0};
 	return this->owners.ClosedPoolsOf(inCell, inNow);
 }
 
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -37,13 +37,13 @@
 	std::string queue;
 	std::string id;      ///< Id of a job, a worker or a pool.
 	std::string team;    ///< Show: the asking team.
-	int64 version = 0;   ///< Enter: version of the asking host's configuration.
-	uint64 key_hash = 0; ///< Enter: hash of the caller's key, see Admission.
-	int64 for_ms = 0;    ///< Empty, Demand: how long workers must stay drained. Enter: time left for the append.
+	int64 version = 0;   ///< AppendInbox: version of the asking host's configuration.
+	uint64 key_hash = 0; ///< AppendInbox: hash of the caller's key, see Admission.
+	int64 for_ms = 0;    ///< Drain, Demand: how long workers must stay drained. AppendInbox: time left for the append.
 	uint32 count = 0;    ///< Demand: number of workers that should be spared.
 	/// Demand: workers whose hosts have just been moved or taken down, although the worker list still shows them.
 	std::vector<std::string> departed;
-	std::string record;     ///< Enter: the encoded record. Forward: the encoded order.
+	std::string record;     ///< AppendInbox: the encoded record. Forward: the encoded order.
 	uint64 incarnation = 0; ///< Forward: incarnation of the process that is asked.
 	ShareQuestion shares;   ///< Only for Shares.
 
@@ -70,12 +70,12 @@
 	/// CollectorStatus. Empty: not available here.
 	std::string record;
 	bool inbox_current = false;    ///< Whether the owner has recently read its inbox to the end.
-	EError refusal = EError::None; ///< Any host. Enter: why a newer configuration does not allow the record.
+	EError refusal = EError::None; ///< Any host. AppendInbox: why a newer configuration does not allow the record.
 	bool known = false;            ///< Show: the owner knows the job.
 	bool other_team = false;       ///< Show: the job belongs to another team.
 	EJobPhase phase = EJobPhase::Queued;
 	uint32 waiting = 0;   ///< Count: jobs that have not begun.
-	bool drained = false; ///< Empty: the worker is drained and will stay so for the time asked.
+	bool drained = false; ///< Drain: the worker is drained and will stay so for the time asked.
 	PoolDemand demand;
 	ShareAnswer shares;
 
--- a/Loomreach/Fleet/TeamShares.h
+++ b/Loomreach/Fleet/TeamShares.h
@@ -45,7 +45,7 @@
 		uint64 epoch = 0;
 		uint64 number = 0;
 		Millis heard_at = 0;
-		bool heard_from = false; ///< By rules 5 and 7.
+		bool heard_from = false; ///< Whether this owner knows the most that the cell may hold (rules 5 and 7 in TeamClaims.h).
 		std::map<std::string, KnownTeam> teams;
 	};
 
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -50,12 +50,12 @@
 	}
 }
 
-std::optional<ClosedPoolsNews> OwnerTable::ClosedPoolsOf(uint32 inCell, Millis inNow) const
+std::optional<ClosedPoolsReport> OwnerTable::ClosedPoolsOf(uint32 inCell, Millis inNow) const
 {
 	auto heard = this->closed_pools.find(inCell);
 	if (heard == this->closed_pools.end())
 		return std::nullopt;
-	return ClosedPoolsNews{heard->second.pools, inNow - heard->second.at};
+	return ClosedPoolsReport{heard->second.pools, inNow - heard->second.at};
 }
 
 void OwnerTable::OnClaimSeen(uint32 inCell, const ClaimRecord &inClaim, Millis inNow)
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -70,7 +70,7 @@
 };
 
 /// Which pools of a cell are closed, as its owner last said.
-struct ClosedPoolsNews
+struct ClosedPoolsReport
 {
 	std::vector<uint32> pools; ///< As in OwnedCell.
 	Millis age_ms = 0;         ///< How long ago that was heard.
@@ -174,7 +174,7 @@
 	std::optional<CellOwner> LastOwnerOf(uint32 inCell) const;
 	/// The closed pools of a cell by the newest heartbeat of its newest owner, also after that owner was lost or released the cell.
 	/// Nothing: no owner was ever heard of.
-	std::optional<ClosedPoolsNews> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
+	std::optional<ClosedPoolsReport> ClosedPoolsOf(uint32 inCell, Millis inNow) const;
 	/// Other hosts to ask for help while the store refuses this one: the last known owner of the cell first, then by how recently they
 	/// were heard.
 	std::vector<Address> Helpers(uint32 inCell) const;
--- a/UnitTests/AdmissionWorld.cpp
+++ b/UnitTests/AdmissionWorld.cpp
@@ -164,7 +164,7 @@
 	attempt.answered_at = this->now;
 	attempt.error = inError;
 	attempt.retry_after_s = inRetryAfterS;
-	attempt.tried = inRequest->submission.Tried();
+	attempt.tried = inRequest->submission.TriedText();
 	if (inError != EError::PlatformDown)
 		return;
 	this->certain_refusal[inRequest->id] = this->now;
--- a/UnitTests/PoolClosureTests.cpp
+++ b/UnitTests/PoolClosureTests.cpp
@@ -101,7 +101,7 @@
 	/// Whether this host refuses a submission.
 	bool Refuses(const std::string &inPool) const
 	{
-		return RefuseSubmission(inPool, "job", ClosedPoolsNews{this->driver->ClosedPools(), 0}).has_value();
+		return RefuseSubmission(inPool, "job", ClosedPoolsReport{this->driver->ClosedPools(), 0}).has_value();
 	}
 
 	JobHostConfig config;
@@ -232,7 +232,7 @@
 {
 	std::map<int, int> callers;
 	for (int i = 0; i < 300; ++i)
-		++callers[RefuseSubmission("pool", "job" + std::to_string(i), ClosedPoolsNews{{PoolHash("pool")}, 40})->retry_after_s];
+		++callers[RefuseSubmission("pool", "job" + std::to_string(i), ClosedPoolsReport{{PoolHash("pool")}, 40})->retry_after_s];
 	EXPECT_EQ(callers.size(), 3u);
 	for (const int seconds : {5, 6, 7})
 		EXPECT_GT(callers[seconds], 60) << seconds;
