--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -106,7 +106,7 @@
 	no_faults.lease_ms = this->faults.lease_ms;
 	this->faults = no_faults;
 	// A handover that has begun is completed: its owner would grant no more drains
-	this->returning_unsent = this->returning_unsent && this->retired_at >= 0;
+	this->handing_over = this->handing_over && this->retired_at >= 0;
 	for (auto &[id, worker] : this->workers)
 	{
 		worker.unreachable_until = 0;
@@ -299,7 +299,7 @@
 		this->paused_until = this->now + 400 + static_cast<Millis>(this->random.Below(900));
 	if (this->DrawFault(this->faults.long_owner_pause))
 		this->paused_until = this->now + 1300 + static_cast<Millis>(this->random.Below(3700));
-	this->returning_unsent = this->returning_unsent || this->DrawFault(this->faults.owner_handover);
+	this->handing_over = this->handing_over || this->DrawFault(this->faults.owner_handover);
 	for (auto &[id, worker] : this->workers)
 		if (!worker.crashed)
 			this->InjectWorkerFaults(worker);
@@ -469,7 +469,7 @@
 	const bool settled = this->append_done_at < 0 && this->cell->CanHandOver(this->now);
 	if (!settled && this->now - this->retired_at < cHandoverTimeoutMs)
 		return;
-	this->returning_unsent = false;
+	this->handing_over = false;
 	this->SupersedeOwner(settled ? "handed over" : "handed over before it was ready");
 }
 
@@ -487,7 +487,7 @@
 	}
 	for (uint64 offset = this->cell->InboxNext(); offset < this->inbox.size(); ++offset)
 		this->cell->Ingest(this->inbox[offset], offset, this->now, cWallClockOffsetMs + this->now);
-	if (this->returning_unsent)
+	if (this->handing_over)
 		this->HandOver();
 	this->cell->Plan(this->now, cWallClockOffsetMs + this->now);
 	for (const Order &order : this->cell->TakeOrders(this->now))
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -154,7 +154,7 @@
 	/// The same, but the old process survives and submits to the inbox the ends that only it knows.
 	void SupersedeOwner(std::string_view inWhy);
 	/// Requests a planned handover, which takes place as soon as the owner is ready.
-	void RequestHandover() { this->returning_unsent = true; }
+	void RequestHandover() { this->handing_over = true; }
 	/// Workers that a task crashes start again under their ids.
 	bool crashed_keep_ids = false;
 	/// Polls wait for an end for as long as they ask.
@@ -326,7 +326,7 @@
 	Millis paused_until = 0;
 	Millis paused_at = 0;
 	Millis disturbed_at = -10000; ///< When the owner was last paused or the store slow.
-	bool returning_unsent = false;
+	bool handing_over = false;
 	Millis retired_at = -1;
 	size_t next_worker = 0;
 	uint64 starts = 0;
