Count the bytes on a host's link by kind, and estimate its backlog

What callers saw: on hosts with links of 2 Mbit/s (the small twins of the large sites) cells were lost again and again and their jobs with them. The logs told that heartbeats were slow, not what delayed them, so that the cause could not be named. Change: LinkUsage counts what is sent and received by kind of traffic and computes the backlog from the rate of the link, which the platform names in the settings (link_mbit_per_s). While more than half of the link is in use a line link_busy a second says what it carries. Nothing is decided by it yet. A kind and not a label a call, so that a line has a bounded length.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -210,7 +210,8 @@
 	InboxPaths inbox_paths;
 	CollectorChoice collector_choice;
 	uint64 incarnation;
-	Random random; ///< Spreads the reads and questions of hosts that started together.
+	Random random;  ///< Spreads the reads and questions of hosts that started together.
+	LinkUsage link; ///< Declared before `hub` and `peers`, which count their bytes in it.
 	Hub hub;
 	typename Hub::CallerListener caller_listener;
 	PeerQuery peers;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -104,12 +104,12 @@
 	: config(std::move(inConfig)), budget(StoreLimits{config.store_reads_per_s, config.store_read_mb_per_s * cKbPerMb}),
 	  lease_tuning(LeaseTuningOf(config)), lease(lease_tuning), owners(config.name, lease_tuning), open_appends(config.store_append_ms),
 	  incarnation(HashBytes(config.name, static_cast<uint64>(g_get_real_time()) ^ (static_cast<uint64>(g_random_int()) << 32))),
-	  random(incarnation), hub(config), caller_listener(*this),
+	  random(incarnation), link(config.link_mbit_per_s), hub(config, link), caller_listener(*this),
 	  peers(
 		  config.peers, metrics,
 		  [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 		  { this->OnQuestion(inQuestion, std::move(inReply)); },
-		  [this](EPeerMessage inKind, const std::string &inMessage) { this->OnPeerMessage(inKind, inMessage); }),
+		  [this](EPeerMessage inKind, const std::string &inMessage) { this->OnPeerMessage(inKind, inMessage); }, &link),
 	  orders(hub.workers, peers, ForwardTuningOf(config)),
 	  ends_submitter([this](uint32 inCell) -> InboxWriter<decltype(Hub::store)> & { return this->WriterOf(inCell); })
 {
@@ -146,6 +146,7 @@
 	if (now - this->ticked_at > cLateTickMs)
 		this->late_tick_at = now;
 	this->ticked_at = now;
+	this->link.LogIfBusy(now);
 	for (uint32 cell : std::exchange(this->lost_cells, {}))
 	{
 		if (cell == cFleetCell)
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -460,6 +460,7 @@
 	const std::string message = EncodeValue(heartbeat);
 	call.records.push_back({heartbeat.host, message, 0});
 	call.timeout_ms = cHeartbeatTimeoutMs;
+	call.traffic = ETraffic::Heartbeat;
 	this->heartbeat_sent_at = sent_at;
 	this->heartbeat_delay_percent = this->RandomDelayPercent();
 	++this->heartbeats_in_flight;
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -48,9 +48,10 @@
 	return ObjectPtr<GSocketAddress>(g_inet_socket_address_new_from_string(inAddress.ip.c_str(), inAddress.port));
 }
 
-PeerQuery::PeerQuery(const Address &inOwn, Metrics &inMetrics, QuestionHandler inQuestionHandler, MessageHandler inMessageHandler)
-	: own(inOwn), metrics(inMetrics), question_handler(std::move(inQuestionHandler)), message_handler(std::move(inMessageHandler)),
-	  next_nonce(static_cast<uint64>(g_get_real_time()))
+PeerQuery::PeerQuery(const Address &inOwn, Metrics &inMetrics, QuestionHandler inQuestionHandler, MessageHandler inMessageHandler,
+					 LinkUsage *inLink)
+	: own(inOwn), metrics(inMetrics), link(inLink), question_handler(std::move(inQuestionHandler)),
+	  message_handler(std::move(inMessageHandler)), next_nonce(static_cast<uint64>(g_get_real_time()))
 {
 }
 
@@ -93,6 +94,8 @@
 		if (got <= 0)
 			return;
 		this->metrics.Count(ECounter::PeerBytes, "in", static_cast<uint64>(got));
+		if (this->link != nullptr)
+			this->link->OnReceived(ETraffic::Question, static_cast<size_t>(got));
 		this->Handle(std::string(buffer.data(), static_cast<size_t>(got)), from);
 	}
 }
@@ -165,7 +168,7 @@
 							   const std::string bytes = cAnswerMark + EncodeValue(inAnswer);
 							   if (changes)
 								   this->CacheAnswer(sender, bytes);
-							   this->SendTo(to.get(), bytes);
+							   this->SendTo(to.get(), bytes, ETraffic::Answer);
 						   });
 }
 
@@ -187,7 +190,7 @@
 	answer.nonce = inNonce;
 	answer.in_progress = true;
 	answer.clock_ms = NowMillis();
-	this->SendTo(inTo, cAnswerMark + EncodeValue(answer));
+	this->SendTo(inTo, cAnswerMark + EncodeValue(answer), ETraffic::Answer);
 }
 
 bool PeerQuery::ResendAnswer(const std::string &inSender, GSocketAddress *inTo)
@@ -196,7 +199,7 @@
 	auto known = this->sent_answers.find(inSender);
 	if (known == this->sent_answers.end())
 		return false;
-	this->SendTo(inTo, known->second.bytes);
+	this->SendTo(inTo, known->second.bytes, ETraffic::Answer);
 	return true;
 }
 
@@ -211,8 +214,10 @@
 	this->sent_answers[inSender] = {inBytes, now};
 }
 
-void PeerQuery::SendTo(GSocketAddress *inTo, const std::string &inBytes)
+void PeerQuery::SendTo(GSocketAddress *inTo, const std::string &inBytes, ETraffic inKind)
 {
+	if (this->link != nullptr)
+		this->link->OnSent(inKind, inBytes.size(), NowMillis());
 	this->metrics.Count(ECounter::PeerBytes, "out", inBytes.size());
 	ErrorPtr error;
 	if (g_socket_send_to(this->socket.get(), inTo, inBytes.data(), inBytes.size(), nullptr, error.Out()) < 0)
@@ -231,7 +236,7 @@
 	asked.give_up_at = inInProgressMs > 0 ? NowMillis() + std::min(inInProgressMs, inTimeoutMs) : asked.limit_at;
 	asked.silence_ms = inSilenceMs;
 	asked.resend_at = NowMillis() + cResendMs;
-	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
+	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Question);
 	if (!this->resend_timer.IsRunning())
 		this->resend_timer.Every(cResendMs / 2, [this] { this->ResendPending(); });
 }
@@ -240,7 +245,7 @@
 {
 	const std::string bytes = MarkOf(inKind) + inMessage;
 	for (const Address &to : inTo)
-		this->SendTo(ToSocketAddress(to).get(), bytes);
+		this->SendTo(ToSocketAddress(to).get(), bytes, ETraffic::Message);
 }
 
 void PeerQuery::ResendPending()
@@ -264,7 +269,7 @@
 		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
 		{
 			asked.resend_at = now + (asked.in_progress ? cResendInProgressMs : cResendMs);
-			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes);
+			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Repeat);
 		}
 		++it;
 	}
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -7,6 +7,7 @@
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Core/Metrics.h>
 #include <Loomreach/Job/JobRecord.h>
+#include <Loomreach/Platform/LinkUsage.h>
 #include <Loomreach/Schedule/PoolDemand.h>
 #include <Loomreach/Schedule/TeamClaims.h>
 #include <Loomreach/Settings/DaemonConfig.h>
@@ -120,7 +121,9 @@
 	/// Handles a message from another host. Messages may be lost, duplicated or delayed.
 	using MessageHandler = std::function<void(EPeerMessage inKind, const std::string &inMessage)>;
 
-	PeerQuery(const Address &inOwn, Metrics &inMetrics, QuestionHandler inQuestionHandler, MessageHandler inMessageHandler);
+	/// `inLink` counts the bytes of the datagrams.
+	PeerQuery(const Address &inOwn, Metrics &inMetrics, QuestionHandler inQuestionHandler, MessageHandler inMessageHandler,
+			  LinkUsage *inLink = nullptr);
 	~PeerQuery();
 	PeerQuery(const PeerQuery &) = delete;
 	PeerQuery &operator=(const PeerQuery &) = delete;
@@ -153,7 +156,7 @@
 	static gboolean OnReadable(GSocket *, GIOCondition, gpointer inSelf);
 	void Receive();
 	void Handle(const std::string &inBytes, GSocketAddress *inFrom);
-	void SendTo(GSocketAddress *inTo, const std::string &inBytes);
+	void SendTo(GSocketAddress *inTo, const std::string &inBytes, ETraffic inKind);
 	void ResendPending();
 	/// Tells the asking host that its question is being handled, unless it is answered within a short time.
 	void ReportInProgress(const std::string &inSender, uint64 inNonce, const std::shared_ptr<GSocketAddress> &inTo);
@@ -164,6 +167,7 @@
 
 	Address own;
 	Metrics &metrics;
+	LinkUsage *link; ///< nullptr: bytes are not counted.
 	QuestionHandler question_handler;
 	MessageHandler message_handler;
 	ObjectPtr<GSocket> socket;
--- a/Loomreach/Ownership/LogTypes.h
+++ b/Loomreach/Ownership/LogTypes.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Loomreach/Core/EnumTable.h>
+#include <Loomreach/Platform/LinkUsage.h>
 
 namespace Loomreach::Jobs
 {
@@ -61,6 +62,7 @@
 	std::optional<uint64> expected_end; ///< Append only if the partition ends at this offset.
 	std::optional<Producer> producer;
 	Millis timeout_ms = 1000;
+	ETraffic traffic = ETraffic::Other;
 };
 
 /// Answer to an append.
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -99,6 +99,7 @@
 	call.expected_end = this->end;
 	call.producer = Producer{"owner", this->epoch, 0};
 	call.timeout_ms = cAppendTimeoutMs;
+	call.traffic = ETraffic::CellLog;
 	this->log.Append(call, this->Guard(
 							   [this](const AppendAnswer &inAnswer)
 							   {
@@ -142,6 +143,7 @@
 	call.records = this->batch;
 	call.producer = Producer{"owner", this->epoch, this->number};
 	call.timeout_ms = cAppendTimeoutMs;
+	call.traffic = ETraffic::CellLog;
 	this->last_sent_at = NowMillis();
 	this->log.Append(call, this->Guard(
 							   [this](const AppendAnswer &inAnswer)
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -18,10 +18,11 @@
 static constexpr long cMaxConnections = 2048; ///< Below the 4,100 descriptors of the smallest host. Kept ones save the cost of new ones.
 static constexpr size_t cMaxIdleHandles = 64; ///< Handles kept for later calls.
 static constexpr int cEventsPerWait = 64;
-static constexpr int cMaxReadRounds = 32;  ///< Reads of ready sockets before calls time out: covers all connections, 64 at a time.
-static constexpr size_t cMaxPeers = 2048;  ///< Addresses kept in memory: new workers have new addresses.
-static constexpr long cSuccessFrom = 200;  ///< First status that says that a call was carried out.
-static constexpr long cSuccessBelow = 300; ///< First status above that range.
+static constexpr int cMaxReadRounds = 32;   ///< Reads of ready sockets before calls time out: covers all connections, 64 at a time.
+static constexpr size_t cHeaderBytes = 150; ///< Usual size of a request's headers.
+static constexpr size_t cMaxPeers = 2048;   ///< Addresses kept in memory: new workers have new addresses.
+static constexpr long cSuccessFrom = 200;   ///< First status that says that a call was carried out.
+static constexpr long cSuccessBelow = 300;  ///< First status above that range.
 
 /// One call in flight, and its libcurl handle.
 struct HttpClient::Pending
@@ -51,6 +52,8 @@
 	bool opened = false;    ///< A connection was opened for this call.
 	bool is_resent = false; ///< It has been sent again by `ResendWaiting`.
 	bool repeatable = false;
+	ETraffic traffic = ETraffic::Other;
+	size_t request_bytes = 0; ///< Approximate size of the request, headers included.
 
 	/// Whether a waiting call may be sent again. One with side effects keeps its deadline, on which its caller relies, so it needs enough
 	/// time for its whole wait.
@@ -69,7 +72,8 @@
 	static_cast<void>(started);
 }
 
-HttpClient::HttpClient(int inPerHost, EClose inClose) : on_close(inClose), alive(std::make_shared<bool>(true))
+HttpClient::HttpClient(int inPerHost, EClose inClose, LinkUsage *inLink)
+	: on_close(inClose), link(inLink), alive(std::make_shared<bool>(true))
 {
 	StartCurl();
 	this->multi = curl_multi_init();
@@ -325,6 +329,8 @@
 	if (now > pending->deadline || (pending->not_after > 0 && now > pending->not_after))
 		return CURL_PREREQFUNC_ABORT;
 	++pending->send_count;
+	if (pending->client->link != nullptr)
+		pending->client->link->OnSent(pending->traffic, pending->request_bytes, now);
 	pending->sent_at = NowMillis();
 	if (!pending->opened)
 		pending->peer->response_times.OnSent(pending, pending->wait_ms, pending->sent_at);
@@ -338,6 +344,8 @@
 {
 	Pending *pending = static_cast<Pending *>(inPending);
 	pending->response_body.append(inData, inSize * inCount);
+	if (pending->client->link != nullptr)
+		pending->client->link->OnReceived(pending->traffic, inSize * inCount);
 	pending->client->ExtendDeadline(*pending, NowMillis());
 	return inSize * inCount;
 }
@@ -457,6 +465,8 @@
 	ioPending.not_after = inCall.not_after;
 	ioPending.url = "http://" + to + inCall.path;
 	ioPending.request_body = inCall.body;
+	ioPending.traffic = inCall.traffic;
+	ioPending.request_bytes = ioPending.url.size() + inCall.body.size() + cHeaderBytes;
 	// Sends the body without waiting for the status 100 (Continue)
 	ioPending.headers = curl_slist_append(ioPending.headers, "Expect:");
 	if (!inCall.body.empty())
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -16,6 +16,7 @@
 #pragma once
 
 #include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Platform/LinkUsage.h>
 #include <Loomreach/Platform/PeerTrust.h>
 #include <Loomreach/Settings/DaemonConfig.h>
 
@@ -50,8 +51,9 @@
 	Millis timeout_ms = 3000;
 	/// An answer that has begun to arrive may take this long in all: each part that arrives starts `timeout_ms` anew. 0: it may not.
 	Millis max_transfer_ms = 0;
-	Millis wait_ms = 0;      ///< The part of `timeout_ms` for which the server may delay its answer on purpose (long poll).
-	Millis not_after = 0;    ///< On the process's clock: the request is not sent after this time; 0: no limit.
+	Millis wait_ms = 0;   ///< The part of `timeout_ms` for which the server may delay its answer on purpose (long poll).
+	Millis not_after = 0; ///< On the process's clock: the request is not sent after this time; 0: no limit.
+	ETraffic traffic = ETraffic::Other;
 	bool repeatable = false; ///< Idempotent: it may use a kept connection, and is sent again if that turns out to be closed.
 };
 
@@ -68,8 +70,8 @@
 		Discard  ///< It is lost: the connection is reset.
 	};
 
-	/// `inPerHost`: maximum number of connections to one address; further calls are queued.
-	explicit HttpClient(int inPerHost = 16, EClose inClose = EClose::Deliver);
+	/// `inPerHost`: maximum number of connections to one address; further calls are queued. `inLink` counts the bytes of the calls.
+	explicit HttpClient(int inPerHost = 16, EClose inClose = EClose::Deliver, LinkUsage *inLink = nullptr);
 	~HttpClient();
 	HttpClient(const HttpClient &) = delete;
 	HttpClient &operator=(const HttpClient &) = delete;
@@ -131,6 +133,7 @@
 	HttpResult ResultOf(Pending &ioPending, CURLcode inCode);
 
 	EClose on_close;
+	LinkUsage *link; ///< nullptr: bytes are not counted.
 	CURLM *multi = nullptr;
 	int epoll = -1; ///< Contains all sockets of this client.
 	guint epoll_source = 0;
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -15,6 +15,7 @@
 constexpr double cMaxCores = 1024.0;
 constexpr double cMaxSeconds = 86'400.0;
 constexpr double cMaxAppendMs = 1000.0;
+constexpr double cMaxLinkMbitPerS = 10'000'000.0;
 
 /// A key with an integer value.
 struct NumberKey
@@ -127,6 +128,8 @@
 			return this->ReadThousandths(inValue, name, cMaxSeconds, this->config.maintenance_ms);
 		if (name == "store_append_ms")
 			return this->ReadFraction(inValue, name, cMaxAppendMs, this->config.store_append_ms);
+		if (name == "link_mbit_per_s")
+			return this->ReadFraction(inValue, name, cMaxLinkMbitPerS, this->config.link_mbit_per_s);
 		if (name == "adviser")
 			return this->ReadOptional(inValue, name, this->config.adviser);
 		if (name == "machines")
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -201,10 +201,12 @@
 worker_most_lease_ms = 10000
 maintenance_s = 1.5
 processor_share = 0.25
+link_mbit_per_s = 2.0
 )";
 	const std::optional<JobHostConfig> config = ParseJobHostConfig(text, "f");
 	ASSERT_TRUE(config.has_value()) << LastReasonText();
 	EXPECT_EQ(config->processor_milli, 250);
+	EXPECT_EQ(config->link_mbit_per_s, 2.0);
 	EXPECT_EQ(config->maintenance_ms, 1500);
 	// A host still starts where the platform grants shorter leases than the setting asks for
 	const std::optional<JobHostConfig> brief = ParseJobHostConfig(text + "worker_lease_ms = 20000\n", "f");
