Repeat questions between hosts by the round trips that were measured

Cause: a question without an answer was sent again each 60 ms. While the first copy waits in the sender's own link or the answer in the other host's, every repeat lengthens that queue, and the answer comes later still: in one second 232 KB of forwarded orders became 810 KB on a link of 250 KB (link_busy: question=210:232222 repeat=512:578210, backlog_ms=3284); heartbeats waited behind them until the lease was over. Later owners answered 440 copies a second of some 25 questions (60 KB, a quarter of the link). It keeps itself up. A reply to a repeated question proves nothing, since it may be to either copy; a second reply shows that the repeat was too soon, and only then the first one is measured. A delay that doubles was ruled out before: on links that lose packets too few repeats of a short question would be left. Here a loss changes nothing, and an idle link repeats each 60 ms. Why it works: repeats stop as soon as they are not answered sooner than the first copy, so the queue drains.

--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -12,8 +12,11 @@
 
 /// A job's record has 1 to 6 KB; the largest must fit into one datagram.
 static constexpr size_t cMaxDatagramBytes = 32768;
-/// Delay before a question is repeated, which a lost datagram costs. A round trip between zones takes 2 ms.
-static constexpr Millis cResendMs = 60;
+/// Interval at which questions are checked for repeats.
+static constexpr Millis cResendCheckMs = 30;
+/// A late reply to a question that is over arrives within this time.
+static constexpr Millis cClosedKeptMs = 5000;
+static constexpr size_t cMaxRoundTrips = 4096; ///< Hosts whose round trips are kept.
 /// Answers are kept much longer than the last repeat of any question (1.2 s) and the delay of a datagram.
 static constexpr Millis cAnswerCacheMs = 10000;
 /// Questions that take longer are reported as being handled: a worker answers the start of a run within a few ms.
@@ -121,10 +124,11 @@
 		const std::optional<PeerAnswer> answer = DecodeValue<PeerAnswer>(body);
 		if (!answer.has_value())
 			return this->metrics.Count(ECounter::PeerRejects, AnswerOf(LastReason().kind).name);
+		const Millis arrived_at = NowMillis();
 		auto found = this->pending.find(answer->nonce);
-		// A late or duplicate answer
 		if (found == this->pending.end())
-			return;
+			return this->OnLateReply(answer->nonce, arrived_at);
+		this->OnFirstReply(found->second, arrived_at);
 		if (answer->in_progress)
 		{
 			Pending &asked = found->second;
@@ -134,6 +138,7 @@
 			asked.give_up_at = asked.silence_ms > 0 ? std::min(asked.limit_at, now + asked.silence_ms) : asked.limit_at;
 			return;
 		}
+		this->KeepClosed(answer->nonce, found->second, arrived_at);
 		const OnAnswer done = std::move(found->second.done);
 		this->pending.erase(found);
 		return done(answer);
@@ -232,13 +237,16 @@
 	asked.to = inTo;
 	asked.bytes = cQuestionMark + EncodeValue(inQuestion);
 	asked.done = std::move(inDone);
+	// The times of the other host count from when the datagram leaves the link
+	asked.first_sent_at = NowMillis() + this->BacklogMs();
+	asked.last_sent_at = asked.first_sent_at;
 	asked.limit_at = NowMillis() + inTimeoutMs;
-	asked.give_up_at = inInProgressMs > 0 ? NowMillis() + std::min(inInProgressMs, inTimeoutMs) : asked.limit_at;
+	asked.give_up_at = inInProgressMs > 0 ? std::min(asked.first_sent_at + inInProgressMs, asked.limit_at) : asked.limit_at;
 	asked.silence_ms = inSilenceMs;
-	asked.resend_at = NowMillis() + cResendMs;
+	asked.resend_at = asked.first_sent_at + this->RoundTripTo(inTo).RepeatAfterMs();
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Question);
 	if (!this->resend_timer.IsRunning())
-		this->resend_timer.Every(cResendMs / 2, [this] { this->ResendPending(); });
+		this->resend_timer.Every(cResendCheckMs, [this] { this->ResendPending(); });
 }
 
 void PeerQuery::Notify(const std::vector<Address> &inTo, EPeerMessage inKind, const std::string &inMessage)
@@ -248,6 +256,44 @@
 		this->SendTo(ToSocketAddress(to).get(), bytes, ETraffic::Message);
 }
 
+RoundTrip &PeerQuery::RoundTripTo(const Address &inHost)
+{
+	// Hosts are replaced at new addresses. What is forgotten is soon measured again
+	if (this->round_trips.size() >= cMaxRoundTrips && !this->round_trips.contains(inHost))
+		this->round_trips.clear();
+	return this->round_trips[inHost];
+}
+
+void PeerQuery::OnFirstReply(Pending &ioAsked, Millis inNow)
+{
+	if (ioAsked.round_trip_ms >= 0)
+		return;
+	ioAsked.round_trip_ms = std::max<Millis>(inNow - ioAsked.first_sent_at, 0);
+	// The reply to a repeated question may be to the repeat
+	if (!ioAsked.repeated)
+		this->RoundTripTo(ioAsked.to).OnMeasured(ioAsked.round_trip_ms);
+}
+
+void PeerQuery::KeepClosed(uint64 inNonce, const Pending &inAsked, Millis inNow)
+{
+	while (!this->closed.empty() && inNow - this->closed.begin()->second.closed_at > cClosedKeptMs)
+		this->closed.erase(this->closed.begin());
+	if (inAsked.repeated)
+		this->closed[inNonce] = {inAsked.to, inAsked.round_trip_ms, inAsked.last_sent_at, inNow};
+}
+
+void PeerQuery::OnLateReply(uint64 inNonce, Millis inNow)
+{
+	auto found = this->closed.find(inNonce);
+	if (found == this->closed.end())
+		return;
+	const ClosedQuestion &question = found->second;
+	// If there was no reply before, this one may be to the last repeat
+	const Millis round_trip_ms = question.round_trip_ms >= 0 ? question.round_trip_ms : inNow - question.last_sent_at;
+	this->RoundTripTo(question.to).OnMeasured(std::max<Millis>(round_trip_ms, 0));
+	this->closed.erase(found);
+}
+
 void PeerQuery::ResendPending()
 {
 	// After a pause of this process, answers that arrived meanwhile come before what is overdue
@@ -259,6 +305,7 @@
 		Pending &asked = it->second;
 		if (now >= asked.give_up_at)
 		{
+			this->KeepClosed(it->first, asked, now);
 			std::optional<PeerAnswer> silent;
 			if (asked.in_progress && asked.silence_ms > 0)
 				silent.emplace().in_progress = true;
@@ -268,7 +315,10 @@
 		}
 		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
 		{
-			asked.resend_at = now + (asked.in_progress ? cResendInProgressMs : cResendMs);
+			asked.repeated = true;
+			asked.last_sent_at = now + this->BacklogMs();
+			const Millis repeat_ms = this->RoundTripTo(asked.to).RepeatAfterMs();
+			asked.resend_at = asked.last_sent_at + (asked.in_progress ? std::max(cResendInProgressMs, repeat_ms) : repeat_ms);
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Repeat);
 		}
 		++it;
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
+#include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Core/Metrics.h>
+#include <Loomreach/Entry/RoundTrip.h>
 #include <Loomreach/Job/JobRecord.h>
 #include <Loomreach/Platform/LinkUsage.h>
 #include <Loomreach/Schedule/PoolDemand.h>
@@ -151,6 +153,19 @@
 		Millis silence_ms = 0;    ///< Above 0: reports must follow each other within this time.
 		bool in_progress = false; ///< The other host is handling the question: it is repeated only if `silence_ms` is set.
 		Millis resend_at = 0;
+		Millis first_sent_at = 0; ///< When the first datagram left the link, by the estimate of its backlog;
+		Millis last_sent_at = 0;  ///< and the last one.
+		bool repeated = false;
+		Millis round_trip_ms = -1; ///< From the first datagram to the first reply; -1: no reply yet.
+	};
+	/// A question that was repeated and is over. If another reply to it arrives, the datagram was not lost but repeated too soon: the
+	/// first reply was to the first datagram.
+	struct ClosedQuestion
+	{
+		Address to;
+		Millis round_trip_ms = -1; ///< As in Pending.
+		Millis last_sent_at = 0;
+		Millis closed_at = 0;
 	};
 
 	static gboolean OnReadable(GSocket *, GIOCondition, gpointer inSelf);
@@ -158,6 +173,15 @@
 	void Handle(const std::string &inBytes, GSocketAddress *inFrom);
 	void SendTo(GSocketAddress *inTo, const std::string &inBytes, ETraffic inKind);
 	void ResendPending();
+	/// Delay until datagrams sent now leave the link.
+	Millis BacklogMs() const { return this->link == nullptr ? 0 : this->link->BacklogMs(NowMillis()); }
+	RoundTrip &RoundTripTo(const Address &inHost);
+	/// Measures the round trip of a question that has got its first reply.
+	void OnFirstReply(Pending &ioAsked, Millis inNow);
+	/// Keeps what is needed to recognize a repeat that was sent too soon.
+	void KeepClosed(uint64 inNonce, const Pending &inAsked, Millis inNow);
+	/// A reply to a question that is over.
+	void OnLateReply(uint64 inNonce, Millis inNow);
 	/// Tells the asking host that its question is being handled, unless it is answered within a short time.
 	void ReportInProgress(const std::string &inSender, uint64 inNonce, const std::shared_ptr<GSocketAddress> &inTo);
 	void SendInProgress(uint64 inNonce, GSocketAddress *inTo);
@@ -174,6 +198,8 @@
 	GSource *source = nullptr;
 	Timer resend_timer;
 	std::map<uint64, Pending> pending;
+	std::map<uint64, ClosedQuestion> closed; ///< By nonce, so the oldest first; kept for `cClosedKeptMs`.
+	std::map<Address, RoundTrip> round_trips;
 	/// An answer that was sent, kept for repeats of its question that arrive later.
 	struct SentAnswer
 	{
--- a/UnitTests/PeerQueryTests.cpp
+++ b/UnitTests/PeerQueryTests.cpp
@@ -48,6 +48,17 @@
 		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 		sendto(this->descriptor, inBytes.data(), inBytes.size(), 0, reinterpret_cast<sockaddr *>(&to), sizeof to);
 	}
+	/// The next datagram and its sender's port.
+	std::optional<std::pair<std::string, uint16>> ReceiveFrom() const
+	{
+		std::array<char, 2048> bytes;
+		sockaddr_in from{};
+		socklen_t size = sizeof from;
+		const ssize_t got = recvfrom(this->descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&from), &size);
+		if (got <= 0)
+			return std::nullopt;
+		return std::pair{std::string(bytes.data(), static_cast<size_t>(got)), ntohs(from.sin_port)};
+	}
 	size_t Receive() const
 	{
 		size_t count = 0;
@@ -61,6 +72,41 @@
 	int descriptor;
 };
 
+/// A host behind a link with a queue: each datagram, repeats included, is answered after `inDelayMs`.
+class DelayedHost
+{
+public:
+	explicit DelayedHost(Millis inDelayMs) : delay_ms(inDelayMs) {}
+
+	Address At() const { return {"127.0.0.1", this->socket.Port()}; }
+	/// Receives what has arrived and sends the answers that are due.
+	void Step()
+	{
+		const Millis now = NowMillis();
+		for (std::optional<std::pair<std::string, uint16>> datagram = this->socket.ReceiveFrom(); datagram.has_value();
+			 datagram = this->socket.ReceiveFrom())
+		{
+			const std::optional<PeerQuestion> question = DecodeValue<PeerQuestion>(std::string_view(datagram->first).substr(1));
+			++this->received;
+			if (question.has_value())
+				this->due.emplace(now + this->delay_ms, std::pair{question->nonce, datagram->second});
+		}
+		for (; !this->due.empty() && this->due.begin()->first <= now; this->due.erase(this->due.begin()))
+		{
+			PeerAnswer answer;
+			answer.nonce = this->due.begin()->second.first;
+			this->socket.Send(this->due.begin()->second.second, 'A' + EncodeValue(answer));
+		}
+	}
+
+	Millis delay_ms;
+	size_t received = 0;
+
+private:
+	UdpSocket socket;
+	std::multimap<Millis, std::pair<uint64, uint16>> due; ///< Nonce and port of the questions to answer, by time.
+};
+
 /// A loopback port that is free at the time of the call.
 uint16 FreePort() { return UdpSocket().Port(); }
 
@@ -166,6 +212,80 @@
 	EXPECT_TRUE(answer->in_progress);
 }
 
+/// Guards against repeats that fill a link on which answers are late, and so delay them further: with one each 60 ms a question was sent
+/// five times here.
+TEST(PeerQuery, RepeatsNoOftenerThanAnswersTake)
+{
+	constexpr size_t cQuestions = 60;
+	constexpr Millis cDelayMs = 250;
+	Metrics metrics;
+	DelayedHost host(cDelayMs);
+	PeerQuery asking(
+		{"127.0.0.1", FreePort()}, metrics, [](const PeerQuestion &, const std::function<void(PeerAnswer)> &) {},
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(asking.Open());
+	size_t answered = 0;
+	for (size_t i = 0; i < cQuestions; ++i)
+	{
+		asking.Ask(host.At(), {}, 700,
+				   [&answered](const std::optional<PeerAnswer> &inAnswer) { answered += inAnswer.has_value() ? 1 : 0; });
+		for (int step = 0; step < 4; ++step)
+		{
+			FakeLog::RunMainLoopFor(10);
+			host.Step();
+		}
+	}
+	for (Millis waited = 0; waited < 2 * cDelayMs; waited += 10)
+	{
+		FakeLog::RunMainLoopFor(10);
+		host.Step();
+	}
+	EXPECT_EQ(answered, cQuestions);
+	EXPECT_LE(host.received, 2 * cQuestions);
+}
+
+/// Guards against an owner that waits long for a lost datagram: on an idle link the repeat follows within the time of a short question.
+TEST(PeerQuery, RepeatsALostQuestionSoonOnAnIdleLink)
+{
+	Metrics metrics;
+	DelayedHost host(1);
+	PeerQuery asking(
+		{"127.0.0.1", FreePort()}, metrics, [](const PeerQuestion &, const std::function<void(PeerAnswer)> &) {},
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(asking.Open());
+	const auto ignore = [](const std::optional<PeerAnswer> &) {};
+	for (int i = 0; i < 10; ++i)
+	{
+		asking.Ask(host.At(), {}, 200, ignore);
+		for (int step = 0; step < 2; ++step)
+		{
+			FakeLog::RunMainLoopFor(5);
+			host.Step();
+		}
+	}
+	host.received = 0;
+	// Nothing answers from now on: every datagram counts as lost
+	asking.Ask(host.At(), {}, 200, ignore);
+	FakeLog::RunMainLoopFor(250);
+	host.Step();
+	EXPECT_GE(host.received, 3u);
+}
+
+/// Guards against a pause of the process that is taken for a slow link for long.
+TEST(RoundTrip, APauseIsSoonForgotten)
+{
+	RoundTrip round_trip;
+	EXPECT_EQ(round_trip.RepeatAfterMs(), 60);
+	for (int i = 0; i < 10; ++i)
+		round_trip.OnMeasured(2);
+	EXPECT_EQ(round_trip.RepeatAfterMs(), 60);
+	round_trip.OnMeasured(4000);
+	EXPECT_GT(round_trip.RepeatAfterMs(), 100);
+	for (int i = 0; i < 20; ++i)
+		round_trip.OnMeasured(2);
+	EXPECT_EQ(round_trip.RepeatAfterMs(), 60);
+}
+
 TEST(PeerQuery, NotificationsReachTheirDestinations)
 {
 	Metrics metrics;
