Bound an owner's appends by its link, and give them the time that their bytes take

Cause: a new owner wrote all that it had found out in one append (112 to 267 KB), whose time was 700 ms whatever its size; at 250 KB a second 252 KB take 1.0 s. It was repeated up to 21 times, each try filled the link for 0.7 s, heartbeats waited behind it (heartbeat_slow 300 to 800 ms), and the next owner had more to read and more to write. Change: an append of an owner takes at most 100 ms on its link (16 KB at least); what is more follows in further appends of the series, as it did above 1 MB. The time of each append to the store grows with what its bytes and the backlog take on the link. Behind a backlog the next append of a cell waits for it, so that more changes of a job go into one record. Why it works: the time of an append no longer has a size beyond which it cannot be done, and none delays a heartbeat by more than a fraction of its interval. With links of 10 Mbit/s and more the bound is not below 93 KB, and a time grows by milliseconds. Tests: StoreClient.AnAppendMayTakeAsLongAsItsBytesTakeOnTheLink, CellDriver.AnAppendTakesAFractionOfTheTimeBetweenHeartbeats.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -9,6 +9,7 @@
 #include <Loomreach/Ownership/CellNames.h>
 #include <Loomreach/Ownership/OwnedLog.h>
 #include <Loomreach/Ownership/OwnerTable.h>
+#include <Loomreach/Platform/LinkUsage.h>
 #include <Loomreach/Schedule/Cell.h>
 #include <Loomreach/Settings/JobHostConfig.h>
 
@@ -31,6 +32,8 @@
 	std::function<void(const RunEndsUpdate &)> replicate_ends = {};
 	/// Registers an append to the cell's log for the detection of a slow store, until the returned object is destroyed.
 	std::function<std::shared_ptr<void>()> watch_append = {};
+	/// The link of this host; nullptr: it counts as unlimited.
+	const LinkUsage *link = nullptr;
 };
 
 /// What a driver requires of a client for worker agents.
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -5,9 +5,12 @@
 namespace Loomreach::Jobs
 {
 
-inline constexpr Millis cStepDelayMs = 20;        ///< Batches updates that arrive together into one planning step.
-inline constexpr Millis cTickMs = 50;             ///< Resolution of the cell's timers.
-inline constexpr Millis cAppendIntervalMs = 35;   ///< Minimum time between two appends: each append is a call that is charged for.
+inline constexpr Millis cStepDelayMs = 20;      ///< Batches updates that arrive together into one planning step.
+inline constexpr Millis cTickMs = 50;           ///< Resolution of the cell's timers.
+inline constexpr Millis cAppendIntervalMs = 35; ///< Minimum time between two appends: each append is a call that is charged for.
+/// An append takes no longer than this on the host's link: a fraction of the time between two heartbeats, which wait behind it.
+inline constexpr Millis cMaxAppendTransferMs = 100;
+inline constexpr size_t cMinBatchBytes = 16000;   ///< Appends may be this long on any link: a few jobs with their payloads.
 inline constexpr size_t cMaxWatchedBytes = 16384; ///< Appends up to this size show whether the store is slow.
 inline constexpr double cSlowStepMs = 200.0;      ///< Slower steps are logged: half of the time that a lease leaves between heartbeats.
 /// Long-poll time of inbox reads. Bounds the age of the information behind a "no such job" answer.
@@ -27,6 +30,8 @@
 	tuning.max_lease_ms = inConfig.worker_lease_ms;
 	tuning.worker_lease_cap_ms = inConfig.worker_max_lease_ms;
 	tuning.demand_hold_ms = inConfig.demand_hold_ms;
+	const size_t link_bytes = LinkUsage(inConfig.link_mbit_per_s).BytesIn(cMaxAppendTransferMs);
+	tuning.batch_bytes = std::min(tuning.batch_bytes, std::max(link_bytes, cMinBatchBytes));
 	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
 	return tuning;
 }
@@ -242,9 +247,11 @@
 {
 	if (this->log.IsBusy() || !this->cell.HasUnwrittenChanges())
 		return;
+	// Behind a backlog an append would wait anyway; meanwhile more changes of a job go into one record
+	const Millis interval = cAppendIntervalMs + (this->context.link == nullptr ? 0 : this->context.link->BacklogMs(NowMillis()));
 	const Millis since = NowMillis() - this->log.LastSentAt();
-	if (since < cAppendIntervalMs)
-		return this->ScheduleStep(cAppendIntervalMs - since);
+	if (since < interval)
+		return this->ScheduleStep(interval - since);
 	std::vector<LogRecord> records;
 	for (KeyedRecord &record : this->cell.TakeBatch(WallMillis()))
 		records.push_back({std::move(record.key), std::move(record.value), 0});
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -239,7 +239,7 @@
 	{ this->peers.Notify(this->owners.ReplicaHosts(NowMillis()), EPeerMessage::Ends, EncodeValue(inUpdate)); };
 	const auto watch_append = [this] { return this->WatchAppend(ESlowSign::CellLog); };
 	return {this->config, this->metrics, this->lease,    this->owners, {this->config.name, this->incarnation, this->start},
-			send,         ask_fleet,     replicate_ends, watch_append};
+			send,         ask_fleet,     replicate_ends, watch_append, &this->link};
 }
 
 template <class Hub>
--- a/Loomreach/Ownership/LogTypes.h
+++ b/Loomreach/Ownership/LogTypes.h
@@ -61,7 +61,7 @@
 	std::vector<LogRecord> records;
 	std::optional<uint64> expected_end; ///< Append only if the partition ends at this offset.
 	std::optional<Producer> producer;
-	Millis timeout_ms = 1000;
+	Millis timeout_ms = 1000; ///< Time for the answer; the time that the records take on the link of this host comes on top.
 	ETraffic traffic = ETraffic::Other;
 };
 
--- a/UnitTests/CellDriverTests.cpp
+++ b/UnitTests/CellDriverTests.cpp
@@ -114,4 +114,18 @@
 	EXPECT_FALSE(fixture.Show("never").known);
 }
 
+/// Guards against an owner whose first append of what it has inherited delays its heartbeats until its lease is over.
+TEST(CellDriver, AnAppendTakesAFractionOfTheTimeBetweenHeartbeats)
+{
+	JobHostConfig config;
+	const size_t unlimited = CellTuningOf(config).batch_bytes;
+	config.link_mbit_per_s = 2.0;
+	const size_t narrow = CellTuningOf(config).batch_bytes;
+	EXPECT_LT(narrow, unlimited);
+	constexpr Millis cHeartbeatsInALease = 4;
+	EXPECT_LT(2 * LinkUsage(config.link_mbit_per_s).TransferMs(narrow, 0), config.owner_short_lease_ms / cHeartbeatsInALease);
+	config.link_mbit_per_s = 1000.0;
+	EXPECT_EQ(CellTuningOf(config).batch_bytes, unlimited);
+}
+
 } // namespace Loomreach::Jobs
--- a/UnitTests/StoreClientTests.cpp
+++ b/UnitTests/StoreClientTests.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <UnitTests/CannedServer.h>
 #include <UnitTests/FakeLog.h>
 #include <UnitTests/SlowTransferServer.h>
 #include <platform/StoreClient.h>
@@ -50,4 +51,27 @@
 	EXPECT_EQ(answer->next, 12u);
 }
 
+/// Guards against an append that is repeated for good, because its body takes longer on the link than the call may wait.
+TEST(StoreClient, AnAppendMayTakeAsLongAsItsBytesTakeOnTheLink)
+{
+	constexpr size_t cBodyBytes = 100'000;
+	constexpr Millis cAnswerMs = 400;
+	for (const bool is_narrow : {true, false})
+	{
+		const CannedServer server({{R"({"offset":3,"end":4})", cAnswerMs}});
+		LinkUsage link(is_narrow ? 2.0 : 1000.0);
+		StoreClient store({"127.0.0.1", server.Port()}, &link);
+		AppendCall call;
+		call.log = {"keyed.cell", 0};
+		call.keyed = true;
+		call.records.push_back({"job", std::string(cBodyBytes, 'x'), 0});
+		call.timeout_ms = cAnswerMs / 2;
+		std::optional<AppendAnswer> answer;
+		store.Append(call, [&answer](const AppendAnswer &inAnswer) { answer = inAnswer; });
+		FakeLog::RunMainLoopFor(cAnswerMs + 200);
+		ASSERT_TRUE(answer.has_value());
+		EXPECT_EQ(answer->result, is_narrow ? EAppend::Done : EAppend::Unknown);
+	}
+}
+
 } // namespace Loomreach::Jobs::Platform
