Send starts as the owner's link takes them, and plan and ask for hosts no further

Cause: all starts that a pass had planned left at once, 1.45 KB each; 266 in 0.5 s are 1.5 s of a link of 250 KB a second, and the heartbeats wait behind them until the lease is over. Change, three parts of one bound: a call sends starts only while the estimated backlog of the link is below 100 ms (one start always goes); planning pauses while unsent starts would take the link 300 ms, so that what comes next is chosen by urgency when it can be sent; and while it pauses, a pool's demand is what its workers have in use. Why it works: heartbeats never wait behind more than a fraction of their interval, and hosts go where an owner can use them.

--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -10,6 +10,9 @@
 inline constexpr Millis cAppendIntervalMs = 35; ///< Minimum time between two appends: each append is a call that is charged for.
 /// An append takes no longer than this on the host's link: a fraction of the time between two heartbeats, which wait behind it.
 inline constexpr Millis cMaxAppendTransferMs = 100;
+/// Planning pauses while the starts that are not sent yet take this long on the host's link: about two appends, so that starts are ready
+/// whenever the link is free.
+inline constexpr Millis cStartBacklogMs = 300;
 inline constexpr size_t cMinBatchBytes = 16000;   ///< Appends may be this long on any link: a few jobs with their payloads.
 inline constexpr size_t cMaxWatchedBytes = 16384; ///< Appends up to this size show whether the store is slow.
 inline constexpr double cSlowStepMs = 200.0;      ///< Slower steps are logged: half of the time that a lease leaves between heartbeats.
@@ -30,8 +33,9 @@
 	tuning.max_lease_ms = inConfig.worker_lease_ms;
 	tuning.worker_lease_cap_ms = inConfig.worker_max_lease_ms;
 	tuning.demand_hold_ms = inConfig.demand_hold_ms;
-	const size_t link_bytes = LinkUsage(inConfig.link_mbit_per_s).BytesIn(cMaxAppendTransferMs);
-	tuning.batch_bytes = std::min(tuning.batch_bytes, std::max(link_bytes, cMinBatchBytes));
+	const LinkUsage link(inConfig.link_mbit_per_s);
+	tuning.batch_bytes = std::min(tuning.batch_bytes, std::max(link.BytesIn(cMaxAppendTransferMs), cMinBatchBytes));
+	tuning.start_backlog_bytes = link.BytesIn(cStartBacklogMs);
 	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
 	return tuning;
 }
@@ -283,7 +287,10 @@
 template <class Hub>
 void CellDriver<Hub>::SendOrders()
 {
-	for (Order &order : this->cell.TakeOrders(NowMillis()))
+	// One start is always sent, so that other traffic on the link cannot hold all of them back
+	const size_t start_bytes =
+		this->context.link == nullptr ? std::numeric_limits<size_t>::max() : std::max<size_t>(this->context.link->Room(NowMillis()), 1);
+	for (Order &order : this->cell.TakeOrders(NowMillis(), start_bytes))
 	{
 		order.not_after = this->context.lease.Until();
 		// The lease is checked again before each order: the process may have been paused since the previous one
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -28,6 +28,9 @@
 namespace Loomreach::Jobs
 {
 
+/// Size of a start order without its payload and checkpoint.
+inline constexpr size_t cStartOverheadBytes = 400;
+
 /// Answer to a query about a job.
 struct JobAnswer
 {
@@ -89,8 +92,8 @@
 	std::vector<KeyedRecord> TakeBatch(int64 inWallNow);
 	/// The append is in the log.
 	void OnAppended(Millis inNow);
-	/// Orders to send now.
-	std::vector<Order> TakeOrders(Millis inNow);
+	/// Orders to send now. `inStartBytes`: starts beyond this many bytes are left for later calls, but no gang is split.
+	std::vector<Order> TakeOrders(Millis inNow, size_t inStartBytes = std::numeric_limits<size_t>::max());
 	/// Result of an order that was sent at `inSentAt`.
 	void OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
 
@@ -159,6 +162,8 @@
 	uint32 WaitingTrials(const std::string &inPool) const;
 	/// Raises a pool's late demand to the workers that the trial runs of its waiting tasks take.
 	void AddTrialDemand(const std::string &inPool, PoolDemand &ioDemand) const;
+	/// Limits the demand of a pool to what its workers have while more could not be started on further ones.
+	void LimitDemandToUse(const std::string &inPool, PoolDemand &ioDemand) const;
 	void CurrentDemand(std::string_view inPool, int64 inWallNow, Resources &outInTime, Resources &outLate) const;
 
 	// CellPlan.cpp: placement
@@ -187,6 +192,10 @@
 	Millis CriticalPathLeft(const CellJob &inJob) const;
 	/// Run time of a step's longest task, observed or estimated.
 	Millis StepDuration(const CellJob &inJob, size_t inUnit) const;
+	/// Size of the starts of the runs that are planned and not sent.
+	size_t UnsentStartBytes();
+	/// Whether planning pauses until more starts have been sent.
+	bool IsStartBacklogFull() const { return this->unsent_start_bytes >= this->tuning.start_backlog_bytes; }
 	/// Time until a step is done if its waiting tasks start now; 0: it is done.
 	Millis StepLeft(const CellJob &inJob, size_t inUnit) const;
 	/// Wall clock time (ms) by which a job is due.
@@ -399,6 +408,8 @@
 	std::string planned_text;                 ///< Runs planned for the current unit, for the log line: task.run@worker.
 	Millis planned_answer_age = 0;            ///< Age of the oldest answer of their workers.
 	std::vector<RunId> to_start;              ///< Logged runs to dispatch.
+	size_t unsent_start_bytes = 0;            ///< Size of the starts that are planned and not sent, as of the current planning pass.
+	Millis starts_paused_until = -cNeverMs;   ///< Until then the starts that wait to be sent count as the limit of the cell's work.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> recent_demand; ///< Recent samples of demand, by pool.
 	RunTimes run_times;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -156,6 +156,18 @@
 	ioDemand.late.cpu_milli = std::max(ioDemand.late.cpu_milli, hosts * capacity / count - ioDemand.in_time.cpu_milli);
 }
 
+void Cell::LimitDemandToUse(const std::string &inPool, PoolDemand &ioDemand) const
+{
+	Resources used;
+	for (const auto &[id, worker] : this->workers)
+		if (worker.entry.pool == inPool)
+			used.Add(worker.used);
+	const auto smaller = [](int64 inA, int64 inB) { return std::min(inA, inB); };
+	ioDemand.in_time = ForEachResource(ioDemand.in_time, used, smaller);
+	used.Subtract(ioDemand.in_time);
+	ioDemand.late = ForEachResource(ioDemand.late, used, smaller);
+}
+
 PoolDemand Cell::Demand(const std::string &inPool, uint32 inSpare, Millis inForMs, Millis inNow, int64 inWallNow)
 {
 	this->now = inNow;
@@ -179,6 +191,8 @@
 	}
 	demand.min_hosts = std::max(demand.min_hosts, std::min(this->WaitingTrials(inPool), cMaxTrialHosts));
 	this->AddTrialDemand(inPool, demand);
+	if (inNow < this->starts_paused_until)
+		this->LimitDemandToUse(inPool, demand);
 	// Of the hosts without long-running tasks, the least used are drained first
 	std::vector<std::pair<int64, CellWorker *>> least_used;
 	for (auto &[id, worker] : this->workers)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -58,15 +58,23 @@
 	return members;
 }
 
-std::vector<Order> Cell::TakeOrders(Millis inNow)
+std::vector<Order> Cell::TakeOrders(Millis inNow, size_t inStartBytes)
 {
 	this->now = inNow;
 	std::vector<Order> orders;
 	std::vector<RunId> to_start = std::move(this->to_start);
 	this->to_start.clear();
 	const std::map<TaskId, size_t> members = this->DispatchableMembers(to_start, inNow);
+	size_t start_bytes = 0;
+	std::set<TaskId> gangs_begun;
 	for (const RunId &id : to_start)
 	{
+		const TaskId gang{id.task.job, id.task.round, id.task.step, 0};
+		if (start_bytes >= inStartBytes && !gangs_begun.contains(gang))
+		{
+			this->to_start.push_back(id);
+			continue;
+		}
 		const std::string worker_id = this->start_workers[id];
 		this->start_workers.erase(id);
 		auto found = this->workers.find(worker_id);
@@ -77,7 +85,6 @@
 		// Conditions may have changed during the append. The worker has not seen the run, so it can be dropped
 		const TaskRecord *task = this->FindTask(id.task);
 		std::string_view why = this->WhyNotDispatched(worker, id, inNow);
-		const TaskId gang{id.task.job, id.task.round, id.task.step, 0};
 		const auto counted = members.find(gang);
 		if (why.empty() && counted != members.end() && counted->second < job->spec.steps[id.task.step].count)
 			why = "another member of the gang cannot be dispatched";
@@ -102,6 +109,9 @@
 		run.start_expires_at = order.until_ms;
 		run.start_pending_until = inNow + cMaxOrderDelayMs;
 		worker.lease_expires_at = std::max(worker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
+		start_bytes += order.payload.size() + order.checkpoint.size() + cStartOverheadBytes;
+		if (counted != members.end())
+			gangs_begun.insert(gang);
 		orders.push_back(std::move(order));
 	}
 	for (auto &[id, worker] : this->workers)
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -52,6 +52,8 @@
 /// starting for as long as they arrive.
 static constexpr Millis cTrialOverdueMs = 3000;
 
+/// The fleet's owner asks for demands at intervals of 200 ms, and planning may go on between two of them.
+static constexpr Millis cStartsPausedMs = 300;
 static constexpr Millis cLogDeferredMs = 1000; ///< Deferred jobs are logged at most this often.
 
 EDeadlineOutlook Cell::OutlookOf(const CellJob &inJob, int64 inWallNow) const
@@ -267,6 +269,18 @@
 	return order;
 }
 
+size_t Cell::UnsentStartBytes()
+{
+	if (this->tuning.start_backlog_bytes == std::numeric_limits<size_t>::max())
+		return 0;
+	size_t bytes = 0;
+	for (const auto &[id, worker] : this->workers)
+		for (const auto &[run_id, run] : worker.runs)
+			if (const CellJob *job = IsDispatched(run.state) ? nullptr : this->FindJob(run_id.task.job); job != nullptr)
+				bytes += job->spec.payload.size() + cStartOverheadBytes;
+	return bytes;
+}
+
 void Cell::PlanJobs(Millis inNow, int64 inWallNow)
 {
 	this->capacity_rejects.clear();
@@ -274,12 +288,15 @@
 	if (!this->inbox_fresh)
 		return;
 	const std::vector<WaitingJob> order = this->OrderWaiting(inNow, inWallNow);
+	this->unsent_start_bytes = this->UnsentStartBytes();
 	for (const WaitingJob &entry : order)
 	{
 		this->PlanJob(*entry.job, inNow, inWallNow);
 		if (!this->HasTasksToStart(*entry.job, inWallNow))
 			this->jobs_to_plan.erase(entry.job->spec.id);
 	}
+	if (this->IsStartBacklogFull())
+		this->starts_paused_until = inNow + cStartsPausedMs;
 	this->short_pools.clear();
 	for (const PlanReject &reject : this->capacity_rejects)
 		this->short_pools.emplace(reject.pool);
@@ -341,7 +358,7 @@
 		const bool waits = !task.done && task.runs.empty() && ioJob.volatile_state[inUnit][index].not_before <= inNow;
 		if (!waits)
 			continue;
-		if (!this->FitsTeamLimit(ioJob, inUnit, 1, inNow))
+		if (this->IsStartBacklogFull() || !this->FitsTeamLimit(ioJob, inUnit, 1, inNow))
 			return;
 		if (!on_worker.has_value())
 			on_worker = this->CountByWorker(ioJob, inUnit);
@@ -376,7 +393,7 @@
 			return;
 		last_run = std::max(last_run, tasks[index].last_run);
 	}
-	if (!this->FitsTeamLimit(ioJob, inUnit, static_cast<int64>(tasks.size()), inNow))
+	if (this->IsStartBacklogFull() || !this->FitsTeamLimit(ioJob, inUnit, static_cast<int64>(tasks.size()), inNow))
 		return;
 	// Capacity is reserved member by member, and released if one finds none
 	std::map<std::string, uint32> on_worker;
@@ -513,6 +530,7 @@
 
 void Cell::AddRun(CellJob &ioJob, size_t inUnit, uint32 inTask, uint32 inRun, CellWorker &ioWorker, Millis inNow)
 {
+	this->unsent_start_bytes += ioJob.spec.payload.size() + cStartOverheadBytes;
 	const StepSpec &step = ioJob.StepOf(inUnit);
 	const size_t steps = ioJob.spec.steps.size();
 	const RunId id{{ioJob.spec.id, static_cast<uint32>(inUnit / steps), static_cast<uint32>(inUnit % steps), inTask}, inRun};
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -39,6 +39,9 @@
 	/// smaller than the other half. The store rejects larger appends on every retry, so that a backlog (1,600 records after a power loss)
 	/// would never be written.
 	size_t batch_bytes = 1000000;
+	/// Planning pauses while starts of this many bytes are not sent yet: what is planned is reserved on its workers, and no longer ordered
+	/// by urgency.
+	size_t start_backlog_bytes = std::numeric_limits<size_t>::max();
 };
 
 /// Worker clocks may run this much slower than the owner's, in thousandths: the specified 2%, and half of that as margin.
