Measure late replies to questions between hosts from the first sending

What callers saw: with a link that is overloaded all the same (trial: the estimate takes 90 % of the link for counted bytes) an owner still answered 420 questions a second, a quarter of its link, and the callers' questions about jobs got 503. Cause: a reply that comes after its question was given up was measured from the last repeat, so that a round trip longer than the question's time (400 ms for the owner of the fleet) was taken for the time between two repeats, and repeats went on. A question that was given up without a repeat measured nothing. Change: both are measured from the first datagram. If that one was lost the round trip is overestimated, by 500 ms at most, and the next replies correct it. RoundTrip and PeerQuery tests pass.

--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -239,7 +239,6 @@
 	asked.done = std::move(inDone);
 	// The times of the other host count from when the datagram leaves the link
 	asked.first_sent_at = NowMillis() + this->BacklogMs();
-	asked.last_sent_at = asked.first_sent_at;
 	asked.limit_at = NowMillis() + inTimeoutMs;
 	asked.give_up_at = inInProgressMs > 0 ? std::min(asked.first_sent_at + inInProgressMs, asked.limit_at) : asked.limit_at;
 	asked.silence_ms = inSilenceMs;
@@ -278,8 +277,8 @@
 {
 	while (!this->closed.empty() && inNow - this->closed.begin()->second.closed_at > cClosedKeptMs)
 		this->closed.erase(this->closed.begin());
-	if (inAsked.repeated)
-		this->closed[inNonce] = {inAsked.to, inAsked.round_trip_ms, inAsked.last_sent_at, inNow};
+	if (inAsked.repeated || inAsked.round_trip_ms < 0)
+		this->closed[inNonce] = {inAsked.to, inAsked.round_trip_ms, inAsked.first_sent_at, inNow};
 }
 
 void PeerQuery::OnLateReply(uint64 inNonce, Millis inNow)
@@ -288,8 +287,7 @@
 	if (found == this->closed.end())
 		return;
 	const ClosedQuestion &question = found->second;
-	// If there was no reply before, this one may be to the last repeat
-	const Millis round_trip_ms = question.round_trip_ms >= 0 ? question.round_trip_ms : inNow - question.last_sent_at;
+	const Millis round_trip_ms = question.round_trip_ms >= 0 ? question.round_trip_ms : inNow - question.first_sent_at;
 	this->RoundTripTo(question.to).OnMeasured(std::max<Millis>(round_trip_ms, 0));
 	this->closed.erase(found);
 }
@@ -316,9 +314,8 @@
 		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
 		{
 			asked.repeated = true;
-			asked.last_sent_at = now + this->BacklogMs();
 			const Millis repeat_ms = this->RoundTripTo(asked.to).RepeatAfterMs();
-			asked.resend_at = asked.last_sent_at + (asked.in_progress ? std::max(cResendInProgressMs, repeat_ms) : repeat_ms);
+			asked.resend_at = now + this->BacklogMs() + (asked.in_progress ? std::max(cResendInProgressMs, repeat_ms) : repeat_ms);
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Repeat);
 		}
 		++it;
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -153,18 +153,17 @@
 		Millis silence_ms = 0;    ///< Above 0: reports must follow each other within this time.
 		bool in_progress = false; ///< The other host is handling the question: it is repeated only if `silence_ms` is set.
 		Millis resend_at = 0;
-		Millis first_sent_at = 0; ///< When the first datagram left the link, by the estimate of its backlog;
-		Millis last_sent_at = 0;  ///< and the last one.
+		Millis first_sent_at = 0; ///< When the first datagram left the link, by the estimate of its backlog.
 		bool repeated = false;
 		Millis round_trip_ms = -1; ///< From the first datagram to the first reply; -1: no reply yet.
 	};
-	/// A question that was repeated and is over. If another reply to it arrives, the datagram was not lost but repeated too soon: the
-	/// first reply was to the first datagram.
+	/// A question that is over and to which another reply may arrive. A second reply shows that the datagram was not lost but repeated too
+	/// soon, and that the first reply was to the first datagram. So, as far as is known, is a reply after the question was given up.
 	struct ClosedQuestion
 	{
 		Address to;
 		Millis round_trip_ms = -1; ///< As in Pending.
-		Millis last_sent_at = 0;
+		Millis first_sent_at = 0;
 		Millis closed_at = 0;
 	};
 
