--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -10,8 +10,8 @@
 inline constexpr Millis cAppendIntervalMs = 35; ///< Minimum time between two appends: each append is a call that is charged for.
 /// An append takes no longer than this on the host's link: a fraction of the time between two heartbeats, which wait behind it.
 inline constexpr Millis cMaxAppendTransferMs = 100;
-/// Planning pauses while the starts that are not sent yet take this long on the host's link: about two appends, so that starts are ready
-/// whenever the link is free.
+/// Planning pauses while the starts that are not sent yet take this long on the host's link. Starts must be ready whenever the link is
+/// free, although each waits for an append first.
 inline constexpr Millis cStartBacklogMs = 300;
 inline constexpr size_t cMinBatchBytes = 16000;   ///< Appends may be this long on any link: a few jobs with their payloads.
 inline constexpr size_t cMaxWatchedBytes = 16384; ///< Appends up to this size show whether the store is slow.
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -197,8 +197,8 @@
 	GSource *source = nullptr;
 	Timer resend_timer;
 	std::map<uint64, Pending> pending;
-	std::map<uint64, ClosedQuestion> closed; ///< By nonce, so the oldest first; kept for `cClosedKeptMs`.
-	std::map<Address, RoundTrip> round_trips;
+	std::map<uint64, ClosedQuestion> closed;  ///< By nonce, so the oldest first; kept for `cClosedKeptMs`.
+	std::map<Address, RoundTrip> round_trips; ///< By host; at most `cMaxRoundTrips`.
 	/// An answer that was sent, kept for repeats of its question that arrive later.
 	struct SentAnswer
 	{
--- a/Loomreach/Ownership/LogTypes.h
+++ b/Loomreach/Ownership/LogTypes.h
@@ -61,8 +61,8 @@
 	std::vector<LogRecord> records;
 	std::optional<uint64> expected_end; ///< Append only if the partition ends at this offset.
 	std::optional<Producer> producer;
-	Millis timeout_ms = 1000; ///< Time for the answer; the time that the records take on the link of this host comes on top.
-	ETraffic traffic = ETraffic::Other;
+	Millis timeout_ms = 1000;           ///< Time for the answer; the time that the records take on the link of this host comes on top.
+	ETraffic traffic = ETraffic::Other; ///< Kind under which its bytes are counted.
 };
 
 /// Answer to an append.
--- a/Loomreach/Platform/HttpClient.h
+++ b/Loomreach/Platform/HttpClient.h
@@ -51,10 +51,10 @@
 	Millis timeout_ms = 3000;
 	/// An answer that has begun to arrive may take this long in all: each part that arrives starts `timeout_ms` anew. 0: it may not.
 	Millis max_transfer_ms = 0;
-	Millis wait_ms = 0;   ///< The part of `timeout_ms` for which the server may delay its answer on purpose (long poll).
-	Millis not_after = 0; ///< On the process's clock: the request is not sent after this time; 0: no limit.
-	ETraffic traffic = ETraffic::Other;
-	bool repeatable = false; ///< Idempotent: it may use a kept connection, and is sent again if that turns out to be closed.
+	Millis wait_ms = 0;                 ///< The part of `timeout_ms` for which the server may delay its answer on purpose (long poll).
+	Millis not_after = 0;               ///< On the process's clock: the request is not sent after this time; 0: no limit.
+	ETraffic traffic = ETraffic::Other; ///< Kind under which its bytes are counted.
+	bool repeatable = false;            ///< Idempotent: it may use a kept connection, and is sent again if that turns out to be closed.
 };
 
 /// Makes calls on the main context. Calls in flight when it is destroyed never call back.
