Send a question between hosts at least twice within its time

What callers could see: a record whose collector had just restarted was sent to it once. A host answers late while it starts, so the time until a repeat rose to 500 ms, and a question that must be confirmed within 150 ms was not repeated at all: a datagram lost then was an unknown outcome (502). Change: the measured time until a repeat is bounded by a half of the question's time, and by a third of the time in which the other host must report that it handles the question. Test: PeerQuery.RepeatsAQuestionWithinItsTimeWhateverWasMeasured; RepeatsNoOftenerThanAnswersTake holds with its bound unchanged.

--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -16,6 +16,10 @@
 static constexpr Millis cResendCheckMs = 30;
 /// A late reply to a question that is over arrives within this time.
 static constexpr Millis cClosedKeptMs = 5000;
+/// A question is sent this often within its time, whatever round trips were measured: a host that has just restarted answers late at first.
+static constexpr Millis cMinSends = 2;
+/// The same within the short time in which the other host must report that it handles the question.
+static constexpr Millis cMinReportSends = 3;
 static constexpr size_t cMaxRoundTrips = 4096; ///< Hosts whose round trips are kept.
 /// Answers are kept much longer than the last repeat of any question (1.2 s) and the delay of a datagram.
 static constexpr Millis cAnswerCacheMs = 10000;
@@ -242,7 +246,8 @@
 	asked.limit_at = NowMillis() + inTimeoutMs;
 	asked.give_up_at = inInProgressMs > 0 ? std::min(asked.first_sent_at + inInProgressMs, asked.limit_at) : asked.limit_at;
 	asked.silence_ms = inSilenceMs;
-	asked.resend_at = asked.first_sent_at + this->RoundTripTo(inTo).RepeatAfterMs();
+	asked.max_repeat_ms = inInProgressMs > 0 ? inInProgressMs / cMinReportSends : inTimeoutMs / cMinSends;
+	asked.resend_at = asked.first_sent_at + this->RepeatDelay(asked);
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Question);
 	if (!this->resend_timer.IsRunning())
 		this->resend_timer.Every(cResendCheckMs, [this] { this->ResendPending(); });
@@ -255,6 +260,11 @@
 		this->SendTo(ToSocketAddress(to).get(), bytes, ETraffic::Message);
 }
 
+Millis PeerQuery::RepeatDelay(const Pending &inAsked)
+{
+	return std::min(this->RoundTripTo(inAsked.to).RepeatAfterMs(), std::max(RoundTrip::cMinRepeatMs, inAsked.max_repeat_ms));
+}
+
 RoundTrip &PeerQuery::RoundTripTo(const Address &inHost)
 {
 	// Hosts are replaced at new addresses. What is forgotten is soon measured again
@@ -314,7 +324,7 @@
 		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
 		{
 			asked.repeated = true;
-			const Millis repeat_ms = this->RoundTripTo(asked.to).RepeatAfterMs();
+			const Millis repeat_ms = this->RepeatDelay(asked);
 			asked.resend_at = now + this->BacklogMs() + (asked.in_progress ? std::max(cResendInProgressMs, repeat_ms) : repeat_ms);
 			this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Repeat);
 		}
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -153,6 +153,7 @@
 		Millis silence_ms = 0;    ///< Above 0: reports must follow each other within this time.
 		bool in_progress = false; ///< The other host is handling the question: it is repeated only if `silence_ms` is set.
 		Millis resend_at = 0;
+		Millis max_repeat_ms = 0; ///< Longest delay before a repeat.
 		Millis first_sent_at = 0; ///< When the first datagram left the link, by the estimate of its backlog.
 		bool repeated = false;
 		Millis round_trip_ms = -1; ///< From the first datagram to the first reply; -1: no reply yet.
@@ -174,6 +175,8 @@
 	void ResendPending();
 	/// Delay until datagrams sent now leave the link.
 	Millis BacklogMs() const { return this->link == nullptr ? 0 : this->link->BacklogMs(NowMillis()); }
+	/// Delay before a question is repeated.
+	Millis RepeatDelay(const Pending &inAsked);
 	RoundTrip &RoundTripTo(const Address &inHost);
 	/// Measures the round trip of a question that has got its first reply.
 	void OnFirstReply(Pending &ioAsked, Millis inNow);
--- a/Loomreach/Entry/RoundTrip.cpp
+++ b/Loomreach/Entry/RoundTrip.cpp
@@ -7,8 +7,6 @@
 namespace Loomreach
 {
 
-/// Shortest repeat time; a round trip between zones takes 2 ms on an idle link.
-static constexpr Millis cMinRepeatMs = 60;
 /// Longest repeat time. Longer round trips are measured while a process is paused, and say nothing about the link.
 static constexpr Millis cMaxRepeatMs = 500;
 // Weights and factor of RFC 6298
--- a/Loomreach/Entry/RoundTrip.h
+++ b/Loomreach/Entry/RoundTrip.h
@@ -12,6 +12,9 @@
 class RoundTrip
 {
 public:
+	/// Shortest repeat time; a round trip between zones takes 2 ms on an idle link.
+	static constexpr Millis cMinRepeatMs = 60;
+
 	/// Call with the time from a datagram to the reply to it. The time to the reply to a repeat of it must not be passed.
 	void OnMeasured(Millis inRoundTripMs);
 	/// Time without a reply after which a datagram counts as lost.
--- a/UnitTests/PeerQueryTests.cpp
+++ b/UnitTests/PeerQueryTests.cpp
@@ -271,6 +271,30 @@
 	EXPECT_GE(host.received, 3u);
 }
 
+/// Guards against a question that is sent once and lost with its datagram, because the host it goes to has just started and answered late.
+TEST(PeerQuery, RepeatsAQuestionWithinItsTimeWhateverWasMeasured)
+{
+	constexpr Millis cLateMs = 400;
+	Metrics metrics;
+	DelayedHost host(cLateMs);
+	PeerQuery asking(
+		{"127.0.0.1", FreePort()}, metrics, [](const PeerQuestion &, const std::function<void(PeerAnswer)> &) {},
+		[](EPeerMessage, const std::string &) {});
+	ASSERT_TRUE(asking.Open());
+	const auto ignore = [](const std::optional<PeerAnswer> &) {};
+	asking.Ask(host.At(), {}, 1500, ignore);
+	for (Millis waited = 0; waited < 2 * cLateMs; waited += 10)
+	{
+		FakeLog::RunMainLoopFor(10);
+		host.Step();
+	}
+	host.received = 0;
+	asking.Ask(host.At(), {}, 1500, ignore, 150);
+	FakeLog::RunMainLoopFor(200);
+	host.Step();
+	EXPECT_GE(host.received, 2u);
+}
+
 /// Guards against a pause of the process that is taken for a slow link for long.
 TEST(RoundTrip, APauseIsSoonForgotten)
 {
