Limit a pool's demand only once its start backlog has been full for a second

Cause: demand was limited to what is in use as soon as one planning pass had ended with a full start backlog. Any burst does that, since runs that wait for their append count; a pool then got no hosts for it, and the long-running tasks of hosts that are emptied for the wave waited for room. Change: demand is limited once every pass for a second has ended so, which a burst that the link carries does not reach. Test: CellStartBacklog.ABurstDoesNotLimitTheDemand (new).

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -409,7 +409,7 @@
 	Millis planned_answer_age = 0;            ///< Age of the oldest answer of their workers.
 	std::vector<RunId> to_start;              ///< Logged runs to dispatch.
 	size_t unsent_start_bytes = 0;            ///< Size of the starts that are planned and not sent, as of the current planning pass.
-	Millis starts_paused_until = -cNeverMs;   ///< Until then the starts that wait to be sent count as the limit of the cell's work.
+	Millis starts_paused_since = -1; ///< Since when every planning pass has ended with a full start backlog; -1: the last one has not.
 	std::map<RunId, std::string> start_workers;
 	std::map<std::string, std::deque<std::pair<Millis, Resources>>> recent_demand; ///< Recent samples of demand, by pool.
 	RunTimes run_times;
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -13,6 +13,8 @@
 static constexpr Millis cMoveLeadMs = 2000;
 /// A lost worker stays in the worker list for three of its heartbeats, specified as 1.5 s each, plus a margin.
 static constexpr Millis cListLagMs = 5000;
+/// A start backlog that has been full for this long limits the work of the cell. A shorter one is a burst, for which hosts are of use.
+static constexpr Millis cStartsLimitedMs = 1000;
 static constexpr size_t cSurgeJobs = 5;
 /// Tasks that wait for a trial run need separate hosts, whatever resources they request; at most this many while other pools lack hosts.
 static constexpr uint32 cMaxTrialHosts = 8;
@@ -191,7 +193,7 @@
 	}
 	demand.min_hosts = std::max(demand.min_hosts, std::min(this->WaitingTrials(inPool), cMaxTrialHosts));
 	this->AddTrialDemand(inPool, demand);
-	if (inNow < this->starts_paused_until)
+	if (this->starts_paused_since >= 0 && inNow - this->starts_paused_since >= cStartsLimitedMs)
 		this->LimitDemandToUse(inPool, demand);
 	// Of the hosts without long-running tasks, the least used are drained first
 	std::vector<std::pair<int64, CellWorker *>> least_used;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -52,8 +52,6 @@
 /// starting for as long as they arrive.
 static constexpr Millis cTrialOverdueMs = 3000;
 
-/// The fleet's owner asks for demands at intervals of 200 ms, and planning may go on between two of them.
-static constexpr Millis cStartsPausedMs = 300;
 static constexpr Millis cLogDeferredMs = 1000; ///< Deferred jobs are logged at most this often.
 
 EDeadlineOutlook Cell::OutlookOf(const CellJob &inJob, int64 inWallNow) const
@@ -295,8 +293,10 @@
 		if (!this->HasTasksToStart(*entry.job, inWallNow))
 			this->jobs_to_plan.erase(entry.job->spec.id);
 	}
-	if (this->IsStartBacklogFull())
-		this->starts_paused_until = inNow + cStartsPausedMs;
+	if (!this->IsStartBacklogFull())
+		this->starts_paused_since = -1;
+	else if (this->starts_paused_since < 0)
+		this->starts_paused_since = inNow;
 	this->short_pools.clear();
 	for (const PlanReject &reject : this->capacity_rejects)
 		this->short_pools.emplace(reject.pool);
--- a/UnitTests/CellStartBacklogTests.cpp
+++ b/UnitTests/CellStartBacklogTests.cpp
@@ -134,20 +134,36 @@
 	EXPECT_TRUE(std::any_of(next.begin(), next.end(), [](const TaskId &inTask) { return inTask.job == "urgent"; }));
 }
 
+/// Guards against a pool that gets no hosts for a burst which its owner's link carries in less than a second: long-running tasks on hosts
+/// that are emptied for maintenance wait for room, and the maintenance ends late.
+TEST(CellStartBacklog, ABurstDoesNotLimitTheDemand)
+{
+	IdleCell fixture{NarrowLink()};
+	fixture.Submit(MakeJob("job", 1, 40, 1000, 800));
+	for (int i = 0; i < 6; ++i)
+	{
+		fixture.PlanAndWrite();
+		EXPECT_GE(fixture.cell.Demand("pool", 0, 0, fixture.now, cWallMs + fixture.now).in_time.cpu_milli, 40'000);
+		EXPECT_FALSE(fixture.Starts().empty());
+	}
+}
+
 /// Guards against a pool that takes hosts from others although its owner cannot start anything on them.
 TEST(CellStartBacklog, DemandIsLimitedToWhatTheOwnerCanStart)
 {
 	IdleCell fixture{NarrowLink()};
 	fixture.Submit(MakeJob("job", 1, 40, 1000, 800));
 	EXPECT_GE(fixture.cell.Demand("pool", 0, 0, fixture.now, cWallMs + fixture.now).in_time.cpu_milli, 40'000);
-	fixture.PlanAndWrite();
+	for (Millis waited = 0; waited < 1500; waited += 50)
+		fixture.PlanAndWrite();
 	const PoolDemand limited = fixture.cell.Demand("pool", 0, 0, fixture.now, cWallMs + fixture.now);
 	EXPECT_EQ(limited.in_time.cpu_milli + limited.late.cpu_milli, 4 * 1000);
 	// Once the starts have been sent and all is planned, the demand is that of the jobs
 	while (!fixture.Starts().empty())
 		fixture.PlanAndWrite();
 	fixture.now += 1000;
-	EXPECT_GE(fixture.cell.Demand("pool", 0, 0, fixture.now, cWallMs + fixture.now).in_time.cpu_milli, 40'000);
+	const PoolDemand whole = fixture.cell.Demand("pool", 0, 0, fixture.now, cWallMs + fixture.now);
+	EXPECT_GE(whole.in_time.cpu_milli + whole.late.cpu_milli, 40'000);
 }
 
 } // namespace Loomreach::Jobs
