Log what the leases of a silent worker rest on, and how a late end was learned of

The logs could not tell whether the worker's lease had really expired when its run was given up, how many polls had gone unanswered, whether a forwarder had accepted an order and its answer was lost, or by which way the end came in the end.

run_ended (concluded), worker_silent and worker_answers now name the unanswered polls, the latest lease end granted and the worker's clock; run_ended_late names the way, the age of the decision and the runs started meanwhile; forward_unanswered tells a forwarder that never took an order from one that accepted it and did not answer.

--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -315,7 +315,7 @@
 		{
 			this->KeepClosed(it->first, asked, now);
 			std::optional<PeerAnswer> silent;
-			if (asked.in_progress && asked.silence_ms > 0)
+			if (asked.in_progress)
 				silent.emplace().in_progress = true;
 			given_up.emplace_back(std::move(asked.done), std::move(silent));
 			it = this->pending.erase(it);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -132,10 +132,10 @@
 
 	/// Binds the UDP socket. Returns false if that fails, with BadConfig as the last error.
 	bool Open();
-	/// Repeats the question until an answer arrives or `inTimeoutMs` is over, and calls back once; nothing: no answer. `inInProgressMs`
-	/// above 0: gives up after this if the other host has not reported that it is handling the question. `inSilenceMs` above 0: the
-	/// question is still repeated after such a report, and given up when no report has arrived for this long. The answer is then one with
-	/// `in_progress` set.
+	/// Repeats the question until an answer arrives or `inTimeoutMs` is over, and calls back once; nothing: no answer. An answer with
+	/// `in_progress` set: the other host has reported that it is handling the question, and its answer has not arrived in time.
+	/// `inInProgressMs` above 0: gives up after this without such a report. `inSilenceMs` above 0: the question is still repeated after a
+	/// report, and given up when no report has arrived for this long.
 	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs = 0,
 			 Millis inSilenceMs = 0);
 	/// Sends a message to other hosts, once each.
--- a/Loomreach/Forward/OrderSender.h
+++ b/Loomreach/Forward/OrderSender.h
@@ -30,6 +30,8 @@
 private:
 	/// Hands the order to a forwarder, and sends it directly if that does not work out.
 	void Forward(const Order &inOrder, const Forwarder &inBy, OnAnswer inDone);
+	/// The forwarder has not answered in time. `inAccepted`: it had reported that it has the order.
+	void OnUnanswered(const Order &inOrder, const Address &inBy, bool inAccepted, Millis inWaitedMs);
 
 	Agent &agent;
 	PeerQuery &peers;
--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -1,6 +1,7 @@
 // Sends orders directly, through a forwarder, and on behalf of other hosts.
 
 #include <Loomreach/Core/Clock.h>
+#include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/State/Codec.h>
 
 namespace Loomreach::Jobs
@@ -65,11 +66,13 @@
 	question.record = EncodeValue(order);
 	if (question.record.size() > cMaxForwardedBytes)
 		return this->agent.Send(inOrder, std::move(inDone));
-	const auto on_answer = [this, inOrder, by = inBy.address, done = std::move(inDone)](const std::optional<PeerAnswer> &inAnswer)
+	const auto on_answer =
+		[this, inOrder, by = inBy.address, sent_at = NowMillis(), done = std::move(inDone)](const std::optional<PeerAnswer> &inAnswer)
 	{
 		const Millis now = NowMillis();
-		if (!inAnswer.has_value())
-			this->plan.OnUnresponsive(by, now);
+		const bool accepted = inAnswer.has_value() && inAnswer->in_progress;
+		if (accepted || !inAnswer.has_value())
+			this->OnUnanswered(inOrder, by, accepted, now - sent_at);
 		else
 			this->plan.OnClock(by, inAnswer->clock_ms, now);
 		const std::optional<OrderAnswer> answer = inAnswer.has_value() ? DecodeValue<OrderAnswer>(inAnswer->record) : std::nullopt;
@@ -79,12 +82,27 @@
 		if (now >= inOrder.not_after)
 			return done(OrderAnswer{});
 		// The forwarder may have sent it all the same; a second sending is the same order
-		const bool uncertain = !inAnswer.has_value() || !inAnswer->not_done;
+		const bool uncertain = accepted || !inAnswer.has_value() || !inAnswer->not_done;
 		this->agent.Send(inOrder, [uncertain, done](const OrderAnswer &inOwn) { done(uncertain ? AsUncertain(inOwn) : inOwn); });
 	};
 	this->peers.Ask(inBy.address, std::move(question), order.wait_ms + cForwardMarginMs, this->Guard(on_answer), cAcceptTimeoutMs);
 }
 
+template <class Agent>
+void OrderSender<Agent>::OnUnanswered(const Order &inOrder, const Address &inBy, bool inAccepted, Millis inWaitedMs)
+{
+	LogEvent(ELogLevel::Warning, "forward_unanswered")
+		.Field("host", inBy.Text())
+		.Field("order", NameOf(cOrderNames, inOrder.kind))
+		.Field("worker", inOrder.worker)
+		.Field("run", inOrder.run)
+		.Field("accepted", inAccepted ? 1 : 0)
+		.Field("waited_ms", inWaitedMs)
+		.Field("wait_ms", inOrder.wait_ms)
+		.Field("token", inOrder.token);
+	this->plan.OnUnresponsive(inBy, NowMillis());
+}
+
 template <class Agent>
 void OrderSender<Agent>::SendFor(const PeerQuestion &inQuestion, uint64 inOwnIncarnation, std::function<void(PeerAnswer)> inReply)
 {
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -257,6 +257,8 @@
 	void TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
 	/// Records what an answer says about whether the worker's process is up.
 	void RecordContact(CellWorker &ioWorker, const OrderAnswer &inAnswer, bool inAnswered, Millis inNow);
+	/// Logs that a worker has fallen silent or answers again.
+	void LogReachable(const CellWorker &inWorker, const OrderAnswer &inAnswer, bool inReachable, Millis inSilentMs);
 	void OnStartAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnStopAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	void OnPollAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow);
@@ -346,7 +348,9 @@
 	bool NeedsTrial(const TaskId &inTask);
 
 	// CellEnds.cpp
-	void OnEnded(CellWorker &ioWorker, const EndedRun &inRow, Millis inNow);
+	void OnEnded(CellWorker &ioWorker, const EndedRun &inRow, EEndSource inSource, Millis inNow);
+	/// How long ago the run of this end was given up, ms; -1: it was not, or is not the last one that was.
+	Millis GivenUpAge(const EndedRun &inRow, Millis inNow);
 	void RecordProgress(CellWorker &ioWorker, const RunId &inRun, const Run &inProgress, Millis inNow);
 	/// Learns from the run time of a complete run.
 	void LearnRun(CellWorker &ioWorker, CellJob &ioJob, const TaskId &inTask, Millis inDuration, Millis inNow);
@@ -361,7 +365,7 @@
 	void IngestEnds(const EndReport &inReport, Millis inNow);
 	void LogEnd(const CellWorker &inWorker, const RunId &inId, const Run &inRun, ERunEnd inEnd, std::string_view inWhy, uint64 inNumber);
 	/// Applies ends from any source. Only polls of the current incarnation determine which ends the worker may drop.
-	void ApplyEnds(CellWorker &ioWorker, const std::vector<EndedRun> &inEnded, Millis inNow);
+	void ApplyEnds(CellWorker &ioWorker, const std::vector<EndedRun> &inEnded, EEndSource inSource, Millis inNow);
 	/// Applies ends from a poll, which no other host knows yet, and replicates them.
 	void ApplyPolledEnds(CellWorker &ioWorker, const std::vector<EndedRun> &inEnded, Millis inNow);
 	void LogUnmatched(const EndedRun &inRow);
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -20,7 +20,28 @@
 
 static constexpr uint32 cTasksForSpread = 3; ///< With fewer tasks, the spread within a step means little.
 
-void Cell::OnEnded(CellWorker &ioWorker, const EndedRun &inRow, Millis inNow)
+/// Runs of a task that are recorded now, as run@worker.
+static std::string RunsText(const TaskRecord &inTask)
+{
+	std::string text;
+	for (const RunRecord &run : inTask.runs)
+		text += (text.empty() ? "" : " ") + std::to_string(run.run) + "@" + run.worker;
+	return text;
+}
+
+/// Remaining lease by the worker's clock in its last answer, ms; below 0: expired by then. -cNeverMs: this owner has granted none.
+static Millis LeaseLeft(const CellWorker &inWorker)
+{
+	return inWorker.granted_until_ms < 0 ? -cNeverMs : inWorker.granted_until_ms - inWorker.clock_ms;
+}
+
+Millis Cell::GivenUpAge(const EndedRun &inRow, Millis inNow)
+{
+	const VolatileTaskState *state = this->FindVolatileState(inRow.task);
+	return state == nullptr || state->given_up_run != inRow.run ? -1 : inNow - state->given_up_at;
+}
+
+void Cell::OnEnded(CellWorker &ioWorker, const EndedRun &inRow, EEndSource inSource, Millis inNow)
 {
 	const RunId id{inRow.task, inRow.run};
 	if (ioWorker.runs.contains(id))
@@ -38,6 +59,10 @@
 		.Field("worker", ioWorker.entry.id)
 		.Field("end", NameOf(cRunEndNames, inRow.end))
 		.Field("number", inRow.sequence)
+		.Field("learned_from", NameOf(cEndSourceNames, inSource))
+		.Field("given_up_ms_ago", this->GivenUpAge(inRow, inNow))
+		.Field("lease_left_ms", LeaseLeft(ioWorker))
+		.Field("present", RunsText(*task))
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
 	this->FinishTask(*job, inRow.task);
@@ -71,13 +96,13 @@
 	auto known = this->workers.find(inReport.worker);
 	CellWorker &worker = known == this->workers.end() ? removed_worker : known->second;
 	// Only this owner's own polls determine what the worker may drop: these ends may be incomplete, or of a previous incarnation
-	this->ApplyEnds(worker, inReport.ended, inNow);
+	this->ApplyEnds(worker, inReport.ended, EEndSource::Inbox, inNow);
 }
 
-void Cell::ApplyEnds(CellWorker &ioWorker, const std::vector<EndedRun> &inEnded, Millis inNow)
+void Cell::ApplyEnds(CellWorker &ioWorker, const std::vector<EndedRun> &inEnded, EEndSource inSource, Millis inNow)
 {
 	for (const EndedRun &row : inEnded)
-		this->OnEnded(ioWorker, row, inNow);
+		this->OnEnded(ioWorker, row, inSource, inNow);
 	this->run_events.FlushUnmatched(ioWorker.entry.id, 0);
 }
 
@@ -85,7 +110,7 @@
 {
 	for (const EndedRun &row : inEnded)
 		this->replicator.Add(ioWorker.entry.id, row);
-	this->ApplyEnds(ioWorker, inEnded, inNow);
+	this->ApplyEnds(ioWorker, inEnded, EEndSource::EarlierPoll, inNow);
 }
 
 void Cell::LogUnmatched(const EndedRun &inRow)
@@ -100,10 +125,6 @@
 {
 	const CellJob *job = this->FindJob(inRow.task.job);
 	const TaskRecord *task = this->FindTask(inRow.task);
-	std::string present;
-	if (task != nullptr)
-		for (const RunRecord &run : task->runs)
-			present += (present.empty() ? "" : " ") + std::to_string(run.run) + "@" + run.worker;
 	LogEvent(ELogLevel::Warning, "run_unknown")
 		.Field("request", inRow.task.job)
 		.Field("task", TaskText(inRow.task))
@@ -113,7 +134,7 @@
 		.Field("phase", job == nullptr ? "unknown" : NameOf(cJobPhaseNames, job->record.phase))
 		.Field("task_done", task != nullptr && task->done ? 1 : 0)
 		.Field("last_run", task == nullptr ? 0 : task->last_run)
-		.Field("present", present)
+		.Field("present", task == nullptr ? "" : RunsText(*task))
 		.Field("look_ms", this->now - inSentAt)
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
@@ -140,6 +161,9 @@
 		.Field("answer_ms_ago", inWorker.last_answer_at < 0 ? -1 : this->now - inWorker.last_answer_at)
 		.Field("closed_ms_ago", inWorker.connections_closed_at < 0 ? -1 : this->now - inWorker.connections_closed_at)
 		.Field("lease_left_ms", inWorker.lease_expires_at - this->now)
+		.Field("unanswered_polls", inWorker.unanswered_polls)
+		.Field("granted_until_ms", inWorker.granted_until_ms)
+		.Field("clock_ms", inWorker.clock_ms < 0 ? -1 : inWorker.ClockAt(this->now))
 		.Field("born_ms", inWorker.started_ms)
 		.Field("last_seen", inWorker.logged_seq);
 }
@@ -160,6 +184,11 @@
 	if (!inCheckpoint.empty())
 		task->checkpoint = inCheckpoint;
 	VolatileTaskState &state = *this->FindVolatileState(inRun.task);
+	if (inNumber == 0)
+	{
+		state.given_up_run = inRun.run;
+		state.given_up_at = inNow;
+	}
 	if (!run.long_running && inEnd == ERunEnd::Failed)
 	{
 		++ioWorker.consecutive_failures;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -106,6 +106,7 @@
 		run.resumed = !task->checkpoint.empty();
 		order.ticket = run.ticket;
 		order.until_ms = worker.ClockAt(inNow) + this->leases.LeaseToGrant();
+		worker.granted_until_ms = std::max(worker.granted_until_ms, order.until_ms);
 		run.start_expires_at = order.until_ms;
 		run.start_pending_until = inNow + cMaxOrderDelayMs;
 		worker.lease_expires_at = std::max(worker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
@@ -199,6 +200,7 @@
 	if (has_dispatched && ioWorker.clock_ms >= 0 && ioWorker.reachable)
 	{
 		order.until_ms = ioWorker.ClockAt(inNow) + this->leases.LeaseToGrant();
+		ioWorker.granted_until_ms = std::max(ioWorker.granted_until_ms, order.until_ms);
 		ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 	}
 	const bool immediate =
@@ -238,6 +240,21 @@
 		ioWorker.unanswered_since = inNow;
 }
 
+void Cell::LogReachable(const CellWorker &inWorker, const OrderAnswer &inAnswer, bool inReachable, Millis inSilentMs)
+{
+	LogEvent(inReachable ? ELogLevel::Info : ELogLevel::Warning, inReachable ? "worker_answers" : "worker_silent")
+		.Field("worker", inWorker.entry.id)
+		.Field("result", NameOf(cOrderResultNames, inAnswer.result))
+		.Field("closed", inAnswer.connection_closed ? 1 : 0)
+		.Field("runs", inWorker.runs.size())
+		.Field("silent_ms", inSilentMs)
+		.Field("unanswered_polls", inWorker.unanswered_polls)
+		.Field("granted_until_ms", inWorker.granted_until_ms)
+		.Field("clock_ms", inAnswer.clock_ms)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::OnAnswer(const Order &inOrder, const OrderAnswer &inAnswer, Millis inSentAt, Millis inNow)
 {
 	this->now = inNow;
@@ -250,6 +267,7 @@
 	if (inOrder.kind == EOrder::Poll && inOrder.serial == worker.newest_poll)
 		worker.poll_in_flight = false;
 	const bool answered = inAnswer.result != EOrderResult::Unknown && inAnswer.result != EOrderResult::NotSent;
+	const Millis silent_ms = worker.last_answer_at < 0 ? -1 : inNow - worker.last_answer_at;
 	// If another incarnation may have answered, the answer does not show that this one is up
 	this->RecordContact(worker, inAnswer, answered && !worker.restart_suspected, inNow);
 	if (answered && inAnswer.clock_ms >= 0 && !worker.restart_suspected)
@@ -262,15 +280,11 @@
 	const bool well = answered && inAnswer.result != EOrderResult::Unhealthy;
 	if (inOrder.kind == EOrder::Poll || !answered)
 	{
+		worker.unanswered_polls += inOrder.kind == EOrder::Poll && !answered ? 1 : 0;
 		if (worker.reachable != well)
-			LogEvent(well ? ELogLevel::Info : ELogLevel::Warning, well ? "worker_answers" : "worker_silent")
-				.Field("worker", inOrder.worker)
-				.Field("result", NameOf(cOrderResultNames, inAnswer.result))
-				.Field("closed", inAnswer.connection_closed ? 1 : 0)
-				.Field("runs", worker.runs.size())
-				.Field("cell", this->run_events.Cell())
-				.Field("epoch", this->epoch);
+			this->LogReachable(worker, inAnswer, well, silent_ms);
 		worker.reachable = well;
+		worker.unanswered_polls = answered ? 0 : worker.unanswered_polls;
 		if (!well)
 			worker.next_poll_at = inNow + this->tuning.poll_retry_ms;
 	}
@@ -397,7 +411,7 @@
 	{
 		if (row.sequence <= ioWorker.recorded_seq)
 			continue;
-		this->OnEnded(ioWorker, row, inNow);
+		this->OnEnded(ioWorker, row, EEndSource::Poll, inNow);
 		ioWorker.recorded_seq = row.sequence;
 		ioWorker.unlogged_ends.push_back(row);
 		this->replicator.Add(ioWorker.entry.id, row);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -157,6 +157,20 @@
 	return run;
 }
 
+/// How an owner learned of a run end.
+enum class EEndSource : uint8
+{
+	Poll,        ///< Listed in the answer to the newest poll.
+	EarlierPoll, ///< Listed in the answer to an earlier poll, or to one of a previous incarnation.
+	Inbox        ///< Submitted to the inbox by a former owner or a host with a replica.
+};
+
+inline constexpr std::array cEndSourceNames = {
+	EnumName<EEndSource>{EEndSource::Poll, "poll"},
+	EnumName<EEndSource>{EEndSource::EarlierPoll, "earlier-poll"},
+	EnumName<EEndSource>{EEndSource::Inbox, "inbox"},
+};
+
 /// State of one incarnation of a worker. The next one, which may have the same id, starts with none of it.
 struct WorkerIncarnation
 {
@@ -174,6 +188,8 @@
 	Millis last_poll_at = -1000; ///< When that poll was sent.
 	Millis next_poll_at = 0;
 	Millis last_answer_at = -1;        ///< -1: never answered.
+	uint32 unanswered_polls = 0;       ///< Polls that got no answer since then.
+	Millis granted_until_ms = -1;      ///< Latest lease end in this owner's orders, on the worker's clock; -1: none granted.
 	Millis connections_closed_at = -1; ///< When its connections were first found closed after the last answer; -1: not closed.
 	/// When the first call after the last answer went unanswered on an open connection: the host is unresponsive or partitioned. -1: none
 	/// did.
@@ -288,6 +304,8 @@
 	std::string last_failed_worker;   ///< Worker of its last failed run.
 	Millis trial_wanted_since = -1;   ///< Since when a worker for its trial run has been sought; -1: not sought.
 	Millis trial_wait_logged_at = -1; ///< When that wait was last logged; -1: not yet.
+	uint32 given_up_run = 0;          ///< Its last run that was given up without an answer; 0: none.
+	Millis given_up_at = 0;           ///< When that run was given up.
 	uint32 slow_runs = 0;             ///< Its runs that were stopped as stragglers.
 	std::string slow_worker;          ///< Worker of the last of them.
 	Millis slow_until = 0;            ///< It is not started on `slow_worker` again until then.
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -126,6 +126,13 @@
 	Throttle ///< Throttles a best-effort run.
 };
 
+inline constexpr std::array cOrderNames = {
+	EnumName<EOrder>{EOrder::Start, "start"},
+	EnumName<EOrder>{EOrder::Stop, "stop"},
+	EnumName<EOrder>{EOrder::Poll, "poll"},
+	EnumName<EOrder>{EOrder::Throttle, "throttle"},
+};
+
 /// One order to one worker.
 struct Order
 {
