Test that two lost answers to polls do not restart a finished task

Fails on this code: 2 starts where 1 is allowed. A run's worker answers, its next two polls are lost, and the run is given up 4,270 ms after the last lease although the worker holds its end and answers the third poll.

--- a/UnitTests/CellLateEndTests.cpp
+++ b/UnitTests/CellLateEndTests.cpp
@@ -124,4 +124,85 @@
 	EXPECT_EQ(harness.started[1].task.step, 1u);
 }
 
+namespace
+{
+
+constexpr Millis cCallTimeoutMs = 1000; ///< Added to the wait of a poll.
+constexpr Millis cAnswerMs = 10;        ///< Time to the answer of an order that is not lost.
+
+/// Drives a cell with one task, whose worker ends its run after the start; the first polls after that are lost. Returns the number of
+/// starts that were sent within `inForMs`.
+size_t CountStarts(uint32 inLostPolls, Millis inForMs)
+{
+	struct Sent
+	{
+		Order order;
+		Millis sent_at = 0;
+		Millis answered_at = 0;
+		OrderAnswer answer;
+	};
+	Cell cell{CellTuning{}};
+	Millis now = 1000;
+	cell.Begin(1, now);
+	std::vector<WorkerEntry> entries(2);
+	for (size_t i = 0; i < entries.size(); ++i)
+	{
+		entries[i].id = "w" + std::to_string(i);
+		entries[i].pool = "pool";
+		entries[i].address = {"127.0.0.1", 1};
+		entries[i].capacity = {16000, 32768, 0};
+	}
+	cell.SetWorkers(entries, now);
+	cell.Ingest({EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)}, 0, now, now);
+	std::vector<Sent> in_flight;
+	std::string started_on;
+	size_t starts = 0;
+	for (const Millis end = now + inForMs; now < end; now += cAnswerMs)
+	{
+		for (size_t i = 0; i < in_flight.size();)
+		{
+			if (now < in_flight[i].answered_at)
+			{
+				++i;
+				continue;
+			}
+			const Sent sent = in_flight[i];
+			in_flight.erase(in_flight.begin() + static_cast<std::ptrdiff_t>(i));
+			cell.OnAnswer(sent.order, sent.answer, sent.sent_at, now);
+		}
+		cell.Plan(now, now);
+		if (cell.HasUnwrittenChanges() && !cell.TakeBatch(now).empty())
+			cell.OnAppended(now);
+		for (const Order &order : cell.TakeOrders(now))
+		{
+			Sent sent{order, now, now + cAnswerMs, {}};
+			sent.answer.result = EOrderResult::Done;
+			sent.answer.clock_ms = now;
+			const bool has_run = order.kind == EOrder::Poll && order.worker == started_on;
+			if (order.kind == EOrder::Start && ++starts == 1)
+				started_on = order.worker;
+			else if (has_run && inLostPolls > 0)
+			{
+				--inLostPolls;
+				sent.answered_at = now + order.wait_ms + cCallTimeoutMs;
+				sent.answer = OrderAnswer{};
+			}
+			else if (has_run && order.acknowledged_end == 0)
+				sent.answer.ended.push_back({1, {"job", 0, 0, 0}, 1, ERunEnd::Done, ""});
+			in_flight.push_back(std::move(sent));
+		}
+	}
+	return starts;
+}
+
+} // namespace
+
+/// A task that has ended is started again because the answers to two polls in a row were lost.
+TEST(CellLateEnd, TwoLostPollsDoNotRestartAFinishedTask)
+{
+	EXPECT_EQ(CountStarts(0, 12000), 1u);
+	EXPECT_EQ(CountStarts(1, 12000), 1u);
+	EXPECT_EQ(CountStarts(2, 12000), 1u);
+}
+
 } // namespace Loomreach::Jobs
