Let a stopping forwarder finish the orders of others that it has, and leave new ones to their owners

Under load an owner has idle hosts send its orders. Such a host that was stopped by plan went on taking orders, for as long as its last heartbeat called it idle, and ended 3.2 s later without waiting for their answers. The owner of a lost long poll heard nothing of the worker for 2.8 s of its lease of 4 s, and the next forwarder could be stopping as well.

Now a host that stops refuses orders of others (the owner sends them itself within milliseconds), and waits for the answers to those that it has, 5 s at most. After a forwarded order without an answer, the orders to that worker are sent directly for 5 s, so that two lost forwarders in a row do not keep it unheard.

--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -77,7 +77,7 @@
 /// A stopping host keeps answering this long: the load balancer notices after two failed checks, one second apart.
 inline constexpr Millis cStopServeMs = 3200;
 
-/// Limit for submitting run ends during a stop: a stop may take 6 s.
+/// Limit for submitting and passing on run ends during a stop: a stop may take 6 s.
 inline constexpr Millis cStopSubmitEndsMs = 5000;
 
 inline constexpr int64 cKbPerMb = 1000;
@@ -233,6 +233,7 @@
 	this->on_stopped = std::move(inDone);
 	this->stopping = true;
 	this->stop_at = NowMillis();
+	this->orders.StopForwarding();
 }
 
 template <class Hub>
@@ -262,7 +263,8 @@
 		this->fleet_driver.reset();
 		this->SendHeartbeat(true);
 	}
-	const bool ends_pending = this->HasEndsToSubmit() && since < cStopSubmitEndsMs;
+	// Answers to orders sent for other hosts may list run ends too
+	const bool ends_pending = (this->HasEndsToSubmit() || this->orders.ForwardedInFlight() > 0) && since < cStopSubmitEndsMs;
 	if (since < cStopServeMs || ends_pending || this->caller_listener.InFlight() > 0 || this->on_stopped == nullptr)
 		return;
 	LogEvent(ELogLevel::Info, "stopped").Field("after_ms", since);
--- a/Loomreach/Forward/ForwardPlan.cpp
+++ b/Loomreach/Forward/ForwardPlan.cpp
@@ -60,6 +60,12 @@
 	LogEvent(ELogLevel::Warning, "forwarder_silent").Field("host", inHost.Text()).Field("out_ms", host.exclusion_ms);
 }
 
+void ForwardPlan::OnOrderUnanswered(const std::string &inWorker, Millis inNow)
+{
+	std::erase_if(this->direct_until, [inNow](const auto &inEntry) { return inNow >= inEntry.second; });
+	this->direct_until[inWorker] = inNow + this->tuning.direct_ms;
+}
+
 void ForwardPlan::Count(Millis inNow)
 {
 	++this->orders_in_window;
@@ -86,6 +92,9 @@
 	this->Count(inNow);
 	if (!this->forwarding || this->hosts.size() < this->tuning.min_idle_hosts)
 		return std::nullopt;
+	auto direct = this->direct_until.find(inOrder.worker);
+	if (direct != this->direct_until.end() && inNow < direct->second)
+		return std::nullopt;
 	// The forwarder is in the zone of the worker: what cuts it off cuts off the worker as well. The same one is chosen as long as it is
 	// usable, because it keeps connections to the worker open
 	auto zone = this->by_zone.find(inOrder.availability_zone);
--- a/Loomreach/Forward/ForwardPlan.h
+++ b/Loomreach/Forward/ForwardPlan.h
@@ -24,6 +24,7 @@
 	Millis window_ms = 500; ///< Orders are counted over this long: short compared with a load peak (4 s).
 	/// First exclusion of an unresponsive host: a host that is cut off or killed is back after 2 to 10 s.
 	Millis exclusion_ms = 5000;
+	Millis direct_ms = 5000;          ///< Orders to a worker are sent directly for this long after a forwarded one had no answer.
 	Millis max_exclusion_ms = 40'000; ///< The exclusion doubles each time that the host is unresponsive again, up to this.
 	size_t min_idle_hosts = 4;        ///< With fewer idle hosts nothing is forwarded: they are the next owners.
 };
@@ -50,6 +51,9 @@
 	void OnClock(const Address &inHost, Millis inClockMs, Millis inNow);
 	/// Call when a host did not accept what was sent to it.
 	void OnUnresponsive(const Address &inHost, Millis inNow);
+	/// Call when a forwarded order to a worker had no answer: its next orders are sent directly, so that a second lost forwarder does not
+	/// keep the worker from being heard until its lease expires.
+	void OnOrderUnanswered(const std::string &inWorker, Millis inNow);
 	/// Counts an order and chooses its forwarder; std::nullopt: this host sends it itself.
 	std::optional<Forwarder> Choose(const Order &inOrder, Millis inNow);
 	bool IsForwarding() const { return this->forwarding; }
@@ -73,8 +77,9 @@
 	ForwardTuning tuning;
 	std::map<Address, Host> hosts;
 	std::map<std::string, std::vector<Address>> by_zone;
-	Millis window_began = 0;    ///< When the present window began.
-	int64 orders_in_window = 0; ///< Orders counted in it.
+	std::map<std::string, Millis> direct_until; ///< Workers whose orders are not forwarded until then.
+	Millis window_began = 0;                    ///< When the present window began.
+	int64 orders_in_window = 0;                 ///< Orders counted in it.
 	bool forwarding = false;
 };
 
--- a/Loomreach/Forward/OrderSender.h
+++ b/Loomreach/Forward/OrderSender.h
@@ -26,6 +26,10 @@
 	void Send(const Order &inOrder, OnAnswer inDone);
 	/// Sends an order on behalf of another host. `inReply` is called once.
 	void SendFor(const PeerQuestion &inQuestion, uint64 inOwnIncarnation, std::function<void(PeerAnswer)> inReply);
+	/// This host is stopping: orders of other hosts are refused from now on, so that their owners send them.
+	void StopForwarding() { this->forwards = false; }
+	/// Number of other hosts' orders that this host has sent and that have no answer yet.
+	size_t ForwardedInFlight() const { return this->forwarded_in_flight; }
 
 private:
 	/// Hands the order to a forwarder, and sends it directly if that does not work out.
@@ -36,6 +40,8 @@
 	Agent &agent;
 	PeerQuery &peers;
 	ForwardPlan plan;
+	bool forwards = true; ///< See StopForwarding.
+	size_t forwarded_in_flight = 0;
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -100,29 +100,33 @@
 		.Field("waited_ms", inWaitedMs)
 		.Field("wait_ms", inOrder.wait_ms)
 		.Field("token", inOrder.token);
-	this->plan.OnUnresponsive(inBy, NowMillis());
+	const Millis now = NowMillis();
+	this->plan.OnUnresponsive(inBy, now);
+	this->plan.OnOrderUnanswered(inOrder.worker, now);
 }
 
 template <class Agent>
 void OrderSender<Agent>::SendFor(const PeerQuestion &inQuestion, uint64 inOwnIncarnation, std::function<void(PeerAnswer)> inReply)
 {
 	const std::optional<Order> order = DecodeValue<Order>(inQuestion.record);
-	// Refused: meant for an earlier process at this address, damaged, or expired
-	if (!order.has_value() || inQuestion.incarnation != inOwnIncarnation || NowMillis() >= order->not_after)
+	// Refused: stopping, meant for an earlier process at this address, damaged, or expired
+	if (!this->forwards || !order.has_value() || inQuestion.incarnation != inOwnIncarnation || NowMillis() >= order->not_after)
 	{
 		PeerAnswer refusal;
 		refusal.not_done = true;
 		return inReply(refusal);
 	}
-	this->agent.Send(*order,
-					 [reply = std::move(inReply)](const OrderAnswer &inAnswer)
-					 {
-						 PeerAnswer answer;
-						 answer.record = EncodeValue(inAnswer);
-						 if (answer.record.size() > cMaxForwardedBytes)
-							 answer.record.clear();
-						 reply(answer);
-					 });
+	++this->forwarded_in_flight;
+	this->agent.Send(*order, this->Guard(
+								 [this, reply = std::move(inReply)](const OrderAnswer &inAnswer)
+								 {
+									 --this->forwarded_in_flight;
+									 PeerAnswer answer;
+									 answer.record = EncodeValue(inAnswer);
+									 if (answer.record.size() > cMaxForwardedBytes)
+										 answer.record.clear();
+									 reply(answer);
+								 }));
 }
 
 } // namespace Loomreach::Jobs
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -19,6 +19,8 @@
 {
 
 constexpr Millis cLongTimeMs = 60'000;
+/// Within this time an order is answered that is sent directly after its forwarder has refused it.
+constexpr Millis cPromptAnswerMs = 150;
 
 Address HostAt(uint32 inNumber) { return {"10.0.0." + std::to_string(inNumber), 7060}; }
 
@@ -421,4 +423,51 @@
 	EXPECT_TRUE(hosts.own_agent.sent.empty());
 }
 
+/// A forwarder that ends takes along the answers to the orders that it still accepts while it stops.
+TEST(OrderSender, AStoppingForwarderLeavesOrdersToTheirOwners)
+{
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->sender->StopForwarding();
+	const std::optional<OrderAnswer> got = hosts.Ask(ForwardingHosts::MakeOrder(), cPromptAnswerMs);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::Done);
+	EXPECT_EQ(hosts.SentByHelpers(), 0u);
+	EXPECT_EQ(hosts.own_agent.sent.size(), 1u);
+}
+
+/// A stopping forwarder ends before the worker has answered, and the run ends in the answer are lost.
+TEST(OrderSender, AForwarderKnowsWhichOrdersHaveNoAnswerYet)
+{
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->agent.never_answers = true;
+	EXPECT_FALSE(hosts.Ask(ForwardingHosts::MakeOrder(), cPromptAnswerMs).has_value());
+	size_t in_flight = 0;
+	for (const auto &helper : hosts.helpers)
+	{
+		helper->sender->StopForwarding();
+		in_flight += helper->sender->ForwardedInFlight();
+		for (const auto &done : helper->agent.open)
+			done(OrderAnswer{});
+		EXPECT_EQ(helper->sender->ForwardedInFlight(), 0u);
+	}
+	EXPECT_EQ(in_flight, 1u);
+}
+
+/// Two forwarders that are lost one after the other keep a worker unheard for as long as its lease lasts.
+TEST(ForwardPlan, TheOrdersAfterAnUnansweredOneAreNotForwarded)
+{
+	ForwardPlan plan = ReadyPlan(IdleIn(cSixZones), 120);
+	PlanOrders(plan, 2000, 0, 1000);
+	const std::optional<Forwarder> by = plan.Choose(OrderFor("w1", "a"), 1000);
+	ASSERT_TRUE(by.has_value());
+	plan.OnUnresponsive(by->address, 1000);
+	plan.OnOrderUnanswered("w1", 1000);
+	EXPECT_FALSE(plan.Choose(OrderFor("w1", "a"), 1001).has_value());
+	EXPECT_TRUE(plan.Choose(OrderFor("w2", "a"), 1001).has_value());
+	PlanOrders(plan, 2000, 1002, 6100);
+	EXPECT_TRUE(plan.Choose(OrderFor("w1", "a"), 6101).has_value());
+}
+
 } // namespace Loomreach::Jobs
