Bound an owner's lease by every heartbeat sent since the newest acknowledged one

By the tests, a host that had just changed its lease from long to short could go on acting for a cell (also extend its workers' leases) after another host had found the cell free and could claim it.

Cause: OwnLease::OnSent ended the lease by the heartbeat just sent, because a challenger may have read that one alone, but OnAcknowledged of an earlier heartbeat with a longer lease then took the later of both ends. Heartbeat 1 sent at 0 with 2000 ms, heartbeat 2 sent at 10 with 1500 ms, then 1 acknowledged: the owner acts until 1700, a challenger that read 2 at 11 finds the cell free at 1512.

Why this holds: a challenger reads what was acknowledged before it claims, and counts from the newest heartbeat that it has read. That is the newest acknowledged one or one sent since, acknowledged or not. So the lease ends with the earliest end of just these; an acknowledgement removes the older ones, and one of an older heartbeat changes nothing. An owner thereby loses nothing that it could rely on.

Not covered: "reads before it claims" is assumed. A round of reads that takes longer than the slack may miss what was acknowledged while it ran (by reading JobHost::ReadHosts, no run).

--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -1,8 +1,9 @@
 // Tracks which entry host owns which cell, as far as the hosts' heartbeats in the log tell, and decides which cells this host may claim.
 //
 // The ownership lease:
-//  * An owner appends heartbeats. It may act until it *sent* its last acknowledged heartbeat plus the lease, minus a slack, and renews
-//    the lease only while it may still act.
+//  * An owner appends heartbeats. It may act until it *sent* its last acknowledged heartbeat plus the lease, minus a slack, and no longer
+//    than any heartbeat sent since allows by itself: a challenger may have read that one though it is not acknowledged. It renews the
+//    lease only while it may still act.
 //  * A challenger waits for the full lease from when it first *read* that heartbeat, and then reads once more before it claims.
 //  * So the owner's period ends first on any two steady clocks that differ by less than the slack.
 
@@ -295,20 +296,54 @@
 	bool MayAct(Millis inNow) const { return inNow < this->until; }
 	/// Call when a heartbeat is sent that renews the lease for `inLeaseMs`. Challengers may count from this one alone, so it also ends a
 	/// longer lease that was announced before.
-	void OnSent(Millis inSentAt, Millis inLeaseMs) { this->until = std::min(this->until, inSentAt + inLeaseMs - this->tuning.slack_ms); }
+	void OnSent(Millis inSentAt, Millis inLeaseMs)
+	{
+		const Millis end = this->EndOf(inSentAt, inLeaseMs);
+		// Whatever is acknowledged, an earlier heartbeat that ends no sooner never counts without this one
+		while (!this->bounds.empty() && this->bounds.back().end >= end)
+			this->bounds.pop_back();
+		// Of those that have ended, the last one suffices: it makes each acknowledgement of an earlier one too late
+		while (this->bounds.size() > 1 && this->bounds[1].end <= inSentAt)
+			this->bounds.pop_front();
+		this->bounds.push_back({inSentAt, end});
+		this->until = std::min(this->until, end);
+	}
 	/// Call when the heartbeat sent at `inSentAt` was acknowledged. Returns false if that came too late: what was owned is lost, and the
 	/// lease begins again.
 	bool OnAcknowledged(Millis inSentAt, Millis inLeaseMs, Millis inNow)
 	{
 		const bool kept = this->until == 0 || inNow < this->until;
-		this->until = std::max(this->until, inSentAt + inLeaseMs - this->tuning.slack_ms);
+		// A later one was acknowledged before: challengers no longer count from this one
+		if (inSentAt < this->acknowledged_sent_at)
+			return kept;
+		this->acknowledged_sent_at = inSentAt;
+		while (!this->bounds.empty() && this->bounds.front().sent_at < inSentAt)
+			this->bounds.pop_front();
+		this->until = this->EndOf(inSentAt, inLeaseMs);
+		// A challenger may have read a heartbeat that was sent later, and counts from that one
+		if (!this->bounds.empty())
+			this->until = std::min(this->until, this->bounds.front().end);
 		return kept;
 	}
 	Millis Until() const { return this->until; }
 
 private:
+	/// A heartbeat from which challengers may count, and when the lease ends by it.
+	struct Bound
+	{
+		Millis sent_at = 0;
+		Millis end = 0;
+	};
+	Millis EndOf(Millis inSentAt, Millis inLeaseMs) const { return inSentAt + inLeaseMs - this->tuning.slack_ms; }
+
 	LeaseTuning tuning;
-	Millis until = 0; ///< 0: no heartbeat yet.
+	/// 0: no heartbeat yet. Never later than the end of the newest acknowledged heartbeat, nor of any that was sent since: a challenger
+	/// reads what was acknowledged before it claims, and then counts from the newest heartbeat that it has read, acknowledged or not.
+	Millis until = 0;
+	/// When the newest acknowledged heartbeat was sent.
+	Millis acknowledged_sent_at = std::numeric_limits<Millis>::min();
+	/// Of the newest acknowledged heartbeat and those sent since, each that ends before all later ones: the first has the earliest end.
+	std::deque<Bound> bounds;
 };
 
 } // namespace Loomreach::Jobs
--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -8,6 +8,7 @@
 #include <UnitTests/FakeLog.h>
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 namespace Loomreach::Jobs
 {
@@ -456,6 +457,149 @@
 	EXPECT_EQ(lease.Until(), 1300 + 2000 - tuning.slack_ms);
 }
 
+TEST(OwnLease, ALateAcknowledgementOfALongerLeaseDoesNotOutlastAShorterOneSentSince)
+{
+	// Guards against two owners at a time: the lease of the earlier heartbeat ended after a challenger's count of the later one
+	LeaseTuning tuning;
+	OwnLease lease(tuning);
+	OwnerTable challenger("me", tuning);
+	lease.OnSent(1000, 2000);
+	EXPECT_TRUE(lease.OnAcknowledged(1000, 2000, 1005));
+	lease.OnSent(1400, 2000);
+	lease.OnSent(1410, 1500);
+	HostHeartbeat second = MakeHeartbeat("other", 3, {{7, 3}});
+	second.lease_ms = 1500;
+	challenger.OnHeartbeat(second, 1411);
+	EXPECT_TRUE(lease.OnAcknowledged(1400, 2000, 1420));
+	ASSERT_TRUE(challenger.IsFree(7, 1411 + 1501));
+	EXPECT_FALSE(lease.MayAct(1411 + 1501));
+	EXPECT_EQ(lease.Until(), 1410 + 1500 - tuning.slack_ms);
+	// Once a later heartbeat is acknowledged, every challenger that reads before it claims counts from that one or a later one
+	lease.OnSent(1800, 2000);
+	EXPECT_TRUE(lease.OnAcknowledged(1800, 2000, 1810));
+	EXPECT_EQ(lease.Until(), 1800 + 2000 - tuning.slack_ms);
+	// An acknowledgement of an earlier one changes nothing any more
+	EXPECT_TRUE(lease.OnAcknowledged(1410, 1500, 1820));
+	EXPECT_EQ(lease.Until(), 1800 + 2000 - tuning.slack_ms);
+}
+
+namespace
+{
+
+/// A heartbeat of an owner: when it is sent, acknowledged, and heard by a challenger before it must be.
+struct PlayedHeartbeat
+{
+	HostHeartbeat heartbeat;
+	Millis sent_at = 0;
+	std::optional<Millis> acknowledged_at;
+	std::optional<Millis> heard_early_at;
+};
+
+/// Plays an owner and a challenger, each step of 1 ms. Returns when the owner acted though the challenger had found its cell free.
+std::optional<Millis> FirstTimeWithTwoOwners(const std::vector<PlayedHeartbeat> &inHeartbeats, Millis inReadIntervalMs, Millis inSlackMs)
+{
+	LeaseTuning tuning;
+	tuning.slack_ms = inSlackMs;
+	OwnLease lease(tuning);
+	OwnerTable challenger("me", tuning);
+	bool found_free = false;
+	const Millis end = inHeartbeats.back().sent_at + 2 * tuning.lease_ms;
+	for (Millis now = inHeartbeats.front().sent_at; now < end; ++now)
+	{
+		for (const PlayedHeartbeat &played : inHeartbeats)
+			if (played.sent_at == now)
+				lease.OnSent(now, played.heartbeat.lease_ms);
+		for (const PlayedHeartbeat &played : inHeartbeats)
+		{
+			// Too late: the owner gives up its cells
+			if (played.acknowledged_at == now && !lease.OnAcknowledged(played.sent_at, played.heartbeat.lease_ms, now))
+				return std::nullopt;
+			if (played.heard_early_at == now)
+				challenger.OnHeartbeat(played.heartbeat, now);
+		}
+		// What was acknowledged is in the log, and a challenger reads it before it claims
+		if (now % inReadIntervalMs == 0)
+		{
+			for (const PlayedHeartbeat &played : inHeartbeats)
+				if (played.acknowledged_at.has_value() && *played.acknowledged_at <= now)
+					challenger.OnHeartbeat(played.heartbeat, now);
+			found_free = found_free || (lease.Until() != 0 && challenger.IsFree(7, now));
+		}
+		if (found_free && lease.MayAct(now))
+			return now;
+	}
+	return std::nullopt;
+}
+
+} // namespace
+
+/// Guards against an owner that acts while a challenger, which may have read any heartbeat that was sent, finds its cell free.
+RC_GTEST_PROP(OwnLease, NeverActsWhileAChallengerFindsTheCellFree, ())
+{
+	constexpr Millis cShortLeaseMs = 1500;
+	constexpr Millis cLongLeaseMs = 2000;
+	constexpr Millis cSlackMs = 300;
+	std::vector<PlayedHeartbeat> heartbeats;
+	Millis sent_at = 1000;
+	const int count = *rc::gen::inRange(2, 10);
+	for (int i = 0; i < count; ++i)
+	{
+		PlayedHeartbeat played;
+		played.heartbeat = MakeHeartbeat("other", static_cast<uint64>(i + 1), {{7, 3}});
+		played.heartbeat.lease_ms = *rc::gen::element(cShortLeaseMs, cLongLeaseMs);
+		played.sent_at = sent_at;
+		// The first one gives the owner its lease
+		if (i == 0 || *rc::gen::inRange(0, 3) > 0)
+			played.acknowledged_at = sent_at + *rc::gen::inRange<Millis>(0, *rc::gen::element<Millis>(30, 1600));
+		if (*rc::gen::arbitrary<bool>())
+			played.heard_early_at = sent_at + *rc::gen::inRange<Millis>(0, *rc::gen::element<Millis>(10, 1600));
+		heartbeats.push_back(std::move(played));
+		sent_at += *rc::gen::element<Millis>(0, *rc::gen::inRange<Millis>(0, 50), 375, *rc::gen::inRange<Millis>(0, 1600));
+	}
+	// With a slack of 0 both ends meet, so that any excess is seen
+	const Millis slack_ms = *rc::gen::element<Millis>(0, cSlackMs);
+	const Millis read_interval_ms = *rc::gen::element<Millis>(1, 30, 500);
+	const std::optional<Millis> both_at = FirstTimeWithTwoOwners(heartbeats, read_interval_ms, slack_ms);
+	for (const PlayedHeartbeat &played : heartbeats)
+		RC_LOG() << "sent " << played.sent_at << " lease " << played.heartbeat.lease_ms << " acknowledged "
+				 << played.acknowledged_at.value_or(-1) << " heard " << played.heard_early_at.value_or(-1) << "\n";
+	RC_LOG() << "slack " << slack_ms << " reads every " << read_interval_ms << " both act at " << both_at.value_or(-1) << "\n";
+	RC_ASSERT(!both_at.has_value());
+}
+
+/// Guards against a gap in the ownership of a host whose heartbeats are acknowledged in time, whatever the leases that they announce.
+RC_GTEST_PROP(OwnLease, HasNoGapWhileHeartbeatsAreAcknowledgedInTime, ())
+{
+	constexpr Millis cIntervalMs = 375;
+	constexpr Millis cShortLeaseMs = 1500;
+	constexpr Millis cLongLeaseMs = 2000;
+	const LeaseTuning tuning;
+	// With every second answer lost, the next acknowledgement comes an interval later
+	const bool loses_answers = *rc::gen::arbitrary<bool>();
+	const Millis max_latency_ms = cShortLeaseMs - tuning.slack_ms - (loses_answers ? 2 : 1) * cIntervalMs;
+	const int percent_long = *rc::gen::element(0, 10, 50, 100);
+	OwnLease lease(tuning);
+	std::multimap<Millis, std::pair<Millis, Millis>> answers; // By time: when the heartbeat was sent, and its lease
+	std::optional<Millis> acts_since;
+	for (Millis now = 0; now < 60 * cIntervalMs; ++now)
+	{
+		if (now % cIntervalMs == 0)
+		{
+			const Millis lease_ms = *rc::gen::inRange(0, 100) < percent_long ? cLongLeaseMs : cShortLeaseMs;
+			lease.OnSent(now, lease_ms);
+			if (!loses_answers || now / cIntervalMs % 2 == 0)
+				answers.emplace(now + *rc::gen::inRange<Millis>(0, max_latency_ms), std::pair{now, lease_ms});
+		}
+		for (auto [answer, last] = answers.equal_range(now); answer != last; ++answer)
+		{
+			RC_ASSERT(lease.OnAcknowledged(answer->second.first, answer->second.second, now));
+			acts_since = acts_since.value_or(now);
+		}
+		RC_ASSERT(!acts_since.has_value() || lease.MayAct(now));
+	}
+	RC_ASSERT(acts_since.has_value());
+}
+
 TEST(OwnerTable, ALeaseIsAsLongAsItsHeartbeatSays)
 {
 	LeaseTuning tuning;
