Ask again for the answer to a forwarded poll once it is overdue

Callers saw a finished task of theirs run again seconds after its end.

Cause: an owner that is short of processor time has other hosts send its polls, and the answer comes back in one datagram. Once the forwarder had reported that it was handling the poll (after 30 ms), the question was not repeated any more. When the answer was lost, the owner heard nothing for the poll's wait plus 1300 ms, 2.8 s, by when its own order had often expired. Two such losses use up a worker's lease: the owner gives up the worker's runs and starts again what the worker has listed as ended.

That the loss is what happened to these callers is by reading: no log of theirs was played.

Why it holds: after a report the question is repeated once the order's wait and the repeat time that follows from the measured round trips are over (counted from the report, so a slow way out does not make it early), then every 240 ms until its limit, like an append in progress. The forwarder answers repeats from the answers that it keeps for 10 s, 3.5 times the longest life of such a question; while it waits for the worker it ignores them, so the order is sent once, and the owner takes its silence for nothing before the same limit as until now. An answer in time costs no further datagram (APollThatIsAnsweredInTimeTakesOneQuestionAndOneAnswer; fails if the wait is left out of the delay). Appends to inboxes are asked for as before.

Two consequences of repeats that come this late: - A forwarder that is replaced meanwhile refuses the repeat as not sent, though the first process may have sent the order. A refusal that follows a report counts as uncertain (WhatAnEarlierProcessMayHaveSentIsNeverCalledNotSent; NotSent instead of Unknown without it). - An answer that is sent again tells the forwarder's clock of its first sending.

PeerQuery::Ask takes the times of reports as a struct.

--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -286,11 +286,10 @@
 	question.version = this->catalogue->version;
 	question.key_hash = inRequest->key_hash;
 	question.for_ms = inStep.limit_ms;
-	this->peers.Ask(
-		inStep.collector.address, std::move(question), inStep.limit_ms,
-		[this, request = inRequest, collector = inStep.collector](const std::optional<PeerAnswer> &inAnswer)
-		{ this->OnCollectorAnswer(request, collector, inAnswer); },
-		cCollectorAckMs, cCollectorSilenceMs);
+	this->peers.Ask(inStep.collector.address, std::move(question), inStep.limit_ms,
+					[this, request = inRequest, collector = inStep.collector](const std::optional<PeerAnswer> &inAnswer)
+					{ this->OnCollectorAnswer(request, collector, inAnswer); },
+					{.report_within_ms = cCollectorAckMs, .silence_ms = cCollectorSilenceMs});
 }
 
 /// What a collector's answer says about the record.
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -21,12 +21,12 @@
 /// The same within the short time in which the other host must report that it handles the question.
 static constexpr Millis cMinReportSends = 3;
 static constexpr size_t cMaxRoundTrips = 4096; ///< Hosts whose round trips are kept.
-/// Answers are kept much longer than the last repeat of any question (1.2 s) and the delay of a datagram.
+/// Answers are kept much longer than the last repeat of any question (2.8 s) and the delay of a datagram.
 static constexpr Millis cAnswerCacheMs = 10000;
 /// Questions that take longer are reported as being handled: a worker answers the start of a run within a few ms.
 static constexpr Millis cInProgressMs = 30;
 /// Delay before a question that is being handled is repeated, to learn whether the other host still responds: twice within the time after
-/// which it counts as silent.
+/// which it counts as silent. Also the delay between repeats of one whose answer is overdue.
 static constexpr Millis cResendInProgressMs = 240;
 static constexpr char cQuestionMark = 'Q';
 static constexpr char cAnswerMark = 'A';
@@ -125,7 +125,7 @@
 			return this->message_handler(kind, std::string(body));
 	if (inBytes[0] == cAnswerMark)
 	{
-		const std::optional<PeerAnswer> answer = DecodeValue<PeerAnswer>(body);
+		std::optional<PeerAnswer> answer = DecodeValue<PeerAnswer>(body);
 		if (!answer.has_value())
 			return this->metrics.Count(ECounter::PeerRejects, AnswerOf(LastReason().kind).name);
 		const Millis arrived_at = NowMillis();
@@ -137,11 +137,13 @@
 		{
 			Pending &asked = found->second;
 			const Millis now = NowMillis();
-			if (!std::exchange(asked.in_progress, true) && asked.silence_ms > 0)
-				asked.resend_at = now + cResendInProgressMs;
-			asked.give_up_at = asked.silence_ms > 0 ? std::min(asked.limit_at, now + asked.silence_ms) : asked.limit_at;
+			const Millis silence_ms = asked.times.silence_ms;
+			if (!std::exchange(asked.in_progress, true))
+				asked.resend_at = now + (silence_ms > 0 ? cResendInProgressMs : this->OverdueAfterMs(asked));
+			asked.give_up_at = silence_ms > 0 ? std::min(asked.limit_at, now + silence_ms) : asked.limit_at;
 			return;
 		}
+		answer->reported = found->second.in_progress;
 		this->KeepClosed(answer->nonce, found->second, arrived_at);
 		const OnAnswer done = std::move(found->second.done);
 		this->pending.erase(found);
@@ -233,8 +235,7 @@
 		this->metrics.Count(ECounter::PeerRejects, "send-failed");
 }
 
-void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs,
-					Millis inSilenceMs)
+void PeerQuery::Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, const ReportTimes &inTimes)
 {
 	inQuestion.nonce = this->next_nonce++;
 	Pending &asked = this->pending[inQuestion.nonce];
@@ -244,9 +245,10 @@
 	// The times of the other host count from when the datagram leaves the link
 	asked.first_sent_at = NowMillis() + this->BacklogMs();
 	asked.limit_at = NowMillis() + inTimeoutMs;
-	asked.give_up_at = inInProgressMs > 0 ? std::min(asked.first_sent_at + inInProgressMs, asked.limit_at) : asked.limit_at;
-	asked.silence_ms = inSilenceMs;
-	asked.max_repeat_ms = inInProgressMs > 0 ? inInProgressMs / cMinReportSends : inTimeoutMs / cMinSends;
+	const Millis report_ms = inTimes.report_within_ms;
+	asked.give_up_at = report_ms > 0 ? std::min(asked.first_sent_at + report_ms, asked.limit_at) : asked.limit_at;
+	asked.times = inTimes;
+	asked.max_repeat_ms = report_ms > 0 ? report_ms / cMinReportSends : inTimeoutMs / cMinSends;
 	asked.resend_at = asked.first_sent_at + this->RepeatDelay(asked);
 	this->SendTo(ToSocketAddress(asked.to).get(), asked.bytes, ETraffic::Question);
 	if (!this->resend_timer.IsRunning())
@@ -265,6 +267,13 @@
 	return std::min(this->RoundTripTo(inAsked.to).RepeatAfterMs(), std::max(RoundTrip::cMinRepeatMs, inAsked.max_repeat_ms));
 }
 
+Millis PeerQuery::OverdueAfterMs(const Pending &inAsked)
+{
+	// The report was sent some time after the handling had begun, so an answer in time arrives before the first part is over. The second
+	// is for what varies from datagram to datagram
+	return inAsked.times.handling_ms + this->RoundTripTo(inAsked.to).RepeatAfterMs();
+}
+
 RoundTrip &PeerQuery::RoundTripTo(const Address &inHost)
 {
 	// Hosts are replaced at new addresses. What is forgotten is soon measured again
@@ -321,7 +330,7 @@
 			it = this->pending.erase(it);
 			continue;
 		}
-		if (now >= asked.resend_at && (!asked.in_progress || asked.silence_ms > 0))
+		if (now >= asked.resend_at)
 		{
 			asked.repeated = true;
 			const Millis repeat_ms = this->RepeatDelay(asked);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -68,7 +68,10 @@
 	bool not_done = false;      ///< Any host: the record is certainly not in the inbox. Forward: the order was certainly not sent.
 	bool reaches_store = false; ///< Any host: the answering host reaches the store.
 	bool in_progress = false;   ///< Any host: the question is being handled, and its answer will follow.
-	int64 clock_ms = 0;         ///< Any host: steady clock of the answering host.
+	/// Not sent, set where the answer arrives: it follows a report that the question is being handled. If the question was repeated
+	/// since, the answer may be from a later process at the same address, which knows nothing of what the first one did.
+	bool reported = false;
+	int64 clock_ms = 0; ///< Any host: steady clock of the answering host.
 	/// Any host. Forward: the worker's encoded answer. Owners: the encoded heartbeats of hosts that own cells. AppendInbox: an encoded
 	/// CollectorStatus. Empty: not available here.
 	std::string record;
@@ -91,6 +94,17 @@
 	}
 };
 
+/// Times of a question whose handling is reported (AppendInbox, Forward).
+struct ReportTimes
+{
+	Millis report_within_ms = 0; ///< Above 0: the question is given up after this without a report or an answer.
+	/// Above 0: the question is still repeated after a report, and given up when no report has arrived for this long.
+	Millis silence_ms = 0;
+	/// If `silence_ms` is 0: how long the other host may need by agreement. After a report the question is not repeated until this and a
+	/// round trip are over. Its answer may then have been lost, and each repeat has it sent again.
+	Millis handling_ms = 0;
+};
+
 /// What a collector says about an inbox, in `PeerAnswer::record`: hosts of earlier versions, which do not know it, can decode the answer.
 struct CollectorStatus
 {
@@ -134,10 +148,7 @@
 	bool Open();
 	/// Repeats the question until an answer arrives or `inTimeoutMs` is over, and calls back once; nothing: no answer. An answer with
 	/// `in_progress` set: the other host has reported that it is handling the question, and its answer has not arrived in time.
-	/// `inInProgressMs` above 0: gives up after this without such a report. `inSilenceMs` above 0: the question is still repeated after a
-	/// report, and given up when no report has arrived for this long.
-	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, Millis inInProgressMs = 0,
-			 Millis inSilenceMs = 0);
+	void Ask(const Address &inTo, PeerQuestion inQuestion, Millis inTimeoutMs, OnAnswer inDone, const ReportTimes &inTimes = {});
 	/// Sends a message to other hosts, once each.
 	void Notify(const std::vector<Address> &inTo, EPeerMessage inKind, const std::string &inMessage);
 
@@ -149,9 +160,9 @@
 		std::string bytes;
 		OnAnswer done;
 		Millis give_up_at = 0;
-		Millis limit_at = 0;      ///< When to give up once the question is being handled.
-		Millis silence_ms = 0;    ///< Above 0: reports must follow each other within this time.
-		bool in_progress = false; ///< The other host is handling the question: it is repeated only if `silence_ms` is set.
+		Millis limit_at = 0; ///< When to give up once the question is being handled.
+		ReportTimes times;
+		bool in_progress = false; ///< The other host has reported that it is handling the question.
 		Millis resend_at = 0;
 		Millis max_repeat_ms = 0; ///< Longest delay before a repeat.
 		Millis first_sent_at = 0; ///< When the first datagram left the link, by the estimate of its backlog.
@@ -177,6 +188,8 @@
 	Millis BacklogMs() const { return this->link == nullptr ? 0 : this->link->BacklogMs(NowMillis()); }
 	/// Delay before a question is repeated.
 	Millis RepeatDelay(const Pending &inAsked);
+	/// Time from the report that a question is being handled until its answer counts as lost.
+	Millis OverdueAfterMs(const Pending &inAsked);
 	RoundTrip &RoundTripTo(const Address &inHost);
 	/// Measures the round trip of a question that has got its first reply.
 	void OnFirstReply(Pending &ioAsked, Millis inNow);
--- a/Loomreach/Forward/ForwardPlan.cpp
+++ b/Loomreach/Forward/ForwardPlan.cpp
@@ -41,9 +41,14 @@
 	auto found = this->hosts.find(inHost);
 	if (found == this->hosts.end())
 		return;
-	found->second.exclusion_ms = 0;
-	found->second.clock_ms = inClockMs;
-	found->second.clock_at = inNow;
+	Host &host = found->second;
+	host.exclusion_ms = 0;
+	// An answer that was sent again tells the time of its first sending. Its host would refuse orders as expired that are not
+	const Millis known_ms = host.clock_ms < 0 ? -1 : host.clock_ms + (inNow - host.clock_at) * (1000 - cClockSlackPerMille) / 1000;
+	if (inClockMs < known_ms)
+		return;
+	host.clock_ms = inClockMs;
+	host.clock_at = inNow;
 }
 
 void ForwardPlan::OnUnresponsive(const Address &inHost, Millis inNow)
--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -81,11 +81,15 @@
 		// No direct attempt once this host may no longer act
 		if (now >= inOrder.not_after)
 			return done(OrderAnswer{});
-		// The forwarder may have sent it all the same; a second sending is the same order
-		const bool uncertain = accepted || !inAnswer.has_value() || !inAnswer->not_done;
+		// The forwarder may have sent it all the same; a second sending is the same order. A process that reports that it handles an order
+		// never refuses it afterwards: such a refusal is a later process's
+		const bool uncertain = accepted || !inAnswer.has_value() || !inAnswer->not_done || inAnswer->reported;
 		this->agent.Send(inOrder, [uncertain, done](const OrderAnswer &inOwn) { done(uncertain ? AsUncertain(inOwn) : inOwn); });
 	};
-	this->peers.Ask(inBy.address, std::move(question), order.wait_ms + cForwardMarginMs, this->Guard(on_answer), cAcceptTimeoutMs);
+	// A lost answer must be asked for soon after it was due: two that are missed until the time-out use up a worker's lease, and its owner
+	// starts again what has ended
+	this->peers.Ask(inBy.address, std::move(question), order.wait_ms + cForwardMarginMs, this->Guard(on_answer),
+					{.report_within_ms = cAcceptTimeoutMs, .handling_ms = order.wait_ms});
 }
 
 template <class Agent>
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -3,15 +3,13 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Forward/OrderSender.h>
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/FakeLog.h>
+#include <UnitTests/UdpSocket.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
 namespace Loomreach::Jobs
 {
 
@@ -172,6 +170,27 @@
 	EXPECT_TRUE(plan.TakeHostsToQuery().empty());
 }
 
+TEST(ForwardPlan, AnAnswerThatWasSentAgainDoesNotSetTheClockBack)
+{
+	// An answer is lost and sent again 1600 ms later, with the time at which it was first sent. Guards against orders that end 1600 ms too
+	// early at their forwarder: an owner's lease often has less left, and the forwarder would refuse each of them
+	const std::vector<IdleHost> hosts = IdleIn({"a", "a", "a", "a"});
+	ForwardPlan plan = ReadyPlan(hosts, 1);
+	constexpr Millis cNow = 2000;
+	for (const IdleHost &host : hosts)
+	{
+		plan.OnClock(host.address, cNow - 10, cNow - 10);
+		plan.OnClock(host.address, cNow - 1600, cNow);
+	}
+	PlanOrders(plan, 1000, cNow - 1000, cNow);
+	Order order = OrderFor("w", "a");
+	order.not_after = cNow + 1000;
+	const std::optional<Forwarder> by = plan.Choose(order, cNow);
+	ASSERT_TRUE(by.has_value());
+	EXPECT_GE(by->not_after, order.not_after - 50);
+	EXPECT_LE(by->not_after, order.not_after);
+}
+
 RC_GTEST_PROP(ForwardPlan, AForwardedOrderEndsNoLaterThanItsOwn, ())
 {
 	// Clocks that differ by any offset and whose rates differ by up to 2%; the reading of the clock was up to 3 s in transit
@@ -201,7 +220,7 @@
 namespace
 {
 
-/// An agent that answers each order at once and records it.
+/// An agent that records each order and answers it, at once unless told otherwise.
 struct RecordingAgent
 {
 	void Send(const Order &inOrder, const std::function<void(const OrderAnswer &)> &inDone)
@@ -213,27 +232,67 @@
 		answer.result = this->result;
 		answer.clock_ms = 77;
 		answer.ended.push_back({5, {"job", 0, 1, 2}, 3, ERunEnd::Done, "saved"});
+		if (this->delay_ms > 0)
+			return After(this->delay_ms, [inDone, answer] { inDone(answer); });
 		inDone(answer);
 	}
 
 	std::vector<Order> sent;
 	std::vector<std::function<void(const OrderAnswer &)>> open;
 	bool never_answers = false;
+	Millis delay_ms = 0; ///< Above 0: each answer is given this late.
 	EOrderResult result = EOrderResult::Done;
 };
 
-uint16 FreePort()
+/// A link to a host that counts what it carries, and loses answers on demand.
+class CountedLink
 {
-	const int descriptor = socket(AF_INET, SOCK_DGRAM, 0);
-	sockaddr_in own{};
-	own.sin_family = AF_INET;
-	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	EXPECT_EQ(bind(descriptor, reinterpret_cast<sockaddr *>(&own), sizeof own), 0);
-	socklen_t size = sizeof own;
-	getsockname(descriptor, reinterpret_cast<sockaddr *>(&own), &size);
-	close(descriptor);
-	return ntohs(own.sin_port);
-}
+public:
+	explicit CountedLink(uint16 inHostPort) : host_port(inHostPort)
+	{
+		this->timer.Every(1, [this] { this->Step(); });
+	}
+
+	Address At() const { return {"127.0.0.1", this->near.Port()}; }
+
+	size_t questions = 0; ///< Datagrams to the host.
+	size_t reports = 0;   ///< Reports of the host that it is handling a question.
+	size_t answers = 0;   ///< Answers of the host, lost ones included.
+	size_t answers_to_lose = 0;
+
+private:
+	void Step()
+	{
+		while (const std::optional<std::pair<std::string, uint16>> question = this->near.ReceiveFrom())
+		{
+			++this->questions;
+			this->owner_port = question->second;
+			this->far.Send(this->host_port, question->first);
+		}
+		while (const std::optional<std::pair<std::string, uint16>> datagram = this->far.ReceiveFrom())
+		{
+			const std::optional<PeerAnswer> answer = DecodeValue<PeerAnswer>(std::string_view(datagram->first).substr(1));
+			if (answer.has_value() && answer->in_progress)
+				++this->reports;
+			else
+			{
+				++this->answers;
+				if (this->answers_to_lose > 0)
+				{
+					--this->answers_to_lose;
+					continue;
+				}
+			}
+			this->near.Send(this->owner_port, datagram->first);
+		}
+	}
+
+	uint16 host_port;
+	uint16 owner_port = 0;
+	UdpSocket near; ///< Towards the owner.
+	UdpSocket far;  ///< Towards the host.
+	Timer timer;
+};
 
 /// An owner and four hosts that forward for it, over real datagrams.
 class ForwardingHosts
@@ -255,23 +314,34 @@
 		this->AnnounceHosts();
 		FakeLog::RunMainLoopFor(60);
 		// After the first window every order is forwarded
+		size_t answered = 0;
 		for (int i = 0; i < 4; ++i)
 		{
-			this->owner->Send(this->MakeOrder(), [](const OrderAnswer &) {});
+			this->owner->Send(this->MakeOrder(), [&answered](const OrderAnswer &) { ++answered; });
 			FakeLog::RunMainLoopFor(2);
 		}
-		this->own_agent.sent.clear();
-		for (const auto &helper : this->helpers)
-			helper->agent.sent.clear();
+		// What is still under way would be counted with the orders of the test
+		while (answered < 4)
+			FakeLog::RunMainLoopFor(2);
+		this->ResetCounts();
 	}
 
 	void AnnounceHosts()
 	{
 		std::vector<IdleHost> idle;
 		for (const auto &helper : this->helpers)
-			idle.push_back({"a", helper->address, helper->announced_incarnation});
+			idle.push_back({"a", helper->link.At(), helper->announced_incarnation});
 		this->owner->SetHosts(idle);
 	}
+	/// A long poll of `inWaitMs`.
+	static Order MakePoll(Millis inWaitMs)
+	{
+		Order order = OrderFor("w1", "a");
+		order.kind = EOrder::Poll;
+		order.wait_ms = inWaitMs;
+		order.not_after = NowMillis() + 1200;
+		return order;
+	}
 	static Order MakeOrder()
 	{
 		Order order = OrderFor("w1", "a");
@@ -281,12 +351,67 @@
 	/// Sends an order and waits for its answer, for `inTimeoutMs` ms at most.
 	std::optional<OrderAnswer> Ask(const Order &inOrder, Millis inTimeoutMs)
 	{
+		constexpr Millis cTurnMs = 5;
 		std::optional<OrderAnswer> got;
+		this->waited_ms = 0;
+		this->longest_turn_ms = 0;
 		this->owner->Send(inOrder, [&got](const OrderAnswer &inAnswer) { got = inAnswer; });
-		for (Millis waited = 0; waited < inTimeoutMs && !got.has_value(); waited += 5)
-			FakeLog::RunMainLoopFor(5);
+		while (this->waited_ms < inTimeoutMs && !got.has_value())
+		{
+			const Millis before = NowMillis();
+			FakeLog::RunMainLoopFor(cTurnMs);
+			const Millis turn_ms = NowMillis() - before;
+			// A pause of this process delays everybody
+			this->waited_ms += std::clamp(turn_ms, cTurnMs, 2 * cTurnMs);
+			this->longest_turn_ms = std::max(this->longest_turn_ms, turn_ms);
+		}
 		return got;
 	}
+	/// Makes all workers answer this late.
+	void DelayAnswers(Millis inDelayMs)
+	{
+		for (const auto &helper : this->helpers)
+			helper->agent.delay_ms = inDelayMs;
+	}
+	/// Makes all links lose the next answers.
+	void LoseAnswers(size_t inCount)
+	{
+		for (const auto &helper : this->helpers)
+			helper->link.answers_to_lose = inCount;
+	}
+	/// Forgets what was counted.
+	void ResetCounts()
+	{
+		this->own_agent.sent.clear();
+		for (const auto &helper : this->helpers)
+		{
+			helper->agent.sent.clear();
+			helper->link.questions = 0;
+			helper->link.reports = 0;
+			helper->link.answers = 0;
+		}
+	}
+	size_t Questions() const
+	{
+		size_t questions = 0;
+		for (const auto &helper : this->helpers)
+			questions += helper->link.questions;
+		return questions;
+	}
+	size_t Reports() const
+	{
+		size_t reports = 0;
+		for (const auto &helper : this->helpers)
+			reports += helper->link.reports;
+		return reports;
+	}
+	size_t Answers() const
+	{
+		size_t answers = 0;
+		for (const auto &helper : this->helpers)
+			answers += helper->link.answers;
+		return answers;
+	}
 	size_t SentByHelpers() const
 	{
 		size_t sent = 0;
@@ -298,8 +423,15 @@
 	struct Helper
 	{
 		explicit Helper(uint64 inIncarnation)
-			: address{"127.0.0.1", FreePort()}, incarnation(inIncarnation), announced_incarnation(inIncarnation)
+			: address{"127.0.0.1", FreePort()}, link(address.port), incarnation(inIncarnation), announced_incarnation(inIncarnation)
+		{
+			this->Open();
+		}
+		/// Begins to answer questions, as a new process does that knows nothing of earlier ones.
+		void Open()
 		{
+			this->sender.reset();
+			this->peers.reset();
 			this->peers = std::make_unique<PeerQuery>(
 				this->address, this->metrics,
 				[this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
@@ -315,6 +447,7 @@
 		Metrics metrics;
 		RecordingAgent agent;
 		Address address;
+		CountedLink link; ///< The owner's datagrams to this host and their answers go over it.
 		uint64 incarnation;
 		uint64 announced_incarnation;
 		std::unique_ptr<PeerQuery> peers;
@@ -322,6 +455,8 @@
 	};
 
 	static constexpr size_t cHelperCount = 4;
+	Millis waited_ms = 0;       ///< How long the last `Ask` took, pauses of this process left out.
+	Millis longest_turn_ms = 0; ///< Longest turn of the main loop in it; 5 or 6 unless the machine is busy.
 	Metrics metrics;
 	RecordingAgent own_agent;
 	std::vector<std::unique_ptr<Helper>> helpers;
@@ -421,4 +556,123 @@
 	EXPECT_TRUE(hosts.own_agent.sent.empty());
 }
 
+/// The answer to a poll must be heard this soon after the poll's wait although a datagram was lost: two such losses in a row must leave
+/// most of a worker's lease (4 s).
+static constexpr Millis cHeardWithinMs = 500;
+
+// Guards against the loss of the one datagram with a long poll's answer: the owner heard nothing for 2.8 s, and after two such losses it
+// started finished tasks again whose ends the worker had listed.
+TEST(OrderSender, ALostAnswerToALongPollIsHeardSoonAfterItWasDue)
+{
+	// The run ends just before the wait is over, or early in it
+	for (const Millis answered_after : {1450, 200})
+	{
+		ForwardingHosts hosts;
+		hosts.DelayAnswers(answered_after);
+		hosts.LoseAnswers(1);
+		Order poll = ForwardingHosts::MakePoll(1500);
+		poll.not_after = NowMillis() + 2600;
+		const std::optional<OrderAnswer> got = hosts.Ask(poll, 4000);
+		RecordProperty("heard_after_ms_" + std::to_string(answered_after), static_cast<int>(hosts.waited_ms));
+		RecordProperty("questions_" + std::to_string(answered_after), static_cast<int>(hosts.Questions()));
+		EXPECT_LE(hosts.waited_ms, poll.wait_ms + cHeardWithinMs) << "answered after " << answered_after << " ms of " << poll.wait_ms;
+		ASSERT_TRUE(got.has_value());
+		EXPECT_EQ(got->result, EOrderResult::Done);
+		EXPECT_EQ(got->ended.size(), 1u);
+		// The repeated question does not send the order again
+		EXPECT_GE(hosts.Questions(), 2u);
+		EXPECT_EQ(hosts.SentByHelpers(), 1u);
+		EXPECT_TRUE(hosts.own_agent.sent.empty());
+	}
+}
+
+TEST(OrderSender, ALostRepeatOfALongPollsAnswerIsAskedForAgain)
+{
+	ForwardingHosts hosts;
+	hosts.DelayAnswers(300);
+	hosts.LoseAnswers(2);
+	const Order poll = ForwardingHosts::MakePoll(300);
+	const std::optional<OrderAnswer> got = hosts.Ask(poll, poll.wait_ms + 2 * cHeardWithinMs);
+	ASSERT_TRUE(got.has_value()) << hosts.Questions() << " questions sent, " << hosts.Answers() << " answers given";
+	EXPECT_EQ(got->result, EOrderResult::Done);
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+	EXPECT_TRUE(hosts.own_agent.sent.empty());
+}
+
+TEST(OrderSender, APollThatIsAnsweredInTimeTakesOneQuestionAndOneAnswer)
+{
+	constexpr Millis cWaitMs = 300;
+	constexpr int cMaxTries = 20;
+	for (const Millis answered_after : {5, 100, 250, 300})
+	{
+		ForwardingHosts hosts;
+		hosts.DelayAnswers(answered_after);
+		// A pause of this process makes any answer late; such a try says nothing
+		int tries = 0;
+		do
+		{
+			ASSERT_LT(tries++, cMaxTries) << "this process pauses too often to play an answer in time";
+			hosts.ResetCounts();
+			ASSERT_TRUE(hosts.Ask(ForwardingHosts::MakePoll(cWaitMs), 1000).has_value());
+			FakeLog::RunMainLoopFor(50);
+		} while (hosts.longest_turn_ms > 30);
+		EXPECT_EQ(hosts.Questions(), 1u) << "answered after " << answered_after << " ms";
+		EXPECT_EQ(hosts.Answers(), 1u) << "answered after " << answered_after << " ms";
+		EXPECT_EQ(hosts.SentByHelpers(), 1u);
+		EXPECT_TRUE(hosts.own_agent.sent.empty());
+	}
+}
+
+TEST(OrderSender, AWorkerThatAnswersLateIsWaitedForAndGetsItsOrderOnce)
+{
+	// While the forwarder waits for the worker it does not answer repeats. Its silence must not be taken for its loss
+	ForwardingHosts hosts;
+	hosts.DelayAnswers(1000);
+	const Order poll = ForwardingHosts::MakePoll(300);
+	const std::optional<OrderAnswer> got = hosts.Ask(poll, 1500);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::Done);
+	// Repeated, but seldom: a worker that is lost costs its owner few datagrams
+	EXPECT_GE(hosts.Questions(), 2u);
+	EXPECT_LE(hosts.Questions(), 5u);
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+	EXPECT_TRUE(hosts.own_agent.sent.empty());
+	// Nor does it exclude the forwarder
+	hosts.DelayAnswers(0);
+	hosts.ResetCounts();
+	ASSERT_TRUE(hosts.Ask(ForwardingHosts::MakeOrder(), 1000).has_value());
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+}
+
+TEST(OrderSender, WhatAnEarlierProcessMayHaveSentIsNeverCalledNotSent)
+{
+	// A forwarder reports that it has a start, sends it, and is replaced by another process, which refuses the repeated question. Guards
+	// against taking this for proof that nothing runs
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->agent.never_answers = true;
+	hosts.own_agent.result = EOrderResult::NotSent;
+	Order order = ForwardingHosts::MakeOrder();
+	// Leaves time to replace the process before the question is repeated
+	order.wait_ms = 300;
+	order.not_after = NowMillis() + 60'000;
+	std::optional<OrderAnswer> got;
+	hosts.owner->Send(order, [&got](const OrderAnswer &inAnswer) { got = inAnswer; });
+	for (Millis waited = 0; waited < 300 && hosts.Reports() == 0; waited += 5)
+		FakeLog::RunMainLoopFor(5);
+	FakeLog::RunMainLoopFor(20);
+	ASSERT_EQ(hosts.Reports(), 1u);
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+	for (const auto &helper : hosts.helpers)
+	{
+		helper->incarnation += 1000;
+		helper->Open();
+	}
+	for (Millis waited = 0; waited < 3000 && !got.has_value(); waited += 5)
+		FakeLog::RunMainLoopFor(5);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::Unknown);
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+}
+
 } // namespace Loomreach::Jobs
--- a/UnitTests/PeerQueryTests.cpp
+++ b/UnitTests/PeerQueryTests.cpp
@@ -5,10 +5,7 @@
 #include <Loomreach/Entry/PeerQuery.h>
 #include <Loomreach/State/Codec.h>
 #include <UnitTests/FakeLog.h>
-
-#include <arpa/inet.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <UnitTests/UdpSocket.h>
 
 #include <gtest/gtest.h>
 
@@ -18,60 +15,6 @@
 namespace
 {
 
-/// A UDP socket on a free loopback port.
-class UdpSocket
-{
-public:
-	UdpSocket() : descriptor(socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK, 0))
-	{
-		sockaddr_in own{};
-		own.sin_family = AF_INET;
-		own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		EXPECT_EQ(bind(this->descriptor, reinterpret_cast<sockaddr *>(&own), sizeof own), 0);
-	}
-	~UdpSocket() { close(this->descriptor); }
-	UdpSocket(const UdpSocket &) = delete;
-	UdpSocket &operator=(const UdpSocket &) = delete;
-
-	uint16 Port() const
-	{
-		sockaddr_in own{};
-		socklen_t size = sizeof own;
-		getsockname(this->descriptor, reinterpret_cast<sockaddr *>(&own), &size);
-		return ntohs(own.sin_port);
-	}
-	void Send(uint16 inPort, const std::string &inBytes) const
-	{
-		sockaddr_in to{};
-		to.sin_family = AF_INET;
-		to.sin_port = htons(inPort);
-		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		sendto(this->descriptor, inBytes.data(), inBytes.size(), 0, reinterpret_cast<sockaddr *>(&to), sizeof to);
-	}
-	/// The next datagram and its sender's port.
-	std::optional<std::pair<std::string, uint16>> ReceiveFrom() const
-	{
-		std::array<char, 2048> bytes;
-		sockaddr_in from{};
-		socklen_t size = sizeof from;
-		const ssize_t got = recvfrom(this->descriptor, bytes.data(), bytes.size(), 0, reinterpret_cast<sockaddr *>(&from), &size);
-		if (got <= 0)
-			return std::nullopt;
-		return std::pair{std::string(bytes.data(), static_cast<size_t>(got)), ntohs(from.sin_port)};
-	}
-	size_t Receive() const
-	{
-		size_t count = 0;
-		std::array<char, 2048> bytes;
-		while (recv(this->descriptor, bytes.data(), bytes.size(), 0) > 0)
-			++count;
-		return count;
-	}
-
-private:
-	int descriptor;
-};
-
 /// A host behind a link with a queue: each datagram, repeats included, is answered after `inDelayMs`.
 class DelayedHost
 {
@@ -107,9 +50,6 @@
 	std::multimap<Millis, std::pair<uint64, uint16>> due; ///< Nonce and port of the questions to answer, by time.
 };
 
-/// A loopback port that is free at the time of the call.
-uint16 FreePort() { return UdpSocket().Port(); }
-
 } // namespace
 
 TEST(PeerQuery, ARepeatAfterTheAnswerChangesNothing)
@@ -189,7 +129,7 @@
 		answer = inAnswer;
 		done = true;
 	};
-	asking.Ask({"127.0.0.1", collector.Port()}, question, 60000, on_answer, 150, 600);
+	asking.Ask({"127.0.0.1", collector.Port()}, question, 60000, on_answer, {.report_within_ms = 150, .silence_ms = 600});
 	while (!done)
 		g_main_context_iteration(nullptr, TRUE);
 	EXPECT_FALSE(answer.has_value());
@@ -202,7 +142,7 @@
 		Address{"127.0.0.1", port}, metrics, [&handled](const PeerQuestion &, const std::function<void(PeerAnswer)> &) { ++handled; },
 		[](EPeerMessage, const std::string &) {});
 	ASSERT_TRUE(frozen->Open());
-	asking.Ask({"127.0.0.1", port}, question, 60000, on_answer, 10000, 600);
+	asking.Ask({"127.0.0.1", port}, question, 60000, on_answer, {.report_within_ms = 10000, .silence_ms = 600});
 	FakeLog::RunMainLoopFor(60);
 	frozen.reset();
 	while (!done)
@@ -289,7 +229,7 @@
 		host.Step();
 	}
 	host.received = 0;
-	asking.Ask(host.At(), {}, 1500, ignore, 150);
+	asking.Ask(host.At(), {}, 1500, ignore, {.report_within_ms = 150});
 	FakeLog::RunMainLoopFor(200);
 	host.Step();
 	EXPECT_GE(host.received, 2u);
