--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -285,10 +285,8 @@
 			this->LogReachable(worker, inAnswer, well, silent_ms);
 		worker.reachable = well;
 		worker.unanswered_polls = answered ? 0 : worker.unanswered_polls;
-		// A lost answer to a long poll has used up much of the lease, so the worker is asked again at once
-		const bool repeat_now = !answered && worker.unanswered_polls == 1 && inOrder.wait_ms > 0 && !inAnswer.connection_closed;
 		if (!well)
-			worker.next_poll_at = inNow + (repeat_now ? 0 : this->tuning.poll_retry_ms);
+			worker.next_poll_at = inNow + this->tuning.poll_retry_ms;
 	}
 	if (inAnswer.result == EOrderResult::OtherIncarnation)
 	{
