Do not forward orders through a host whose link is busy

A host with more than 100 ms of backlog now refuses to forward, the owner sends the order itself at once and leaves that host out for 5 s, as after the refusal of a stopping host. OrderSender.AForwarderWithABusyLinkLeavesOrdersToTheirOwners fails without the check (9 questions instead of 4, the order is sent by the busy host). An idle link forwards as before.

--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -100,8 +100,8 @@
 	Millis report_within_ms = 0; ///< Above 0: the question is given up after this without a report or an answer.
 	/// Above 0: the question is still repeated after a report, and given up when no report has arrived for this long.
 	Millis silence_ms = 0;
-	/// If `silence_ms` is 0: how long the other host may need by agreement. After a report the question is not repeated until this and a
-	/// round trip are over. Its answer may then have been lost, and each repeat has it sent again.
+	/// If `silence_ms` is 0: the longest time that the other host needs when all goes well. After a report the question is not repeated
+	/// until this and a round trip are over. Its answer may then have been lost, and each repeat has it sent again.
 	Millis handling_ms = 0;
 };
 
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -188,7 +188,7 @@
 	Millis last_poll_at = -1000; ///< When that poll was sent.
 	Millis next_poll_at = 0;
 	Millis last_answer_at = -1;        ///< -1: never answered.
-	uint32 unanswered_polls = 0;       ///< Polls that got no answer since then.
+	uint32 unanswered_polls = 0;       ///< Polls that got no answer since the last answered poll.
 	Millis granted_until_ms = -1;      ///< Latest lease end in this owner's orders, on the worker's clock; -1: none granted.
 	Millis connections_closed_at = -1; ///< When its connections were first found closed after the last answer; -1: not closed.
 	/// When the first call after the last answer went unanswered on an open connection: the host is unresponsive or partitioned. -1: none
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -17,6 +17,7 @@
 {
 
 constexpr Millis cLongTimeMs = 60'000;
+constexpr int64 cNarrowLinkMbit = 10;
 /// Within this time an order is answered that is sent directly after its forwarder has refused it.
 constexpr Millis cPromptAnswerMs = 150;
 
@@ -443,7 +444,7 @@
 					inReply(PeerAnswer{});
 				},
 				[](EPeerMessage, const std::string &) {});
-			this->sender = std::make_unique<OrderSender<RecordingAgent>>(this->agent, *this->peers, ForwardTuning{});
+			this->sender = std::make_unique<OrderSender<RecordingAgent>>(this->agent, *this->peers, ForwardTuning{}, &this->usage);
 			EXPECT_TRUE(this->peers->Open());
 		}
 		Metrics metrics;
@@ -452,6 +453,7 @@
 		CountedLink link; ///< The owner's datagrams to this host and their answers go over it.
 		uint64 incarnation;
 		uint64 announced_incarnation;
+		LinkUsage usage{cNarrowLinkMbit};
 		std::unique_ptr<PeerQuery> peers;
 		std::unique_ptr<OrderSender<RecordingAgent>> sender;
 	};
@@ -571,6 +573,23 @@
 	EXPECT_EQ(hosts.own_agent.sent.size(), 1u);
 }
 
+/// Answers that a forwarder passes on wait behind the starts on its narrow link, and its owner takes them for lost.
+TEST(OrderSender, AForwarderWithABusyLinkLeavesOrdersToTheirOwners)
+{
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->usage.OnSent(ETraffic::Start, helper->usage.BytesIn(3 * cMaxForwardBacklogMs), NowMillis());
+	const std::optional<OrderAnswer> got = hosts.Ask(ForwardingHosts::MakeOrder(), cPromptAnswerMs);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::Done);
+	EXPECT_EQ(hosts.SentByHelpers(), 0u);
+	EXPECT_EQ(hosts.own_agent.sent.size(), 1u);
+	// Each host is asked once, and then left out for a while
+	for (size_t i = 0; i < 2 * ForwardingHosts::cHelperCount; ++i)
+		ASSERT_TRUE(hosts.Ask(ForwardingHosts::MakeOrder(), cPromptAnswerMs).has_value());
+	EXPECT_EQ(hosts.Questions(), ForwardingHosts::cHelperCount);
+}
+
 /// A stopping forwarder ends before the worker has answered, and the run ends in the answer are lost.
 TEST(OrderSender, AForwarderKnowsWhichOrdersHaveNoAnswerYet)
 {
