--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -110,7 +110,7 @@
 		  [this](const PeerQuestion &inQuestion, std::function<void(PeerAnswer)> inReply)
 		  { this->OnQuestion(inQuestion, std::move(inReply)); },
 		  [this](EPeerMessage inKind, const std::string &inMessage) { this->OnPeerMessage(inKind, inMessage); }, &link),
-	  orders(hub.workers, peers, ForwardTuningOf(config), &link),
+	  orders(hub.workers, peers, ForwardTuningOf(config)),
 	  ends_submitter([this](uint32 inCell) -> InboxWriter<decltype(Hub::store)> & { return this->WriterOf(inCell); })
 {
 }
--- a/Loomreach/Forward/ForwardPlan.cpp
+++ b/Loomreach/Forward/ForwardPlan.cpp
@@ -65,15 +65,6 @@
 	LogEvent(ELogLevel::Warning, "forwarder_silent").Field("host", inHost.Text()).Field("out_ms", host.exclusion_ms);
 }
 
-void ForwardPlan::OnRefused(const Address &inHost, Millis inNow)
-{
-	auto found = this->hosts.find(inHost);
-	if (found == this->hosts.end() || inNow < found->second.excluded_until)
-		return;
-	found->second.excluded_until = inNow + this->tuning.exclusion_ms;
-	LogEvent(ELogLevel::Info, "forwarder_refused").Field("host", inHost.Text()).Field("out_ms", this->tuning.exclusion_ms);
-}
-
 void ForwardPlan::OnOrderUnanswered(const std::string &inWorker, Millis inNow)
 {
 	std::erase_if(this->direct_until, [inNow](const auto &inEntry) { return inNow >= inEntry.second; });
--- a/Loomreach/Forward/ForwardPlan.h
+++ b/Loomreach/Forward/ForwardPlan.h
@@ -51,8 +51,6 @@
 	void OnClock(const Address &inHost, Millis inClockMs, Millis inNow);
 	/// Call when a host did not accept an order in time, or has accepted one and did not answer.
 	void OnUnresponsive(const Address &inHost, Millis inNow);
-	/// Call when a host has refused an order: it is stopping, or its link is busy.
-	void OnRefused(const Address &inHost, Millis inNow);
 	/// Call when a forwarded order to a worker had no answer: its next orders are sent directly, so that a second lost forwarder does not
 	/// keep the worker from being heard until its lease expires.
 	void OnOrderUnanswered(const std::string &inWorker, Millis inNow);
--- a/Loomreach/Forward/OrderSender.h
+++ b/Loomreach/Forward/OrderSender.h
@@ -7,14 +7,10 @@
 #include <Loomreach/Core/Guarded.h>
 #include <Loomreach/Entry/PeerQuery.h>
 #include <Loomreach/Forward/ForwardPlan.h>
-#include <Loomreach/Platform/LinkUsage.h>
 
 namespace Loomreach::Jobs
 {
 
-/// A host with a longer backlog on its link refuses to forward: half of the time within which it must confirm an order.
-inline constexpr Millis cMaxForwardBacklogMs = 100;
-
 /// Sends and forwards orders. `Agent` is a WorkerAgent.
 template <class Agent>
 class OrderSender : private Guarded
@@ -22,11 +18,7 @@
 public:
 	using OnAnswer = std::function<void(const OrderAnswer &)>;
 
-	/// `inLink`: the link of this host; nullptr: it counts as idle.
-	OrderSender(Agent &inAgent, PeerQuery &inPeers, const ForwardTuning &inTuning, const LinkUsage *inLink = nullptr)
-		: agent(inAgent), peers(inPeers), plan(inTuning), link(inLink)
-	{
-	}
+	OrderSender(Agent &inAgent, PeerQuery &inPeers, const ForwardTuning &inTuning) : agent(inAgent), peers(inPeers), plan(inTuning) {}
 
 	/// Sets the hosts that can forward now.
 	void SetHosts(const std::vector<IdleHost> &inHosts);
@@ -40,8 +32,6 @@
 	size_t ForwardedInFlight() const { return this->forwarded_in_flight; }
 
 private:
-	/// Whether an answer passed on now would wait too long on this host's link.
-	bool IsLinkBusy(Millis inNow) const { return this->link != nullptr && this->link->BacklogMs(inNow) > cMaxForwardBacklogMs; }
 	/// Hands the order to a forwarder, and sends it directly if that does not work out.
 	void Forward(const Order &inOrder, const Forwarder &inBy, OnAnswer inDone);
 	/// The forwarder has not answered in time. `inAccepted`: it had reported that it has the order.
@@ -50,7 +40,6 @@
 	Agent &agent;
 	PeerQuery &peers;
 	ForwardPlan plan;
-	const LinkUsage *link;
 	bool forwards = true; ///< See StopForwarding.
 	size_t forwarded_in_flight = 0;
 };
--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -75,8 +75,6 @@
 			this->OnUnanswered(inOrder, by, accepted, now - sent_at);
 		else
 			this->plan.OnClock(by, inAnswer->clock_ms, now);
-		if (inAnswer.has_value() && inAnswer->not_done)
-			this->plan.OnRefused(by, now);
 		const std::optional<OrderAnswer> answer = inAnswer.has_value() ? DecodeValue<OrderAnswer>(inAnswer->record) : std::nullopt;
 		if (answer.has_value())
 			return done(*answer);
@@ -88,11 +86,9 @@
 		const bool uncertain = accepted || !inAnswer.has_value() || !inAnswer->not_done || inAnswer->reported;
 		this->agent.Send(inOrder, [uncertain, done](const OrderAnswer &inOwn) { done(uncertain ? AsUncertain(inOwn) : inOwn); });
 	};
-	// Two lost answers to polls use up a worker's lease, so they are asked for as soon as they are overdue. Starts are large and are not
-	// repeated
-	const Millis handling_ms = order.wait_ms + (order.kind == EOrder::Poll ? 0 : cForwardMarginMs);
+	// Two lost answers to polls use up a worker's lease, so an answer is asked for as soon as it is overdue
 	this->peers.Ask(inBy.address, std::move(question), order.wait_ms + cForwardMarginMs, this->Guard(on_answer),
-					{.report_within_ms = cAcceptTimeoutMs, .handling_ms = handling_ms});
+					{.report_within_ms = cAcceptTimeoutMs, .handling_ms = order.wait_ms});
 }
 
 template <class Agent>
@@ -116,10 +112,8 @@
 void OrderSender<Agent>::SendFor(const PeerQuestion &inQuestion, uint64 inOwnIncarnation, std::function<void(PeerAnswer)> inReply)
 {
 	const std::optional<Order> order = DecodeValue<Order>(inQuestion.record);
-	const Millis now = NowMillis();
-	// Refused: stopping, link busy, meant for an earlier process at this address, damaged, or expired
-	const bool can_send = this->forwards && !this->IsLinkBusy(now);
-	if (!can_send || !order.has_value() || inQuestion.incarnation != inOwnIncarnation || now >= order->not_after)
+	// Refused: stopping, meant for an earlier process at this address, damaged, or expired
+	if (!this->forwards || !order.has_value() || inQuestion.incarnation != inOwnIncarnation || NowMillis() >= order->not_after)
 	{
 		PeerAnswer refusal;
 		refusal.not_done = true;
