--- a/UnitTests/OwnershipTests.cpp
+++ b/UnitTests/OwnershipTests.cpp
@@ -545,7 +545,7 @@
 	for (int i = 0; i < count; ++i)
 	{
 		PlayedHeartbeat played;
-		played.heartbeat = MakeHeartbeat("other", static_cast<uint64>(i + 1), {{7, 3}});
+		played.heartbeat = MakeHeartbeat("other", static_cast<uint64>(i) + 1, {{7, 3}});
 		played.heartbeat.lease_ms = *rc::gen::element(cShortLeaseMs, cLongLeaseMs);
 		played.sent_at = sent_at;
 		// The first one gives the owner its lease
