--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -74,7 +74,8 @@
 	flock -n 8 || return 1
 	CONTROL="http://127.0.0.1:$((PORT + 2))"
 	curl -s -o /dev/null --max-time 1 "$CONTROL/report" && return 1
-	"$STANDINS/loomreach-platform" --port=$PORT --pools="${POOLS:-fast,fast,fast,slow,slow,spare}" >"$DIR/platform.log" 2>&1 &
+	# shellcheck disable=SC2086
+	"$STANDINS/${PLATFORM:-loomreach-platform}" --port=$PORT --pools="${POOLS:-fast,fast,fast,slow,slow,spare}" ${PLATFORM_FLAGS:-} >"$DIR/platform.log" 2>&1 &
 	PIDS[platform]=$!
 	answers_or_ended() { curl -s -o /dev/null --max-time 1 "$CONTROL/report" || ! kill -0 "${PIDS[platform]}" 2>/dev/null; }
 	within 20 answers_or_ended
@@ -139,7 +140,7 @@
 # start_deployment CONFIG: platform, entry hosts and the first configuration, until a first job has been completed.
 start_deployment() {
 	local try n started=0
-	[ -x "$STANDINS/loomreach-platform" ] || cannot_run "review/build.sh has not built the stand-in"
+	[ -x "$STANDINS/${PLATFORM:-loomreach-platform}" ] || cannot_run "review/build.sh has not built the stand-in"
 	[ -x "$ROOT/target/loomreachd" ] || cannot_run "the deploy file's build has not run"
 	for try in 1 2 3 4 5; do start_platform $try && { started=1; break; }; done
 	[ $started = 1 ] || cannot_run "no free block of ports"
