--- a/review/deployment.sh
+++ b/review/deployment.sh
@@ -149,9 +149,9 @@
 	for n in $(seq 1 "$ENTRY_HOSTS"); do start_entry "$n"; done
 	put_config "$1"
 	within 20 all_ready || cannot_run "the entry hosts did not get ready"
-	first_accepted() { call 1 POST /work/00000000000000f0 "$(job ms=300 2)"; [ "$STATUS" = 200 ]; }
+	first_accepted() { call 1 POST /jobs/00000000000000f0 "$(job ms=300 2)"; [ "$STATUS" = 200 ]; }
 	within 15 first_accepted || cannot_run "no job was accepted"
-	first_completed() { sleep 0.9; call 1 GET /work/00000000000000f0; [ "$ANSWER" = '{"state":"completed"}' ]; }
+	first_completed() { sleep 0.9; call 1 GET /jobs/00000000000000f0; [ "$ANSWER" = '{"state":"completed"}' ]; }
 	within 20 first_completed || cannot_run "the first job was not completed"
 	# Traffic and bounds count from a deployment at rest
 	sleep 4
