--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -5,6 +5,7 @@
 
 #include <Loomreach/Admission/PoolClosure.h>
 #include <Loomreach/Core/Metrics.h>
+#include <Loomreach/Entry/InboxWriter.h>
 #include <Loomreach/Entry/PeerQuery.h>
 #include <Loomreach/Ownership/CellNames.h>
 #include <Loomreach/Ownership/OwnedLog.h>
@@ -30,6 +31,10 @@
 	std::function<void(PeerQuestion, PeerQuery::OnAnswer)> ask_fleet = {};
 	/// Sends run ends to the hosts that keep replicas of them. Only set for cells of pools.
 	std::function<void(const RunEndsUpdate &)> replicate_ends = {};
+	/// Asks the owner of another cell, which may be this host. Without it queues are not expected to move. Only set for cells of pools.
+	std::function<void(uint32 inCell, PeerQuestion, PeerQuery::OnAnswer)> ask_cell = {};
+	/// Appends a record to the inbox of another cell and reports whether it was appended. Only set for cells of pools.
+	std::function<void(uint32 inCell, std::string inRecord, EInboxPriority, std::function<void(bool)>)> append_inbox = {};
 	/// Registers an append to the cell's log for the detection of a slow store, until the returned object is destroyed.
 	std::function<std::shared_ptr<void>()> watch_append = {};
 	/// The link of this host; nullptr: it counts as unlimited.
@@ -83,6 +88,8 @@
 	bool KnowsJob(const JobSpec &inSpec) const { return this->MayAct(NowMillis()) && this->cell.Query(inSpec.queue, inSpec.id).known; }
 	/// Asks for the teams' shares at once if the owner of the fleet cell with this epoch has not been asked yet.
 	void OnFleetOwner(uint64 inFleetEpoch);
+	/// Where the cell's queues are placed: sites to register.
+	QueuePlacements &Placements() { return this->cell.Placements(); }
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
 	void Step();
 	CellCounts Figures() const { return this->cell.Counts(); }
@@ -106,8 +113,12 @@
 	void SendOrders();
 	/// Sends run ends that are not in the log yet to the hosts that keep replicas.
 	void ReplicateEnds();
+	/// Adds to an answer which other cells may have jobs of the queue, and whether this cell can tell that a job does not exist.
+	void AddQueueStatus(const PeerQuestion &inQuestion, Millis inNow, PeerAnswer &ioAnswer) const;
 	/// Stops the cell from starting tasks while its inbox cannot be read.
 	void CheckInboxFreshness(Millis inNow);
+	/// Asks former cells of queues, and passes records on to other cells' inboxes.
+	void FollowMoves(Millis inNow);
 	/// Asks the owner of the fleet cell for the teams' shares when they are due.
 	void AskShares(Millis inNow);
 
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -37,6 +37,16 @@
 	tuning.batch_bytes = std::min(tuning.batch_bytes, std::max(link.BytesIn(cMaxAppendTransferMs), cMinBatchBytes));
 	tuning.start_backlog_bytes = link.BytesIn(cStartBacklogMs);
 	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
+	tuning.log_partitions = static_cast<uint32>(inConfig.log_partitions);
+	return tuning;
+}
+
+/// The same for a driver: without a way to ask other cells queues do not move.
+inline CellTuning CellTuningOf(const DriverContext &inContext)
+{
+	CellTuning tuning = CellTuningOf(inContext.config);
+	if (!inContext.ask_cell)
+		tuning.log_partitions = 0;
 	return tuning;
 }
 
@@ -44,7 +54,7 @@
 CellDriver<Hub>::CellDriver(Hub &inHub, const DriverContext &inContext, uint32 inCell)
 	: hub(inHub), context(inContext), number(inCell),
 	  log(inHub.store, CellLog(inCell, static_cast<uint32>(inContext.config.log_partitions)), inContext.process),
-	  cell(CellTuningOf(inContext.config))
+	  cell(CellTuningOf(inContext))
 {
 }
 
@@ -179,6 +189,7 @@
 	this->context.metrics.Observe(ETiming::Plan, planned - began);
 	this->SendOrders();
 	this->ReplicateEnds();
+	this->FollowMoves(now);
 	this->AskShares(now);
 	const double sent = NowMillisExact();
 	this->Write();
@@ -211,6 +222,31 @@
 	this->cell.SetInboxFresh(fresh);
 }
 
+template <class Hub>
+void CellDriver<Hub>::FollowMoves(Millis inNow)
+{
+	for (const MoveQuestion &move : this->cell.Placements().TakeQuestions(inNow))
+	{
+		PeerQuestion question;
+		question.kind = EQuestion::QueueMoved;
+		question.record = EncodeValue(move);
+		this->context.ask_cell(move.former, std::move(question),
+							   this->Guard(
+								   [this, move](const std::optional<PeerAnswer> &inAnswer)
+								   {
+									   const bool is_owner = inAnswer.has_value() && inAnswer->owner;
+									   this->cell.Placements().OnAnswer(
+										   move, is_owner ? DecodeValue<MoveAnswer>(inAnswer->record) : std::nullopt, NowMillis());
+									   this->ScheduleStep(cStepDelayMs);
+								   }));
+	}
+	for (const RedirectedRecord &redirected : this->cell.Placements().TakeRedirected())
+		this->context.append_inbox(redirected.cell, EncodeValue(redirected.record),
+								   redirected.record.kind == EInbox::Submit ? EInboxPriority::Bulk : EInboxPriority::Control,
+								   this->Guard([this, number = redirected.number](bool inDone)
+											   { this->cell.Placements().OnRedirected(number, inDone, NowMillis()); }));
+}
+
 template <class Hub>
 void CellDriver<Hub>::AskShares(Millis inNow)
 {
@@ -321,6 +357,17 @@
 			this->context.replicate_ends(*update);
 }
 
+template <class Hub>
+void CellDriver<Hub>::AddQueueStatus(const PeerQuestion &inQuestion, Millis inNow, PeerAnswer &ioAnswer) const
+{
+	if (this->cell.Placements().IsUndecided(inQuestion.id, inNow))
+		ioAnswer.inbox_current = false;
+	const QueueStatus status = this->cell.Placements().StatusOf(inQuestion.key_hash);
+	// Most queues have never moved, and an answer for them carries nothing more
+	if (!status.current || status.version < inQuestion.version || !status.others.empty())
+		ioAnswer.record = EncodeValue(status);
+}
+
 template <class Hub>
 PeerAnswer CellDriver<Hub>::Answer(const PeerQuestion &inQuestion)
 {
@@ -334,13 +381,23 @@
 	{
 	case EQuestion::Show:
 	{
-		const JobAnswer job = this->cell.Query(inQuestion.queue, inQuestion.id);
+		const JobAnswer job = this->cell.Query(inQuestion.queue, inQuestion.id, inQuestion.key_hash);
 		answer.known = job.known;
+		if (!job.known)
+			this->AddQueueStatus(inQuestion, now, answer);
 		answer.other_team = job.known && IsOtherTeam(job.team, inQuestion.team);
 		answer.phase = job.phase;
 		break;
 	}
-	case EQuestion::Count: answer.waiting = this->cell.Waiting(inQuestion.queue); break;
+	case EQuestion::Count:
+		answer.waiting = this->cell.Waiting(inQuestion.queue, inQuestion.key_hash);
+		this->AddQueueStatus(inQuestion, now, answer);
+		break;
+	case EQuestion::QueueMoved:
+		if (const std::optional<MoveQuestion> move = DecodeValue<MoveQuestion>(inQuestion.record))
+			answer.record = EncodeValue(this->cell.OnQueueMoved(*move, now, WallMillis()));
+		this->ScheduleStep(cStepDelayMs);
+		break;
 	case EQuestion::Demand:
 		this->cell.OnWorkersRemoved(inQuestion.departed, now);
 		answer.demand = this->cell.Demand(inQuestion.id, inQuestion.count, inQuestion.for_ms, now, WallMillis());
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -82,6 +82,7 @@
 		bool all = true;        ///< Whether all answers so far were good.
 		bool truncated = false; ///< Whether a partition no longer has the records from which it was to be read.
 		bool in_turn = false;   ///< Whether each read waits for the one before.
+		Millis began_at = 0;
 	};
 	void LoadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void ScheduleHostsRead();
@@ -100,7 +101,13 @@
 	void ReadHosts();
 	void ReadHostPart(const std::shared_ptr<HostsRound> &inRound, uint32 inPart);
 	void OnHostRecords(const std::vector<LogRecord> &inRecords);
-	void OnHostsRead(bool inAll);
+	void OnHostsRead(const HostsRound &inRound);
+	/// Sites of queues that this host's cells are to register, for its next heartbeat.
+	std::vector<QueueSite> SitesToRegister() const;
+	/// Tells the cells which of their sites were registered before all sites were read in a round that began then.
+	void ConfirmSites(Millis inRoundBeganAt);
+	/// Registers sites for which records wait without waiting for the next heartbeat and the next read.
+	void HurryRegistration();
 	uint32 HeartbeatPartitionCount() const { return std::min(cHeartbeatPartitions, this->PartitionCount()); }
 	Millis HeartbeatInterval(Millis inNow) const;
 	/// Appends a heartbeat. `inForce`: even while earlier ones have no answer yet.
@@ -132,6 +139,8 @@
 	/// Submits replicated run ends to the inboxes of cells whose owners have stopped acting.
 	void SubmitOrphanedEnds(Millis inNow);
 	void OnHeartbeatAnswer(const AppendAnswer &inAnswer, Millis inSentAt, Millis inLeaseMs);
+	/// These sites are in the log of heartbeats.
+	void OnSitesLogged(const std::vector<QueueSite> &inSites);
 	void MarkSupersededCells();
 	void ConsiderClaims();
 	void ClaimCell(uint32 inCell);
@@ -153,11 +162,32 @@
 	/// Whether run ends may still have to be submitted: a poll or a submission is in flight.
 	bool HasEndsToSubmit() const { return this->polls_in_flight > 0 || this->ends_submitter.InFlight() > 0; }
 	// Callers
+	/// A question to all cells that may have jobs of a queue.
+	struct PendingSearch
+	{
+		PeerQuestion question;
+		QueueSearch search;
+		Millis give_up_at = 0;
+		size_t open = 0;    ///< Cells that have not answered yet.
+		uint32 waiting = 0; ///< Count: sum of the answers.
+		PeerQuery::OnAnswer done;
+	};
+	/// Asks the cell of a queue, and each other cell that an answer names. Calls back with the answer that knows the job, or with one that
+	/// does not (Count: with the sum); with nothing if it is not certain that no cell has the job.
+	void AskQueue(const JobCall &inCall, EQuestion inKind, PeerQuery::OnAnswer inDone);
+	void AskNextCells(const std::shared_ptr<PendingSearch> &inSearch);
+	void OnCellAnswer(const std::shared_ptr<PendingSearch> &inSearch, int64 inVersion, const std::optional<PeerAnswer> &inAnswer);
 	/// Refuses a submission to a closed pool, unless the owner of the cell already has the job or does not answer.
 	void RefuseUnlessKnown(const JobCall &inCall, JobSpec inSpec, JobReply inReply, const PoolRefusal &inRefusal);
 	/// Submits a job to the inbox of its pool's cell.
 	void SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply &&inReply);
 	void BeginRequest(std::shared_ptr<PendingRequest> inRequest);
+	/// Notes which queues a new configuration has placed in other cells.
+	void NoteMovedQueues();
+	/// Begins a submission to a queue that has moved: its cell must be registered first, so that the job is found there whatever the
+	/// cell's owner knows. Returns false if that is so already.
+	bool AwaitSite(const Queue &inQueue, const std::shared_ptr<PendingRequest> &inRequest);
+	void OnSiteAppended(const QueueSite &inSite, bool inDone);
 	/// What is known that decides how a record is submitted. `inWithCandidates`: also which collectors there are, which takes a pass over
 	/// all hosts.
 	SubmissionView ViewOf(const PendingRequest &inRequest, bool inWithCandidates = true) const;
@@ -218,6 +248,15 @@
 	OrderSender<decltype(Hub::workers)> orders;
 	std::shared_ptr<const Catalogue> catalogue;
 	size_t catalogue_bytes = 0; ///< Size of the configuration's record.
+	QueueRegistry queue_registry;
+	std::map<QueueKey, uint32> queue_cells; ///< Cells of all queues that this process has known, as of the newest version that had them.
+	std::set<QueueKey> moved_queues;        ///< Of these, queues that have been in more than one cell.
+	/// Submissions that wait until a site is registered.
+	std::map<std::pair<QueueKey, uint32>, std::vector<std::shared_ptr<PendingRequest>>> awaiting_site;
+	std::vector<QueueSite> logged_sites; ///< In the log, and not confirmed by a round of reads that began later.
+	Millis sites_logged_at = 0;          ///< When the last of them was.
+	uint64 registry_seen = 0;            ///< Revision of the registry that the cells have got.
+	size_t sites_in_flight = 0;          ///< Sites in heartbeats without an answer yet.
 	std::map<int64, MaintenanceWave> waves;
 	ZoneEvacuations evacuations;
 	std::map<std::string, WorkerEntry> workers;
--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -19,6 +19,10 @@
 inline constexpr Millis cEntriesRefusedLogMs = 1000; ///< Entries that cannot be decoded are logged at most once in this time.
 /// Heartbeats sent, and reads of other hosts' heartbeats, during one lease: three may be lost.
 inline constexpr Millis cHeartbeatsPerLease = 4;
+/// Sites of queues that go along with one heartbeat: some KB, a fraction of the time between two heartbeats on a narrow link.
+inline constexpr size_t cMaxSitesPerHeartbeat = 64;
+/// Shortest time between two heartbeats that are sent in order to register sites for which records wait.
+inline constexpr Millis cMinRegistrationGapMs = 50;
 /// Delay before a cell that never had an owner is claimed. All hosts start within 0.3 s, the smallest need 0.5 s to get ready, and
 /// their heartbeats are seen at the next read. With a shorter delay the first few hosts to start would own all cells.
 inline constexpr Millis cFirstClaimDelayMs = 3000;
@@ -174,6 +178,7 @@
 	}
 	this->SearchHelpers(now);
 	this->AskOwners(now);
+	this->HurryRegistration();
 	this->SubmitOrphanedEnds(now);
 	if (!this->stopping)
 		this->RebalanceCells(now);
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -69,34 +69,27 @@
 template <class Hub>
 void JobHost<Hub>::RefuseUnlessKnown(const JobCall &inCall, JobSpec inSpec, JobReply inReply, const PoolRefusal &inRefusal)
 {
-	const Queue &queue = inCall.admission.queue;
-	PeerQuestion question;
-	question.kind = EQuestion::Show;
-	question.queue = queue.name;
-	question.id = inSpec.id;
-	question.team = inCall.admission.team;
 	// The submission may repeat one that was accepted before the pool was closed. A refusal says that the job will never run
-	this->AskCell(CellOf(queue.pool, this->PartitionCount()), std::move(question), std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
-				  [this, call = inCall, spec = std::move(inSpec), reply = std::move(inReply), refusal = inRefusal,
-				   asked_at = NowMillis()](const std::optional<PeerAnswer> &inAnswer) mutable
-				  {
-					  call.deadline_ms -= NowMillis() - asked_at;
-					  const bool is_unknown = inAnswer.has_value() && inAnswer->owner && !inAnswer->known && inAnswer->inbox_current;
-					  if (!is_unknown)
-						  return this->SubmitToInbox(call, std::move(spec), std::move(reply));
-					  JobOutcome outcome;
-					  outcome.error = EError::NoEndpoint;
-					  outcome.retry_after_s = refusal.retry_after_s;
-					  LogEvent(ELogLevel::Info, "call_refused")
-						  .Field("request", spec.id)
-						  .Field("queue", call.admission.queue.name)
-						  .Field("pool", call.admission.queue.pool)
-						  .Field("evacuated_zones", this->evacuations.Zones().size())
-						  .Field("heard_ms_ago", refusal.heard_ms_ago)
-						  .Field("retry_after_s", refusal.retry_after_s)
-						  .Field("outcome", AnswerOf(outcome.error).name);
-					  this->Answer(reply, outcome);
-				  });
+	this->AskQueue(inCall, EQuestion::Show,
+				   [this, call = inCall, spec = std::move(inSpec), reply = std::move(inReply), refusal = inRefusal,
+					asked_at = NowMillis()](const std::optional<PeerAnswer> &inAnswer) mutable
+				   {
+					   call.deadline_ms -= NowMillis() - asked_at;
+					   if (!inAnswer.has_value() || inAnswer->known)
+						   return this->SubmitToInbox(call, std::move(spec), std::move(reply));
+					   JobOutcome outcome;
+					   outcome.error = EError::NoEndpoint;
+					   outcome.retry_after_s = refusal.retry_after_s;
+					   LogEvent(ELogLevel::Info, "call_refused")
+						   .Field("request", spec.id)
+						   .Field("queue", call.admission.queue.name)
+						   .Field("pool", call.admission.queue.pool)
+						   .Field("evacuated_zones", this->evacuations.Zones().size())
+						   .Field("heard_ms_ago", refusal.heard_ms_ago)
+						   .Field("retry_after_s", refusal.retry_after_s)
+						   .Field("outcome", AnswerOf(outcome.error).name);
+					   this->Answer(reply, outcome);
+				   });
 }
 
 template <class Hub>
@@ -118,7 +111,69 @@
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
 	request->reply = std::move(inReply);
-	this->BeginRequest(std::move(request));
+	if (!this->AwaitSite(queue, request))
+		this->BeginRequest(std::move(request));
+}
+
+template <class Hub>
+bool JobHost<Hub>::AwaitSite(const Queue &inQueue, const std::shared_ptr<PendingRequest> &inRequest)
+{
+	const QueueSite site{KeyOf(inQueue), inRequest->cell, this->catalogue->version, inQueue.pool};
+	if (!this->moved_queues.contains(site.queue) || this->queue_registry.Contains(site))
+		return false;
+	std::vector<std::shared_ptr<PendingRequest>> &waiting = this->awaiting_site[{site.queue, site.cell}];
+	waiting.push_back(inRequest);
+	if (waiting.size() > 1)
+		return true;
+	AppendCall call;
+	call.log = HeartbeatLog(static_cast<uint32>(this->random.Below(this->HeartbeatPartitionCount())));
+	call.keyed = true;
+	call.records.push_back({QueueRegistry::LogKey(site), EncodeValue(site), 0});
+	call.timeout_ms = cMaxAppendTimeoutMs;
+	this->hub.store.Append(call,
+						   [this, site](const AppendAnswer &inAnswer) { this->OnSiteAppended(site, inAnswer.result == EAppend::Done); });
+	return true;
+}
+
+template <class Hub>
+void JobHost<Hub>::OnSiteAppended(const QueueSite &inSite, bool inDone)
+{
+	if (inDone)
+		this->queue_registry.Add(inSite);
+	LogEvent(inDone ? ELogLevel::Info : ELogLevel::Warning, "site_registered")
+		.Field("cell", inSite.cell)
+		.Field("pool", inSite.pool)
+		.Field("version", inSite.version)
+		.Field("done", inDone ? 1 : 0);
+	auto waiting = this->awaiting_site.extract({inSite.queue, inSite.cell});
+	for (const std::shared_ptr<PendingRequest> &request : waiting.mapped())
+		if (inDone && NowMillis() < request->give_up_at)
+			this->BeginRequest(request);
+		else
+		{
+			JobOutcome outcome;
+			outcome.error = EError::NotReady;
+			this->Answer(request->reply, outcome);
+		}
+}
+
+template <class Hub>
+void JobHost<Hub>::NoteMovedQueues()
+{
+	for (const Queue &queue : this->catalogue->queues)
+	{
+		const uint32 cell = CellOf(queue.pool, this->PartitionCount());
+		const auto [known, is_new] = this->queue_cells.try_emplace(KeyOf(queue), cell);
+		if (is_new || known->second == cell)
+			continue;
+		known->second = cell;
+		this->moved_queues.insert(known->first);
+		LogEvent(ELogLevel::Info, "queue_has_other_pool")
+			.Field("queue", queue.name)
+			.Field("pool", queue.pool)
+			.Field("cell", cell)
+			.Field("version", this->catalogue->version);
+	}
 }
 
 template <class Hub>
@@ -486,7 +541,7 @@
 	if (this->catalogue == nullptr || this->catalogue->version <= inQuestion.version)
 		return EError::None;
 	const JobSpec &spec = inRecord.spec;
-	return this->catalogue->StillAdmits(spec.queue, spec.pool, spec.team, inQuestion.key_hash) ? EError::None : LastReason().kind;
+	return this->catalogue->StillAdmits(spec.queue, spec.team, inQuestion.key_hash) ? EError::None : LastReason().kind;
 }
 
 template <class Hub>
@@ -592,51 +647,96 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::Show(const JobCall &inCall, JobReply inReply)
+void JobHost<Hub>::AskQueue(const JobCall &inCall, EQuestion inKind, PeerQuery::OnAnswer inDone)
 {
 	PeerQuestion question;
-	question.kind = EQuestion::Show;
+	question.kind = inKind;
 	question.queue = inCall.admission.queue.name;
+	question.key_hash = KeyOf(inCall.admission.queue);
 	question.id = inCall.id;
 	question.team = inCall.admission.team;
-	const uint32 cell = CellOf(inCall.admission.queue.pool, this->PartitionCount());
-	this->AskCell(cell, question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
-				  [this, reply = std::move(inReply), id = inCall.id](const std::optional<PeerAnswer> &inAnswer)
-				  {
-					  JobOutcome outcome;
-					  // Only an owner that has read its whole inbox can tell that a job does not exist
-					  if (!inAnswer.has_value() || !inAnswer->owner || (!inAnswer->known && !inAnswer->inbox_current))
-						  outcome.error = EError::NotReady;
-					  else if (!inAnswer->known)
-						  outcome.error = EError::JobGone;
-					  else if (inAnswer->other_team)
-						  outcome.error = EError::OtherTeam;
-					  else
-						  outcome.phase = inAnswer->phase;
-					  LogEvent(ELogLevel::Info, "job_asked")
-						  .Field("request", id)
-						  .Field("answer",
-								 outcome.phase.has_value() ? NameOf(cJobPhaseNames, *outcome.phase) : AnswerOf(outcome.error).name);
-					  this->Answer(reply, outcome);
-				  });
+	const QueueSearch search(CellOf(inCall.admission.queue.pool, this->PartitionCount()), this->catalogue->version);
+	this->AskNextCells(
+		std::make_shared<PendingSearch>(PendingSearch{std::move(question), search, GiveUpAt(inCall), 0, 0, std::move(inDone)}));
+}
+
+template <class Hub>
+void JobHost<Hub>::AskNextCells(const std::shared_ptr<PendingSearch> &inSearch)
+{
+	const std::vector<uint32> cells = inSearch->search.TakeCells();
+	inSearch->open += cells.size();
+	inSearch->question.version = inSearch->search.Version();
+	// An answer may name further cells, for which there must be time left
+	const Millis timeout_ms = std::clamp<Millis>((inSearch->give_up_at - NowMillis()) / 2, 1, cAskTimeoutMs);
+	for (const uint32 cell : cells)
+		this->AskCell(cell, inSearch->question, timeout_ms,
+					  [this, inSearch, version = inSearch->question.version](const std::optional<PeerAnswer> &inAnswer)
+					  { this->OnCellAnswer(inSearch, version, inAnswer); });
+}
+
+template <class Hub>
+void JobHost<Hub>::OnCellAnswer(const std::shared_ptr<PendingSearch> &inSearch, int64 inVersion, const std::optional<PeerAnswer> &inAnswer)
+{
+	--inSearch->open;
+	if (inSearch->done == nullptr)
+		return;
+	const bool is_owner = inAnswer.has_value() && inAnswer->owner;
+	if (is_owner && inAnswer->known)
+		return std::exchange(inSearch->done, nullptr)(inAnswer);
+	// Only an owner that has read its whole inbox can tell that a job does not exist. A count may be a little old
+	const bool is_sure = is_owner && (inSearch->question.kind == EQuestion::Count || inAnswer->inbox_current);
+	QueueStatus status{is_owner, inVersion, {}};
+	if (is_owner && !inAnswer->record.empty())
+		status = DecodeValue<QueueStatus>(inAnswer->record).value_or(QueueStatus{});
+	inSearch->search.OnAnswer(is_sure, status);
+	inSearch->waiting += is_owner ? inAnswer->waiting : 0;
+	this->AskNextCells(inSearch);
+	if (inSearch->open > 0 || inSearch->done == nullptr)
+		return;
+	const PeerQuery::OnAnswer done = std::exchange(inSearch->done, nullptr);
+	if (!inSearch->search.IsCertain())
+		return done(std::nullopt);
+	PeerAnswer answer;
+	answer.waiting = inSearch->waiting;
+	done(answer);
+}
+
+template <class Hub>
+void JobHost<Hub>::Show(const JobCall &inCall, JobReply inReply)
+{
+	this->AskQueue(inCall, EQuestion::Show,
+				   [this, reply = std::move(inReply), id = inCall.id](const std::optional<PeerAnswer> &inAnswer)
+				   {
+					   JobOutcome outcome;
+					   if (!inAnswer.has_value())
+						   outcome.error = EError::NotReady;
+					   else if (!inAnswer->known)
+						   outcome.error = EError::JobGone;
+					   else if (inAnswer->other_team)
+						   outcome.error = EError::OtherTeam;
+					   else
+						   outcome.phase = inAnswer->phase;
+					   LogEvent(ELogLevel::Info, "job_asked")
+						   .Field("request", id)
+						   .Field("answer",
+								  outcome.phase.has_value() ? NameOf(cJobPhaseNames, *outcome.phase) : AnswerOf(outcome.error).name);
+					   this->Answer(reply, outcome);
+				   });
 }
 
 template <class Hub>
 void JobHost<Hub>::Count(const JobCall &inCall, JobReply inReply)
 {
-	PeerQuestion question;
-	question.kind = EQuestion::Count;
-	question.queue = inCall.admission.queue.name;
-	this->AskCell(CellOf(inCall.admission.queue.pool, this->PartitionCount()), question, std::min(cAskTimeoutMs, inCall.deadline_ms / 2),
-				  [this, reply = std::move(inReply)](const std::optional<PeerAnswer> &inAnswer)
-				  {
-					  JobOutcome outcome;
-					  if (inAnswer.has_value() && inAnswer->owner)
-						  outcome.waiting = inAnswer->waiting;
-					  else
-						  outcome.error = EError::NotReady;
-					  this->Answer(reply, outcome);
-				  });
+	this->AskQueue(inCall, EQuestion::Count,
+				   [this, reply = std::move(inReply)](const std::optional<PeerAnswer> &inAnswer)
+				   {
+					   JobOutcome outcome;
+					   if (inAnswer.has_value())
+						   outcome.waiting = inAnswer->waiting;
+					   else
+						   outcome.error = EError::NotReady;
+					   this->Answer(reply, outcome);
+				   });
 }
 
 template <class Hub>
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -47,7 +47,7 @@
 void JobHost<Hub>::ReadOperator(uint64 inFrom, Millis inWaitMs)
 {
 	this->hub.store.Read(Hub::OperatorLog(), true, inFrom, inWaitMs,
-						 [this, inFrom](const ReadAnswer &inAnswer)
+						 [this, inFrom, sent_at = NowMillis()](const ReadAnswer &inAnswer)
 						 {
 							 if (inAnswer.result == ERead::Gone)
 								 return this->LoadOperator();
@@ -57,6 +57,9 @@
 							 this->operator_read_at = this->store_answered_at;
 							 for (const LogRecord &record : inAnswer.records)
 								 this->OnOperatorRecord(record);
+							 if (inAnswer.next >= inAnswer.end)
+								 for (const auto &[cell, driver] : this->drivers)
+									 driver->Placements().OnCatalogueRead(sent_at);
 							 this->ScheduleOperatorRead(inAnswer.next);
 						 });
 }
@@ -95,6 +98,7 @@
 		.Field("teams", read->teams.has_value() ? static_cast<int64>(read->teams->size()) : -1);
 	this->catalogue_bytes = inRecord.value.size();
 	this->catalogue = std::make_shared<const Catalogue>(std::move(*read));
+	this->NoteMovedQueues();
 	for (auto &[cell, driver] : this->drivers)
 		driver->SetCatalogue(this->catalogue);
 	if (this->fleet_driver != nullptr)
--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -15,6 +15,7 @@
 	auto round = std::make_shared<HostsRound>();
 	round->open = this->HeartbeatPartitionCount();
 	round->in_turn = true;
+	round->began_at = NowMillis();
 	this->LoadHostPart(round, 0);
 }
 
@@ -35,7 +36,7 @@
 							   // All heartbeats of earlier starts of this host have been read now
 							   if (this->start == 0)
 								   this->start = this->owners.StartCountOf(this->config.name) + 1;
-							   this->OnHostsRead(true);
+							   this->OnHostsRead(*round);
 							   this->ScheduleHostsRead();
 						   });
 }
@@ -103,6 +104,7 @@
 {
 	auto round = std::make_shared<HostsRound>();
 	round->open = this->HeartbeatPartitionCount();
+	round->began_at = NowMillis();
 	// At the start one read after the other, over one connection: hosts that all start together would overrun the store's queue of new
 	// connections. Later all reads in parallel: one without an answer must not delay the others, and with them the cell's next owner
 	round->in_turn = this->catalogue == nullptr;
@@ -135,7 +137,7 @@
 							 }
 							 if (round->truncated)
 								 return this->LoadHosts();
-							 this->OnHostsRead(round->all);
+							 this->OnHostsRead(*round);
 							 this->ScheduleHostsRead();
 						 });
 }
@@ -147,6 +149,12 @@
 	this->store_answered_at = now;
 	for (const LogRecord &record : inRecords)
 	{
+		if (QueueRegistry::IsLogKey(record.key))
+		{
+			if (const std::optional<QueueSite> site = DecodeValue<QueueSite>(record.value))
+				this->queue_registry.Add(*site);
+			continue;
+		}
 		const std::optional<HostHeartbeat> heartbeat = DecodeValue<HostHeartbeat>(record.value);
 		if (heartbeat.has_value())
 			this->owners.OnHeartbeat(*heartbeat, now);
@@ -154,15 +162,73 @@
 }
 
 template <class Hub>
-void JobHost<Hub>::OnHostsRead(bool inAll)
+void JobHost<Hub>::OnHostsRead(const HostsRound &inRound)
 {
 	this->MarkSupersededCells();
 	this->AskNewFleetOwner();
 	if (!this->drivers.empty())
 		this->orders.SetHosts(this->owners.IdleHosts(NowMillis()));
-	// A partition that was not read may contain the heartbeat of an active owner
-	if (inAll)
-		this->ConsiderClaims();
+	// A partition that was not read may contain the heartbeat of an active owner, or a site of a queue
+	if (!inRound.all)
+		return;
+	this->ConfirmSites(inRound.began_at);
+	this->ConsiderClaims();
+}
+
+template <class Hub>
+std::vector<QueueSite> JobHost<Hub>::SitesToRegister() const
+{
+	std::vector<QueueSite> sites;
+	for (const auto &[cell, driver] : this->drivers)
+		if (driver->IsHeld())
+			for (QueueSite &site : driver->Placements().SitesToRegister(cMaxSitesPerHeartbeat - sites.size()))
+				if (std::find(this->logged_sites.begin(), this->logged_sites.end(), site) == this->logged_sites.end())
+					sites.push_back(std::move(site));
+	return sites;
+}
+
+template <class Hub>
+void JobHost<Hub>::OnSitesLogged(const std::vector<QueueSite> &inSites)
+{
+	if (inSites.empty())
+		return;
+	this->logged_sites.insert(this->logged_sites.end(), inSites.begin(), inSites.end());
+	this->sites_logged_at = NowMillis();
+	this->HurryRegistration();
+}
+
+template <class Hub>
+void JobHost<Hub>::ConfirmSites(Millis inRoundBeganAt)
+{
+	if (std::exchange(this->registry_seen, this->queue_registry.Revision()) != this->queue_registry.Revision())
+		for (const auto &[cell, driver] : this->drivers)
+			if (driver->IsHeld())
+				driver->Placements().OnRegistry(this->queue_registry, NowMillis());
+	// A round that began before may have missed a site that another cell registered meanwhile
+	if (this->logged_sites.empty() || inRoundBeganAt < this->sites_logged_at)
+		return;
+	const std::vector<QueueSite> sites = std::exchange(this->logged_sites, {});
+	for (const auto &[cell, driver] : this->drivers)
+		if (driver->IsHeld())
+			driver->Placements().OnRegistered(sites, this->queue_registry, NowMillis());
+}
+
+template <class Hub>
+void JobHost<Hub>::HurryRegistration()
+{
+	const bool is_urgent =
+		std::any_of(this->drivers.begin(), this->drivers.end(),
+					[](const auto &inDriver) { return inDriver.second->IsHeld() && inDriver.second->Placements().IsRegistrationUrgent(); });
+	if (!is_urgent)
+		return;
+	if (!this->logged_sites.empty())
+	{
+		if (this->hosts_timer.IsRunning())
+			this->hosts_timer.Once(0, [this] { this->ReadHosts(); });
+		return;
+	}
+	if (this->sites_in_flight == 0 && NowMillis() - this->heartbeat_sent_at >= cMinRegistrationGapMs)
+		this->SendHeartbeat(true);
 }
 
 template <class Hub>
@@ -190,6 +256,8 @@
 		cells.insert(cFleetCell);
 	for (const auto &[name, pool] : this->catalogue->pools)
 		cells.insert(CellOf(name, this->PartitionCount()));
+	// Cells of pools that the configuration no longer has may still hold jobs
+	cells.insert(this->queue_registry.Cells().begin(), this->queue_registry.Cells().end());
 	std::erase_if(cells,
 				  [this](uint32 inCell) { return inCell == cFleetCell ? this->fleet_driver != nullptr : this->drivers.contains(inCell); });
 	for (uint32 cell : cells)
@@ -237,9 +305,18 @@
 	{ this->AskCell(cFleetCell, std::move(inQuestion), cAskSharesTimeoutMs, std::move(inDone)); };
 	const auto replicate_ends = [this](const RunEndsUpdate &inUpdate)
 	{ this->peers.Notify(this->owners.ReplicaHosts(NowMillis()), EPeerMessage::Ends, EncodeValue(inUpdate)); };
+	const auto ask_cell = [this](uint32 inOther, PeerQuestion inQuestion, PeerQuery::OnAnswer inDone)
+	{ this->AskCell(inOther, std::move(inQuestion), cAskOwnerTimeoutMs, std::move(inDone)); };
+	const auto append_inbox = [this](uint32 inOther, std::string inRecord, EInboxPriority inPriority, std::function<void(bool)> inDone)
+	{
+		this->WriterOf(inOther).Append(
+			std::move(inRecord), cMaxAppendTimeoutMs,
+			[done = std::move(inDone)](const AppendAnswer &inAnswer) { done(inAnswer.result == EAppend::Done); }, inPriority);
+	};
 	const auto watch_append = [this] { return this->WatchAppend(ESlowSign::CellLog); };
 	return {this->config, this->metrics, this->lease,    this->owners, {this->config.name, this->incarnation, this->start},
-			send,         ask_fleet,     replicate_ends, watch_append, &this->link};
+			send,         ask_fleet,     replicate_ends, ask_cell,     append_inbox,
+			watch_append, &this->link};
 }
 
 template <class Hub>
@@ -459,6 +536,11 @@
 	call.keyed = true;
 	const std::string message = EncodeValue(heartbeat);
 	call.records.push_back({heartbeat.host, message, 0});
+	// Sites go along with a heartbeat, which is sent anyway
+	std::vector<QueueSite> sites = this->sites_in_flight == 0 ? this->SitesToRegister() : std::vector<QueueSite>();
+	for (const QueueSite &site : sites)
+		call.records.push_back({QueueRegistry::LogKey(site), EncodeValue(site), 0});
+	this->sites_in_flight += sites.size();
 	call.timeout_ms = cHeartbeatTimeoutMs;
 	call.traffic = ETraffic::Heartbeat;
 	this->heartbeat_sent_at = sent_at;
@@ -468,9 +550,12 @@
 	this->lease.OnSent(sent_at, heartbeat.lease_ms);
 	// Heartbeats of hosts without cells share a partition and wait for each other also while the store is fast
 	this->hub.store.Append(call,
-						   [this, sent_at, lease_ms = heartbeat.lease_ms, message,
+						   [this, sent_at, lease_ms = heartbeat.lease_ms, message, sites = std::move(sites),
 							watch = this->Owned() > 0 ? this->WatchAppend(ESlowSign::Heartbeat) : nullptr](const AppendAnswer &inAnswer)
 						   {
+							   this->sites_in_flight -= sites.size();
+							   if (inAnswer.result == EAppend::Done)
+								   this->OnSitesLogged(sites);
 							   this->OnHeartbeatAnswer(inAnswer, sent_at, lease_ms);
 							   // Successors count the lease from when they hear of it: by datagram at once, otherwise at their next read. A
 							   // heartbeat that was not acknowledged must not prolong their wait
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -28,7 +28,8 @@
 	StoreReach,  ///< Whether the asked host reaches the store; also asked to read its clock.
 	Shares,      ///< To the owner of the fleet cell: how much teams may have running in the asking cell.
 	Forward,     ///< Sends an order to a worker for an owner that lacks processor time.
-	Owners       ///< Which hosts own cells, for a host that seldom reads their heartbeats.
+	Owners,      ///< Which hosts own cells, for a host that seldom reads their heartbeats.
+	QueueMoved   ///< To the owner of a cell in which a queue was placed before (MoveQuestion).
 };
 
 /// A question. Fields that its kind does not use are empty.
@@ -40,13 +41,13 @@
 	std::string queue;
 	std::string id;      ///< Id of a job, a worker or a pool.
 	std::string team;    ///< Show: the asking team.
-	int64 version = 0;   ///< AppendInbox: version of the asking host's configuration.
-	uint64 key_hash = 0; ///< AppendInbox: hash of the caller's key, see Admission.
+	int64 version = 0;   ///< AppendInbox, Show, Count: version of the asking host's configuration.
+	uint64 key_hash = 0; ///< AppendInbox: hash of the caller's key, see Admission. Show, Count: the queue, see QueueKey.
 	int64 for_ms = 0;    ///< Drain, Demand: how long workers must stay drained. AppendInbox: time left for the append.
 	uint32 count = 0;    ///< Demand: number of workers that should be spared.
 	/// Demand: workers whose hosts have just been moved or taken down, although the worker list still shows them.
 	std::vector<std::string> departed;
-	std::string record;     ///< AppendInbox: the encoded record. Forward: the encoded order.
+	std::string record;     ///< AppendInbox: the encoded record. Forward: the encoded order. QueueMoved: the encoded MoveQuestion.
 	uint64 incarnation = 0; ///< Forward: incarnation of the process that is asked.
 	ShareQuestion shares;   ///< Only for Shares.
 
@@ -73,7 +74,8 @@
 	bool reported = false;
 	int64 clock_ms = 0; ///< Any host: steady clock of the answering host.
 	/// Any host. Forward: the worker's encoded answer. Owners: the encoded heartbeats of hosts that own cells. AppendInbox: an encoded
-	/// CollectorStatus. Empty: not available here.
+	/// CollectorStatus. QueueMoved: the encoded MoveAnswer. Show, Count: the encoded list of other cells that may have jobs of the queue.
+	/// Empty: not available here, or none.
 	std::string record;
 	bool inbox_current = false;    ///< Whether the owner has recently read its inbox to the end.
 	EError refusal = EError::None; ///< Any host. AppendInbox: why a newer configuration does not allow the record.
--- a/Loomreach/Schedule/Catalogue.cpp
+++ b/Loomreach/Schedule/Catalogue.cpp
@@ -23,6 +23,12 @@
 	return best;
 }
 
+const Queue *Catalogue::FindQueue(std::string_view inName) const
+{
+	auto queue = std::find_if(this->queues.begin(), this->queues.end(), [&](const Queue &inOther) { return inOther.name == inName; });
+	return queue == this->queues.end() ? nullptr : &*queue;
+}
+
 const Team *Catalogue::TeamOf(std::string_view inKey) const
 {
 	if (!this->teams.has_value() || inKey.empty())
@@ -57,11 +63,10 @@
 	return Admission{*queue, team->name, HashOfKey(inKey)};
 }
 
-bool Catalogue::StillAdmits(std::string_view inQueue, std::string_view inPool, std::string_view inTeam, uint64 inKeyHash) const
+bool Catalogue::StillAdmits(std::string_view inQueue, std::string_view inTeam, uint64 inKeyHash) const
 {
-	const auto queue = std::find_if(this->queues.begin(), this->queues.end(),
-									[&](const Queue &inOther) { return inOther.name == inQueue && inOther.pool == inPool; });
-	if (queue == this->queues.end())
+	const Queue *queue = this->FindQueue(inQueue);
+	if (queue == nullptr)
 		return FailFalse(EError::NoSuchService, "queue " + std::string(inQueue));
 	if (queue->open || !this->teams.has_value())
 		return true;
--- a/Loomreach/Schedule/Catalogue.h
+++ b/Loomreach/Schedule/Catalogue.h
@@ -65,15 +65,17 @@
 
 	/// The queue that a caller's host header and path select, or null.
 	const Queue *Find(std::string_view inHost, std::string_view inPath) const;
+	/// A queue by name, or null.
+	const Queue *FindQueue(std::string_view inName) const;
 	/// The team that has a key, or null.
 	const Team *TeamOf(std::string_view inKey) const;
 	/// A team by name, or null.
 	const Team *FindTeam(std::string_view inName) const;
 	/// Admits a caller's request to a queue, or returns nothing and sets the error no-such-service or unknown-key.
 	std::optional<Admission> Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey) const;
-	/// Whether a request that another version admitted is still admitted: the queue belongs to the same pool, and the team has the key.
-	/// Sets the same errors.
-	bool StillAdmits(std::string_view inQueue, std::string_view inPool, std::string_view inTeam, uint64 inKeyHash) const;
+	/// Whether a request that another version admitted is still admitted: the queue exists, and the team has the key. The queue may belong
+	/// to another pool now. Sets the same errors.
+	bool StillAdmits(std::string_view inQueue, std::string_view inTeam, uint64 inKeyHash) const;
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -19,6 +19,9 @@
 static constexpr char cLocationKey = 'w';    ///< Worker: its location.
 static constexpr char cIncarnationKey = 'b'; ///< Worker: the incarnation that runs were placed on. Unknown to earlier versions.
 static constexpr char cDrainGrantKey = 'p';  ///< Worker: length of its drain grant. Unknown to earlier versions.
+static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
+static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
+static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
@@ -60,6 +63,12 @@
 		return this->RestoreIncarnation(id, inValue);
 	if (inKey[0] == cDrainGrantKey)
 		return this->RestoreDrainGrant(id, inValue);
+	if (inKey[0] == cPlacementKey)
+		return this->placements.RestorePlacement(inValue);
+	if (inKey[0] == cHeldKey)
+		return this->placements.RestoreHeld(id, inValue);
+	if (inKey[0] == cRedirectedKey)
+		return this->placements.RestoreRedirected(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -157,6 +166,7 @@
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
 {
 	this->epoch = inEpoch;
+	this->now = inNow;
 	this->run_events.Begin(inCell, inEpoch);
 	this->replicator.Begin(inCell, inEpoch);
 	this->leases.Begin(this->tuning.lease_ms, this->tuning.max_lease_ms, inNow);
@@ -182,6 +192,10 @@
 		}
 		++it;
 	}
+	std::set<std::string> queues;
+	for (const auto &[id, job] : this->jobs)
+		queues.insert(job.spec.queue);
+	this->placements.Begin(inCell, queues, this->catalogue.get(), inNow);
 	// A previous owner may have issued the grants just now
 	for (auto &[id, worker] : this->workers)
 		if (worker.logged_grant_ms > 0)
@@ -293,8 +307,12 @@
 void Cell::SetCatalogue(std::shared_ptr<const Catalogue> inCatalogue)
 {
 	this->catalogue = std::move(inCatalogue);
-	if (this->catalogue != nullptr)
-		this->teams.SetTeams(*this->catalogue);
+	if (this->catalogue == nullptr)
+		return;
+	this->teams.SetTeams(*this->catalogue);
+	// Before the cell begins, what its log says of the placements is not known
+	if (this->epoch > 0)
+		this->placements.SetCatalogue(*this->catalogue, this->now);
 }
 
 void Cell::SetEvacuated(const std::set<std::string> &inZones, Millis inNow)
@@ -366,26 +384,35 @@
 	this->unwritten_changes = true;
 	if (inRecord.kind == EInbox::Ends)
 		return this->IngestEnds(inRecord.ends, inNow);
-	const std::string &id = inRecord.spec.id;
-	CellJob *known = this->FindJob(id);
-	if (inRecord.kind == EInbox::Cancel)
-	{
-		const bool is_other_team = known != nullptr && IsOtherTeam(known->spec.team, inRecord.spec.team);
-		const bool cancels_job = known != nullptr && !is_other_team && !IsFinal(known->record.phase);
-		LogEvent(ELogLevel::Info, "cancel")
-			.Field("request", id)
-			.Field("outcome", cancels_job ? "canceled" : (is_other_team ? "another team's job" : "nothing to cancel"));
-		if (!cancels_job)
-			return;
-		known->record.ended_wall_ms = inWallNow;
-		this->CloseJob(*known, EJobPhase::Canceled, "caller");
-		this->StopAll(*known, "canceled", inNow);
+	if (this->FindJob(inRecord.spec.id) == nullptr && this->placements.OnArrival(inRecord, inNow) != EArrival::Take)
 		return;
-	}
+	this->Apply(inRecord, inNow, inWallNow);
+}
+
+void Cell::Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow)
+{
+	CellJob *known = this->FindJob(inRecord.spec.id);
+	const bool is_other_team = known != nullptr && IsOtherTeam(known->spec.team, inRecord.spec.team);
+	const bool cancels_job = known != nullptr && !is_other_team && !IsFinal(known->record.phase);
+	LogEvent(ELogLevel::Info, "cancel")
+		.Field("request", inRecord.spec.id)
+		.Field("outcome", cancels_job ? "canceled" : (is_other_team ? "another team's job" : "nothing to cancel"));
+	if (!cancels_job)
+		return;
+	known->record.ended_wall_ms = inWallNow;
+	this->CloseJob(*known, EJobPhase::Canceled, "caller");
+	this->StopAll(*known, "canceled", inNow);
+}
+
+void Cell::Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow)
+{
+	if (inRecord.kind == EInbox::Cancel)
+		return this->Cancel(inRecord, inWallNow, inNow);
+	const std::string &id = inRecord.spec.id;
 	// A job id is accepted once, however often it is submitted
-	if (known != nullptr)
+	if (this->FindJob(id) != nullptr)
 	{
-		LogEvent(ELogLevel::Info, "job_repeated").Field("request", id).Field("offset", inOffset);
+		LogEvent(ELogLevel::Info, "job_repeated").Field("request", id).Field("inbox_next", this->inbox_next);
 		return;
 	}
 	CellJob &job = this->jobs[id];
@@ -413,10 +440,15 @@
 		.Field("fills", job.spec.steps.back().best_effort ? 1 : 0)
 		.Field("target_ms", job.spec.steps[0].latency_target_ms)
 		.Field("may_miss", job.spec.steps[0].limits_unavailable ? static_cast<int64>(job.spec.steps[0].max_unavailable) : -1)
-		.Field("offset", inOffset)
+		.Field("inbox_next", this->inbox_next)
 		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
 }
 
+bool Cell::IsForgotten(const CellJob &inJob, int64 inWallNow) const
+{
+	return IsFinal(inJob.logged_phase) && inWallNow - inJob.record.ended_wall_ms > this->tuning.keep_ended_ms;
+}
+
 void Cell::RemoveEndedJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
 {
 	if (inWallNow - this->ended_swept_wall_ms < cEndedSweepMs)
@@ -427,8 +459,7 @@
 		const CellJob &job = it->second;
 		const bool in_use =
 			this->dirty.contains(it->first) || this->jobs_to_write.contains(it->first) || this->in_batch.contains(it->first);
-		const bool old = IsFinal(job.logged_phase) && !in_use && inWallNow - job.record.ended_wall_ms > this->tuning.keep_ended_ms;
-		if (!old)
+		if (in_use || !this->IsForgotten(job, inWallNow))
 		{
 			++it;
 			continue;
@@ -445,6 +476,7 @@
 void Cell::BeginAppendSeries()
 {
 	this->jobs_to_write = std::exchange(this->dirty, {});
+	this->placements.BeginAppendSeries();
 	this->inbox_to_write = this->inbox_next;
 	this->replicator.BeginWriting();
 	for (auto &[id, worker] : this->workers)
@@ -528,7 +560,9 @@
 	if (begins)
 		this->BeginAppendSeries();
 	this->AddJobRecords(inWallNow, batch);
-	const bool whole = this->jobs_to_write.empty();
+	bool whole = this->jobs_to_write.empty();
+	// The inbox position must not pass records that are only held or redirected before the log has these
+	whole = this->placements.AddRecords(this->tuning.batch_bytes, whole, batch) && whole;
 	if (!batch.empty())
 		this->AddLocationRecords(batch);
 	this->AddDrainGrantRecords(batch);
@@ -592,6 +626,7 @@
 	this->batch_under_way = false;
 	this->leases.OnLogged();
 	this->replicator.OnLogged();
+	this->placements.OnAppended();
 	this->inbox_logged = this->inbox_writing;
 	for (const std::string &id : std::exchange(this->in_batch, {}))
 	{
@@ -622,11 +657,16 @@
 	this->run_events.FlushAppend(inNow - this->batch_at, this->batch_records);
 }
 
-JobAnswer Cell::Query(std::string_view inQueue, std::string_view inId) const
+bool Cell::IsOfQueue(const CellJob &inJob, std::string_view inQueue, QueueKey inKey) const
+{
+	return inJob.spec.queue == inQueue || (inKey != 0 && this->placements.KeyOfName(inJob.spec.queue) == inKey);
+}
+
+JobAnswer Cell::Query(std::string_view inQueue, std::string_view inId, QueueKey inKey) const
 {
 	JobAnswer answer;
 	auto found = this->jobs.find(std::string(inId));
-	if (found == this->jobs.end() || found->second.spec.queue != inQueue)
+	if (found == this->jobs.end() || !this->IsOfQueue(found->second, inQueue, inKey))
 		return answer;
 	answer.known = true;
 	answer.team = found->second.spec.team;
@@ -636,17 +676,31 @@
 	return answer;
 }
 
-uint32 Cell::Waiting(std::string_view inQueue) const
+uint32 Cell::Waiting(std::string_view inQueue, QueueKey inKey) const
 {
-	uint32 waiting = 0;
+	uint32 waiting = this->placements.CountUndecided(inKey);
 	for (const std::string &id : this->active)
 	{
 		const CellJob &job = this->jobs.at(id);
-		waiting += job.spec.queue == inQueue && !job.record.begun ? 1 : 0;
+		waiting += !job.record.begun && this->IsOfQueue(job, inQueue, inKey) ? 1 : 0;
 	}
 	return waiting;
 }
 
+MoveAnswer Cell::OnQueueMoved(const MoveQuestion &inQuestion, Millis inNow, int64 inWallNow)
+{
+	const auto is_of_queue = [this, &inQuestion](const CellJob &inJob)
+	{ return this->placements.KeyOfName(inJob.spec.queue) == inQuestion.site.queue; };
+	std::vector<std::string> known;
+	for (const std::string &id : inQuestion.jobs)
+		if (const CellJob *job = this->FindJob(id); job != nullptr && is_of_queue(*job))
+			known.push_back(id);
+	const bool has_jobs =
+		std::any_of(this->jobs.begin(), this->jobs.end(),
+					[&](const auto &inJob) { return !this->IsForgotten(inJob.second, inWallNow) && is_of_queue(inJob.second); });
+	return this->placements.Answer(inQuestion, std::move(known), has_jobs, inNow);
+}
+
 bool Cell::CanHandOver(Millis inNow) const
 {
 	for (const auto &[id, worker] : this->workers)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -19,6 +19,7 @@
 #include <Loomreach/Schedule/CrashEvidence.h>
 #include <Loomreach/Schedule/EndReplicator.h>
 #include <Loomreach/Schedule/PoolDemand.h>
+#include <Loomreach/Schedule/QueuePlacements.h>
 #include <Loomreach/Schedule/RunTimes.h>
 #include <Loomreach/Schedule/TeamUse.h>
 #include <Loomreach/Schedule/WaitingOrder.h>
@@ -59,7 +60,7 @@
 class Cell
 {
 public:
-	explicit Cell(const CellTuning &inTuning) : tuning(inTuning) {}
+	explicit Cell(const CellTuning &inTuning) : tuning(inTuning), placements(inTuning) {}
 
 	/// Applies one log record during take-over. Records with unknown keys are skipped. False: the value cannot be decoded.
 	bool Restore(std::string_view inKey, std::string_view inValue);
@@ -107,10 +108,15 @@
 	void OnShares(const ShareAnswer &inAnswer, Millis inNow);
 	bool OnFleetOwner(uint64 inFleetEpoch) { return this->teams.OnFleetOwner(inFleetEpoch); }
 
-	/// What callers may see of a job.
-	JobAnswer Query(std::string_view inQueue, std::string_view inId) const;
+	/// What callers may see of a job. `inKey`: the queue, which may have had another name when the job was accepted; 0: not known.
+	JobAnswer Query(std::string_view inQueue, std::string_view inId, QueueKey inKey = 0) const;
 	/// Number of accepted jobs of a queue with no started task.
-	uint32 Waiting(std::string_view inQueue) const;
+	uint32 Waiting(std::string_view inQueue, QueueKey inKey = 0) const;
+	/// Where the cell's queues are placed, for its driver: what to register, to ask and to redirect.
+	QueuePlacements &Placements() { return this->placements; }
+	const QueuePlacements &Placements() const { return this->placements; }
+	/// Answers the owner of a cell in which a queue is placed now, and takes no new jobs of the queue from then on.
+	MoveAnswer OnQueueMoved(const MoveQuestion &inQuestion, Millis inNow, int64 inWallNow);
 	/// Starts draining a worker for maintenance. True if it is empty and will stay so for the next `inForMs`.
 	bool DrainWorker(const std::string &inWorker, Millis inForMs, Millis inNow);
 	/// Demand of a pool, and up to `inSpare` of its workers that are empty and will stay so for the next `inForMs`.
@@ -125,7 +131,7 @@
 	/// Whether the last planning pass found too little capacity for some task.
 	bool IsShort() const { return !this->capacity_rejects.empty(); }
 	/// Whether the next append has something to write.
-	bool HasUnwrittenChanges() const { return this->unwritten_changes; }
+	bool HasUnwrittenChanges() const { return this->unwritten_changes || this->placements.HasUrgentChanges(); }
 
 private:
 	friend class CellProbe;
@@ -134,7 +140,14 @@
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
+	/// Whether a job ended so long ago that callers are not told of it any more.
+	bool IsForgotten(const CellJob &inJob, int64 inWallNow) const;
 	void RemoveEndedJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
+	/// Applies an inbox record that this cell decides on.
+	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
+	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
+	/// Whether a job was submitted to a queue, under its present name or another one.
+	bool IsOfQueue(const CellJob &inJob, std::string_view inQueue, QueueKey inKey) const;
 	CellJob *FindJob(const std::string &inId);
 	TaskRecord *FindTask(const TaskId &inTask);
 	VolatileTaskState *FindVolatileState(const TaskId &inTask);
@@ -392,6 +405,7 @@
 	RunEventLog run_events;
 	RunEndReplicator replicator;
 	std::shared_ptr<const Catalogue> catalogue;
+	QueuePlacements placements;
 	std::map<std::string, CellJob> jobs;
 	std::set<std::string> active; ///< Jobs whose phase is not final.
 	/// Active jobs that have something to start now or have changed since the last planning pass.
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -42,6 +42,7 @@
 	/// Planning pauses while starts of this many bytes are not sent yet: what is planned is reserved on its workers, and no longer ordered
 	/// by urgency.
 	size_t start_backlog_bytes = std::numeric_limits<size_t>::max();
+	uint32 log_partitions = 0; ///< Partitions per topic of the platform's log, which map pools to cells; 0: queues never move.
 };
 
 /// Worker clocks may run this much slower than the owner's, in thousandths: the specified 2%, and half of that as margin.
--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -5,7 +5,7 @@
 # refuse its repeat, crash, start again under their ids (also in series) or have less room for a while; tasks crash each worker that starts them; several at once. Jobs go on coming in. Then
 # calm: everything accepted must end well, but for the jobs whose tasks crash their workers: they must be given up. Of the others none may be,
 # no rule may have been broken (the stand-in's workers judge), and no invariant.
-# Usage: soak_jobs.sh BUILD SEED [SECONDS] [KINDS]. KINDS faults are drawn from, all 18 by default; with 17 no worker starts again under its
+# Usage: soak_jobs.sh BUILD SEED [SECONDS] [KINDS]. KINDS faults are drawn from, all 19 by default; with 18 no queue moves; with 17 no worker starts again under its
 # id, with 14 there are no suspended hosts, crashes and shrinking room either, and a seed means what it did before these were there. The seed repeats the order of faults, not the processes' timing.
 set -u
 cd "$(dirname "$0")/.." || exit 1
@@ -13,7 +13,7 @@
 BUILD=$1
 SEED=$2
 LENGTH=${3:-25}
-KINDS=${4:-18}
+KINDS=${4:-19}
 OLD_KINDS=14
 # What plays suspended machines has a clock of its own
 [ "$KINDS" = $OLD_KINDS ] && PROGRAM=loomreachd || PROGRAM=loomreachd-suspendable
@@ -79,9 +79,20 @@
 start_platform 1 || start_platform 2 || start_platform 3 || { echo "stand-in did not start"; exit 1; }
 for number in 1 2 3; do start_proxy $number; done
 for number in 1 2 3; do start_entry $number; done
-curl -s -X PUT "$CONTROL/operator/config" -d '{"version":3,"routes":[
- {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":4,"stretch":1.6,"targetLatencyMs":600}],
- "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+# configure VERSION [POOL]: the queue of the jobs in this pool; without one there is no such queue.
+configure() {
+	local queue=""
+	[ -n "${2:-}" ] && queue='{"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"'"$2"'","maxAttempts":4,"stretch":1.6,"targetLatencyMs":600}'
+	curl -s --max-time 5 -X PUT "$CONTROL/operator/config" -d '{"version":'"$1"',"routes":['"$queue"'],
+	 "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+}
+configure 3 fast
+BEGAN=$(date +%s%3N)
+# move POOL SECONDS: moves the queue, with an even number of tenths after a while without it.
+move() {
+	[ $((10#$(tr -d . <<<"$2") % 2)) = 1 ] || { configure $(($(date +%s%3N) - BEGAN + 10)); sleep "$2"; }
+	configure $(($(date +%s%3N) - BEGAN + 10)) "$1"
+}
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 "http://127.0.0.1:$(($(base "$1") + 1))/ready")" = 200 ]; }
 all_ready() { ready 1 && ready 2 && ready 3; }
 within 30 all_ready || { echo "seed $SEED: entry hosts did not become ready"; exit 1; }
@@ -139,6 +150,7 @@
 	15) put "crash/m$number" ;;
 	17) for gap in 20 150 600; do put "again/m$number/$((gap + length_ms / 40))"; sleep "0.$((length_ms % 7 + 2))"; done ;;
 	16) put "room/m$number/$((length_ms * 3 + 2000))"; sleep "$length"; put "room/m$number/0" ;;
+	18) case $number in 3) move fast "$length" ;; *) move slow "$length" ;; esac ;;
 	13) way "$number" mute ;; # Connections that are open now, for good
 	esac
 }
@@ -168,6 +180,7 @@
 wait "${STRIKES[@]}"
 
 # Calm
+configure $(($(date +%s%3N) - BEGAN + 10)) fast
 fault none
 orders none
 for number in 1 2 3; do
--- /dev/null
+++ b/UnitTests/QueueMoveTests.cpp
@@ -0,0 +1,318 @@
+// Jobs of a queue that newer configurations place in other pools: each is found, runs once and can be canceled, whichever host is asked.
+
+#include <Loomreach/Loomreach.h>
+
+#include <UnitTests/QueueMoveWorld.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs
+{
+
+namespace
+{
+
+constexpr Millis cSettleMs = 1500;
+constexpr uint64 cSeeds = 25;
+
+std::string FirstOf(const std::vector<std::string> &inTexts) { return inTexts.empty() ? "" : inTexts.front(); }
+
+/// A world in which "job" was accepted in pool 0, which the queue then left for pool 1.
+QueueMoveWorld MovedWorld()
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	world.Configure(1);
+	world.Run(cSettleMs);
+	return world;
+}
+
+void ExpectSeeds(uint64 inFirst, uint64 inCount, const MoveFaults &inFaults)
+{
+	// LOOM_SEEDS="FIRST COUNT" plays other seeds
+	uint64 first = inFirst;
+	uint64 count = inCount;
+	if (const char *seeds = std::getenv("LOOM_SEEDS"))
+		std::istringstream(seeds) >> first >> count;
+	for (uint64 seed = first; seed < first + count; ++seed)
+	{
+		QueueMoveWorld world(seed, inFaults);
+		world.RunTroubles(20'000);
+		EXPECT_TRUE(world.violations.empty()) << "seed " << seed << ": " << FirstOf(world.violations);
+	}
+}
+
+} // namespace
+
+/// Guards against jobs that are reported as gone, run again or cannot be canceled after their queue has moved.
+TEST(QueueMove, AcceptedJobsStayKnown)
+{
+	QueueMoveWorld world = MovedWorld();
+	for (size_t host = 0; host < QueueMoveWorld::cHosts; ++host)
+		EXPECT_EQ(world.Ask(host, "job"), EFinding::Known) << host;
+	EXPECT_EQ(world.Count(0), 1u);
+	world.Submit(1, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	EXPECT_EQ(world.Count(0), 1u);
+	world.Cancel(2, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+	EXPECT_EQ(world.Ask(0, "never"), EFinding::Gone);
+}
+
+/// Guards against a queue whose new jobs run in its former pool, or wait for ever.
+TEST(QueueMove, NewJobsRunInTheNewPool)
+{
+	QueueMoveWorld world = MovedWorld();
+	world.Submit(0, "new");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("new"), std::set<size_t>{1});
+}
+
+/// Guards against knowledge of a move that is lost with the hosts that saw it.
+TEST(QueueMove, HostsThatStartAfterTheMoveFindTheJobs)
+{
+	QueueMoveWorld world = MovedWorld();
+	world.KillAll(1000);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::CannotTell);
+	world.Run(1000 + cSettleMs);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::Known);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+}
+
+/// Guards against a change that all hosts sleep through: no owner has seen both configurations.
+TEST(QueueMove, AChangeWhileNoHostRunsIsNoticed)
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	world.KillAll(1000);
+	world.Configure(2);
+	world.Run(1000 + cSettleMs);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::Known);
+	world.Submit(1, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+}
+
+/// Guards against one id in two cells: a host with an older configuration hands it in after the former cell was asked about it.
+TEST(QueueMove, AHostThatIsBehindHandsInTheSameJob)
+{
+	QueueMoveWorld world = MovedWorld();
+	world.HoldBack(2, 0);
+	world.Submit(0, "late");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("late"), std::set<size_t>{1});
+	world.Submit(2, "late");
+	world.Submit(2, "other");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("late"), std::set<size_t>{1});
+	EXPECT_EQ(world.TakenBy("other"), std::set<size_t>{1});
+	EXPECT_EQ(world.Ask(2, "late"), EFinding::Known);
+	world.Cancel(2, "other");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("other"), EJobPhase::Canceled);
+}
+
+/// The same with an append that was under way for long, and a successor of the former cell's owner.
+TEST(QueueMove, ALateAppendAtTheFormerCellIsPassedOn)
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	world.Submit(2, "job", 6000);
+	world.Configure(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{1});
+	world.KillOwner(0, 500);
+	world.Run(6000);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{1});
+}
+
+/// Guards against untrue answers while the former cell has no owner: neither gone nor a second run.
+TEST(QueueMove, NobodyCanTellWhileTheFormerCellHasNoOwner)
+{
+	QueueMoveWorld world = MovedWorld();
+	world.KillOwner(0, 60'000);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::CannotTell);
+	world.Submit(0, "job");
+	world.Submit(0, "new");
+	world.Run(5000);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::CannotTell);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	EXPECT_TRUE(world.TakenBy("new").empty());
+	// The new owner of the current cell must still have what waits
+	world.KillOwner(1, 500);
+	world.Run(60'000);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	EXPECT_EQ(world.TakenBy("new"), std::set<size_t>{1});
+}
+
+/// Guards against jobs that are lost in a chain of moves.
+TEST(QueueMove, MovedTwiceAndBack)
+{
+	QueueMoveWorld world = MovedWorld();
+	world.Submit(0, "second");
+	world.Run(cSettleMs);
+	world.Configure(2);
+	world.Run(cSettleMs);
+	world.Submit(0, "third");
+	for (const char *job : {"job", "second"})
+		world.Submit(1, job);
+	world.Run(cSettleMs);
+	world.Configure(0);
+	world.Run(cSettleMs);
+	world.Submit(0, "fourth");
+	for (const char *job : {"job", "second", "third"})
+		world.Submit(2, job);
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	EXPECT_EQ(world.TakenBy("second"), std::set<size_t>{1});
+	EXPECT_EQ(world.TakenBy("third"), std::set<size_t>{2});
+	EXPECT_EQ(world.TakenBy("fourth"), std::set<size_t>{0});
+	EXPECT_EQ(world.Count(0), 4u);
+	world.Cancel(0, "second");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("second"), EJobPhase::Canceled);
+}
+
+/// Guards against a queue that is taken for another one because it was removed in between, or has another name now.
+TEST(QueueMove, RemovedThenAddedElsewhereUnderAnotherName)
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	world.Configure(std::nullopt);
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.Ask(0, "job"), std::nullopt);
+	world.Configure(3, "other");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::Known);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	world.Cancel(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+}
+
+/// Guards against a queue that has another name in the same pool.
+TEST(QueueMove, RenamedInItsPool)
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	world.Configure(0, "other");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.Ask(0, "job"), EFinding::Known);
+	EXPECT_EQ(world.Count(0), 1u);
+}
+
+/// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
+TEST(QueueMove, AQueueThatStaysAsksNobody)
+{
+	QueueMoveWorld world(1);
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.Appends(0), 0u);
+	world.Submit(0, "job");
+	world.Run(30 + cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	EXPECT_EQ(world.Appends(0), 1u);
+	world.Configure(0);
+	world.Run(30'000);
+	EXPECT_EQ(world.Questions(), 0u);
+	EXPECT_EQ(world.Appends(0), 1u);
+}
+
+/// Guards against a moved queue that pays for its move for ever.
+TEST(QueueMove, AFormerCellWithoutJobsIsForgotten)
+{
+	MoveFaults faults;
+	faults.keep_ended_ms = 5000;
+	QueueMoveWorld world(1, faults);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	world.Configure(1);
+	world.Run(cSettleMs);
+	world.Submit(0, "first");
+	world.Cancel(0, "job");
+	world.Run(40'000);
+	const size_t questions = world.Questions();
+	world.Submit(0, "second");
+	world.Run(30'000);
+	EXPECT_EQ(world.TakenBy("second"), std::set<size_t>{1});
+	EXPECT_EQ(world.Questions(), questions);
+}
+
+/// Guards against cells that disagree on where a queue is, whatever the order of moves, kills and late appends.
+TEST(QueueMoveSeeds, SlowStoresAndHostsThatAreBehind)
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 1500;
+	faults.host_lag_ms = 2000;
+	faults.late_registrar = 30;
+	faults.lost_message = 10;
+	faults.unknown_append = 20;
+	ExpectSeeds(1, cSeeds, faults);
+}
+
+/// The same with owners that are killed.
+TEST(QueueMoveSeeds, KilledOwners)
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 300;
+	faults.host_lag_ms = 1500;
+	faults.late_registrar = 20;
+	faults.lost_message = 10;
+	faults.unknown_append = 10;
+	faults.owner_kill = 40;
+	faults.no_owner_ms = 4000;
+	ExpectSeeds(1001, cSeeds, faults);
+}
+
+/// Guards against a cancellation that the new cell decides on before the submission has come from the former one.
+TEST(QueueMoveSeeds, CanceledJobsOfQueuesThatMove)
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 300;
+	faults.host_lag_ms = 1500;
+	faults.checks_cancels = true;
+	ExpectSeeds(4001, cSeeds, faults);
+}
+
+/// Faults with queues that are removed for a while.
+MoveFaults Removals()
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 100;
+	faults.host_lag_ms = 800;
+	faults.late_registrar = 20;
+	faults.lost_message = 5;
+	faults.owner_kill = 20;
+	faults.no_owner_ms = 2000;
+	faults.removal = 25;
+	return faults;
+}
+
+/// The same with queues that are removed and added again.
+TEST(QueueMoveSeeds, RemovedQueues) { ExpectSeeds(2001, cSeeds, Removals()); }
+
+/// The same with queues that come back under another name, also in versions that an owner has never read.
+TEST(QueueMoveSeeds, RenamedQueues)
+{
+	MoveFaults faults = Removals();
+	faults.rename = 40;
+	ExpectSeeds(3001, cSeeds, faults);
+}
+
+} // namespace Loomreach::Jobs
