Remember the cancellation of a job that its owner does not know yet

Callers saw: a cancel answered 200, and the job started later all the same. A client that left without an answer cancelled at another host, while the host that it had sent the job to was frozen; or the submission was on its way from the cell in which the queue was before.

Cause: the owner forgot a cancellation of an unknown job ("nothing to cancel"), though it had been accepted, and took the submission that came after it. Which of the two reaches an inbox first says nothing about the order in which the caller sent them.

Change: the cell keeps such a cancellation, in its log, for as long as it keeps ended jobs. A submission of that job is taken as canceled. A cell in which a queue was before tells the current one of it, so that it holds there too. Callers are not told of a job that nobody has submitted: a GET still answers 410.

CellCancel.AJobThatArrivesAfterItsCancellationIsNotStarted and ASuccessorRemembersCancellationsOfJobsToCome are new.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -22,6 +22,7 @@
 static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
 static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
+static constexpr char cEarlyCancelKey = 'k'; ///< Job: a cancellation before its submission. Unknown to earlier versions.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
@@ -69,6 +70,8 @@
 		return this->placements.RestoreHeld(id, inValue);
 	if (inKey[0] == cRedirectedKey)
 		return this->placements.RestoreRedirected(id, inValue);
+	if (inKey[0] == cEarlyCancelKey)
+		return this->RestoreEarlyCancel(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -163,6 +166,19 @@
 	return true;
 }
 
+bool Cell::RestoreEarlyCancel(const std::string &inJob, std::string_view inValue)
+{
+	if (inValue.empty())
+	{
+		this->early_cancels.erase(inJob);
+		return true;
+	}
+	std::optional<EarlyCancel> cancel = DecodeValue<EarlyCancel>(inValue);
+	if (cancel.has_value())
+		this->early_cancels[inJob] = std::move(*cancel);
+	return cancel.has_value();
+}
+
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
 {
 	this->epoch = inEpoch;
@@ -397,6 +413,12 @@
 	LogEvent(ELogLevel::Info, "cancel")
 		.Field("request", inRecord.spec.id)
 		.Field("outcome", cancels_job ? "canceled" : (is_other_team ? "another team's job" : "nothing to cancel"));
+	if (known == nullptr)
+	{
+		// The submission may still be on its way: from a host that was paused, or from another cell
+		this->early_cancels.try_emplace(inRecord.spec.id, EarlyCancel{inRecord.spec.queue, inRecord.spec.team, inWallNow});
+		this->unlogged_cancels.insert(inRecord.spec.id);
+	}
 	if (!cancels_job)
 		return;
 	known->record.ended_wall_ms = inWallNow;
@@ -442,6 +464,8 @@
 		.Field("may_miss", job.spec.steps[0].limits_unavailable ? static_cast<int64>(job.spec.steps[0].max_unavailable) : -1)
 		.Field("inbox_next", this->inbox_next)
 		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
+	if (auto early = this->early_cancels.find(id); early != this->early_cancels.end())
+		this->Cancel(CancelRecord(id, early->second), inWallNow, inNow);
 }
 
 bool Cell::IsForgotten(const CellJob &inJob, int64 inWallNow) const
@@ -473,6 +497,21 @@
 	}
 }
 
+void Cell::AddEarlyCancelRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
+{
+	for (const std::string &id : std::exchange(this->unlogged_cancels, {}))
+		outBatch.push_back({cEarlyCancelKey + id, EncodeValue(this->early_cancels.at(id))});
+	if (outBatch.empty())
+		return;
+	for (auto it = this->early_cancels.begin(); it != this->early_cancels.end();)
+	{
+		const bool old = inWallNow - it->second.wall_ms > this->tuning.keep_ended_ms;
+		if (old)
+			outBatch.push_back({cEarlyCancelKey + it->first, ""});
+		it = old ? this->early_cancels.erase(it) : std::next(it);
+	}
+}
+
 void Cell::BeginAppendSeries()
 {
 	this->jobs_to_write = std::exchange(this->dirty, {});
@@ -563,6 +602,7 @@
 	bool whole = this->jobs_to_write.empty();
 	// The inbox position must not pass records that are only held or redirected before the log has these
 	whole = this->placements.AddRecords(this->tuning.batch_bytes, whole, batch) && whole;
+	this->AddEarlyCancelRecords(inWallNow, batch);
 	if (!batch.empty())
 		this->AddLocationRecords(batch);
 	this->AddDrainGrantRecords(batch);
@@ -691,14 +731,18 @@
 {
 	const auto is_of_queue = [this, &inQuestion](const CellJob &inJob)
 	{ return this->placements.KeyOfName(inJob.spec.queue) == inQuestion.site.queue; };
-	std::vector<std::string> known;
+	MoveAnswer answer;
 	for (const std::string &id : inQuestion.jobs)
 		if (const CellJob *job = this->FindJob(id); job != nullptr && is_of_queue(*job))
-			known.push_back(id);
+			answer.known.push_back(id);
+		else if (auto early = this->early_cancels.find(id); early != this->early_cancels.end())
+			answer.canceled[id] = early->second;
 	const bool has_jobs =
 		std::any_of(this->jobs.begin(), this->jobs.end(),
 					[&](const auto &inJob) { return !this->IsForgotten(inJob.second, inWallNow) && is_of_queue(inJob.second); });
-	return this->placements.Answer(inQuestion, std::move(known), has_jobs, inNow);
+	answer.holds_jobs = has_jobs;
+	this->placements.Answer(inQuestion, answer, inNow);
+	return answer;
 }
 
 bool Cell::CanHandOver(Millis inNow) const
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -140,12 +140,15 @@
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
+	bool RestoreEarlyCancel(const std::string &inJob, std::string_view inValue);
 	/// Whether a job ended so long ago that callers are not told of it any more.
 	bool IsForgotten(const CellJob &inJob, int64 inWallNow) const;
 	void RemoveEndedJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Applies an inbox record that this cell decides on.
 	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
 	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
+	/// Adds early cancellations that the log lacks, and removes old ones.
+	void AddEarlyCancelRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Whether a job was submitted to a queue, under its present name or another one.
 	bool IsOfQueue(const CellJob &inJob, std::string_view inQueue, QueueKey inKey) const;
 	CellJob *FindJob(const std::string &inId);
@@ -407,7 +410,9 @@
 	std::shared_ptr<const Catalogue> catalogue;
 	QueuePlacements placements;
 	std::map<std::string, CellJob> jobs;
-	std::set<std::string> active; ///< Jobs whose phase is not final.
+	std::map<std::string, EarlyCancel> early_cancels; ///< By job; kept as long as ended jobs.
+	std::set<std::string> unlogged_cancels;           ///< Of these, cancellations that the log lacks.
+	std::set<std::string> active;                     ///< Jobs whose phase is not final.
 	/// Active jobs that have something to start now or have changed since the last planning pass.
 	std::set<std::string> jobs_to_plan;
 	std::set<std::string> dirty;              ///< Jobs that have changed since their last record.
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -354,6 +354,20 @@
 	const StepSpec &StepOf(size_t inUnit) const { return this->spec.steps[inUnit % this->spec.steps.size()]; }
 };
 
+/// A cancellation of a job that its cell does not know yet: its submission may still be on its way.
+struct EarlyCancel
+{
+	std::string queue;
+	std::string team;
+	int64 wall_ms = 0; ///< Wall-clock time at which it arrived, ms since 1970.
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->queue, this->team, this->wall_ms);
+	}
+};
+
 /// A log record: the newest value of a key counts; an empty value removes the key.
 struct KeyedRecord
 {
@@ -398,4 +412,15 @@
 	}
 };
 
+/// The inbox record of an early cancellation.
+inline InboxRecord CancelRecord(const std::string &inJob, const EarlyCancel &inCancel)
+{
+	InboxRecord record;
+	record.kind = EInbox::Cancel;
+	record.spec.id = inJob;
+	record.spec.queue = inCancel.queue;
+	record.spec.team = inCancel.team;
+	return record;
+}
+
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/QueueMoves.h
+++ b/Loomreach/Schedule/QueueMoves.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Loomreach/Schedule/Catalogue.h>
+#include <Loomreach/Schedule/CellTypes.h>
 
 namespace Loomreach::Jobs
 {
@@ -51,11 +52,12 @@
 	bool fenced = false; ///< Its log says that it takes no new jobs of the queue. Only then may the current cell take those that it lacks.
 	bool holds_jobs = true;         ///< It must still be asked: it has jobs of the queue, or may have been handed some a short while ago.
 	std::vector<std::string> known; ///< The jobs of the question that it has.
+	std::map<std::string, EarlyCancel> canceled; ///< Of the other ones, those whose cancellations it has got.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->site, this->fenced, this->holds_jobs, this->known);
+		ioArchive(this->site, this->fenced, this->holds_jobs, this->known, this->canceled);
 	}
 };
 
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -449,9 +449,8 @@
 	// The queue may have moved away and back since the question
 	if (!is_fenced || !this->IsHere(placement) || inQuestion.site.version < placement.site_version)
 		return;
-	const std::set<std::string> known(inAnswer->known.begin(), inAnswer->known.end());
 	for (const std::string &job : inQuestion.jobs)
-		this->OnJobAnswer(job, inQuestion.former, known.contains(job));
+		this->OnJobAnswer(job, inQuestion.former, *inAnswer);
 	if (!inAnswer->holds_jobs && std::erase(placement.former, inQuestion.former) > 0)
 	{
 		// A site that is registered again has a newer version
@@ -462,14 +461,19 @@
 	this->Review(placement);
 }
 
-void QueuePlacements::OnJobAnswer(const std::string &inJob, uint32 inFormer, bool inKnown)
+void QueuePlacements::OnJobAnswer(const std::string &inJob, uint32 inFormer, const MoveAnswer &inAnswer)
 {
 	auto found = this->held.find(inJob);
 	if (found == this->held.end())
 		return;
-	if (!inKnown)
+	if (std::find(inAnswer.known.begin(), inAnswer.known.end(), inJob) == inAnswer.known.end())
 	{
-		found->second.lacking.insert(inFormer);
+		const bool is_new = found->second.lacking.insert(inFormer).second;
+		if (auto early = inAnswer.canceled.find(inJob); is_new && early != inAnswer.canceled.end())
+		{
+			found->second.records.push_back(CancelRecord(inJob, early->second));
+			this->to_add.insert(cHeldKey + inJob);
+		}
 		return;
 	}
 	// The job stays in the former cell. A submission is a repeated one, and only a cancellation has anything to do there
@@ -483,7 +487,7 @@
 	this->DropHeld(inJob);
 }
 
-MoveAnswer QueuePlacements::Answer(const MoveQuestion &inQuestion, std::vector<std::string> inKnown, bool inHasJobs, Millis inNow)
+void QueuePlacements::Answer(const MoveQuestion &inQuestion, MoveAnswer &ioAnswer, Millis inNow)
 {
 	auto [found, is_new] = this->placements.try_emplace(inQuestion.site.queue);
 	Placement &placement = found->second;
@@ -494,13 +498,11 @@
 		this->OnPlacementChanged(placement, true);
 	}
 	this->Adopt(placement, inQuestion.site, inNow);
-	MoveAnswer answer;
-	answer.site = placement.site;
-	answer.fenced = placement.site.cell == inQuestion.site.cell && placement.logged_revision == placement.revision;
-	answer.known = std::move(inKnown);
+	ioAnswer.site = placement.site;
+	ioAnswer.fenced = placement.site.cell == inQuestion.site.cell && placement.logged_revision == placement.revision;
 	// A host with an older configuration may still hand jobs in here for a while
-	answer.holds_jobs = inHasJobs || this->CountUndecided(inQuestion.site.queue) > 0 || inNow - placement.moved_at < this->keep_ms;
-	return answer;
+	ioAnswer.holds_jobs =
+		ioAnswer.holds_jobs || this->CountUndecided(inQuestion.site.queue) > 0 || inNow - placement.moved_at < this->keep_ms;
 }
 
 QueueStatus QueuePlacements::StatusOf(QueueKey inQueue) const
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -82,8 +82,8 @@
 	std::vector<MoveQuestion> TakeQuestions(Millis inNow);
 	/// The answer to a question; nothing: there was none.
 	void OnAnswer(const MoveQuestion &inQuestion, const std::optional<MoveAnswer> &inAnswer, Millis inNow);
-	/// Answers the owner of the current cell. `inKnown`: jobs of the question that the cell has. `inHasJobs`: it has any of the queue.
-	MoveAnswer Answer(const MoveQuestion &inQuestion, std::vector<std::string> inKnown, bool inHasJobs, Millis inNow);
+	/// Answers the owner of the current cell. `ioAnswer` has what the cell knows of jobs.
+	void Answer(const MoveQuestion &inQuestion, MoveAnswer &ioAnswer, Millis inNow);
 
 	/// Records to append to other inboxes. Each is returned once, until OnRedirected reports a failure.
 	std::vector<RedirectedRecord> TakeRedirected();
@@ -172,7 +172,7 @@
 	/// Removes the held records about a job.
 	void DropHeld(const std::string &inJob);
 	/// Handles the answer of a former cell about a job whose records are held.
-	void OnJobAnswer(const std::string &inJob, uint32 inFormer, bool inKnown);
+	void OnJobAnswer(const std::string &inJob, uint32 inFormer, const MoveAnswer &inAnswer);
 	void OnPlacementChanged(Placement &ioPlacement, bool inUrgent);
 	/// Value of a log record; empty: there is nothing under this key.
 	std::string ValueOf(const std::string &inKey);
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -400,4 +400,46 @@
 	EXPECT_EQ(simulation.Violations() + simulation.UnfinishedJobs(), "");
 }
 
+/// Guards against a job that is started although its cancellation was accepted, because its submission arrived later.
+TEST(CellCancel, AJobThatArrivesAfterItsCancellationIsNotStarted)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	harness.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(500);
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(1000);
+	EXPECT_EQ(harness.Count(EOrder::Start), 0u);
+	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
+}
+
+/// The same with a cancellation that only the previous owner read, and one of another team.
+TEST(CellCancel, ASuccessorRemembersCancellationsOfJobsToCome)
+{
+	Cell cell(CellTuning{});
+	cell.Begin(1, 1000);
+	InboxRecord cancel;
+	cancel.kind = EInbox::Cancel;
+	cancel.spec.team = "a";
+	for (const char *job : {"own", "other"})
+	{
+		cancel.spec.id = job;
+		cell.Ingest(cancel, cell.InboxNext(), 1000, 1'700'000'000'000);
+	}
+	Cell successor(CellTuning{});
+	for (const KeyedRecord &record : cell.TakeBatch(1'700'000'000'000))
+		EXPECT_TRUE(successor.Restore(record.key, record.value));
+	successor.Begin(2, 2000);
+	JobSpec job = MakeJob("own", 1, 1, 1000, 500);
+	job.team = "a";
+	successor.Ingest({EInbox::Submit, job}, successor.InboxNext(), 2000, 1'700'000'001'000);
+	job.id = "other";
+	job.team = "b";
+	successor.Ingest({EInbox::Submit, job}, successor.InboxNext(), 2000, 1'700'000'001'000);
+	EXPECT_EQ(successor.Counts().jobs, 2u);
+	EXPECT_EQ(successor.Counts().active, 1u);
+	EXPECT_EQ(successor.Query("queue", "never").known, false);
+}
+
 } // namespace Loomreach::Jobs
