Tell a new owner of a cell which sites are registered

A new owner got the registered sites with the next change of the register only. Former cells of a queue that its predecessor had read of and not yet logged stayed unknown to it until then, so that a job there could have been reported as gone or run again.

--- a/Loomreach/Entry/JobHostOwnership.inl
+++ b/Loomreach/Entry/JobHostOwnership.inl
@@ -391,11 +391,13 @@
 	CellDriver<Hub> *claimed = driver.get();
 	this->drivers[inCell] = std::move(driver);
 	claimed->Claim(this->heartbeat_number,
-				   [this, inCell](bool inHeld)
+				   [this, inCell, claimed](bool inHeld)
 				   {
 					   this->metrics.Count(ECounter::Claims, inHeld ? "won" : "lost");
 					   if (!inHeld)
 						   return this->lost_cells.push_back(inCell);
+					   // The cell's log may lack former cells of its queues that the previous owner had only just read of
+					   claimed->Placements().OnRegistry(this->queue_registry, NowMillis());
 					   this->SendHeartbeat();
 					   this->LoadWorkers();
 				   });
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -312,9 +312,10 @@
 	{
 		if (records.queue != inPlacement.site.queue)
 			continue;
+		const std::set<uint32> &lacking = records.lacking;
 		const bool is_cleared = this->IsHere(inPlacement) && inPlacement.confirmed &&
 								std::all_of(inPlacement.former.begin(), inPlacement.former.end(),
-											[&records](uint32 inFormer) { return records.lacking.contains(inFormer); });
+											[&lacking](uint32 inFormer) { return lacking.contains(inFormer); });
 		if (this->IsHere(inPlacement) && !is_cleared)
 			continue;
 		for (InboxRecord &record : records.records)
