Take what was held for a queue that a configuration has removed

A successor of a cell's owner found a held record in the log whose queue the log did not know: a placement is logged only once it is registered. If the configuration no longer had the queue, nothing ever decided on the record, and the accepted job was lost. The successor now places such a queue in the cell itself, which registers and asks the former cells as for any other.

Test: QueueMove.ASuccessorTakesWhatWasHeldForAQueueThatIsGone failed before.

--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -75,6 +75,10 @@
 	{
 		this->logged.insert(cHeldKey + job);
 		records.arrived_at = inNow;
+		// A placement is logged only once it is registered, and the configuration may no longer have the queue
+		const JobSpec &spec = records.records.front().spec;
+		if (records.queue != 0 && !this->placements.contains(records.queue))
+			this->AddHere({records.queue, this->cell, 0, spec.pool}).names.insert(spec.queue);
 	}
 	for (auto &[queue, placement] : this->placements)
 		placement.moved_at = inNow;
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -217,6 +217,21 @@
 	EXPECT_EQ(world.Count(0), 1u);
 }
 
+/// Guards against records that wait for ever because their queue was removed before the cell's log had its placement.
+TEST(QueueMove, ASuccessorTakesWhatWasHeldForAQueueThatIsGone)
+{
+	MoveFaults faults;
+	faults.late_registrar = 100;
+	QueueMoveWorld world(1, faults);
+	world.Submit(0, "job");
+	world.Run(100);
+	world.Configure(std::nullopt);
+	world.Run(20);
+	world.KillOwner(0, 100);
+	world.Run(10'000);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
