Do not pass the inbox record of a job that an answer has just released

The owner of the current cell also owned the former one, so that its question was answered between the planning and the append of one step. The record was not held any more and its job not yet in the cell, and the append moved the inbox position past it; the owner was lost before the next append. The cell now applies released records before it begins a series of appends, and a series during which records were released does not move the position.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -405,6 +405,15 @@
 	this->Apply(inRecord, inNow, inWallNow);
 }
 
+void Cell::ApplyCleared(int64 inWallNow)
+{
+	for (const InboxRecord &record : this->placements.TakeCleared())
+	{
+		this->Apply(record, this->now, inWallNow);
+		this->cleared_in_series = true;
+	}
+}
+
 void Cell::Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow)
 {
 	CellJob *known = this->FindJob(inRecord.spec.id);
@@ -516,6 +525,7 @@
 {
 	this->jobs_to_write = std::exchange(this->dirty, {});
 	this->placements.BeginAppendSeries();
+	this->cleared_in_series = false;
 	this->inbox_to_write = this->inbox_next;
 	this->replicator.BeginWriting();
 	for (auto &[id, worker] : this->workers)
@@ -596,6 +606,8 @@
 	std::vector<KeyedRecord> batch;
 	// Changes that exceed one append are written as a series. Ends and the inbox position count as logged only with its last append
 	const bool begins = this->jobs_to_write.empty();
+	// An answer may have cleared records since the last planning pass
+	this->ApplyCleared(inWallNow);
 	if (begins)
 		this->BeginAppendSeries();
 	this->AddJobRecords(inWallNow, batch);
@@ -607,7 +619,9 @@
 		this->AddLocationRecords(batch);
 	this->AddDrainGrantRecords(batch);
 	this->RemoveEndedJobs(inWallNow, batch);
-	if (whole && this->inbox_to_write != this->inbox_logged)
+	// Records that are no longer held, and whose jobs are not written yet, must be read again by a successor
+	const uint64 inbox_reached = whole && !this->cleared_in_series ? this->inbox_to_write : this->inbox_logged;
+	if (inbox_reached != this->inbox_logged)
 		batch.push_back({std::string(cCursorKey), EncodeValue(this->inbox_to_write)});
 	if (!batch.empty() && inWallNow - this->run_times_written_wall_ms >= cRunTimesWriteMs)
 	{
@@ -619,7 +633,7 @@
 		this->leases.OnWriting(*lease);
 		batch.push_back({std::string(cLeaseKey), EncodeValue(*lease)});
 	}
-	this->inbox_writing = whole ? this->inbox_to_write : this->inbox_logged;
+	this->inbox_writing = inbox_reached;
 	// Further changes may have been made during the series
 	this->unwritten_changes = !begins || !whole;
 	if (whole)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -147,6 +147,8 @@
 	/// Applies an inbox record that this cell decides on.
 	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
 	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
+	/// Applies records that other cells held up. Their jobs are not in the current series of appends.
+	void ApplyCleared(int64 inWallNow);
 	/// Adds early cancellations that the log lacks, and removes old ones.
 	void AddEarlyCancelRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Whether a job was submitted to a queue, under its present name or another one.
@@ -444,6 +446,7 @@
 	uint64 inbox_next = 0;
 	uint64 inbox_to_write = 0; ///< Position reached once the current series is in the log.
 	uint64 inbox_writing = 0;
+	bool cleared_in_series = false; ///< Jobs were taken from held records since the current series of appends began.
 	uint64 inbox_logged = 0;
 	Millis deferred_logged_at = -cNeverMs; ///< When deferred jobs were last logged.
 	uint64 next_serial = 1;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -121,8 +121,7 @@
 void Cell::Plan(Millis inNow, int64 inWallNow)
 {
 	this->now = inNow;
-	for (const InboxRecord &record : this->placements.TakeCleared())
-		this->Apply(record, inNow, inWallNow);
+	this->ApplyCleared(inWallNow);
 	this->trial_racks.clear();
 	for (auto &[id, worker] : this->workers)
 	{
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -101,7 +101,7 @@
 	/// Whether there is something that must be written now. Other changes go along with any append.
 	bool HasUrgentChanges() const { return !this->to_add.empty() || !this->to_remove.empty(); }
 	/// A series of appends begins that writes all jobs taken until now.
-	void BeginAppendSeries() { this->removable = this->cleared.empty() ? this->to_remove : std::set<std::string>(); }
+	void BeginAppendSeries() { this->removable = this->to_remove; }
 	/// Adds records for the next append, as many as fit into `inBytes` bytes. `inWhole`: it is the last one of its series. False: the log
 	/// still lacks records that were ingested.
 	bool AddRecords(size_t inBytes, bool inWhole, std::vector<KeyedRecord> &outBatch);
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -232,6 +232,28 @@
 	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
 }
 
+/// Guards against a job that is lost with its owner because the log had already passed its inbox record: the former cell, owned by the same
+/// host, was asked and answered between the planning and the append.
+TEST(QueueMove, AnAnswerBetweenPlanningAndAppendLosesNoJob)
+{
+	MoveFaults faults;
+	faults.same_owner = 100;
+	for (uint64 seed = 1; seed <= 20; ++seed)
+	{
+		QueueMoveWorld world(seed, faults);
+		world.Run(cSettleMs);
+		world.Configure(1);
+		world.Run(cSettleMs);
+		for (int job = 0; job < 10; ++job)
+			world.Submit(0, "job" + std::to_string(job), 10 * (1 + job));
+		world.Run(static_cast<Millis>(20 + seed * 5));
+		world.KillOwner(1, 100);
+		world.Run(2 * cSettleMs);
+		for (int job = 0; job < 10; ++job)
+			EXPECT_EQ(world.TakenBy("job" + std::to_string(job)), std::set<size_t>{1}) << "seed " << seed << " job " << job;
+	}
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
@@ -292,6 +314,7 @@
 	faults.unknown_append = 10;
 	faults.owner_kill = 40;
 	faults.no_owner_ms = 4000;
+	faults.same_owner = 40;
 	ExpectSeeds(1001, cSeeds, faults);
 }
 
--- a/UnitTests/QueueMoveWorld.cpp
+++ b/UnitTests/QueueMoveWorld.cpp
@@ -286,6 +286,12 @@
 	{
 		++this->questions;
 		const size_t asked = this->SeatOf(question.former);
+		if (this->seats[asked].cell != nullptr && this->random.Chance(this->faults.same_owner))
+		{
+			this->seats[inPool].cell->Placements().OnAnswer(
+				question, this->seats[asked].cell->OnQueueMoved(question, this->now, cWallAtStart + this->now), this->now);
+			continue;
+		}
 		auto answer = std::make_shared<std::optional<MoveAnswer>>();
 		const Millis there_ms = 1 + this->DrawUpTo(30);
 		const Millis back_ms = there_ms + 1 + this->DrawUpTo(30);
--- a/UnitTests/QueueMoveWorld.h
+++ b/UnitTests/QueueMoveWorld.h
@@ -23,6 +23,7 @@
 	Millis keep_ended_ms = 0;    ///< 0: the default.
 	uint64 rename = 0;           ///< A configuration gives the queue another name.
 	uint64 removal = 0;          ///< A configuration does not have the queue.
+	uint64 same_owner = 0;       ///< A question is answered at once, as by a host that owns both cells.
 	bool checks_cancels = false; ///< Whether a job must be canceled once its submission and a cancellation were accepted.
 };
 
