Know a job from the moment that its cell may take it

Between the last answer about a held record and the next planning pass the job was neither held nor in the cell. Released records now count as undecided, and are applied before such a question is answered.

Tests: QueueMove.AJobIsKnownOnceItsCellMayTakeIt failed before.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -743,6 +743,9 @@
 
 MoveAnswer Cell::OnQueueMoved(const MoveQuestion &inQuestion, Millis inNow, int64 inWallNow)
 {
+	// Jobs that this cell has been cleared to take are its own
+	this->now = inNow;
+	this->ApplyCleared(inWallNow);
 	const auto is_of_queue = [this, &inQuestion](const CellJob &inJob)
 	{ return this->placements.KeyOfName(inJob.spec.queue) == inQuestion.site.queue; };
 	MoveAnswer answer;
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -528,6 +528,9 @@
 	const auto is_job = [&inJob](const auto &inEntry) { return inEntry.second.record.spec.id == inJob; };
 	if (this->held.contains(inJob) || std::any_of(this->outgoing.begin(), this->outgoing.end(), is_job))
 		return true;
+	const auto is_record = [&inJob](const InboxRecord &inRecord) { return inRecord.spec.id == inJob; };
+	if (std::any_of(this->cleared.begin(), this->cleared.end(), is_record))
+		return true;
 	auto sent = this->redirected_at.find(inJob);
 	return sent != this->redirected_at.end() && inNow - sent->second < cRedirectSettledMs;
 }
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <UnitTests/CellWorld.h>
 #include <UnitTests/QueueMoveWorld.h>
 
 #include <gtest/gtest.h>
@@ -254,6 +255,37 @@
 	}
 }
 
+/// Guards against a job that nobody knows, or that two cells take, between the last answer about it and the next planning pass.
+TEST(QueueMove, AJobIsKnownOnceItsCellMayTakeIt)
+{
+	CellTuning tuning;
+	tuning.log_partitions = 8;
+	const uint32 own = CellOf("pool", tuning.log_partitions);
+	auto catalogue = std::make_shared<Catalogue>();
+	catalogue->version = 5;
+	Queue queue;
+	queue.name = "queue";
+	queue.pool = "pool";
+	catalogue->queues.push_back(queue);
+	Cell cell(tuning);
+	cell.SetCatalogue(catalogue);
+	cell.Begin(1, 1000, own);
+	QueuePlacements &placements = cell.Placements();
+	QueueRegistry registry;
+	registry.Add({KeyOf(queue), own + 1, 3, "former"});
+	placements.OnRegistered(placements.SitesToRegister(1), registry, 1000);
+	cell.Ingest({EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)}, 0, 1000, 1'700'000'000'000);
+	const std::vector<MoveQuestion> questions = placements.TakeQuestions(1000);
+	ASSERT_EQ(questions.size(), 1u);
+	MoveAnswer answer;
+	answer.site = questions.front().site;
+	answer.fenced = true;
+	placements.OnAnswer(questions.front(), answer, 1000);
+	EXPECT_TRUE(placements.IsUndecided("job", 1000));
+	const MoveQuestion from_next{{KeyOf(queue), own + 2, 7, "next"}, own, {"job"}};
+	EXPECT_EQ(cell.OnQueueMoved(from_next, 1000, 1'700'000'000'000).known, std::vector<std::string>{"job"});
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
