--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -245,12 +245,12 @@
 		world.Run(cSettleMs);
 		world.Configure(1);
 		world.Run(cSettleMs);
-		for (int job = 0; job < 10; ++job)
+		for (Millis job = 0; job < 10; ++job)
 			world.Submit(0, "job" + std::to_string(job), 10 * (1 + job));
 		world.Run(static_cast<Millis>(20 + seed * 5));
 		world.KillOwner(1, 100);
 		world.Run(2 * cSettleMs);
-		for (int job = 0; job < 10; ++job)
+		for (Millis job = 0; job < 10; ++job)
 			EXPECT_EQ(world.TakenBy("job" + std::to_string(job)), std::set<size_t>{1}) << "seed " << seed << " job " << job;
 	}
 }
