Log and count what becomes of a cancel, and stops that are overdue

The owner's line for a cancel now has its outcome by name (canceled, ended, unknown, other_team), its age since the entry host got it and the owner's place in the inbox; a run that is still there 1 s after its stop was decided is logged once with what is known of its worker (address, listed, stops sent, answers). Both are counted per cell. No decision changes: the cancel's acceptance time travels in a field of the record that cancels left empty.

Tests: each outcome counted once; a stop without an answer counted as overdue once (did not compile before).

--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -185,6 +185,7 @@
 	request->record.spec.queue = inCall.admission.queue.name;
 	request->record.spec.pool = inCall.admission.queue.pool;
 	request->record.spec.team = inCall.admission.team;
+	request->record.spec.accepted_wall_ms = WallMillis();
 	request->cell = CellOf(inCall.admission.queue.pool, this->PartitionCount());
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
@@ -756,6 +757,10 @@
 		this->metrics.Gauge(name + "_active", static_cast<double>(figures.active));
 		this->metrics.Gauge(name + "_runs", static_cast<double>(figures.runs));
 		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
+		this->metrics.Gauge(name + "_overdue_stops", static_cast<double>(figures.overdue_stops));
+		for (const EnumName<ECancelOutcome> &outcome : cCancelOutcomeNames)
+			this->metrics.Gauge(name + "_cancels_" + std::string(outcome.name),
+								static_cast<double>(figures.cancels[static_cast<size_t>(outcome.value)]));
 	}
 	for (const auto &[cell, writer] : this->writers)
 	{
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -414,21 +414,37 @@
 	}
 }
 
+ECancelOutcome Cell::CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord)
+{
+	if (inJob == nullptr)
+		return ECancelOutcome::Unknown;
+	if (IsOtherTeam(inJob->spec.team, inRecord.spec.team))
+		return ECancelOutcome::OtherTeam;
+	return IsFinal(inJob->record.phase) ? ECancelOutcome::Ended : ECancelOutcome::Canceled;
+}
+
 void Cell::Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow)
 {
 	CellJob *known = this->FindJob(inRecord.spec.id);
-	const bool is_other_team = known != nullptr && IsOtherTeam(known->spec.team, inRecord.spec.team);
-	const bool cancels_job = known != nullptr && !is_other_team && !IsFinal(known->record.phase);
+	const ECancelOutcome outcome = Cell::CancelOutcomeOf(known, inRecord);
+	++this->totals.cancels[static_cast<size_t>(outcome)];
+	const int64 accepted_wall_ms = inRecord.spec.accepted_wall_ms;
 	LogEvent(ELogLevel::Info, "cancel")
 		.Field("request", inRecord.spec.id)
-		.Field("outcome", cancels_job ? "canceled" : (is_other_team ? "another team's job" : "nothing to cancel"));
+		.Field("outcome", NameOf(cCancelOutcomeNames, outcome))
+		.Field("age_ms", accepted_wall_ms == 0 ? -1 : inWallNow - accepted_wall_ms)
+		.Field("job_age_ms", known == nullptr ? -1 : inNow - known->arrived_at)
+		.Field("phase", known == nullptr ? "unknown" : NameOf(cJobPhaseNames, known->record.phase))
+		.Field("inbox_next", this->inbox_next)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
 	if (known == nullptr)
 	{
 		// The submission may still be on its way: from a host that was paused, or from another cell
 		this->early_cancels.try_emplace(inRecord.spec.id, EarlyCancel{inRecord.spec.queue, inRecord.spec.team, inWallNow});
 		this->unlogged_cancels.insert(inRecord.spec.id);
 	}
-	if (!cancels_job)
+	if (outcome != ECancelOutcome::Canceled)
 		return;
 	known->record.ended_wall_ms = inWallNow;
 	this->CloseJob(*known, EJobPhase::Canceled, "caller");
@@ -778,7 +794,7 @@
 
 CellCounts Cell::Counts() const
 {
-	CellCounts figures;
+	CellCounts figures = this->totals;
 	figures.jobs = this->jobs.size();
 	figures.active = this->active.size();
 	for (const auto &[id, worker] : this->workers)
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -40,6 +40,23 @@
 	std::string_view team; ///< Team that owns the job.
 };
 
+/// What became of a cancellation when its cell read it.
+enum class ECancelOutcome : uint8
+{
+	Canceled,
+	Ended,     ///< The job had ended before.
+	Unknown,   ///< The cell does not have the job. The cancellation is remembered, since the submission may still arrive.
+	OtherTeam, ///< The caller's key belongs to another team than the job.
+	Count
+};
+
+inline constexpr std::array cCancelOutcomeNames = {
+	EnumName<ECancelOutcome>{ECancelOutcome::Canceled, "canceled"},
+	EnumName<ECancelOutcome>{ECancelOutcome::Ended, "ended"},
+	EnumName<ECancelOutcome>{ECancelOutcome::Unknown, "unknown"},
+	EnumName<ECancelOutcome>{ECancelOutcome::OtherTeam, "other_team"},
+};
+
 /// Counts of a cell for metrics.
 struct CellCounts
 {
@@ -47,6 +64,8 @@
 	size_t active = 0;
 	size_t runs = 0;
 	size_t workers = 0;
+	std::array<size_t, static_cast<size_t>(ECancelOutcome::Count)> cancels{}; ///< By outcome, since the cell has this owner.
+	size_t overdue_stops = 0; ///< Runs that were still there cStopOverdueMs after their stop was decided, since the cell has this owner.
 };
 
 /// Resources for which the current planning pass found no worker. No task of the pool that requests as much will find one.
@@ -147,6 +166,7 @@
 	/// Applies an inbox record that this cell decides on.
 	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
 	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
+	static ECancelOutcome CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord);
 	/// Applies records that other cells held up. Their jobs are not in the current series of appends.
 	void ApplyCleared(int64 inWallNow);
 	/// Adds early cancellations that the log lacks, and removes old ones.
@@ -273,6 +293,8 @@
 	Order NewOrder(EOrder inKind, CellWorker &ioWorker, Millis inNow);
 	void TakePoll(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
 	void TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders);
+	/// Logs once what is known of a run whose stop is overdue.
+	void LogOverdueStop(const CellWorker &inWorker, const RunId &inId, Run &ioRun, Millis inNow);
 	/// Records what an answer says about whether the worker's process is up.
 	void RecordContact(CellWorker &ioWorker, const OrderAnswer &inAnswer, bool inAnswered, Millis inNow);
 	/// Logs that a worker has fallen silent or answers again.
@@ -414,6 +436,7 @@
 	std::map<std::string, CellJob> jobs;
 	std::map<std::string, EarlyCancel> early_cancels; ///< By job; kept as long as ended jobs.
 	std::set<std::string> unlogged_cancels;           ///< Of these, cancellations that the log lacks.
+	CellCounts totals;                                ///< Only the members that count events.
 	std::set<std::string> active;                     ///< Jobs whose phase is not final.
 	/// Active jobs that have something to start now or have changed since the last planning pass.
 	std::set<std::string> jobs_to_plan;
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -12,6 +12,9 @@
 
 /// An unanswered stop is sent again after this.
 static constexpr Millis cStopRetryMs = 500;
+/// A stop takes a round trip and what the worker needs to end the run. What is still there after this is logged.
+static constexpr Millis cStopOverdueMs = 1000;
+
 Order Cell::NewOrder(EOrder inKind, CellWorker &ioWorker, Millis)
 {
 	Order order;
@@ -130,10 +133,13 @@
 void Cell::TakeStops(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
 {
 	// Known from the log only and not listed yet, so without an address
-	if (ioWorker.entry.address.port == 0)
-		return;
+	const bool has_address = ioWorker.entry.address.port != 0;
 	for (auto &[id, run] : ioWorker.runs)
 	{
+		if (run.state == ERunState::Stopping && !run.overdue_logged && inNow - run.since >= cStopOverdueMs)
+			this->LogOverdueStop(ioWorker, id, run, inNow);
+		if (!has_address)
+			continue;
 		const bool due = run.state == ERunState::Stopping && !run.stop_sent && run.stop_acked_at < 0 && inNow >= run.next_stop_at;
 		// Other tasks may have become unavailable since the stop was decided or last sent
 		if (!due || !this->MaySendStop(ioWorker, id, run, inNow))
@@ -142,10 +148,38 @@
 		order.task = id.task;
 		order.run = id.run;
 		run.stop_sent = true;
+		++run.stops_sent;
 		outOrders.push_back(std::move(order));
 	}
 }
 
+void Cell::LogOverdueStop(const CellWorker &inWorker, const RunId &inId, Run &ioRun, Millis inNow)
+{
+	ioRun.overdue_logged = true;
+	++this->totals.overdue_stops;
+	const CellJob *job = this->FindJob(inId.task.job);
+	LogEvent(ELogLevel::Warning, "stop_overdue")
+		.Field("request", inId.task.job)
+		.Field("task", TaskText(inId.task))
+		.Field("run", inId.run)
+		.Field("worker", inWorker.entry.id)
+		.Field("phase", job == nullptr ? "unknown" : NameOf(cJobPhaseNames, job->record.phase))
+		.Field("stopping_ms", inNow - ioRun.since)
+		.Field("sent", ioRun.stops_sent)
+		.Field("in_flight", ioRun.stop_sent ? 1 : 0)
+		.Field("acked_ms_ago", ioRun.stop_acked_at < 0 ? -1 : inNow - ioRun.stop_acked_at)
+		.Field("confirmed_ms_ago", ioRun.confirmed_at < 0 ? -1 : inNow - ioRun.confirmed_at)
+		.Field("inherited", ioRun.inherited ? 1 : 0)
+		.Field("has_address", inWorker.entry.address.port != 0 ? 1 : 0)
+		.Field("listed", inWorker.listed ? 1 : 0)
+		.Field("draining", inWorker.entry.draining ? 1 : 0)
+		.Field("reachable", inWorker.reachable ? 1 : 0)
+		.Field("answer_ms_ago", inWorker.last_answer_at < 0 ? -1 : inNow - inWorker.last_answer_at)
+		.Field("lease_left_ms", inWorker.lease_expires_at - inNow)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::TakePoll(CellWorker &ioWorker, Millis inNow, std::vector<Order> &outOrders)
 {
 	// Minimum gap, also after a long poll that was answered early
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -135,6 +135,8 @@
 	bool stop_sent = false;    ///< A stop order is in flight.
 	Millis stop_acked_at = -1; ///< When the worker accepted the stop; -1: not yet.
 	Millis next_stop_at = 0;
+	uint32 stops_sent = 0; ///< Stop orders sent so far.
+	bool overdue_logged = false;
 	int64 percent = 0;
 	Millis progress_at = 0;       ///< When `percent` was reported.
 	int64 measurement = 0;        ///< As in RunningRun.
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -274,6 +274,42 @@
 	EXPECT_EQ(harness.cell.Counts().runs, 0u);
 }
 
+/// Otherwise a cancel that had no effect could not be told from one that nobody sent.
+TEST(CellCancel, EachOutcomeIsCounted)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	job.team = "red";
+	harness.Ingest(EInbox::Cancel, job);
+	job.id = "b";
+	harness.Ingest(EInbox::Submit, job);
+	job.team = "blue";
+	harness.Ingest(EInbox::Cancel, job);
+	job.team = "red";
+	harness.Ingest(EInbox::Cancel, job);
+	harness.Ingest(EInbox::Cancel, job);
+	const CellCounts counts = harness.cell.Counts();
+	for (const EnumName<ECancelOutcome> &outcome : cCancelOutcomeNames)
+		EXPECT_EQ(counts.cancels[static_cast<size_t>(outcome.value)], 1u) << outcome.name;
+}
+
+/// Otherwise a task that outlives its job's cancel would leave no trace in the owner's log.
+TEST(CellCancel, AStopWithoutAnAnswerIsCountedAsOverdueOnce)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(200);
+	harness.worker_answers = false;
+	harness.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(900);
+	EXPECT_EQ(harness.cell.Counts().overdue_stops, 0u);
+	harness.Advance(1000);
+	EXPECT_EQ(harness.cell.Counts().overdue_stops, 1u);
+}
+
 TEST(CellCancel, ARunStaysKnownWhileItsWorkerIsUnresponsive)
 {
 	OneWorkerHarness harness;
