Test that a job whose cancel overtook it in the inbox is not started

An owner that forgets a cancel of a job that it does not know, as before, then starts the job after the cancel was answered 200: no frozen host and no late append is needed.

--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -4,7 +4,10 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Entry/InboxWriter.h>
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
+#include <UnitTests/FakeLog.h>
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -450,6 +453,50 @@
 	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
 }
 
+/// While an inbox is behind, an entry host sends cancellations ahead of the submissions that wait for it.
+TEST(CellCancel, AJobWhoseCancellationOvertookItInTheInboxIsNotStarted)
+{
+	/// Keeps the records in the order in which they reach the store.
+	struct OrderedLog
+	{
+		void Append(const AppendCall &inCall, const std::function<void(const AppendAnswer &)> &inDone)
+		{
+			for (const LogRecord &record : inCall.records)
+				this->records.push_back(record.value);
+			AppendAnswer answer;
+			answer.result = EAppend::Done;
+			After(1, [answer, inDone] { inDone(answer); });
+		}
+		std::vector<std::string> records;
+	} log;
+	InboxWriter<OrderedLog> writer(log, LogName{"inbox", 0});
+	const auto append = [&writer](EInbox inKind, const std::string &inJob, EInboxPriority inPriority)
+	{
+		writer.Append(
+			EncodeValue(InboxRecord{inKind, MakeJob(inJob, 1, 1, 1000, 300)}), 700, [](const AppendAnswer &) {}, inPriority);
+	};
+	append(EInbox::Submit, "sent at once", EInboxPriority::Bulk);
+	append(EInbox::Submit, "a", EInboxPriority::Bulk);
+	append(EInbox::Cancel, "a", EInboxPriority::Control);
+	FakeLog::RunMainLoopFor(200);
+
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	std::vector<EInbox> order;
+	for (const std::string &bytes : log.records)
+	{
+		const InboxRecord record = *DecodeValue<InboxRecord>(bytes);
+		order.push_back(record.kind);
+		if (record.spec.id == "a")
+			harness.Ingest(record.kind, record.spec);
+	}
+	ASSERT_EQ(order, (std::vector<EInbox>{EInbox::Submit, EInbox::Cancel, EInbox::Submit}));
+	harness.Advance(1000);
+	EXPECT_EQ(harness.Count(EOrder::Start), 0u);
+	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
+}
+
 /// The same with a cancellation that only the previous owner read, and one of another team.
 TEST(CellCancel, ASuccessorRemembersCancellationsOfJobsToCome)
 {
