List a second run beside a late start's first one as red

A start got no answer; its worker crashed, and the list showed its next incarnation, which carried out the start and was silent. The owner gave the run up 12 s after the start, when it could not arrive any more.

A test of that case alone fails the same way (0 runs, expected 1).

--- a/UnitTests/CellRestartTests.cpp
+++ b/UnitTests/CellRestartTests.cpp
@@ -232,6 +232,30 @@
 	EXPECT_EQ(orders[0].acknowledged_end, 0u);
 }
 
+/// A start without an answer was given up as soon as it could not arrive any more, though the incarnation that the list had shown meanwhile
+/// may have carried it out, with a lease of its own. Its task was then started elsewhere (CellSeeds.RestartsWithLateOrders, seed 417).
+TEST(CellRestart, KeepsAStartThatALaterIncarnationMayHaveCarriedOut)
+{
+	IncarnationHarness harness;
+	std::vector<Order> orders = harness.TakeDueOrders();
+	ASSERT_EQ(orders.size(), 1u);
+	harness.cell.OnAnswer(orders[0], harness.PollAnswer(1000, 500), harness.now, harness.now);
+	harness.cell.Ingest({EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)}, 0, harness.now, harness.now);
+	ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+	const Millis started_at = harness.now;
+	harness.cell.OnAnswer(harness.started.back(), OrderAnswer{}, harness.now, harness.now);
+	while (harness.now < started_at + cMaxOrderDelayMs - 1000)
+		harness.TakeDueOrders();
+	harness.ListWorker(2000);
+	while (harness.now < started_at + cMaxOrderDelayMs + 1000)
+		harness.TakeDueOrders();
+	EXPECT_EQ(harness.cell.Counts().runs, 1u);
+	// That incarnation is silent too; whatever lease it granted has expired
+	while (harness.now < started_at + cMaxOrderDelayMs + LongestLease(CellTuning{}.worker_lease_cap_ms))
+		harness.TakeDueOrders();
+	EXPECT_EQ(harness.cell.Counts().runs, 0u);
+}
+
 /// A worker got runs by its previous incarnation's capacity.
 TEST(CellRestart, StartsNothingByThePreviousIncarnationsCapacity)
 {
