Keep a start that a later incarnation of its worker may have carried out

Callers could see a task twice at once: a start without an answer reached the next incarnation of its worker, under the same id, and was carried out there, while the owner gave the run up 12 s after the start and started the task elsewhere. The worker's lease, as the owner knew it, was that of the previous incarnation and had expired. Where an answer's clock shows another incarnation, the longest lease was assumed already; where the list shows it, it was not.

Now it is in both cases, as long as a start may still arrive. The lease bounds whatever the later incarnation may have carried out.

--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -51,6 +51,10 @@
 	const bool is_later = IsStartedAfter(inEntry.started_ms, ioWorker.started_ms);
 	if (is_later && !ioWorker.ended)
 	{
+		// The later incarnation may carry out a start that is still under way, and grant its lease by a clock of its own
+		const auto may_start = [&ioWorker, inNow](const auto &inRun) { return Cell::MayStartLater(ioWorker, inRun.second, inNow); };
+		if (std::any_of(ioWorker.runs.begin(), ioWorker.runs.end(), may_start))
+			this->AssumeMaxLease(ioWorker, inNow);
 		this->SuspectRestart(ioWorker, "the worker list shows a later life", inNow);
 		return true;
 	}
