Test cancels beside workers that leave unannounced, and list one fault as red

Leases are the longest (10 s), so that waiting for one is too late. A second mix has half of the workers that start again under their ids do so at other addresses. Runs report checkpoints in the first mix, and a start with another task's is a violation. New faults draw from a generator of their own; existing seeds keep their meaning.

--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -64,12 +64,35 @@
 	return faults;
 }
 
+/// Workers whose entries go without an announcement and that run on for seconds, beside owners that are killed or hand over, with the
+/// longest lease: it ends a run far too late.
+SimulationFaults SilentLeaves(Random &ioRandom)
+{
+	SimulationFaults faults = DelayedStarts(ioRandom);
+	faults.late_start = ioRandom.Below(50);
+	faults.owner_kill = 5 + ioRandom.Below(30);
+	faults.owner_handover = 5 + ioRandom.Below(20);
+	faults.silent_leave = 5 + ioRandom.Below(15);
+	faults.lease_ms = 10000;
+	return faults;
+}
+
+/// The same, and workers start again under their ids, half of them at other addresses.
+SimulationFaults SilentLeavesAtOtherAddresses(Random &ioRandom)
+{
+	SimulationFaults faults = SilentLeaves(ioRandom);
+	faults.restart_same_id = 5 + ioRandom.Below(20);
+	faults.moved_restart = 50;
+	return faults;
+}
+
 /// Options of a cancel simulation.
 struct CancelOptions
 {
 	bool needs_address = true; ///< See CellSimulation.
 	/// The cancelled jobs' tasks are long-running, and until the cancel their stops are limited by how many others are missing.
 	bool long_running = false;
+	bool saves_progress = false; ///< See CellSimulation.
 };
 
 /// Makes the tasks of a job long-running, each on another worker, with at most one of them missing.
@@ -96,6 +119,7 @@
 	Random random(inSeed);
 	CellSimulation simulation(inSeed, inKind(random), 2 + random.Below(4));
 	simulation.needs_address = inOptions.needs_address;
+	simulation.saves_progress = inOptions.saves_progress;
 	std::vector<std::pair<Millis, std::string>> cancels;
 	for (Millis at = 0; at < 30000; at += 100)
 	{
@@ -250,6 +274,20 @@
 	RC_ASSERT(RunCancelSimulation(seed, &DelayedOrders, {.long_running = true}).failures == "");
 }
 
+/// Guards against owners that rely on the worker list to find what a predecessor has started: an entry may go before its worker does.
+RC_GTEST_PROP(CellCancel, EndsWhatRunsOnWorkersThatLeaveUnannounced, ())
+{
+	const uint64 seed = *rc::gen::inRange<uint64>(1, 1'000'000'000);
+	RC_ASSERT(RunCancelSimulation(seed, &SilentLeaves, {.needs_address = false, .saves_progress = true}).failures == "");
+}
+
+/// The same where the address in the log may be that of a previous incarnation.
+RC_GTEST_PROP(CellCancel, EndsWhatRunsOnWorkersThatHaveMoved, ())
+{
+	const uint64 seed = *rc::gen::inRange<uint64>(1, 1'000'000'000);
+	RC_ASSERT(RunCancelSimulation(seed, &SilentLeavesAtOtherAddresses, {.needs_address = false}).failures == "");
+}
+
 TEST(CellCancel, SomeRunsBeginAfterTheCancel)
 {
 	// Otherwise the properties above would prove nothing
@@ -390,6 +428,29 @@
 	EXPECT_EQ(harness.log["ww0"], "");
 }
 
+/// The same for a worker whose next incarnation has another address: the log named the first one, where nobody knows the run.
+TEST(CellCancel, ARunIsAskedAfterAtTheAddressThatItsWorkerHasMovedTo)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(200);
+	harness.entry.address.port = 2;
+	harness.ListWorker();
+	harness.Ingest(EInbox::Submit, MakeJob("b", 1, 1, 1000, 300));
+	harness.Advance(200);
+	harness.sent.clear();
+	harness.Begin(2);
+	harness.cell.SetWorkers({}, harness.now);
+	harness.Ingest(EInbox::Cancel, MakeJob("b", 1, 1, 1000, 300));
+	harness.running = {{{"b", 0, 0, 0}, 1, "", 0, 0}};
+	harness.Advance(500);
+	const auto to_former = [](const Order &inOrder) { return inOrder.address.port == 1; };
+	EXPECT_EQ(std::count_if(harness.sent.begin(), harness.sent.end(), to_former), 0);
+	EXPECT_TRUE(harness.running.empty());
+}
+
 TEST(CellCancel, ARunStillBeingLoggedIsNotDispatched)
 {
 	OneWorkerHarness harness;
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -49,7 +49,7 @@
 }
 
 CellSimulation::CellSimulation(uint64 inSeed, const SimulationFaults &inFaults, size_t inWorkers)
-	: random(inSeed), submit_random(inSeed), restart_random(inSeed), replica_random(inSeed), faults(inFaults),
+	: random(inSeed), submit_random(inSeed), restart_random(inSeed), replica_random(inSeed), leave_random(inSeed), faults(inFaults),
 	  unread_end_excused(inFaults.unread_end_excused), slow_stops(inFaults.slow_stop > 0)
 {
 	for (size_t i = 0; i < inWorkers; ++i)
@@ -258,7 +258,7 @@
 		entry.pool = "pool";
 		entry.rack = worker.rack;
 		entry.availability_zone = worker.availability_zone;
-		entry.address = {"127.0.0.1", 1};
+		entry.address = {"127.0.0.1", worker.port};
 		entry.capacity = worker.capacity;
 		entry.draining = worker.draining;
 		entry.started_ms = worker.started_at;
@@ -307,7 +307,8 @@
 		return;
 	for (auto &[id, worker] : this->workers)
 	{
-		const bool chosen = !worker.crashed && !worker.draining && !worker.drain_requested && this->random.Chance(30);
+		const bool chosen =
+			!worker.crashed && worker.leaves_at < 0 && !worker.draining && !worker.drain_requested && this->random.Chance(30);
 		worker.drain_requested = worker.drain_requested || chosen;
 		if (chosen)
 			return;
@@ -321,6 +322,13 @@
 		ioWorker.draining = true;
 		ioWorker.leaves_at = this->now + 1000 + static_cast<Millis>(this->random.Below(4000));
 	}
+	if (!ioWorker.draining && !ioWorker.drain_requested && ioWorker.leaves_at < 0 && this->faults.silent_leave > 0 &&
+		this->leave_random.Chance(this->faults.silent_leave))
+	{
+		ioWorker.unlisted = true;
+		ioWorker.relisted_at = 0;
+		ioWorker.leaves_at = this->now + 1000 + static_cast<Millis>(this->leave_random.Below(14000));
+	}
 	if (this->faults.restart_same_id > 0 && this->restart_random.Chance(this->faults.restart_same_id))
 		return this->Restart(ioWorker, this->restart_random.Chance(70), this->DrawRestartDelay());
 	if (!ioWorker.unlisted && this->DrawFault(this->faults.entry_lapse))
@@ -435,7 +443,8 @@
 			continue;
 		}
 		SimulatedWorker &worker = this->workers.at(message.order.worker);
-		const bool unreachable = worker.crashed || this->now < worker.unreachable_until;
+		const bool moved = message.order.address.port != worker.port;
+		const bool unreachable = worker.crashed || this->now < worker.unreachable_until || moved;
 		PendingMessage reply = message;
 		reply.is_answer = true;
 		reply.at = this->now + 1 + static_cast<Millis>(this->random.Below(15));
@@ -449,7 +458,8 @@
 			continue;
 		}
 		const bool is_reset = unreachable && worker.resets_connections;
-		const std::optional<OrderAnswer> host_answer = worker.crashed || is_reset ? this->AnswerOfEndedProcess(worker) : std::nullopt;
+		const std::optional<OrderAnswer> host_answer =
+			worker.crashed || is_reset || moved ? this->AnswerOfEndedProcess(worker) : std::nullopt;
 		reply.answer = host_answer.value_or(reply.answer);
 		if (message.is_repeat && reply.answer.connection_closed)
 			reply.answer.result = EOrderResult::Unknown;
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -36,6 +36,8 @@
 	bool takeover_while_paused = false; ///< Another owner takes over from one that is paused beyond its lease.
 	bool address_reuse = false;         ///< Another incarnation answers at a released address 2 s later.
 	uint64 worker_leave = 0;            ///< Per second and worker: it drains, runs on for 1 to 5 s, and ends.
+	uint64 silent_leave = 0;            ///< Per second and worker: its entry goes, it runs on for 1 to 15 s, and ends. Not announced.
+	uint64 moved_restart = 0;           ///< Share of workers that start again under their ids at another address.
 	uint64 host_removal = 0;            ///< Per second: a worker is drained; its host is removed once the cell grants it.
 	uint64 entry_lapse = 0;             ///< Per second and worker: the list does not show its entry for up to 3 s.
 	uint64 owner_handover = 0;          ///< Per second: planned handover without a gap, once the append is done.
@@ -99,6 +101,7 @@
 	Millis listed_until = -1;        ///< If crashed: until when the worker list shows it.
 	std::string rack = "r";
 	std::string availability_zone;
+	uint16 port = 1;           ///< Of its address. Orders to another one do not reach it.
 	Resources capacity_before; ///< Capacity before it shrank.
 	Millis shrunk_at = -1;     ///< When the capacity shrank; -1: it has not.
 	/// Capacity that starts must fit into: for a while after it shrank still the previous one, since owners learn of it late.
@@ -145,6 +148,8 @@
 	bool HasCrashingTask(const std::string &inJob) const;
 	/// Jobs reported as failed although their tasks crash no workers, one per line.
 	std::string WronglyFailedJobs() const;
+	/// Runs report checkpoints, and each start must bring one of its task or none.
+	bool saves_progress = false;
 	/// Whether the deadline to stop a cancelled job's run applies only while the owner knows the worker's address.
 	bool needs_address = true;
 	/// Time that workers take to stop a run.
@@ -273,6 +278,7 @@
 	Random submit_random;  ///< Draws for submitted ends. A separate generator leaves the meaning of existing seeds unchanged.
 	Random restart_random; ///< The same for workers that start again.
 	Random replica_random; ///< The same for replicated ends.
+	Random leave_random;   ///< The same for workers that leave without an announcement.
 	SimulationFaults faults;
 	bool unread_end_excused = false; ///< As the fault of this name; also applies after ClearFaults.
 	bool slow_stops = false;         ///< Whether stops may be slow; one ordered before ClearFaults goes on after it.
@@ -329,6 +335,7 @@
 	bool handing_over = false;
 	Millis retired_at = -1;
 	size_t next_worker = 0;
+	uint16 next_port = 2;
 	uint64 starts = 0;
 	uint64 starts_after_cancel = 0;
 	uint64 takeovers = 0;
--- a/UnitTests/CellWorldWorkers.cpp
+++ b/UnitTests/CellWorldWorkers.cpp
@@ -36,6 +36,12 @@
 static constexpr uint64 cShortRestartDelayMs = 300;
 static constexpr uint64 cLongRestartDelayMs = 5000;
 
+/// A checkpoint of a run; it begins with the name of its task.
+static std::string CheckpointOf(const RunId &inRun, Millis inProgress)
+{
+	return TaskText(inRun.task) + '/' + std::to_string(inRun.run) + '/' + std::to_string(inProgress);
+}
+
 Resources SimulatedWorker::BindingCapacity(Millis inNow) const
 {
 	return this->shrunk_at >= 0 && inNow < this->shrunk_at + cContactMs + cHeartbeatMs ? this->capacity_before : this->capacity;
@@ -66,6 +72,8 @@
 	replacement.started_at = this->now;
 	replacement.clock_base = static_cast<Millis>(this->restart_random.Below(cMaxClockBaseMs));
 	replacement.contact_since = this->now;
+	const bool moves = this->faults.moved_restart > 0 && this->leave_random.Chance(this->faults.moved_restart);
+	replacement.port = moves ? this->next_port++ : ioWorker.port;
 	ioWorker = std::move(replacement);
 }
 
@@ -189,7 +197,8 @@
 	if (inEnd == ERunEnd::Done)
 		this->done_ever.insert(inRun.task);
 	this->ended_at[{ioWorker.IncarnationName(), ioWorker.next_sequence}] = this->now;
-	ioWorker.ended.push_back({ioWorker.next_sequence++, inRun.task, inRun.run, inEnd, ""});
+	const std::string checkpoint = this->saves_progress ? CheckpointOf(inRun, this->now) : "";
+	ioWorker.ended.push_back({ioWorker.next_sequence++, inRun.task, inRun.run, inEnd, checkpoint});
 	uint32 &highest = ioWorker.highest_ended_run[inRun.task];
 	highest = std::max(highest, inRun.run);
 }
@@ -285,7 +294,7 @@
 	{
 		const Millis whole = std::max<Millis>(1, work.ends_at - work.began_at);
 		const int64 percent = work.ends_at < 0 ? 100 : (this->now - work.began_at) * 100 / whole;
-		answer.running.push_back({run.task, run.run, "", percent, 0});
+		answer.running.push_back({run.task, run.run, this->saves_progress ? CheckpointOf(run, this->now - work.began_at) : "", percent, 0});
 	}
 	answer.ended = ioWorker.ended;
 	answer.partial = this->faults.poll_page_size > 0 && answer.ended.size() >= this->faults.poll_page_size;
@@ -449,6 +458,8 @@
 				this->AddViolation("step out of order: " + what);
 	if (inOrder.payload != spec.payload)
 		this->AddViolation("another payload: " + what);
+	if (!inOrder.checkpoint.empty() && !inOrder.checkpoint.starts_with(TaskText(inOrder.task) + '/'))
+		this->AddViolation("another task's checkpoint " + inOrder.checkpoint + ": " + what);
 }
 
 } // namespace Loomreach::Jobs
