Let the stand-in judge unrequested work on its own record

Callers got work that nobody had asked for (UNASKED), and none of our tests with real processes would have seen it: the stand-in's workers judge second runs, room and crashes, but do not know what callers sent, and no client of the soak cancels.

What it finds counts as a broken rule and is logged with task, run, worker, token, time since the cancel and how long it has been calm; what is excused is logged and counted apart. Workers can also leave as planned: they drain, serve on without an entry, and end.

--- a/TestSupport/Platform/FakeFleet.cpp
+++ b/TestSupport/Platform/FakeFleet.cpp
@@ -89,6 +89,7 @@
 	return {{"broken", this->violations},
 			{"unheard", this->hosts_taken_early},
 			{"excused", this->ends.Excused()},
+			{"unasked", this->unasked},
 			{"crashes", this->crash_counts},
 			{"chance_crashes", this->injected_crashes},
 			{"starts", this->starts},
@@ -112,6 +113,46 @@
 		this->AddViolation(line);
 }
 
+void FakeFleet::AddUnasked(const std::vector<UnaskedRun> &inRuns)
+{
+	for (const UnaskedRun &run : inRuns)
+	{
+		const std::string kind(NameOf(cUnaskedNames, run.kind));
+		++this->unasked[kind + (run.excuse.empty() ? "" : " excused")];
+		LogEvent(ELogLevel::Warning, "fake_unasked").Field("kind", kind).Field("excuse", run.excuse).Field("what", run.what);
+		if (run.excuse.empty())
+			this->AddViolation(kind + ": " + run.what);
+	}
+}
+
+void FakeFleet::Leave(const std::string &inHost, Millis inDrainMs)
+{
+	for (auto &host : this->hosts)
+	{
+		if (host->name != inHost || host->state != "up" || host->is_draining)
+			continue;
+		host->is_draining = true;
+		this->WriteWorkerEntries();
+		// A crash in between starts another incarnation, which does not leave
+		const auto if_same = [this, &left = *host, incarnation = host->Incarnation()](Millis inMs, auto inStep)
+		{
+			After(inMs,
+				  [&left, incarnation, inStep]
+				  {
+					  if (left.Incarnation() == incarnation && left.state == "up")
+						  inStep(left);
+				  });
+		};
+		if_same(inDrainMs,
+				[this](FakeHost &ioHost)
+				{
+					ioHost.is_unlisted = true;
+					this->store.Put("keyed.servers", ioHost.Id(), "");
+				});
+		if_same(2 * inDrainMs, [this](FakeHost &ioHost) { this->CrashHost(ioHost); });
+	}
+}
+
 void FakeFleet::SetUnresponsive(const std::string &inHost, bool inIsUnresponsive)
 {
 	for (auto &host : this->hosts)
@@ -198,12 +239,12 @@
 {
 	for (const auto &host : this->hosts)
 	{
-		if (host->state != "up" || host->is_unresponsive)
+		if (host->state != "up" || host->is_unresponsive || host->is_unlisted)
 			continue;
 		const Json entry = {{"service", host->pool},
 							{"address", "127.0.0.1:" + std::to_string(host->port)},
 							{"zone", "z"},
-							{"state", "ready"},
+							{"state", host->is_draining ? "draining" : "ready"},
 							{"capacity", {{"cpu", host->cpu}, {"memMb", 32768}, {"gpu", 0}}},
 							{"labels", {"a", "r"}},
 							{"machine", host->name},
@@ -271,7 +312,7 @@
 		  });
 }
 
-std::pair<uint32, Json> FakeFleet::Execute(FakeHost &ioHost, std::string_view inPath, const Json &inBody)
+std::pair<uint32, Json> FakeFleet::Execute(FakeHost &ioHost, std::string_view inPath, const Json &inBody, bool inIsLate)
 {
 	// An expired lease must not be extended, even if the order arrives before our timer has fired
 	this->AdvanceAll();
@@ -289,7 +330,7 @@
 	if (inPath == "/run-start")
 	{
 		this->store.Gaps().Add("start");
-		answer = this->Start(ioHost, inBody, status);
+		answer = this->Start(ioHost, inBody, inIsLate, status);
 	}
 	else if (inPath == "/run-stop")
 		this->Stop(ioHost, inBody);
@@ -333,7 +374,7 @@
 		  {
 			  // The order is only valid for the id that it was sent to
 			  if (ioHost.Id() == id && ioHost.state == "up")
-				  this->Execute(ioHost, inPath, body);
+				  this->Execute(ioHost, inPath, body, true);
 		  });
 	return true;
 }
@@ -361,7 +402,7 @@
 		this->AddViolation("crashes its workers, and started again: " + inRun.task + " run " + std::to_string(inRun.run));
 }
 
-Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, uint32 &outStatus)
+Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, bool inIsLate, uint32 &outStatus)
 {
 	const std::string task = inBody.value("task", "");
 	const uint32 number = inBody.value("run", 0U);
@@ -389,6 +430,8 @@
 	this->CheckCrashes(started);
 	const ObservedRun observed{task, number, ioHost.Incarnation(), started.started_at};
 	this->AddViolations(this->ends.OnStarted(observed));
+	started.order = {observed, payload, inBody.value("checkpoint", ""), ioHost.token, inIsLate};
+	this->AddUnasked(this->requests.OnStarted(started.order, this->troubles));
 	for (const auto &host : this->hosts)
 		for (const FakeRun &run : host->running)
 			if (run.task == task)
@@ -400,6 +443,7 @@
 		.Field("task", task)
 		.Field("run", number)
 		.Field("token", ioHost.token)
+		.Field("late", inIsLate ? 1 : 0)
 		.Field("lease_left_ms", ioHost.lease_until - started.started_at);
 	ioHost.running.push_back(std::move(started));
 	return Json::object();
@@ -496,7 +540,11 @@
 void FakeFleet::AdvanceAll()
 {
 	for (const auto &host : this->hosts)
+	{
 		this->AdvanceHost(*host);
+		for (const FakeRun &run : host->running)
+			this->AddUnasked(this->requests.OnRunning(run.order, this->troubles, NowMillis()));
+	}
 }
 
 void FakeFleet::OnMachines(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
@@ -575,6 +623,8 @@
 	ioHost.highest_ended_run.clear();
 	ioHost.refused_repetitions.clear();
 	ioHost.next_end_number = 1;
+	ioHost.is_draining = false;
+	ioHost.is_unlisted = false;
 	ioHost.state = "up";
 	this->WriteWorkerEntries();
 }
--- a/TestSupport/Platform/FakeFleet.h
+++ b/TestSupport/Platform/FakeFleet.h
@@ -9,6 +9,7 @@
 #include <Loomreach/Core/Random.h>
 #include <TestSupport/Platform/EndLedger.h>
 #include <TestSupport/Platform/FakeStore.h>
+#include <TestSupport/Platform/RequestLedger.h>
 
 #include <nlohmann/json.hpp>
 
@@ -33,6 +34,7 @@
 	Millis ends_at = -1; ///< -1: runs until stopped.
 	bool fails = false;
 	Millis crashes_at = -1; ///< -1: never.
+	OrderedRun order;
 };
 
 /// One host with one worker at a time.
@@ -57,6 +59,8 @@
 	int64 cpu_before_reduction = 0;            ///< Capacity before the last reduction.
 	Millis reduced_at = -1;                    ///< Time of the last reduction; -1: never.
 	bool is_unresponsive = false;              ///< Keeps calls open without an answer.
+	bool is_draining = false;                  ///< Its entry says that it leaves.
+	bool is_unlisted = false;                  ///< Serves on though its entry is gone.
 	std::set<std::string> refused_repetitions; ///< Bodies of starts whose repetition gets 503.
 	ObjectPtr<SoupServer> server;
 	std::vector<ObjectPtr<SoupServerMessage>> unanswered;
@@ -86,7 +90,13 @@
 	void Crash(const std::string &inHost);
 	/// Crashes a host's worker; the next one starts after `inRestartMs` under the same id.
 	void Restart(const std::string &inHost, Millis inRestartMs);
+	/// A host's worker leaves as planned: it drains for `inDrainMs`, serves on without an entry for as long, and ends. The next one has a
+	/// new id.
+	void Leave(const std::string &inHost, Millis inDrainMs);
 	void SetOrderFault(EOrderFault inFault) { this->order_fault = inFault; }
+	/// What callers sent, and the faults that the test's script has turned on.
+	RequestLedger &Requests() { return this->requests; }
+	TroubleWatch &Troubles() { return this->troubles; }
 
 private:
 	static void OnMachines(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf);
@@ -104,9 +114,10 @@
 	void WaitForEnd(FakeHost &ioHost, const WaitingPoll &inPoll);
 	/// Applies the order fault, if it affects this order. Returns whether it did; the caller must not handle the order then.
 	bool ApplyOrderFault(FakeHost &ioHost, SoupServerMessage *inMessage, const std::string &inPath, const std::string &inBody);
-	/// Carries out an order. Returns HTTP status and body of the answer.
-	std::pair<uint32, nlohmann::json> Execute(FakeHost &ioHost, std::string_view inPath, const nlohmann::json &inBody);
-	nlohmann::json Start(FakeHost &ioHost, const nlohmann::json &inBody, uint32 &outStatus);
+	/// Carries out an order, `inIsLate`: after a fault held it up. Returns HTTP status and body of the answer.
+	std::pair<uint32, nlohmann::json> Execute(FakeHost &ioHost, std::string_view inPath, const nlohmann::json &inBody,
+											  bool inIsLate = false);
+	nlohmann::json Start(FakeHost &ioHost, const nlohmann::json &inBody, bool inIsLate, uint32 &outStatus);
 	void Stop(FakeHost &ioHost, const nlohmann::json &inBody);
 	nlohmann::json Poll(FakeHost &ioHost, const nlohmann::json &inBody);
 	void Answer(SoupServerMessage *inMessage, const FakeHost &inHost, uint32 inStatus, nlohmann::json inBody);
@@ -131,6 +142,7 @@
 	void HandleMachineOrder(SoupServerMessage *inMessage, bool inIsMove);
 	void AddViolation(const std::string &inWhat);
 	void AddViolations(const std::vector<std::string> &inLines);
+	void AddUnasked(const std::vector<UnaskedRun> &inRuns);
 
 	FakeStore &store;
 	ObjectPtr<SoupServer> machines;
@@ -138,6 +150,9 @@
 	std::vector<std::string> violations;
 	std::set<std::string> done_tasks;
 	EndLedger ends;
+	RequestLedger requests;
+	TroubleWatch troubles;
+	std::map<std::string, uint64> unasked;      ///< By part of the rule, excused runs apart: count.
 	std::vector<std::string> hosts_taken_early; ///< Hosts taken down before all done ends of their worker were acknowledged.
 	EOrderFault order_fault = EOrderFault::None;
 	Random random;
--- a/TestSupport/Platform/Main.cpp
+++ b/TestSupport/Platform/Main.cpp
@@ -8,6 +8,9 @@
 //   PUT /crash/HOST        crashes a host's worker; the next one has a new id
 //   PUT /again/HOST/MS     crashes a host's worker; the next one has the same id and starts after MS
 //   PUT /room/HOST/CPU     sets a worker's capacity, thousandths of a core; 0: all
+//   PUT /leave/HOST/MS     a host's worker drains for MS, serves on without an entry for MS, and ends
+//   PUT /call/METHOD/PORT/LIMIT_MS/PATH   sends a caller's request with this body to an entry host; answers with its status, 0: none
+//   PUT /trouble/SCOPE     a fault begins on store, entry, workers or config; PUT /calm/SCOPE ends it
 //   GET /report            violations of rules, and counts
 //   GET /gaps              longest pauses, ms, since PUT /gaps/reset
 
@@ -16,6 +19,7 @@
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Entry/HttpListener.h>
+#include <TestSupport/Platform/FakeCallers.h>
 #include <TestSupport/Platform/FakeFleet.h>
 
 #include <cstdio>
@@ -37,6 +41,7 @@
 {
 	FakeStore *store = nullptr;
 	FakeFleet *fleet = nullptr;
+	FakeCallers *callers = nullptr;
 };
 
 EStoreFault ParseStoreFault(std::string_view inName)
@@ -48,6 +53,13 @@
 	return inName == "lost" ? EStoreFault::AnswerLost : EStoreFault::None;
 }
 
+constexpr std::array cScopeNames = {
+	EnumName<EScope>{EScope::Store, "store"},
+	EnumName<EScope>{EScope::Entry, "entry"},
+	EnumName<EScope>{EScope::Workers, "workers"},
+	EnumName<EScope>{EScope::Config, "config"},
+};
+
 EOrderFault ParseOrderFault(std::string_view inName)
 {
 	if (inName == "late")
@@ -68,6 +80,8 @@
 		return Reply(inMessage, 200, control.store->Gaps().Report().dump());
 	if (verb == "status")
 		return Reply(inMessage, 200, control.store->Newest("keyed.status", rest));
+	if (verb == "call")
+		return control.callers->Forward(inMessage, rest);
 	if (verb == "operator")
 		control.store->Put("keyed.op", rest, BodyOf(inMessage));
 	else if (verb == "gaps")
@@ -84,6 +98,12 @@
 		control.fleet->Restart(rest.substr(0, rest.find('/')), std::strtoll(rest.c_str() + rest.find('/') + 1, nullptr, 10));
 	else if (verb == "room")
 		control.fleet->SetCapacity(rest.substr(0, rest.find('/')), std::strtoll(rest.c_str() + rest.find('/') + 1, nullptr, 10));
+	else if (verb == "leave")
+		control.fleet->Leave(rest.substr(0, rest.find('/')), std::strtoll(rest.c_str() + rest.find('/') + 1, nullptr, 10));
+	else if (const std::optional<EScope> scope = ValueOf(cScopeNames, rest); scope.has_value() && verb == "trouble")
+		control.fleet->Troubles().Begin(*scope);
+	else if (scope.has_value() && verb == "calm")
+		control.fleet->Troubles().End(*scope, NowMillis());
 	else
 		return Reply(inMessage, 404, "{}");
 	Reply(inMessage, 200, "{}");
@@ -116,7 +136,8 @@
 	const auto address = [](int inOffset) { return Address{"127.0.0.1", static_cast<uint16>(FLAGS_port + inOffset)}; };
 	FakeStore store;
 	FakeFleet fleet(store, FLAGS_seed);
-	Control control{&store, &fleet};
+	FakeCallers callers(fleet.Requests());
+	Control control{&store, &fleet, &callers};
 	const ObjectPtr<SoupServer> listener = OpenServer(address(2), "control");
 	if (listener == nullptr || !store.Open(address(0)) || !fleet.Open(address(1), static_cast<uint16>(FLAGS_port + 3), Split(FLAGS_pools)))
 	{
