Cancel jobs in the soak of real processes

The soak never cancelled a job. With CALLERS=cancels callers keep their connections, leave before the answer, cancel at another host, at once, late, repeatedly, or send the submission again after the cancel; jobs last until then, or fail and start again. With peaks the demand rises fivefold by turns, and workers leave as planned. Runs without CALLERS draw what they drew before.

--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -5,8 +5,12 @@
 # refuse its repeat, crash, start again under their ids (also in series) or have less room for a while; tasks crash each worker that starts them; several at once. Jobs go on coming in. Then
 # calm: everything accepted must end well, but for the jobs whose tasks crash their workers: they must be given up. Of the others none may be,
 # no rule may have been broken (the stand-in's workers judge), and no invariant.
-# Usage: soak_jobs.sh BUILD SEED [SECONDS] [KINDS]. KINDS faults are drawn from, all 19 by default; with 18 no queue moves; with 17 no worker starts again under its
+# Usage: soak_jobs.sh BUILD SEED [SECONDS] [KINDS] [CALLERS] [ENTRIES]. KINDS faults are drawn from, all 19 by default; with 18 no queue moves; with 17 no worker starts again under its
 # id, with 14 there are no suspended hosts, crashes and shrinking room either, and a seed means what it did before these were there. The seed repeats the order of faults, not the processes' timing.
+# CALLERS: "cancels": the callers keep their connections open, and cancel most of their jobs, at moments of the seed's choice; some jobs last until
+# then. "peaks": also, every other 4 s five times as many jobs come, cancels come at the peak, and workers leave as planned. Nothing may start or run long after its
+# cancel (the stand-in judges, RequestLedger.h). ENTRIES: entry hosts, 3 to 6. Environment: ENTRY_BUILD: folder of their program, if not BUILD;
+# KEPT: folder for the logs of a run that failed; VERBOSE: print the stand-in's report.
 set -u
 cd "$(dirname "$0")/.." || exit 1
 . Scripts/ports.sh
@@ -14,7 +18,11 @@
 SEED=$2
 LENGTH=${3:-25}
 KINDS=${4:-19}
+CALLERS=${5:-}
+COUNT=${6:-3}
+ENTRIES=$(seq 1 "$COUNT")
 OLD_KINDS=14
+KEPT=${KEPT:-/tmp/loomreach-soak}
 # What plays suspended machines has a clock of its own
 [ "$KINDS" = $OLD_KINDS ] && PROGRAM=loomreachd || PROGRAM=loomreachd-suspendable
 RANDOM=$SEED
@@ -33,7 +41,7 @@
 	until "$@"; do [ $SECONDS -lt $end ] || return 1; sleep 0.2; done
 }
 
-base() { echo $((PORT + 40 + $1 * 10)); }
+base() { echo $((PORT + 30 + $1 * 10)); }
 start_entry() {
 	local base
 	base=$(base "$1")
@@ -49,7 +57,7 @@
 maintenance_s = 0.8
 TOML
 	echo 0 >"$DIR/e$1.suspended"
-	LOOM_SUSPENDED_MS="$DIR/e$1.suspended" LOOM_JOBS="$DIR/e$1.toml" "$BUILD/$PROGRAM" --jobs_config_env=LOOM_JOBS >>"$DIR/e$1.log" 2>&1 &
+	LOOM_SUSPENDED_MS="$DIR/e$1.suspended" LOOM_JOBS="$DIR/e$1.toml" "${ENTRY_BUILD:-$BUILD}/$PROGRAM" --jobs_config_env=LOOM_JOBS >>"$DIR/e$1.log" 2>&1 &
 	PIDS[e$1]=$!
 }
 start_proxy() {
@@ -77,8 +85,8 @@
 	return 1
 }
 start_platform 1 || start_platform 2 || start_platform 3 || { echo "stand-in did not start"; exit 1; }
-for number in 1 2 3; do start_proxy $number; done
-for number in 1 2 3; do start_entry $number; done
+for number in $ENTRIES; do start_proxy $number; done
+for number in $ENTRIES; do start_entry $number; done
 # configure VERSION [POOL]: the queue of the jobs in this pool; without one there is no such queue.
 configure() {
 	local queue=""
@@ -94,15 +102,61 @@
 	configure $(($(date +%s%3N) - BEGAN + 10)) "$1"
 }
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 "http://127.0.0.1:$(($(base "$1") + 1))/ready")" = 200 ]; }
-all_ready() { ready 1 && ready 2 && ready 3; }
+all_ready() { local number; for number in $ENTRIES; do ready $number || return 1; done; }
 within 30 all_ready || { echo "seed $SEED: entry hosts did not become ready"; exit 1; }
 
 # submit ID ENTRY: a job; notes what the caller was told.
 submit() {
-	local status
-	status=$(call -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(base "$2")/fast/$1" \
-		-d "{\"spec\":\"ms=$3 cpu=1000${5:-}\",\"steps\":[{\"count\":$4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300}]}")
-	echo "$1 $status" >>"$DIR/told"
+	local body="{\"spec\":\"ms=$3 cpu=1000${5:-}\",\"steps\":[{\"count\":$4,\"cpu\":1000,\"memMb\":100,\"estimateMs\":300}]}"
+	if [ -n "$CALLERS" ]; then
+		ask POST "$2" "$1" 5000 "$body"
+	else
+		STATUS=$(call -o /dev/null -w '%{http_code}' -X POST "http://127.0.0.1:$(base "$2")/fast/$1" -d "$body")
+	fi
+	echo "$1 $STATUS" >>"$DIR/told"
+}
+
+# ask METHOD ENTRY ID LIMIT_MS [BODY]: sets STATUS to what a caller with kept connections is told, 0 if it leaves before an answer.
+ask() { STATUS=$(curl -s --max-time 30 -X PUT "$CONTROL/call/$1/$(base "$2")/$4/fast/$3" -d "${5:-}"); }
+# cancel ID ENTRY...: at one host after the other, until one has taken it.
+cancel() {
+	local id=$1 number; shift
+	for number in "$@"; do
+		ask DELETE "$number" "$id" 1500
+		[ "${STATUS:0:1}" != 2 ] || { echo "$id" >>"$DIR/canceled"; return; }
+	done
+}
+# live ID ENTRY OTHER PLAN WAIT_MS BODY: a job from its submission to its cancel.
+live() {
+	local id=$1 limit=5000
+	# Leaves its first host, which may not have answered by then
+	[ "$4" != 1 ] && [ "$4" != 6 ] || limit=$((30 + $5 / 10))
+	ask POST "$2" "$id" $limit "$6"
+	local told=$STATUS
+	echo "$id $STATUS" >>"$DIR/told"
+	case $4 in
+	0) return ;;
+	1 | 2 | 6) ;; # At once
+	*) sleep $(($5 / 1000)).$(printf %03d $(($5 % 1000))) ;;
+	esac
+	cancel "$id" "$3" "$2" $ENTRIES
+	case $4 in
+	4) cancel "$id" "$2" ;; # Again, at another host
+	5) [ "$told" != 200 ] || ask POST "$3" "$id" 5000 "$6" ;; # The submission comes again
+	esac
+}
+# come ENTRY: a job of the seed's choice. Its id says how it must end: 0: completed; e: cancelled, unless it ends before; d: cancelled, since it lasts.
+come() {
+	local plan=$((RANDOM % 7)) wait=$((RANDOM % 4000)) count=$((RANDOM % 4 + 1)) spec="ms=$((RANDOM % 800 + 50))" other=$((RANDOM % COUNT + 1)) ends=e lasting=""
+	# What lasts either runs until it is cancelled, or fails and is started again until then
+	case $((plan ? RANDOM % 3 : 3)) in
+	0) ends=d spec=lasts lasting=',"longRunning":true' ;;
+	1) ends=d spec="fail $spec" lasting=',"longRunning":true' ;;
+	3) ends=0 ;;
+	esac
+	ID=$((ID + 1))
+	live "$(printf '%s%015x' $ends $ID)" "$1" "$other" $plan $wait \
+		"{\"spec\":\"$spec cpu=500\",\"steps\":[{\"count\":$count,\"cpu\":500,\"memMb\":100,\"estimateMs\":300$lasting}]}" & STRIKES+=($!)
 }
 
 # millis SECONDS: of a number with one decimal.
@@ -130,8 +184,23 @@
 	exec 9>&-
 }
 
-# One fault of the seed's choice on entry host $1, ended by itself; they overlap.
+# scope KIND: what a fault affects, as the stand-in names it.
+scope() {
+	case $1 in
+	[4-6]) echo store ;;
+	7 | 11 | 12 | 15 | 16 | 17) echo workers ;;
+	18) echo config ;;
+	*) echo entry ;;
+	esac
+}
+# strike ENTRY KIND SECONDS: lets the stand-in know of a fault, for what it excuses.
 strike() {
+	[ -z "$CALLERS" ] || put "trouble/$(scope $2)"
+	do_strike "$@"
+	[ -z "$CALLERS" ] || put "calm/$(scope $2)"
+}
+# One fault of the seed's choice on entry host $1, ended by itself; they overlap.
+do_strike() {
 	local number=$1 kind=$2 length=$3 pid length_ms
 	length_ms=$(millis "$3")
 	case $kind in
@@ -158,18 +227,32 @@
 ID=0
 END=$((SECONDS + LENGTH))
 STRIKES=()
+ROUND=0
 while [ $SECONDS -lt $END ]; do
-	number=$((RANDOM % 3 + 1))
+	number=$((RANDOM % COUNT + 1))
 	kind=$((RANDOM % KINDS))
 	length=$((RANDOM % 4)).$((RANDOM % 10))
 	case $kind in
-	9) kill -9 "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number ;;
-	10) kill -TERM "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number ;;
+	9 | 10)
+		[ -z "$CALLERS" ] || put trouble/entry
+		kill -$([ $kind = 9 ] && echo KILL || echo TERM) "${PIDS[e$number]}"; wait "${PIDS[e$number]}" 2>/dev/null; start_entry $number
+		[ -z "$CALLERS" ] || put calm/entry
+		;;
 	*) strike $number $kind $length & STRIKES+=($!) ;;
 	esac
+	peak=""
+	if [ "$CALLERS" = peaks ]; then
+		[ $((ROUND++ / 4 % 2)) = 0 ] || peak="1 2 3 4 5 6 7 8"
+		[ $((RANDOM % 3)) != 0 ] || put "leave/m$((RANDOM % 3))/$((RANDOM % 3000 + 500))"
+	fi
 	for _ in 1 2 3; do
-		ID=$((ID + 1))
-		submit "$(printf '%016x' $ID)" $((RANDOM % 3 + 1)) $((RANDOM % 800 + 50)) $((RANDOM % 4 + 1)) & STRIKES+=($!)
+		if [ -n "$CALLERS" ]; then
+			# Every other caller goes to the host at which the fault is
+			for _ in 1 2 $peak; do come $((RANDOM % 2 ? number : RANDOM % COUNT + 1)); done
+		else
+			ID=$((ID + 1))
+			submit "$(printf '%016x' $ID)" $((RANDOM % 3 + 1)) $((RANDOM % 800 + 50)) $((RANDOM % 4 + 1)) & STRIKES+=($!)
+		fi
 		sleep 0.3
 	done
 	# Now and then one whose tasks crash each worker that starts them, at once or a little later
@@ -183,7 +266,7 @@
 configure $(($(date +%s%3N) - BEGAN + 10)) fast
 fault none
 orders none
-for number in 1 2 3; do
+for number in $ENTRIES; do
 	way $number pass
 	curl -s -X PUT "$CONTROL/light/m$number" >/dev/null
 	put "room/m$number/0"
@@ -193,16 +276,33 @@
 FAILED=0
 fail() { FAILED=1; echo "seed $SEED: $*"; }
 within 40 all_ready || fail "entry hosts are not ready again"
+# What lasts is cancelled, unless nobody has taken it. Then a stretch without faults after which nothing of a cancelled job may be there
+touch "$DIR/canceled"
+while read -r id status; do
+	[ "${id:0:1}" = d ] && [ "$status" != 503 ] && [ "$status" != 429 ] && [ "$status" != 404 ] || continue
+	is_canceled() { grep -q "$id" "$DIR/canceled" || { cancel "$id" $ENTRIES; [ "$STATUS" = 410 ]; }; }
+	within 30 is_canceled || fail "job $id could not be cancelled: $STATUS"
+done <"$DIR/told"
+[ -z "$CALLERS" ] || sleep 5
+state_of() { call "http://127.0.0.1:$(base 1)/fast/$1"; }
+is_gone() { ! state_of "$1" | grep -q 'queued\|running'; }
+while read -r id; do
+	within 30 is_gone "$id" || fail "job $id was cancelled and is still there: $(state_of "$id")"
+done <"$DIR/canceled"
 is_over() {
 	local state=completed
-	[ "${1:0:1}" != c ] || state=failed
-	call "http://127.0.0.1:$(base 1)/fast/$1" | grep -q $state
+	case $1 in
+	c*) state=failed ;;
+	d*) state=canceled ;;
+	e*) state='completed\|canceled' ;;
+	esac
+	state_of "$1" | grep -q "$state"
 }
 ACCEPTED=0
 while read -r id status; do
 	[ "$status" = 200 ] || continue
 	ACCEPTED=$((ACCEPTED + 1))
-	within 60 is_over "$id" || fail "job $id was accepted and did not end as it should: $(call "http://127.0.0.1:$(base 1)/fast/$id")"
+	within 60 is_over "$id" || fail "job $id was accepted and did not end as it should: $(state_of "$id")"
 done <"$DIR/told"
 # A refusal that says "not taken" must be true. An owner that has only just taken over says 503 until it is sure
 is_sure() { SAYS=$(call -o /dev/null -w '%{http_code}' "http://127.0.0.1:$(base 1)/fast/$1"); [ "$SAYS" = 410 ] || [ "$SAYS" = 200 ]; }
@@ -212,17 +312,17 @@
 	[ "$SAYS" = 410 ] || fail "job $id was refused with $status and is known"
 done <"$DIR/told"
 report | grep -q '"broken":\[\]' || fail "broken: $(report)"
-for number in 1 2 3; do
+for number in $ENTRIES; do
 	curl -s --max-time 5 "http://127.0.0.1:$(($(base $number) + 3))/metrics" | grep -q 'loomreach_broken_invariants 0' || fail "an invariant on entry host $number"
 done
 # A killed process takes its last lines with it: what hangs on these can be neither passed nor failed
-"$BUILD/loomreach-logcheck" "$DIR"/e[123].log >"$DIR/logcheck.txt"
+"$BUILD/loomreach-logcheck" "$DIR"/e[1-6].log >"$DIR/logcheck.txt"
 case $? in
 0) ;;
 2) echo "seed $SEED: the logs could not be checked:"; cat "$DIR/logcheck.txt" ;;
 *) fail "the logs show it: $(cat "$DIR/logcheck.txt")" ;;
 esac
-[ $FAILED = 0 ] || { mkdir -p /tmp/loomreach-soak; cp -r "$DIR" "/tmp/loomreach-soak/seed-$SEED"; echo "logs kept in /tmp/loomreach-soak/seed-$SEED"; }
-[ -z "${VERBOSE:-}" ] || echo "seed $SEED: $(report) ends handed in: $(cat "$DIR"/e[123].log | grep -c event=ends_handed_in)"
+[ $FAILED = 0 ] || { mkdir -p "$KEPT"; cp -r "$DIR" "$KEPT/seed-$SEED"; echo "logs kept in $KEPT/seed-$SEED"; }
+[ -z "${VERBOSE:-}" ] || echo "seed $SEED: $(report) ends handed in: $(cat "$DIR"/e[1-6].log | grep -c event=ends_handed_in)"
 echo "seed $SEED: $ACCEPTED of $ID jobs accepted, $([ $FAILED = 0 ] && echo passed || echo failed)"
 exit $FAILED
