Check in the entry hosts' logs that nothing starts or runs on after a cancel

loomreach-logcheck judged second runs only. It now follows a cancellation from its acceptance to its receipt by the owner, and finds runs told after the owner had canceled the job, or over 4 s after the acceptance, and runs that an owner left alone for 4.4 s though it had read the cancel.

Tests: LogCheck.FindsStartsAfterACancel, LogCheck.FindsRunsThatACancelLeavesAlone.

--- a/TestSupport/LogCheck/RunChecker.cpp
+++ b/TestSupport/LogCheck/RunChecker.cpp
@@ -12,6 +12,10 @@
 static constexpr double cCopiesGraceS = 1.0;
 /// A killed process loses the lines of at most the flush interval of 20 ms (LogStream.h); the rest allows for the time of the kill itself.
 static constexpr double cMaxKillLossS = 0.05;
+/// The rule allows starts for this long after a cancellation was acknowledged.
+static constexpr double cCancelS = 4.0;
+/// A stop takes this long on top.
+static constexpr double cStopS = 0.4;
 /// This many unreadable lines are quoted; further ones are only counted.
 static constexpr size_t cMaxQuotedUnreadableLines = 5;
 
@@ -20,6 +24,8 @@
 	EnumName<EFinding>{EFinding::TwoRuns, "two-runs"},
 	EnumName<EFinding>{EFinding::AcknowledgedBeforeLogged, "covered-before-logged"},
 	EnumName<EFinding>{EFinding::AcknowledgedUnseen, "covered-unseen"},
+	EnumName<EFinding>{EFinding::StartAfterCancel, "start-after-cancel"},
+	EnumName<EFinding>{EFinding::RunAfterCancel, "run-after-cancel"},
 };
 
 std::string_view NameOf(EFinding inKind) { return Loomreach::NameOf(cFindingNames, inKind); }
@@ -54,6 +60,7 @@
 		return std::nullopt;
 	}
 	this->hosts[inLine.host].cells.insert(*cell);
+	this->last_owned_s[{*cell, *epoch}] = inLine.at_s;
 	return Owner{*cell, *epoch};
 }
 
@@ -74,6 +81,12 @@
 		this->OnLogged(inLine);
 	else if (inLine.event == "ends_covered")
 		this->OnAcknowledged(inLine);
+	else if (inLine.event == "cancel_accepted")
+		this->OnCancelAccepted(inLine);
+	else if (inLine.event == "cancel")
+		this->OnCancelReceived(inLine);
+	else if (inLine.event == "run_stopped")
+		this->OnStopped(inLine);
 	this->hosts[inLine.host].last_s = std::max(this->hosts[inLine.host].last_s, inLine.at_s);
 }
 
@@ -213,6 +226,7 @@
 	Task &task = this->tasks[inTask];
 	++this->dispatched_runs;
 	this->AddLateStart(task, inTask, inRun, inOwner, inLine.at_s, inLineIndex);
+	this->CheckStartAfterCancel(inLine, inOwner, inTask, inRun, inLineIndex);
 	for (const DispatchedRun &earlier : task.dispatched)
 	{
 		if (earlier.ended || task.copies)
@@ -225,7 +239,96 @@
 								 std::to_string(earlier.run) + " had neither ended nor lapsed";
 		this->AddFinding(EFinding::TwoRuns, what, lines, inOwner.first, earlier.at_s, inLine.at_s);
 	}
-	task.dispatched.push_back({inRun, inLine.at_s, inLineIndex, false});
+	task.dispatched.push_back({inRun, inLine.at_s, inLineIndex, false, false});
+}
+
+void RunChecker::OnCancelAccepted(const LogLine &inLine)
+{
+	Cancel &cancel = this->cancels[std::string(inLine.Text("request"))];
+	if (cancel.accepted_s.has_value())
+		return;
+	cancel.accepted_s = inLine.at_s;
+	cancel.accepted_line = this->KeepLine(inLine);
+}
+
+void RunChecker::OnCancelReceived(const LogLine &inLine)
+{
+	const std::optional<Owner> owner = this->OwnerOf(inLine);
+	if (!owner.has_value())
+		return;
+	const ReceivedCancel received{inLine.at_s, this->KeepLine(inLine), inLine.Text("outcome") == "canceled"};
+	auto [known, is_new] = this->cancels[std::string(inLine.Text("request"))].received.try_emplace(*owner, received);
+	if (received.applied && !known->second.applied)
+		known->second = received;
+}
+
+void RunChecker::OnStopped(const LogLine &inLine)
+{
+	const std::optional<Owner> owner = this->OwnerOf(inLine);
+	const std::optional<uint64> run = inLine.Number("run");
+	if (!owner.has_value())
+		return;
+	if (!run.has_value())
+		return this->AddUnreadableLine(inLine);
+	for (DispatchedRun &dispatched : this->tasks[std::string(inLine.Text("task"))].dispatched)
+		dispatched.stopped = dispatched.stopped || dispatched.run == *run;
+}
+
+static std::string JobOf(const std::string &inTask) { return inTask.substr(0, inTask.find('.')); }
+
+void RunChecker::CheckStartAfterCancel(const LogLine &inLine, const Owner &inOwner, const std::string &inTask, uint64 inRun,
+									   size_t inLineIndex)
+{
+	const auto found = this->cancels.find(JobOf(inTask));
+	if (found == this->cancels.end())
+		return;
+	const Cancel &cancel = found->second;
+	const auto received = cancel.received.find(inOwner);
+	const bool is_received = received != cancel.received.end();
+	const bool is_applied = is_received && received->second.applied;
+	const bool is_late = cancel.accepted_s.has_value() && inLine.at_s > *cancel.accepted_s + cCancelS;
+	if (!is_applied && !is_late)
+		return;
+	Finding finding;
+	finding.kind = EFinding::StartAfterCancel;
+	finding.what = "task " + inTask + ": run " + std::to_string(inRun) + " of epoch " + std::to_string(inOwner.second) + " was told " +
+				   (is_applied ? "after that epoch had canceled its job" : "over 4 s after its cancel was accepted") +
+				   (is_received ? "" : ", which that epoch had not read");
+	std::vector<size_t> lines = {inLineIndex};
+	if (cancel.accepted_s.has_value())
+		lines.push_back(cancel.accepted_line);
+	if (is_received)
+		lines.push_back(received->second.line);
+	finding.lines = this->LinesOf(lines);
+	// The lines of acceptance, receipt and dispatch are all there: no missing line explains them
+	(is_received ? this->findings : this->unproved).push_back(std::move(finding));
+}
+
+void RunChecker::CheckRunsAfterCancel()
+{
+	for (const auto &[name, task] : this->tasks)
+	{
+		const auto cancel = this->cancels.find(JobOf(name));
+		if (cancel == this->cancels.end() || !cancel->second.accepted_s.has_value())
+			continue;
+		for (const DispatchedRun &run : task.dispatched)
+		{
+			if (run.ended || run.stopped)
+				continue;
+			for (const auto &[owner, received] : cancel->second.received)
+			{
+				const double from_s = std::max({*cancel->second.accepted_s, received.at_s, run.at_s});
+				if (this->last_owned_s[owner] <= from_s + cCancelS + cStopS)
+					continue;
+				const std::string what = "task " + name + ": run " + std::to_string(run.run) +
+										 " was neither stopped nor ended though epoch " + std::to_string(owner.second) +
+										 " had read its job's cancel";
+				this->AddFinding(EFinding::RunAfterCancel, what, {cancel->second.accepted_line, received.line, run.line}, owner.first,
+								 run.at_s, this->last_owned_s[owner]);
+				break;
+			}
+		}
+	}
 }
 
 void RunChecker::AddEnd(const End &inEnd)
@@ -436,6 +539,7 @@
 
 void RunChecker::Finish()
 {
+	this->CheckRunsAfterCancel();
 	// All gaps are known only now
 	for (Candidate &candidate : this->candidates)
 	{
--- a/TestSupport/LogCheck/RunChecker.h
+++ b/TestSupport/LogCheck/RunChecker.h
@@ -1,6 +1,9 @@
-// Checks the rule that a task runs once, independently of the scheduler, from the logs of all entry hosts. For each run it follows the
-// log lines for dispatch to a worker, receipt of the run end, its write to the owner's log, and the poll that acknowledges it, after which
-// the worker drops it.
+// Checks the rules that a task runs once, and not after its job's cancellation, independently of the scheduler, from the logs of all entry
+// hosts. For each run it follows the log lines for dispatch to a worker, receipt of the run end, its write to the owner's log, and the poll
+// that acknowledges it, after which the worker drops it. For each cancellation it follows its acceptance and its receipt by the owner.
+//
+// The logs do not say whether a host was in contact. So a cancellation binds an owner only once that owner has received it; what another
+// owner does too late is unproved.
 //
 // Log lines may be missing: they may have been dropped (LogStream.h) or lost with a killed process. A violation that a missing line could
 // explain is therefore reported separately from a proven one.
@@ -19,6 +22,8 @@
 	TwoRuns,                  ///< A run was dispatched while an earlier one of its task had not ended.
 	AcknowledgedBeforeLogged, ///< A poll acknowledged run ends that the owner's log did not hold yet.
 	AcknowledgedUnseen,       ///< A poll acknowledged a done end that only another owner had received.
+	StartAfterCancel,         ///< A run was dispatched too late after its job's cancellation.
+	RunAfterCancel,           ///< An owner that had received the cancellation left a run alone.
 };
 
 std::string_view NameOf(EFinding inKind);
@@ -79,6 +84,7 @@
 		double at_s = 0.0;
 		size_t line = 0;
 		bool ended = false;
+		bool stopped = false; ///< An owner decided to stop it.
 	};
 	/// A run end that an owner received.
 	struct End
@@ -92,6 +98,20 @@
 		std::string worker; ///< Names its incarnation.
 		uint64 number = 0;  ///< Sequence number in the worker's list of run ends; 0: none.
 	};
+	/// Receipt of a cancellation by an owner.
+	struct ReceivedCancel
+	{
+		double at_s = 0.0;
+		size_t line = 0;
+		bool applied = false; ///< The owner canceled the job with it.
+	};
+	/// A job's cancellation.
+	struct Cancel
+	{
+		std::optional<double> accepted_s; ///< The first acknowledgement to a caller.
+		size_t accepted_line = 0;
+		std::map<Owner, ReceivedCancel> received; ///< Of each owner the first receipt; one that applied it replaces others.
+	};
 	/// State of a task up to the current line.
 	struct Task
 	{
@@ -137,6 +157,12 @@
 	void OnRunDispatched(const LogLine &inLine, const Owner &inOwner, const std::string &inTask, uint64 inRun, size_t inLineIndex);
 	void OnEnded(const LogLine &inLine);
 	void OnUnmatched(const LogLine &inLine);
+	void OnCancelAccepted(const LogLine &inLine);
+	void OnCancelReceived(const LogLine &inLine);
+	void OnStopped(const LogLine &inLine);
+	void CheckStartAfterCancel(const LogLine &inLine, const Owner &inOwner, const std::string &inTask, uint64 inRun, size_t inLineIndex);
+	/// Finds runs that an owner left alone though it received their job's cancellation; called once all lines are read.
+	void CheckRunsAfterCancel();
 	void OnLogged(const LogLine &inLine);
 	void OnAcknowledged(const LogLine &inLine);
 	void OnRangeAcknowledged(const LogLine &inLine, const Owner &inOwner, const std::string &inWorker, uint64 inFrom, uint64 inTo,
@@ -156,6 +182,8 @@
 	std::map<std::string, Host> hosts;
 	std::vector<Gap> gaps;
 	std::map<std::string, Task> tasks;
+	std::map<std::string, Cancel> cancels;                   ///< By job.
+	std::map<Owner, double> last_owned_s;                    ///< Time of an owner's last line.
 	std::map<std::string, int64, std::less<>> started_ms;    ///< By worker: the latest start time of an incarnation in any line, ms.
 	std::map<std::pair<Owner, std::string>, Ledger> ledgers; ///< By owner and worker.
 	std::map<std::string, std::vector<End>> done_ends;       ///< By worker.
--- a/UnitTests/LogCheckTests.cpp
+++ b/UnitTests/LogCheckTests.cpp
@@ -62,6 +62,22 @@
 	return inHead + "event=ends_covered cell=7 epoch=" + inEpoch + " ends=" + inEnds + " logged_ms_ago=1";
 }
 
+std::string CancelAccepted(const std::string &inHead)
+{
+	return inHead + "event=cancel_accepted request=j queue=q version=1 cell=7 offset=3";
+}
+
+std::string Cancel(const std::string &inHead, const std::string &inOutcome, const std::string &inEpoch)
+{
+	return inHead + "event=cancel request=j outcome=" + inOutcome +
+		   " age_ms=5 job_age_ms=9 phase=running inbox_next=4 cell=7 epoch=" + inEpoch;
+}
+
+std::string Stopped(const std::string &inHead, const std::string &inEpoch)
+{
+	return inHead + "event=run_stopped request=j task=j.0.0.0 run=1 worker=w1 why=canceled cell=7 epoch=" + inEpoch;
+}
+
 std::vector<EFinding> KindsOf(const std::vector<Finding> &inFindings)
 {
 	std::vector<EFinding> kinds;
@@ -362,4 +378,54 @@
 	EXPECT_EQ(KindsOf(checker.Findings()), std::vector{EFinding::AcknowledgedBeforeLogged});
 }
 
+TEST(LogCheck, FindsStartsAfterACancel)
+{
+	// The owner that canceled the job tells a run at once afterwards
+	const RunChecker at_once = CheckLines({
+		cStartedA,
+		CancelAccepted(At("1.0", "a")),
+		Cancel(At("1.1", "a"), "canceled", "1"),
+		Dispatched(At("1.2", "a"), "0.1", "1"),
+	});
+	EXPECT_EQ(KindsOf(at_once.Findings()), std::vector{EFinding::StartAfterCancel});
+	// The owner read the cancel before it knew the job, and forgot it
+	const auto at = [](const std::string &inSecond, const std::string &inEpoch)
+	{
+		return CheckLines({
+			cStartedA,
+			cStartedB,
+			CancelAccepted(At("1.0", "a")),
+			Cancel(At("1.1", "a"), "unknown", "1"),
+			Dispatched(At(inSecond, inEpoch == "1" ? "a" : "b"), "0.1", inEpoch),
+		});
+	};
+	EXPECT_TRUE(at("4.9", "1").Findings().empty());
+	ASSERT_EQ(KindsOf(at("5.1", "1").Findings()), std::vector{EFinding::StartAfterCancel});
+	EXPECT_EQ(at("5.1", "1").Findings()[0].lines.size(), 3u);
+	// Another owner that has not read it may have been out of contact
+	EXPECT_TRUE(at("5.1", "2").Findings().empty());
+	EXPECT_EQ(KindsOf(at("5.1", "2").Unproved()), std::vector{EFinding::StartAfterCancel});
+}
+
+TEST(LogCheck, FindsRunsThatACancelLeavesAlone)
+{
+	const auto with = [](const std::vector<std::string> &inLines)
+	{
+		std::vector<std::string> lines = {cStartedA, CancelAccepted(At("1.0", "a")), Cancel(At("1.1", "a"), "unknown", "1"),
+										  Dispatched(At("1.2", "a"), "0.1", "1")};
+		lines.insert(lines.end(), inLines.begin(), inLines.end());
+		return CheckLines(lines);
+	};
+	EXPECT_TRUE(with({Logged(At("5.5", "a"), "w1:1-1", "1")}).Findings().empty());
+	EXPECT_EQ(KindsOf(with({Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings()), std::vector{EFinding::RunAfterCancel});
+	// Whether a stop arrives in time is not in the logs
+	EXPECT_TRUE(with({Stopped(At("1.3", "a"), "1"), Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings().empty());
+	EXPECT_TRUE(with({Ended(At("1.4", "a"), "0", "1", "done", "1", "1"), Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings().empty());
+	// An owner that no longer writes, and lines that may be missing
+	EXPECT_TRUE(with({Logged(At("5.7", "a"), "w1:1-1", "2")}).Findings().empty());
+	const RunChecker dropped = with({"   1.9 a event=log_lines_dropped lines=4", Logged(At("5.7", "a"), "w1:1-1", "1")});
+	EXPECT_TRUE(dropped.Findings().empty());
+	EXPECT_EQ(KindsOf(dropped.Unproved()), std::vector{EFinding::RunAfterCancel});
+}
+
 } // namespace Loomreach::LogCheck
