--- a/Scripts/soak_jobs.sh
+++ b/Scripts/soak_jobs.sh
@@ -154,6 +154,7 @@
 	1) ends=d spec="fail $spec" lasting=',"longRunning":true' ;;
 	3) ends=0 ;;
 	esac
+	[ $((wait % 3)) != 0 ] || { spec+=" saves" lasting+=',"checkpointing":true'; }
 	ID=$((ID + 1))
 	live "$(printf '%s%015x' $ends $ID)" "$1" "$other" $plan $wait \
 		"{\"spec\":\"$spec cpu=500\",\"steps\":[{\"count\":$count,\"cpu\":500,\"memMb\":100,\"estimateMs\":300$lasting}]}" & STRIKES+=($!)
@@ -285,9 +286,10 @@
 done <"$DIR/told"
 [ -z "$CALLERS" ] || sleep 5
 state_of() { call "http://127.0.0.1:$(base 1)/fast/$1"; }
+STUCK=""
 is_gone() { ! state_of "$1" | grep -q 'queued\|running'; }
 while read -r id; do
-	within 30 is_gone "$id" || fail "job $id was cancelled and is still there: $(state_of "$id")"
+	within $((FAILED ? 2 : 30)) is_gone "$id" || { STUCK+="$id "; fail "job $id was cancelled and is still there: $(state_of "$id")"; }
 done <"$DIR/canceled"
 is_over() {
 	local state=completed
@@ -300,7 +302,7 @@
 }
 ACCEPTED=0
 while read -r id status; do
-	[ "$status" = 200 ] || continue
+	[ "$status" = 200 ] && ! grep -q "$id" <<<"$STUCK" || continue
 	ACCEPTED=$((ACCEPTED + 1))
 	within 60 is_over "$id" || fail "job $id was accepted and did not end as it should: $(state_of "$id")"
 done <"$DIR/told"
--- a/TestSupport/Platform/FakeFleet.cpp
+++ b/TestSupport/Platform/FakeFleet.cpp
@@ -16,6 +16,7 @@
 static constexpr Millis cAdvanceIntervalMs = 10;
 static constexpr Millis cPollCheckIntervalMs = 20; ///< A waiting poll is checked again after this.
 static constexpr Millis cHeartbeatMs = 500;
+static constexpr Millis cSaveMs = 200; ///< A task issues a checkpoint this often.
 static constexpr Millis cMaintenanceMs = 800;
 static constexpr Millis cMoveMs = 500;
 static constexpr size_t cMaxEndsPerPoll = 500; ///< An answer to a poll lists at most this many run ends, the oldest first.
@@ -421,6 +422,7 @@
 	started.run = number;
 	started.cpu = PayloadNumber(payload, "cpu", 1000);
 	started.started_at = NowMillis();
+	started.saves = payload.find("saves") != std::string::npos;
 	started.fails = payload.find("fail") != std::string::npos;
 	if (payload.find("lasts") == std::string::npos)
 		started.ends_at = started.started_at + PayloadNumber(payload, "ms", 300);
@@ -476,13 +478,23 @@
 	{
 		const Millis duration = std::max<Millis>(1, run.ends_at - run.started_at);
 		const int64 percent = run.ends_at < 0 ? 100 : (NowMillis() - run.started_at) * 100 / duration;
-		running.push_back({run.task, run.run, "", percent});
+		running.push_back({run.task, run.run, this->CheckpointOf(run), percent});
 	}
 	const std::vector<Json> listed(ioHost.ended.begin(),
 								   ioHost.ended.begin() + static_cast<std::ptrdiff_t>(std::min(cMaxEndsPerPoll, ioHost.ended.size())));
 	return {{"born", ioHost.started_ms}, {"running", running}, {"ended", listed}};
 }
 
+std::string FakeFleet::CheckpointOf(const FakeRun &inRun)
+{
+	const Millis saves = (NowMillis() - inRun.started_at) / cSaveMs;
+	if (!inRun.saves || saves == 0)
+		return inRun.order.checkpoint;
+	std::string checkpoint = inRun.task + '@' + std::to_string(inRun.run) + '.' + std::to_string(saves);
+	this->requests.OnSaved(inRun.task, checkpoint);
+	return checkpoint;
+}
+
 void FakeFleet::End(FakeHost &ioHost, size_t inRun, const char *inOutcome)
 {
 	const FakeRun run = ioHost.running[inRun];
@@ -495,7 +507,7 @@
 		.Field("task", run.task)
 		.Field("run", run.run)
 		.Field("how", inOutcome);
-	ioHost.ended.push_back({ioHost.next_end_number++, run.task, run.run, inOutcome, ""});
+	ioHost.ended.push_back({ioHost.next_end_number++, run.task, run.run, inOutcome, this->CheckpointOf(run)});
 	if (std::string_view(inOutcome) != "done")
 		return;
 	this->done_tasks.insert(run.task);
--- a/TestSupport/Platform/FakeFleet.h
+++ b/TestSupport/Platform/FakeFleet.h
@@ -1,7 +1,7 @@
 // Fake of the platform's machine service and workers for tests with real processes. Workers enforce leases and fencing tokens, keep runs
 // and run ends, and record violations of the platform's rules.
-// A task's payload gives its requested CPU and its behaviour: "cpu=MILLI ms=TIME", "fail", "lasts" (runs until stopped), "crash=TIME"
-// (crashes its worker TIME ms after its start).
+// A task's payload gives its requested CPU and its behaviour: "cpu=MILLI ms=TIME", "fail", "lasts" (runs until stopped), "saves"
+// (issues checkpoints), "crash=TIME" (crashes its worker TIME ms after its start).
 
 #pragma once
 
@@ -34,6 +34,7 @@
 	Millis ends_at = -1; ///< -1: runs until stopped.
 	bool fails = false;
 	Millis crashes_at = -1; ///< -1: never.
+	bool saves = false;
 	OrderedRun order;
 };
 
@@ -124,6 +125,8 @@
 	/// Ends the runs that are over and expires leases, up to now, on one host and on all.
 	void AdvanceHost(FakeHost &ioHost);
 	void AdvanceAll();
+	/// The run's newest checkpoint; empty if it has none.
+	std::string CheckpointOf(const FakeRun &inRun);
 	void End(FakeHost &ioHost, size_t inRun, const char *inOutcome);
 	void WriteWorkerEntries();
 	void CrashHost(FakeHost &ioHost, Millis inRestartMs);
--- a/TestSupport/Platform/RequestLedger.cpp
+++ b/TestSupport/Platform/RequestLedger.cpp
@@ -27,8 +27,9 @@
 		found.push_back({EUnasked::Unsent, "no caller sent its job: " + order, ""});
 	else if (!sent->second.contains(inRun.payload))
 		found.push_back({EUnasked::Unsent, "another payload, \"" + inRun.payload + "\": " + order, ""});
-	if (!inRun.checkpoint.empty())
-		found.push_back({EUnasked::Unsent, "checkpoint \"" + inRun.checkpoint + "\", which no worker issued: " + order, ""});
+	const auto saved = this->checkpoints.find(inRun.run.task);
+	if (!inRun.checkpoint.empty() && (saved == this->checkpoints.end() || !saved->second.contains(inRun.checkpoint)))
+		found.push_back({EUnasked::Unsent, "checkpoint \"" + inRun.checkpoint + "\", which is not its own: " + order, ""});
 	const auto canceled = this->canceled_at.find(job);
 	if (canceled == this->canceled_at.end() || inRun.run.at <= canceled->second + cCancelMs)
 		return found;
--- a/TestSupport/Platform/RequestLedger.h
+++ b/TestSupport/Platform/RequestLedger.h
@@ -1,8 +1,8 @@
 // Checks the platform's rule against unrequested work from what callers sent and what workers ran, without the entry hosts' own view.
 //
 // The rule has three parts, and each has the excuses that the platform's rules grant:
-// - Unsent: a start of a task that no caller submitted, with another payload, or with a checkpoint. The fake workers issue no checkpoints,
-//   so none can belong to a task. Never excused, since this part also binds hosts that are not in contact.
+// - Unsent: a start of a task that no caller submitted, with another payload, or with a checkpoint that no worker issued for that task.
+//   Never excused, since this part also binds hosts that are not in contact.
 // - StartAfterCancel: a start more than cCancelMs after the job's cancellation was acknowledged. It binds hosts in contact only: no fault
 //   on the host, its links or the store for cContactMs. An order does not name its host, so a fault on any entry host excuses it, which
 //   is more than the rule grants. Faults of workers and configurations do not excuse it. An order that the fake worker carries out late
@@ -66,6 +66,8 @@
 	void OnSubmitted(const std::string &inId, const std::string &inPayload);
 	/// Records a 2xx answer to a cancellation; the first one counts.
 	void OnCanceled(const std::string &inId, Millis inNow) { this->canceled_at.try_emplace(inId, inNow); }
+	/// Records a checkpoint that a worker issued for a task.
+	void OnSaved(const std::string &inTask, const std::string &inCheckpoint) { this->checkpoints[inTask].insert(inCheckpoint); }
 	/// Checks a start. Without any recorded submission the callers are not known, and nothing is checked.
 	std::vector<UnaskedRun> OnStarted(const OrderedRun &inRun, const TroubleWatch &inTroubles) const;
 	/// Checks a run that is there now. Each is returned at most once without an excuse and once with one.
@@ -76,9 +78,10 @@
 	static std::string JobOf(const std::string &inTask) { return inTask.substr(0, inTask.find('.')); }
 	static std::string Describe(const OrderedRun &inRun, Millis inSinceCancel, Millis inCalm);
 
-	std::map<std::string, std::set<std::string>> payloads; ///< By job: as callers sent them.
-	std::map<std::string, Millis> canceled_at;             ///< By job.
-	std::set<std::pair<std::string, bool>> reported_runs;  ///< Runs that OnRunning returned, and whether with an excuse.
+	std::map<std::string, std::set<std::string>> payloads;    ///< By job: as callers sent them.
+	std::map<std::string, std::set<std::string>> checkpoints; ///< By task.
+	std::map<std::string, Millis> canceled_at;                ///< By job.
+	std::set<std::pair<std::string, bool>> reported_runs;     ///< Runs that OnRunning returned, and whether with an excuse.
 };
 
 } // namespace Loomreach
--- a/UnitTests/RequestLedgerTests.cpp
+++ b/UnitTests/RequestLedgerTests.cpp
@@ -52,7 +52,10 @@
 	EXPECT_EQ(Found(ledger.OnStarted(other, {})), "unsent");
 	other = RunAt(cStart);
 	other.checkpoint = "half";
-	EXPECT_EQ(Found(ledger.OnStarted(other, {})), "unsent");
+	ledger.OnSaved("job.0.0.1", "half");
+	EXPECT_EQ(Found(ledger.OnStarted(other, {})), "unsent") << "another task's checkpoint";
+	ledger.OnSaved("job.0.0.0", "half");
+	EXPECT_EQ(Found(ledger.OnStarted(other, {})), "");
 }
 
 TEST(RequestLedger, FindsStartsAfterTheCancel)
