List a cancel that a removed queue's former cell never gets

The soak with cancels found it on this code: a job was submitted just before a configuration removed its queue; the first owner of its cell began after that, and took the job. The next configuration placed the queue in another pool.

Cause: an owner that has never read a version with the queue knows the queue's name from the records only, and registers its cell under a hash of the name (QueuePlacements::ResolveNames) instead of one of host and prefix. So no other cell learns of it. The mend needs the queue's key in the inbox record, which hosts of older versions would refuse to read; it is not in this commit.

The test fails: the job's phase is queued instead of canceled, and its submission, when repeated, is taken by a second cell.

--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -286,6 +286,25 @@
 	EXPECT_EQ(cell.OnQueueMoved(from_next, 1000, 1'700'000'000'000).known, std::vector<std::string>{"job"});
 }
 
+/// Guards against a job that a cancellation does not find: its cell's first owner began after a configuration had removed the queue, and a
+/// later one placed the queue in another pool.
+TEST(QueueMove, ACancelFindsAJobThatAnOwnerTookWithoutItsQueue)
+{
+	QueueMoveWorld world(1);
+	world.Submit(0, "job");
+	world.Configure(std::nullopt);
+	world.Run(10'000);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	world.Configure(1);
+	world.Run(cSettleMs);
+	world.Cancel(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
