--- a/TestSupport/LogCheck/RunChecker.cpp
+++ b/TestSupport/LogCheck/RunChecker.cpp
@@ -287,7 +287,7 @@
 	const bool is_received = received != cancel.received.end();
 	const bool is_applied = is_received && received->second.applied;
 	const bool is_late = cancel.accepted_s.has_value() && inLine.at_s > *cancel.accepted_s + cCancelS;
-	if (!is_applied && !is_late)
+	if ((!is_applied && !is_late) || !this->canceled_starts.emplace(inTask, inOwner).second)
 		return;
 	Finding finding;
 	finding.kind = EFinding::StartAfterCancel;
--- a/TestSupport/LogCheck/RunChecker.h
+++ b/TestSupport/LogCheck/RunChecker.h
@@ -182,9 +182,11 @@
 	std::map<std::string, Host> hosts;
 	std::vector<Gap> gaps;
 	std::map<std::string, Task> tasks;
-	std::map<std::string, Cancel> cancels;                   ///< By job.
-	std::map<Owner, double> last_owned_s;                    ///< Time of an owner's last line.
-	std::map<std::string, int64, std::less<>> started_ms;    ///< By worker: the latest start time of an incarnation in any line, ms.
+	std::map<std::string, Cancel> cancels; ///< By job.
+	std::set<std::pair<std::string, Owner>>
+		canceled_starts;                                  ///< Tasks and owners with a start after a cancellation; the first one is found.
+	std::map<Owner, double> last_owned_s;                 ///< Time of an owner's last line.
+	std::map<std::string, int64, std::less<>> started_ms; ///< By worker: the latest start time of an incarnation in any line, ms.
 	std::map<std::pair<Owner, std::string>, Ledger> ledgers; ///< By owner and worker.
 	std::map<std::string, std::vector<End>> done_ends;       ///< By worker.
 	std::map<std::string, uint64> acknowledged_up_to;        ///< By worker: the highest sequence number that any poll acknowledged.
