--- a/TestSupport/Platform/FakeFleet.cpp
+++ b/TestSupport/Platform/FakeFleet.cpp
@@ -16,6 +16,7 @@
 static constexpr Millis cAdvanceIntervalMs = 10;
 static constexpr Millis cPollCheckIntervalMs = 20; ///< A waiting poll is checked again after this.
 static constexpr Millis cHeartbeatMs = 500;
+static constexpr Millis cSaveMs = 200; ///< A task issues a checkpoint this often.
 static constexpr Millis cMaintenanceMs = 800;
 static constexpr Millis cMoveMs = 500;
 static constexpr size_t cMaxEndsPerPoll = 500; ///< An answer to a poll lists at most this many run ends, the oldest first.
@@ -89,6 +90,7 @@
 	return {{"broken", this->violations},
 			{"unheard", this->hosts_taken_early},
 			{"excused", this->ends.Excused()},
+			{"unasked", this->unasked},
 			{"crashes", this->crash_counts},
 			{"chance_crashes", this->injected_crashes},
 			{"starts", this->starts},
@@ -112,6 +114,46 @@
 		this->AddViolation(line);
 }
 
+void FakeFleet::AddUnasked(const std::vector<UnaskedRun> &inRuns)
+{
+	for (const UnaskedRun &run : inRuns)
+	{
+		const std::string kind(NameOf(cUnaskedNames, run.kind));
+		++this->unasked[kind + (run.excuse.empty() ? "" : " excused")];
+		LogEvent(ELogLevel::Warning, "fake_unasked").Field("kind", kind).Field("excuse", run.excuse).Field("what", run.what);
+		if (run.excuse.empty())
+			this->AddViolation(kind + ": " + run.what);
+	}
+}
+
+void FakeFleet::Leave(const std::string &inHost, Millis inDrainMs)
+{
+	for (auto &host : this->hosts)
+	{
+		if (host->name != inHost || host->state != "up" || host->is_draining)
+			continue;
+		host->is_draining = true;
+		this->WriteWorkerEntries();
+		// A crash in between starts another incarnation, which does not leave
+		const auto if_same = [this, &left = *host, incarnation = host->Incarnation()](Millis inMs, auto inStep)
+		{
+			After(inMs,
+				  [&left, incarnation, inStep]
+				  {
+					  if (left.Incarnation() == incarnation && left.state == "up")
+						  inStep(left);
+				  });
+		};
+		if_same(inDrainMs,
+				[this](FakeHost &ioHost)
+				{
+					ioHost.is_unlisted = true;
+					this->store.Put("keyed.servers", ioHost.Id(), "");
+				});
+		if_same(2 * inDrainMs, [this](FakeHost &ioHost) { this->CrashHost(ioHost); });
+	}
+}
+
 void FakeFleet::SetUnresponsive(const std::string &inHost, bool inIsUnresponsive)
 {
 	for (auto &host : this->hosts)
@@ -198,12 +240,12 @@
 {
 	for (const auto &host : this->hosts)
 	{
-		if (host->state != "up" || host->is_unresponsive)
+		if (host->state != "up" || host->is_unresponsive || host->is_unlisted)
 			continue;
 		const Json entry = {{"service", host->pool},
 							{"address", "127.0.0.1:" + std::to_string(host->port)},
 							{"zone", "z"},
-							{"state", "ready"},
+							{"state", host->is_draining ? "draining" : "ready"},
 							{"capacity", {{"cpu", host->cpu}, {"memMb", 32768}, {"gpu", 0}}},
 							{"labels", {"a", "r"}},
 							{"machine", host->name},
@@ -271,7 +313,7 @@
 		  });
 }
 
-std::pair<uint32, Json> FakeFleet::Execute(FakeHost &ioHost, std::string_view inPath, const Json &inBody)
+std::pair<uint32, Json> FakeFleet::Execute(FakeHost &ioHost, std::string_view inPath, const Json &inBody, bool inIsLate)
 {
 	// An expired lease must not be extended, even if the order arrives before our timer has fired
 	this->AdvanceAll();
@@ -289,7 +331,7 @@
 	if (inPath == "/run-start")
 	{
 		this->store.Gaps().Add("start");
-		answer = this->Start(ioHost, inBody, status);
+		answer = this->Start(ioHost, inBody, inIsLate, status);
 	}
 	else if (inPath == "/run-stop")
 		this->Stop(ioHost, inBody);
@@ -333,7 +375,7 @@
 		  {
 			  // The order is only valid for the id that it was sent to
 			  if (ioHost.Id() == id && ioHost.state == "up")
-				  this->Execute(ioHost, inPath, body);
+				  this->Execute(ioHost, inPath, body, true);
 		  });
 	return true;
 }
@@ -361,7 +403,7 @@
 		this->AddViolation("crashes its workers, and started again: " + inRun.task + " run " + std::to_string(inRun.run));
 }
 
-Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, uint32 &outStatus)
+Json FakeFleet::Start(FakeHost &ioHost, const Json &inBody, bool inIsLate, uint32 &outStatus)
 {
 	const std::string task = inBody.value("task", "");
 	const uint32 number = inBody.value("run", 0U);
@@ -380,6 +422,7 @@
 	started.run = number;
 	started.cpu = PayloadNumber(payload, "cpu", 1000);
 	started.started_at = NowMillis();
+	started.saves = payload.find("saves") != std::string::npos;
 	started.fails = payload.find("fail") != std::string::npos;
 	if (payload.find("lasts") == std::string::npos)
 		started.ends_at = started.started_at + PayloadNumber(payload, "ms", 300);
@@ -389,6 +432,8 @@
 	this->CheckCrashes(started);
 	const ObservedRun observed{task, number, ioHost.Incarnation(), started.started_at};
 	this->AddViolations(this->ends.OnStarted(observed));
+	started.order = {observed, payload, inBody.value("checkpoint", ""), ioHost.token, inIsLate};
+	this->AddUnasked(this->requests.OnStarted(started.order, this->troubles));
 	for (const auto &host : this->hosts)
 		for (const FakeRun &run : host->running)
 			if (run.task == task)
@@ -400,6 +445,7 @@
 		.Field("task", task)
 		.Field("run", number)
 		.Field("token", ioHost.token)
+		.Field("late", inIsLate ? 1 : 0)
 		.Field("lease_left_ms", ioHost.lease_until - started.started_at);
 	ioHost.running.push_back(std::move(started));
 	return Json::object();
@@ -432,13 +478,23 @@
 	{
 		const Millis duration = std::max<Millis>(1, run.ends_at - run.started_at);
 		const int64 percent = run.ends_at < 0 ? 100 : (NowMillis() - run.started_at) * 100 / duration;
-		running.push_back({run.task, run.run, "", percent});
+		running.push_back({run.task, run.run, this->CheckpointOf(run), percent});
 	}
 	const std::vector<Json> listed(ioHost.ended.begin(),
 								   ioHost.ended.begin() + static_cast<std::ptrdiff_t>(std::min(cMaxEndsPerPoll, ioHost.ended.size())));
 	return {{"born", ioHost.started_ms}, {"running", running}, {"ended", listed}};
 }
 
+std::string FakeFleet::CheckpointOf(const FakeRun &inRun)
+{
+	const Millis saves = (NowMillis() - inRun.started_at) / cSaveMs;
+	if (!inRun.saves || saves == 0)
+		return inRun.order.checkpoint;
+	std::string checkpoint = inRun.task + '@' + std::to_string(inRun.run) + '.' + std::to_string(saves);
+	this->requests.OnSaved(inRun.task, checkpoint);
+	return checkpoint;
+}
+
 void FakeFleet::End(FakeHost &ioHost, size_t inRun, const char *inOutcome)
 {
 	const FakeRun run = ioHost.running[inRun];
@@ -451,7 +507,7 @@
 		.Field("task", run.task)
 		.Field("run", run.run)
 		.Field("how", inOutcome);
-	ioHost.ended.push_back({ioHost.next_end_number++, run.task, run.run, inOutcome, ""});
+	ioHost.ended.push_back({ioHost.next_end_number++, run.task, run.run, inOutcome, this->CheckpointOf(run)});
 	if (std::string_view(inOutcome) != "done")
 		return;
 	this->done_tasks.insert(run.task);
@@ -496,7 +552,11 @@
 void FakeFleet::AdvanceAll()
 {
 	for (const auto &host : this->hosts)
+	{
 		this->AdvanceHost(*host);
+		for (const FakeRun &run : host->running)
+			this->AddUnasked(this->requests.OnRunning(run.order, this->troubles, NowMillis()));
+	}
 }
 
 void FakeFleet::OnMachines(SoupServer *, SoupServerMessage *inMessage, const char *inPath, GHashTable *, gpointer inSelf)
@@ -575,6 +635,8 @@
 	ioHost.highest_ended_run.clear();
 	ioHost.refused_repetitions.clear();
 	ioHost.next_end_number = 1;
+	ioHost.is_draining = false;
+	ioHost.is_unlisted = false;
 	ioHost.state = "up";
 	this->WriteWorkerEntries();
 }
