Show three ways in which an acknowledged cancel is not applied

Each test failed when it was written (run by itself on this commit): a second team's cancel of a job to come is dropped (5 starts, bound 0); a repeated cancel is swept with the first one, by a successor at once (the job is active in both); a cancel of a job in a former cell waits until that cell's owner has answered (the job still queued 1.5 s later, with all questions lost). ACancellationOfAnUnknownJobComesToRest passes; it guards the way in which the third is to be mended.

--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -478,4 +478,57 @@
 	EXPECT_EQ(successor.Query("queue", "never").known, false);
 }
 
+/// Guards against a cancellation that counts for nothing because another team cancelled the same id before.
+TEST(CellCancel, ASecondTeamsCancellationOfAJobToComeCounts)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	for (const char *team : {"red", "blue"})
+	{
+		job.team = team;
+		harness.Ingest(EInbox::Cancel, job);
+		harness.Advance(200);
+	}
+	harness.Begin(2);
+	harness.ListWorker();
+	harness.Ingest(EInbox::Submit, job);
+	harness.Advance(1000);
+	EXPECT_EQ(harness.Count(EOrder::Start), 0u);
+	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
+}
+
+/// Guards against a repeated cancellation that is forgotten as early as the first one, and by a successor at once.
+TEST(CellCancel, ARepeatedCancellationIsRememberedFromItsLastTime)
+{
+	const CellTuning tuning;
+	const int64 first = 1'700'000'000'000;
+	const int64 second = first + tuning.keep_ended_ms - 1000;
+	const int64 late = first + tuning.keep_ended_ms + 1000;
+	const JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	std::map<std::string, std::string> log;
+	const auto write = [&log](Cell &ioCell, int64 inWallNow)
+	{
+		for (const KeyedRecord &record : ioCell.TakeBatch(inWallNow))
+			log[record.key] = record.value;
+		ioCell.OnAppended(1000);
+	};
+	Cell cell(tuning);
+	cell.Begin(1, 1000);
+	cell.Ingest({EInbox::Cancel, job}, 0, 1000, first);
+	write(cell, first);
+	cell.Ingest({EInbox::Cancel, job}, 1, 1000, second);
+	write(cell, late);
+	Cell successor(tuning);
+	for (const auto &[key, value] : log)
+		EXPECT_TRUE(successor.Restore(key, value));
+	successor.Begin(2, 2000);
+	for (Cell *owner : {&cell, &successor})
+	{
+		owner->Ingest({EInbox::Submit, job}, 2, 2000, late);
+		EXPECT_EQ(owner->Counts().active, 0u) << (owner == &cell ? "owner" : "successor");
+	}
+}
+
 } // namespace Loomreach::Jobs
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -156,6 +156,54 @@
 	EXPECT_EQ(world.TakenBy("new"), std::set<size_t>{1});
 }
 
+/// Guards against a cancellation that waits without a bound because the former cell's owner is not reached, though its inbox is.
+TEST(QueueMove, ACancellationDoesNotWaitForAnswers)
+{
+	MoveFaults faults;
+	faults.lost_message = 100;
+	QueueMoveWorld world(1, faults);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	for (const size_t pool : {1, 2})
+	{
+		world.Configure(pool);
+		world.Run(cSettleMs);
+	}
+	world.Cancel(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+}
+
+/// Guards against cancellations that the cells of a queue pass to each other for ever.
+TEST(QueueMove, ACancellationOfAnUnknownJobComesToRest)
+{
+	for (const uint64 lost_message : {0, 100})
+	{
+		MoveFaults faults;
+		faults.lost_message = lost_message;
+		QueueMoveWorld world(1, faults);
+		for (const size_t pool : {0, 1, 2, 0})
+		{
+			world.Configure(pool);
+			world.Run(cSettleMs);
+		}
+		for (size_t host = 0; host < QueueMoveWorld::cHosts; ++host)
+		{
+			world.HoldBack(host, host + 1);
+			world.Cancel(host, "never");
+		}
+		world.Run(2 * cSettleMs);
+		size_t appends = 0;
+		for (size_t pool = 0; pool < QueueMoveWorld::cPools; ++pool)
+			appends += world.Appends(pool);
+		world.Run(5 * cSettleMs);
+		for (size_t pool = 0; pool < QueueMoveWorld::cPools; ++pool)
+			appends -= world.Appends(pool);
+		EXPECT_EQ(appends, 0u) << lost_message;
+	}
+}
+
 /// Guards against jobs that are lost in a chain of moves.
 TEST(QueueMove, MovedTwiceAndBack)
 {
