Remember each team's cancel of a job to come, from its last time

What callers saw: a cancel answered 200, and the job runs nonetheless, where another team had cancelled the same id before, or where the cancel repeats one that came keep_ended_ms earlier.

Cause: the cell kept one early cancel for each id (try_emplace), with the team and the time of the first. A second team's cancel changed nothing. A repeated one was swept by the first one's time; once that was over, its record was even written and removed in one batch, so that a successor never had it.

The cell keeps one cancel for each team and id, renews its time, and writes them under a new key; the record of earlier versions is still read. Each is applied when the submission arrives, and former cells tell of all of them.

ACancellationThatAnEarlierVersionWroteCounts covers the upgrade.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -22,7 +22,8 @@
 static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
 static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
-static constexpr char cEarlyCancelKey = 'k'; ///< Job: a cancellation before its submission. Unknown to earlier versions.
+static constexpr char cEarlyCancelKey = 'e'; ///< Job: cancellations before its submission. Unknown to earlier versions.
+static constexpr char cOneCancelKey = 'k';   ///< Job: the same as earlier versions wrote it.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
@@ -71,7 +72,9 @@
 	if (inKey[0] == cRedirectedKey)
 		return this->placements.RestoreRedirected(id, inValue);
 	if (inKey[0] == cEarlyCancelKey)
-		return this->RestoreEarlyCancel(id, inValue);
+		return this->RestoreEarlyCancels(id, inValue);
+	if (inKey[0] == cOneCancelKey)
+		return this->RestoreOneEarlyCancel(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -166,17 +169,29 @@
 	return true;
 }
 
-bool Cell::RestoreEarlyCancel(const std::string &inJob, std::string_view inValue)
+bool Cell::RestoreEarlyCancels(const std::string &inJob, std::string_view inValue)
 {
 	if (inValue.empty())
 	{
 		this->early_cancels.erase(inJob);
 		return true;
 	}
-	std::optional<EarlyCancel> cancel = DecodeValue<EarlyCancel>(inValue);
-	if (cancel.has_value())
-		this->early_cancels[inJob] = std::move(*cancel);
-	return cancel.has_value();
+	std::optional<EarlyCancels> cancels = DecodeValue<EarlyCancels>(inValue);
+	if (cancels.has_value())
+		this->early_cancels[inJob] = std::move(*cancels);
+	return cancels.has_value();
+}
+
+bool Cell::RestoreOneEarlyCancel(const std::string &inJob, std::string_view inValue)
+{
+	if (inValue.empty())
+		return true;
+	const std::optional<EarlyCancel> cancel = DecodeValue<EarlyCancel>(inValue);
+	if (!cancel.has_value())
+		return false;
+	// A record under the newer key, which may be read before or after, includes it
+	this->early_cancels.try_emplace(inJob, EarlyCancels{*cancel});
+	return true;
 }
 
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
@@ -438,12 +453,9 @@
 		.Field("inbox_next", this->inbox_next)
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
+	// The submission may still be on its way: from a host that was paused, or from another cell
 	if (known == nullptr)
-	{
-		// The submission may still be on its way: from a host that was paused, or from another cell
-		this->early_cancels.try_emplace(inRecord.spec.id, EarlyCancel{inRecord.spec.queue, inRecord.spec.team, inWallNow});
-		this->unlogged_cancels.insert(inRecord.spec.id);
-	}
+		this->RememberCancel(inRecord, inWallNow);
 	if (outcome != ECancelOutcome::Canceled)
 		return;
 	known->record.ended_wall_ms = inWallNow;
@@ -451,6 +463,19 @@
 	this->StopAll(*known, "canceled", inNow);
 }
 
+void Cell::RememberCancel(const InboxRecord &inRecord, int64 inWallNow)
+{
+	EarlyCancels &cancels = this->early_cancels[inRecord.spec.id];
+	auto found = std::find_if(cancels.begin(), cancels.end(),
+							  [&inRecord](const EarlyCancel &inCancel) { return inCancel.team == inRecord.spec.team; });
+	const EarlyCancel cancel{inRecord.spec.queue, inRecord.spec.team, inWallNow};
+	if (found == cancels.end())
+		cancels.push_back(cancel);
+	else
+		*found = cancel;
+	this->unlogged_cancels.insert(inRecord.spec.id);
+}
+
 void Cell::Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow)
 {
 	if (inRecord.kind == EInbox::Cancel)
@@ -490,7 +515,8 @@
 		.Field("inbox_next", this->inbox_next)
 		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
 	if (auto early = this->early_cancels.find(id); early != this->early_cancels.end())
-		this->Cancel(CancelRecord(id, early->second), inWallNow, inNow);
+		for (const EarlyCancel &cancel : early->second)
+			this->Cancel(CancelRecord(id, cancel), inWallNow, inNow);
 }
 
 bool Cell::IsForgotten(const CellJob &inJob, int64 inWallNow) const
@@ -528,11 +554,13 @@
 		outBatch.push_back({cEarlyCancelKey + id, EncodeValue(this->early_cancels.at(id))});
 	if (outBatch.empty())
 		return;
+	const auto is_old = [&](const EarlyCancel &inCancel) { return inWallNow - inCancel.wall_ms > this->tuning.keep_ended_ms; };
 	for (auto it = this->early_cancels.begin(); it != this->early_cancels.end();)
 	{
-		const bool old = inWallNow - it->second.wall_ms > this->tuning.keep_ended_ms;
+		const bool old = std::all_of(it->second.begin(), it->second.end(), is_old);
 		if (old)
-			outBatch.push_back({cEarlyCancelKey + it->first, ""});
+			for (const char key : {cEarlyCancelKey, cOneCancelKey})
+				outBatch.push_back({key + it->first, ""});
 		it = old ? this->early_cancels.erase(it) : std::next(it);
 	}
 }
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -159,7 +159,9 @@
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
-	bool RestoreEarlyCancel(const std::string &inJob, std::string_view inValue);
+	bool RestoreEarlyCancels(const std::string &inJob, std::string_view inValue);
+	/// Applies a record of an earlier version, which remembered one cancellation for each job.
+	bool RestoreOneEarlyCancel(const std::string &inJob, std::string_view inValue);
 	/// Whether a job ended so long ago that callers are not told of it any more.
 	bool IsForgotten(const CellJob &inJob, int64 inWallNow) const;
 	void RemoveEndedJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
@@ -167,6 +169,8 @@
 	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
 	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
 	static ECancelOutcome CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord);
+	/// Remembers the cancellation of a job that may still be submitted.
+	void RememberCancel(const InboxRecord &inRecord, int64 inWallNow);
 	/// Applies records that other cells held up. Their jobs are not in the current series of appends.
 	void ApplyCleared(int64 inWallNow);
 	/// Adds early cancellations that the log lacks, and removes old ones.
@@ -434,10 +438,10 @@
 	std::shared_ptr<const Catalogue> catalogue;
 	QueuePlacements placements;
 	std::map<std::string, CellJob> jobs;
-	std::map<std::string, EarlyCancel> early_cancels; ///< By job; kept as long as ended jobs.
-	std::set<std::string> unlogged_cancels;           ///< Of these, cancellations that the log lacks.
-	CellCounts totals;                                ///< Only the members that count events.
-	std::set<std::string> active;                     ///< Jobs whose phase is not final.
+	std::map<std::string, EarlyCancels> early_cancels; ///< By job; each is kept as long as ended jobs.
+	std::set<std::string> unlogged_cancels;            ///< Of these, jobs whose cancellations the log lacks.
+	CellCounts totals;                                 ///< Only the members that count events.
+	std::set<std::string> active;                      ///< Jobs whose phase is not final.
 	/// Active jobs that have something to start now or have changed since the last planning pass.
 	std::set<std::string> jobs_to_plan;
 	std::set<std::string> dirty;              ///< Jobs that have changed since their last record.
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -356,12 +356,12 @@
 	const StepSpec &StepOf(size_t inUnit) const { return this->spec.steps[inUnit % this->spec.steps.size()]; }
 };
 
-/// A cancellation of a job that its cell does not know yet: its submission may still be on its way.
+/// A team's cancellation of a job that its cell does not know yet: its submission may still be on its way.
 struct EarlyCancel
 {
 	std::string queue;
 	std::string team;
-	int64 wall_ms = 0; ///< Wall-clock time at which it arrived, ms since 1970.
+	int64 wall_ms = 0; ///< Wall-clock time at which it last arrived, ms since 1970.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
@@ -370,6 +370,9 @@
 	}
 };
 
+/// All cancellations of such a job, one for each team: the job's team is not known before its submission arrives.
+using EarlyCancels = std::vector<EarlyCancel>;
+
 /// A log record: the newest value of a key counts; an empty value removes the key.
 struct KeyedRecord
 {
--- a/Loomreach/Schedule/QueueMoves.h
+++ b/Loomreach/Schedule/QueueMoves.h
@@ -52,7 +52,7 @@
 	bool fenced = false; ///< Its log says that it takes no new jobs of the queue. Only then may the current cell take those that it lacks.
 	bool holds_jobs = true;         ///< It must still be asked: it has jobs of the queue, or may have been handed some a short while ago.
 	std::vector<std::string> known; ///< The jobs of the question that it has.
-	std::map<std::string, EarlyCancel> canceled; ///< Of the other ones, those whose cancellations it has got.
+	std::map<std::string, EarlyCancels> canceled; ///< Of the other ones, those whose cancellations it has got.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -476,7 +476,8 @@
 		const bool is_new = found->second.lacking.insert(inFormer).second;
 		if (auto early = inAnswer.canceled.find(inJob); is_new && early != inAnswer.canceled.end())
 		{
-			found->second.records.push_back(CancelRecord(inJob, early->second));
+			for (const EarlyCancel &cancel : early->second)
+				found->second.records.push_back(CancelRecord(inJob, cancel));
 			this->to_add.insert(cHeldKey + inJob);
 		}
 		return;
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -4,6 +4,7 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Core/Invariant.h>
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
 
 #include <gtest/gtest.h>
@@ -499,6 +500,19 @@
 	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
 }
 
+/// Guards against cancellations that an upgrade forgets: earlier versions wrote one for each job, under a key of its own.
+TEST(CellCancel, ACancellationThatAnEarlierVersionWroteCounts)
+{
+	Cell cell(CellTuning{});
+	EXPECT_TRUE(cell.Restore("ka", EncodeValue(EarlyCancel{"queue", "red", 1'700'000'000'000})));
+	cell.Begin(1, 1000);
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	job.team = "red";
+	cell.Ingest({EInbox::Submit, job}, 0, 1000, 1'700'000'001'000);
+	EXPECT_EQ(cell.Counts().jobs, 1u);
+	EXPECT_EQ(cell.Counts().active, 0u);
+}
+
 /// Guards against a repeated cancellation that is forgotten as early as the first one, and by a successor at once.
 TEST(CellCancel, ARepeatedCancellationIsRememberedFromItsLastTime)
 {
