Hand a cancel on to all former cells at once instead of after their answers

What callers saw: after their queue had moved, a cancel is answered 200, and the job runs on for as long as a former cell's owner is not reached by datagrams, has no owner, or is slow to answer, without a bound.

Cause: the current cell held the cancel until each former cell had answered whether it has the job, and only then appended it to the inbox of the one that does. Waiting for certainty is right for a submission, which must run once; a cancel is harmless in a cell that does not have the job.

The current cell now appends each cancel that it holds to the inboxes of all former cells as soon as it knows them, and keeps it besides. Of the other owners it needs nothing but that they read their inboxes, which they do before they start anything. The copy is marked, so that a former cell remembers it and does not pass it back. A cancel on its way is no longer counted among the waiting jobs, nor as a reason not to tell that a job does not exist.

--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -2,6 +2,7 @@
 // a caller's record reaches its inbox; this file carries out its steps.
 
 #include <Loomreach/Admission/RetryAfter.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 
 namespace Loomreach::Jobs
 {
@@ -186,6 +187,7 @@
 	request->record.spec.pool = inCall.admission.queue.pool;
 	request->record.spec.team = inCall.admission.team;
 	request->record.spec.accepted_wall_ms = WallMillis();
+	SetDetails(request->record, {inCall.admission.key_hash, false});
 	request->cell = CellOf(inCall.admission.queue.pool, this->PartitionCount());
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/Cell.h>
 #include <Loomreach/Schedule/TaskText.h>
 #include <Loomreach/State/Codec.h>
@@ -32,6 +33,20 @@
 /// Interval for sweeping ended jobs.
 static constexpr int64 cEndedSweepMs = 5000;
 
+/// An early cancellation as earlier versions wrote it.
+struct OneEarlyCancel
+{
+	std::string queue;
+	std::string team;
+	int64 wall_ms = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->queue, this->team, this->wall_ms);
+	}
+};
+
 bool Cell::Restore(std::string_view inKey, std::string_view inValue)
 {
 	if (inKey == cCursorKey)
@@ -186,11 +201,11 @@
 {
 	if (inValue.empty())
 		return true;
-	const std::optional<EarlyCancel> cancel = DecodeValue<EarlyCancel>(inValue);
+	std::optional<OneEarlyCancel> cancel = DecodeValue<OneEarlyCancel>(inValue);
 	if (!cancel.has_value())
 		return false;
 	// A record under the newer key, which may be read before or after, includes it
-	this->early_cancels.try_emplace(inJob, EarlyCancels{*cancel});
+	this->early_cancels.try_emplace(inJob, EarlyCancels{{std::move(cancel->queue), std::move(cancel->team), cancel->wall_ms}});
 	return true;
 }
 
@@ -465,10 +480,11 @@
 
 void Cell::RememberCancel(const InboxRecord &inRecord, int64 inWallNow)
 {
+	const EarlyCancel cancel{inRecord.spec.queue, inRecord.spec.team, inWallNow, DetailsOf(inRecord).key_hash};
 	EarlyCancels &cancels = this->early_cancels[inRecord.spec.id];
-	auto found = std::find_if(cancels.begin(), cancels.end(),
-							  [&inRecord](const EarlyCancel &inCancel) { return inCancel.team == inRecord.spec.team; });
-	const EarlyCancel cancel{inRecord.spec.queue, inRecord.spec.team, inWallNow};
+	auto found =
+		std::find_if(cancels.begin(), cancels.end(),
+					 [&cancel](const EarlyCancel &inOther) { return inOther.team == cancel.team && inOther.key_hash == cancel.key_hash; });
 	if (found == cancels.end())
 		cancels.push_back(cancel);
 	else
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -361,16 +361,17 @@
 {
 	std::string queue;
 	std::string team;
-	int64 wall_ms = 0; ///< Wall-clock time at which it last arrived, ms since 1970.
+	int64 wall_ms = 0;   ///< Wall-clock time at which it last arrived, ms since 1970.
+	uint64 key_hash = 0; ///< Of the caller's key, see Admission; 0: none was needed, or it is not known.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
-		ioArchive(this->queue, this->team, this->wall_ms);
+		ioArchive(this->queue, this->team, this->wall_ms, this->key_hash);
 	}
 };
 
-/// All cancellations of such a job, one for each team: the job's team is not known before its submission arrives.
+/// All cancellations of such a job, one for each team and key: the job's team is not known before its submission arrives.
 using EarlyCancels = std::vector<EarlyCancel>;
 
 /// A log record: the newest value of a key counts; an empty value removes the key.
@@ -405,7 +406,7 @@
 struct InboxRecord
 {
 	EInbox kind = EInbox::Submit;
-	JobSpec spec;     ///< Cancel: only id, queue and team are used. Ends: unused.
+	JobSpec spec;     ///< Cancel: only id, queue and team are used, and the payload for CancelDetails. Ends: unused.
 	EndReport ends{}; ///< Serialized for Ends only: hosts of versions without this member read the other kinds.
 
 	template <class Archive>
@@ -417,15 +418,4 @@
 	}
 };
 
-/// The inbox record of an early cancellation.
-inline InboxRecord CancelRecord(const std::string &inJob, const EarlyCancel &inCancel)
-{
-	InboxRecord record;
-	record.kind = EInbox::Cancel;
-	record.spec.id = inJob;
-	record.spec.queue = inCancel.queue;
-	record.spec.team = inCancel.team;
-	return record;
-}
-
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Hash.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/QueuePlacements.h>
 #include <Loomreach/State/Codec.h>
 
@@ -238,8 +239,13 @@
 		return EArrival::Take;
 	const Placement *placement = this->PlacementOf(inRecord);
 	const std::string &job = inRecord.spec.id;
+	const bool is_here = placement != nullptr && this->IsHere(*placement);
+	const bool handed_on = inRecord.kind == EInbox::Cancel && DetailsOf(inRecord).handed_on;
 	EArrival arrival = EArrival::Held;
-	if (placement != nullptr && !this->IsHere(*placement))
+	// The current cell has it too
+	if (handed_on && !is_here)
+		return EArrival::Take;
+	if (placement != nullptr && !is_here)
 		arrival = EArrival::Redirect;
 	else if (placement != nullptr && placement->confirmed && placement->former.empty() && !this->held.contains(job))
 		return EArrival::Take;
@@ -268,6 +274,30 @@
 	records.records.push_back(inRecord);
 	this->to_remove.erase(cHeldKey + job);
 	this->to_add.insert(cHeldKey + job);
+	if (auto placement = this->placements.find(inQueue); placement != this->placements.end())
+		this->HandOnCancels(placement->second, records);
+}
+
+void QueuePlacements::HandOnCancels(const Placement &inPlacement, HeldRecords &ioRecords)
+{
+	if (!this->IsHere(inPlacement))
+		return;
+	for (const uint32 former : inPlacement.former)
+	{
+		size_t &handed = ioRecords.handed_on[former];
+		for (; handed < ioRecords.records.size(); ++handed)
+		{
+			InboxRecord record = ioRecords.records[handed];
+			if (record.kind != EInbox::Cancel)
+				continue;
+			CancelDetails details = DetailsOf(record);
+			if (std::exchange(details.handed_on, true))
+				continue;
+			SetDetails(record, details);
+			const std::string pool = record.spec.pool;
+			this->Redirect(std::move(record), {ioRecords.queue, former, 0, pool});
+		}
+	}
 }
 
 void QueuePlacements::Redirect(InboxRecord inRecord, const QueueSite &inSite)
@@ -298,7 +328,8 @@
 		return;
 	}
 	std::erase_if(this->redirected_at, [inNow](const auto &inEntry) { return inNow - inEntry.second > cRedirectSettledMs; });
-	this->redirected_at[found->second.record.spec.id] = inNow;
+	if (found->second.record.kind == EInbox::Submit)
+		this->redirected_at[found->second.record.spec.id] = inNow;
 	this->outgoing.erase(found);
 	this->Remove(cRedirectedKey + std::to_string(inNumber));
 }
@@ -320,6 +351,7 @@
 		const bool is_cleared = this->IsHere(inPlacement) && inPlacement.confirmed &&
 								std::all_of(inPlacement.former.begin(), inPlacement.former.end(),
 											[&lacking](uint32 inFormer) { return lacking.contains(inFormer); });
+		this->HandOnCancels(inPlacement, records);
 		if (this->IsHere(inPlacement) && !is_cleared)
 			continue;
 		for (InboxRecord &record : records.records)
@@ -407,6 +439,7 @@
 		{
 			this->OnPlacementChanged(placement, false);
 			this->Log("queue_has_former_cells", placement);
+			this->Review(placement);
 		}
 }
 
@@ -477,15 +510,19 @@
 		if (auto early = inAnswer.canceled.find(inJob); is_new && early != inAnswer.canceled.end())
 		{
 			for (const EarlyCancel &cancel : early->second)
-				found->second.records.push_back(CancelRecord(inJob, cancel));
+			{
+				InboxRecord record = CancelRecord(inJob, cancel);
+				SetDetails(record, {cancel.key_hash, true});
+				found->second.records.push_back(std::move(record));
+			}
 			this->to_add.insert(cHeldKey + inJob);
 		}
 		return;
 	}
-	// The job stays in the former cell. A submission is a repeated one, and only a cancellation has anything to do there
+	// The job stays in the former cell. A submission is a repeated one, and cancellations have been handed on unless another cell did so
 	LogEvent(ELogLevel::Info, "job_in_former_cell").Field("request", inJob).Field("cell", this->cell).Field("former", inFormer);
 	for (InboxRecord &record : found->second.records)
-		if (record.kind == EInbox::Cancel)
+		if (record.kind == EInbox::Cancel && DetailsOf(record).handed_on)
 		{
 			const std::string pool = record.spec.pool;
 			this->Redirect(std::move(record), {found->second.queue, inFormer, 0, pool});
@@ -526,7 +563,9 @@
 
 bool QueuePlacements::IsUndecided(const std::string &inJob, Millis inNow) const
 {
-	const auto is_job = [&inJob](const auto &inEntry) { return inEntry.second.record.spec.id == inJob; };
+	// A cancellation on its way does not decide which cell gets the job
+	const auto is_job = [&inJob](const auto &inEntry)
+	{ return inEntry.second.record.kind == EInbox::Submit && inEntry.second.record.spec.id == inJob; };
 	if (this->held.contains(inJob) || std::any_of(this->outgoing.begin(), this->outgoing.end(), is_job))
 		return true;
 	const auto is_record = [&inJob](const InboxRecord &inRecord) { return inRecord.spec.id == inJob; };
@@ -542,7 +581,7 @@
 	for (const auto &[job, records] : this->held)
 		count += records.queue == inQueue ? 1 : 0;
 	for (const auto &[number, record] : this->outgoing)
-		count += this->KeyOfName(record.record.spec.queue) == inQueue ? 1 : 0;
+		count += record.record.kind == EInbox::Submit && this->KeyOfName(record.record.spec.queue) == inQueue ? 1 : 0;
 	return count;
 }
 
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -10,6 +10,8 @@
 //  3. A cell that is not the current one passes records about jobs that it does not know to the inbox of the current cell. A record stays
 //     in this cell's log until the other inbox has it.
 //  4. Of two cells that both count as current, the one with the newer version of the configuration is.
+//  5. A cancellation waits for no answer: the current cell hands it on at once to the inboxes of all former cells, one of which may have
+//  it. A former cell keeps what was handed on and does not pass it back.
 
 #pragma once
 
@@ -134,8 +136,10 @@
 	{
 		QueueKey queue = 0; ///< 0: no configuration that was read here has the queue's name.
 		std::vector<InboxRecord> records;
-		std::set<uint32> lacking; ///< Former cells that do not have the job. Not serialized, as the next member.
+		std::set<uint32> lacking; ///< Former cells that do not have the job. Not serialized, as the next members.
 		Millis arrived_at = 0;
+		/// Number of `records`, the first ones, of which each former cell has been handed the cancellations.
+		std::map<uint32, size_t> handed_on;
 
 		template <class Archive>
 		void serialize(Archive &ioArchive)
@@ -167,6 +171,8 @@
 	void Adopt(Placement &ioPlacement, const QueueSite &inSite, Millis inNow);
 	/// Decides on the held records of a queue about which no other cell need be asked any more.
 	void Review(const Placement &inPlacement);
+	/// Hands the held cancellations of a job on to the former cells that have not been handed them.
+	void HandOnCancels(const Placement &inPlacement, HeldRecords &ioRecords);
 	/// Sends a record to the inbox of the cell of a site.
 	void Redirect(InboxRecord inRecord, const QueueSite &inSite);
 	/// Removes the held records about a job.
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -500,11 +500,25 @@
 	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
 }
 
+/// An early cancellation as earlier versions wrote it.
+struct OlderEarlyCancel
+{
+	std::string queue;
+	std::string team;
+	int64 wall_ms = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->queue, this->team, this->wall_ms);
+	}
+};
+
 /// Guards against cancellations that an upgrade forgets: earlier versions wrote one for each job, under a key of its own.
 TEST(CellCancel, ACancellationThatAnEarlierVersionWroteCounts)
 {
 	Cell cell(CellTuning{});
-	EXPECT_TRUE(cell.Restore("ka", EncodeValue(EarlyCancel{"queue", "red", 1'700'000'000'000})));
+	EXPECT_TRUE(cell.Restore("ka", EncodeValue(OlderEarlyCancel{"queue", "red", 1'700'000'000'000})));
 	cell.Begin(1, 1000);
 	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
 	job.team = "red";
