Show that a caller whose key went to another team cannot cancel its job

The cancel is answered 200 by the entry host and dropped by the cell, whether it comes before the submission or after it, and with a successor that never read the former configuration.

--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -4,6 +4,7 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
 
@@ -527,6 +528,55 @@
 	EXPECT_EQ(cell.Counts().active, 0u);
 }
 
+/// A configuration in which a key belongs to a team.
+static std::shared_ptr<const Catalogue> KeyBelongsTo(int64 inVersion, const std::string &inTeam)
+{
+	auto catalogue = std::make_shared<Catalogue>();
+	catalogue->version = inVersion;
+	Queue queue;
+	queue.name = "queue";
+	queue.pool = "pool";
+	catalogue->queues.push_back(queue);
+	catalogue->teams.emplace();
+	for (const char *team : {"red", "blue"})
+		(*catalogue->teams)[team].name = team;
+	(*catalogue->teams)[inTeam].keys.push_back("key");
+	return catalogue;
+}
+
+/// Guards against a cancellation that is acknowledged and dropped because a configuration has given the caller's key to another team.
+TEST(CellCancel, AKeyThatGoesToAnotherTeamCancelsWhatItHandedIn)
+{
+	const std::shared_ptr<const Catalogue> before = KeyBelongsTo(3, "red");
+	const std::shared_ptr<const Catalogue> after = KeyBelongsTo(5, "blue");
+	const std::optional<Admission> admission = after->Admit("", "/", "key");
+	ASSERT_TRUE(admission.has_value());
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	job.team = "red";
+	InboxRecord cancel{EInbox::Cancel, job};
+	cancel.spec.team = admission->team;
+	for (const bool is_first : {false, true})
+		for (const bool has_key : {true, false})
+		{
+			SetDetails(cancel, {has_key ? admission->key_hash : admission->key_hash + 2, false});
+			OneWorkerHarness harness;
+			harness.cell.SetCatalogue(before);
+			harness.cell.Begin(1, harness.now);
+			harness.Ingest(EInbox::Submit, job);
+			harness.Advance(100);
+			// The next owner knows only the newer configuration
+			harness.Begin(2);
+			harness.cell.SetCatalogue(after);
+			cancel.spec.id = is_first ? "b" : "a";
+			harness.cell.Ingest(cancel, harness.next_offset++, harness.now, harness.now);
+			// From a host that does not know it yet
+			job.id = "b";
+			harness.Ingest(EInbox::Submit, job);
+			job.id = "a";
+			EXPECT_EQ(harness.cell.Counts().active, has_key ? 1u : 2u) << is_first;
+		}
+}
+
 /// Guards against a repeated cancellation that is forgotten as early as the first one, and by a successor at once.
 TEST(CellCancel, ARepeatedCancellationIsRememberedFromItsLastTime)
 {
