Let a key cancel the jobs of the team that it belonged to

What callers saw: a configuration gives a caller's key to another team; the caller cancels a job that it handed in before, is answered 200, and the job runs on.

Cause: the entry host admits the caller as the new team, and the cell drops cancels of another team than the job's.

The cell remembers the hashes of the keys that a team has had while the cell had jobs of it, in a log record for each team that goes along with other records. A cancel carries the hash of its caller's key, and counts if its team is the job's or its key is one of these. No call and no append is added, and the format of submissions stays. A caller of another team with another key still cancels nothing.

--- a/Loomreach/Schedule/Catalogue.cpp
+++ b/Loomreach/Schedule/Catalogue.cpp
@@ -50,6 +50,15 @@
 /// Identifies a key in messages to other entry hosts without revealing it; never 0.
 static uint64 HashOfKey(std::string_view inKey) { return HashBytes(inKey, 0) | 1; }
 
+std::set<uint64> Catalogue::KeyHashesOf(std::string_view inTeam) const
+{
+	std::set<uint64> hashes;
+	if (const Team *team = this->FindTeam(inTeam))
+		for (const std::string &key : team->keys)
+			hashes.insert(HashOfKey(key));
+	return hashes;
+}
+
 std::optional<Admission> Catalogue::Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey) const
 {
 	const Queue *queue = this->Find(inHost, inPath);
--- a/Loomreach/Schedule/Catalogue.h
+++ b/Loomreach/Schedule/Catalogue.h
@@ -71,6 +71,8 @@
 	const Team *TeamOf(std::string_view inKey) const;
 	/// A team by name, or null.
 	const Team *FindTeam(std::string_view inName) const;
+	/// Hashes of a team's keys, see Admission.
+	std::set<uint64> KeyHashesOf(std::string_view inTeam) const;
 	/// Admits a caller's request to a queue, or returns nothing and sets the error no-such-service or unknown-key.
 	std::optional<Admission> Admit(std::string_view inHost, std::string_view inPath, std::string_view inKey) const;
 	/// Whether a request that another version admitted is still admitted: the queue exists, and the team has the key. The queue may belong
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -24,6 +24,7 @@
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
 static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
 static constexpr char cEarlyCancelKey = 'e'; ///< Job: cancellations before its submission. Unknown to earlier versions.
+static constexpr char cTeamKeysKey = 'a';    ///< Team: hashes of its keys. Unknown to earlier versions.
 static constexpr char cOneCancelKey = 'k';   ///< Job: the same as earlier versions wrote it.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
@@ -33,6 +34,9 @@
 /// Interval for sweeping ended jobs.
 static constexpr int64 cEndedSweepMs = 5000;
 
+namespace
+{
+
 /// An early cancellation as earlier versions wrote it.
 struct OneEarlyCancel
 {
@@ -47,6 +51,8 @@
 	}
 };
 
+} // namespace
+
 bool Cell::Restore(std::string_view inKey, std::string_view inValue)
 {
 	if (inKey == cCursorKey)
@@ -88,6 +94,8 @@
 		return this->placements.RestoreRedirected(id, inValue);
 	if (inKey[0] == cEarlyCancelKey)
 		return this->RestoreEarlyCancels(id, inValue);
+	if (inKey[0] == cTeamKeysKey)
+		return this->RestoreTeamKeys(id, inValue);
 	if (inKey[0] == cOneCancelKey)
 		return this->RestoreOneEarlyCancel(id, inValue);
 	// An empty value removes the job
@@ -209,6 +217,14 @@
 	return true;
 }
 
+bool Cell::RestoreTeamKeys(const std::string &inTeam, std::string_view inValue)
+{
+	std::optional<std::set<uint64>> hashes = DecodeValue<std::set<uint64>>(inValue);
+	if (hashes.has_value())
+		this->team_keys[inTeam] = std::move(*hashes);
+	return hashes.has_value();
+}
+
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
 {
 	this->epoch = inEpoch;
@@ -356,6 +372,8 @@
 	if (this->catalogue == nullptr)
 		return;
 	this->teams.SetTeams(*this->catalogue);
+	for (const auto &[team, hashes] : this->team_keys)
+		this->NoteTeamKeys(team);
 	// Before the cell begins, what its log says of the placements is not known
 	if (this->epoch > 0)
 		this->placements.SetCatalogue(*this->catalogue, this->now);
@@ -444,11 +462,30 @@
 	}
 }
 
-ECancelOutcome Cell::CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord)
+void Cell::NoteTeamKeys(const std::string &inTeam)
+{
+	if (this->catalogue == nullptr || inTeam.empty())
+		return;
+	std::set<uint64> &known = this->team_keys[inTeam];
+	const size_t before = known.size();
+	known.merge(this->catalogue->KeyHashesOf(inTeam));
+	if (known.size() > before)
+		this->unlogged_team_keys.insert(inTeam);
+}
+
+bool Cell::MayCancel(const JobSpec &inJob, const InboxRecord &inRecord) const
+{
+	if (!IsOtherTeam(inJob.team, inRecord.spec.team))
+		return true;
+	auto keys = this->team_keys.find(inJob.team);
+	return keys != this->team_keys.end() && keys->second.contains(DetailsOf(inRecord).key_hash);
+}
+
+ECancelOutcome Cell::CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord) const
 {
 	if (inJob == nullptr)
 		return ECancelOutcome::Unknown;
-	if (IsOtherTeam(inJob->spec.team, inRecord.spec.team))
+	if (!this->MayCancel(inJob->spec, inRecord))
 		return ECancelOutcome::OtherTeam;
 	return IsFinal(inJob->record.phase) ? ECancelOutcome::Ended : ECancelOutcome::Canceled;
 }
@@ -456,7 +493,7 @@
 void Cell::Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow)
 {
 	CellJob *known = this->FindJob(inRecord.spec.id);
-	const ECancelOutcome outcome = Cell::CancelOutcomeOf(known, inRecord);
+	const ECancelOutcome outcome = this->CancelOutcomeOf(known, inRecord);
 	++this->totals.cancels[static_cast<size_t>(outcome)];
 	const int64 accepted_wall_ms = inRecord.spec.accepted_wall_ms;
 	LogEvent(ELogLevel::Info, "cancel")
@@ -511,6 +548,7 @@
 	for (size_t unit = 0; unit < job.volatile_state.size(); ++unit)
 		job.volatile_state[unit].resize(job.record.steps[unit].tasks.size());
 	job.arrived_at = inNow;
+	this->NoteTeamKeys(job.spec.team);
 	this->arrivals[job.spec.pool].AddJob(inNow, this->WorkLeft(job));
 	this->MarkChanged(job);
 	LogEvent(ELogLevel::Info, "job_taken")
@@ -581,6 +619,14 @@
 	}
 }
 
+void Cell::AddTeamKeyRecords(std::vector<KeyedRecord> &outBatch)
+{
+	if (outBatch.empty())
+		return;
+	for (const std::string &team : std::exchange(this->unlogged_team_keys, {}))
+		outBatch.push_back({cTeamKeysKey + team, EncodeValue(this->team_keys.at(team))});
+}
+
 void Cell::BeginAppendSeries()
 {
 	this->jobs_to_write = std::exchange(this->dirty, {});
@@ -675,6 +721,7 @@
 	// The inbox position must not pass records that are only held or redirected before the log has these
 	whole = this->placements.AddRecords(this->tuning.batch_bytes, whole, batch) && whole;
 	this->AddEarlyCancelRecords(inWallNow, batch);
+	this->AddTeamKeyRecords(batch);
 	if (!batch.empty())
 		this->AddLocationRecords(batch);
 	this->AddDrainGrantRecords(batch);
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -168,7 +168,14 @@
 	/// Applies an inbox record that this cell decides on.
 	void Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow);
 	void Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow);
-	static ECancelOutcome CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord);
+	ECancelOutcome CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord) const;
+	/// Whether the caller may cancel a job: the key belongs to the job's team, or did while the cell had jobs of the team.
+	bool MayCancel(const JobSpec &inJob, const InboxRecord &inRecord) const;
+	/// Notes the keys that the configuration gives to a team of which the cell has jobs.
+	void NoteTeamKeys(const std::string &inTeam);
+	bool RestoreTeamKeys(const std::string &inTeam, std::string_view inValue);
+	/// Adds the keys of teams that the log lacks, along with other records.
+	void AddTeamKeyRecords(std::vector<KeyedRecord> &outBatch);
 	/// Remembers the cancellation of a job that may still be submitted.
 	void RememberCancel(const InboxRecord &inRecord, int64 inWallNow);
 	/// Applies records that other cells held up. Their jobs are not in the current series of appends.
@@ -440,8 +447,12 @@
 	std::map<std::string, CellJob> jobs;
 	std::map<std::string, EarlyCancels> early_cancels; ///< By job; each is kept as long as ended jobs.
 	std::set<std::string> unlogged_cancels;            ///< Of these, jobs whose cancellations the log lacks.
-	CellCounts totals;                                 ///< Only the members that count events.
-	std::set<std::string> active;                      ///< Jobs whose phase is not final.
+	/// Hashes of the keys that teams have had while the cell had jobs of theirs, by team. A caller whose key has been given to another team
+	/// since must still be able to cancel the jobs that were handed in with it.
+	std::map<std::string, std::set<uint64>> team_keys;
+	std::set<std::string> unlogged_team_keys; ///< Teams whose keys the log lacks.
+	CellCounts totals;                        ///< Only the members that count events.
+	std::set<std::string> active;             ///< Jobs whose phase is not final.
 	/// Active jobs that have something to start now or have changed since the last planning pass.
 	std::set<std::string> jobs_to_plan;
 	std::set<std::string> dirty;              ///< Jobs that have changed since their last record.
