Let records of moved queues say which queue they are for

What callers saw: a job handed in twice runs in two cells, and a cancel reaches one of them, where versions of the configuration follow each other so fast that an owner never reads the one that placed a queue in its cell, and the newest one lacks the queue or has it under another name.

Cause: an inbox record has the queue's name only. An owner that does not know the name held the record until no older version could follow, and then took the name for another queue, which nobody else has: it asked no other cell.

Hosts that know that a queue has been in several cells (by their own configurations, or by the registered sites) now send the queue's key and the version that placed it along, and so do cells that redirect. The owner enters that placement as if it had read the version: it registers, finds the other sites, and asks them or passes the record on. Records of other queues keep their format, which earlier versions read.

QueueMove.ARecordTellsWhereItsQueueIsPlaced shows the steps.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -12,6 +12,7 @@
 #include <Loomreach/Ownership/OwnerTable.h>
 #include <Loomreach/Platform/LinkUsage.h>
 #include <Loomreach/Schedule/Cell.h>
+#include <Loomreach/Schedule/InboxCodec.h>
 #include <Loomreach/Settings/JobHostConfig.h>
 
 namespace Loomreach::Jobs
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -150,7 +150,7 @@
 	const Millis now = NowMillis();
 	for (const LogRecord &record : inAnswer.records)
 	{
-		const std::optional<InboxRecord> decoded = DecodeValue<InboxRecord>(record.value);
+		const std::optional<InboxRecord> decoded = DecodeInboxRecord(record.value);
 		if (!decoded.has_value())
 			LogEvent(ELogLevel::Error, "inbox_damaged").Field("cell", this->number).Field("offset", record.offset);
 		this->cell.Ingest(decoded.value_or(InboxRecord{EInbox::Cancel, {}}), record.offset, now, WallMillis());
@@ -241,7 +241,7 @@
 								   }));
 	}
 	for (const RedirectedRecord &redirected : this->cell.Placements().TakeRedirected())
-		this->context.append_inbox(redirected.cell, EncodeValue(redirected.record),
+		this->context.append_inbox(redirected.cell, EncodeInboxRecord(redirected.record),
 								   redirected.record.kind == EInbox::Submit ? EInboxPriority::Bulk : EInboxPriority::Control,
 								   this->Guard([this, number = redirected.number](bool inDone)
 											   { this->cell.Placements().OnRedirected(number, inDone, NowMillis()); }));
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -182,6 +182,8 @@
 	/// Submits a job to the inbox of its pool's cell.
 	void SubmitToInbox(const JobCall &inCall, JobSpec inSpec, JobReply &&inReply);
 	void BeginRequest(std::shared_ptr<PendingRequest> inRequest);
+	/// Names the queue in a record if the queue is known to have moved: the cell's owner may never read the version that placed it there.
+	void AddPlacement(const Queue &inQueue, InboxRecord &ioRecord) const;
 	/// Notes which queues a new configuration has placed in other cells.
 	void NoteMovedQueues();
 	/// Begins a submission to a queue that has moved: its cell must be registered first, so that the job is found there whatever the
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -3,6 +3,7 @@
 
 #include <Loomreach/Admission/RetryAfter.h>
 #include <Loomreach/Schedule/CancelDetails.h>
+#include <Loomreach/Schedule/InboxCodec.h>
 
 namespace Loomreach::Jobs
 {
@@ -109,6 +110,7 @@
 	auto request = std::make_shared<PendingRequest>();
 	request->record = {EInbox::Submit, std::move(inSpec)};
 	request->cell = CellOf(queue.pool, this->PartitionCount());
+	this->AddPlacement(queue, request->record);
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
 	request->reply = std::move(inReply);
@@ -158,6 +160,16 @@
 		}
 }
 
+template <class Hub>
+void JobHost<Hub>::AddPlacement(const Queue &inQueue, InboxRecord &ioRecord) const
+{
+	const QueueKey key = KeyOf(inQueue);
+	if (!this->moved_queues.contains(key) && this->queue_registry.SitesOf(key).size() < 2)
+		return;
+	ioRecord.queue_key = key;
+	ioRecord.queue_version = this->catalogue->version;
+}
+
 template <class Hub>
 void JobHost<Hub>::NoteMovedQueues()
 {
@@ -188,6 +200,7 @@
 	request->record.spec.team = inCall.admission.team;
 	request->record.spec.accepted_wall_ms = WallMillis();
 	SetDetails(request->record, {inCall.admission.key_hash, false});
+	this->AddPlacement(inCall.admission.queue, request->record);
 	request->cell = CellOf(inCall.admission.queue.pool, this->PartitionCount());
 	request->key_hash = inCall.admission.key_hash;
 	request->give_up_at = GiveUpAt(inCall);
@@ -278,7 +291,7 @@
 		inRequest->submission.OnOwnAppend(true, EOwnAppend::None, {});
 		return this->Accept(*inRequest, "known", "1");
 	}
-	std::string record = EncodeValue(inRequest->record);
+	std::string record = EncodeInboxRecord(inRequest->record);
 	const bool collected = this->inbox_paths.PathOf(inRequest->cell) == EInboxPath::Collected;
 	if (const Millis wait_ms = collected ? this->WriterOf(inRequest->cell).ExpectedWaitMs(record.size()) : 0; wait_ms > inLimitMs)
 		return this->Execute(inRequest, inRequest->submission.OnOwnBusy(wait_ms, this->ViewOf(*inRequest)));
@@ -340,7 +353,7 @@
 	PeerQuestion question;
 	question.kind = EQuestion::AppendInbox;
 	question.cell = inRequest->cell;
-	question.record = EncodeValue(inRequest->record);
+	question.record = EncodeInboxRecord(inRequest->record);
 	question.version = this->catalogue->version;
 	question.key_hash = inRequest->key_hash;
 	question.for_ms = inStep.limit_ms;
@@ -555,7 +568,7 @@
 	if (inQuestion.kind != EQuestion::AppendInbox)
 		return inReply(this->AnswerPeer(inQuestion));
 	// Appends only records that can be decoded and that the newest configuration known here allows, and only while the store answers
-	const std::optional<InboxRecord> record = DecodeValue<InboxRecord>(inQuestion.record);
+	const std::optional<InboxRecord> record = DecodeInboxRecord(inQuestion.record);
 	const EError refusal = record.has_value() ? this->RefusalOf(*record, inQuestion) : EError::Corrupt;
 	PeerAnswer answer;
 	answer.reaches_store = !this->store_watch.IsUnresponsive(NowMillis());
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -408,6 +408,9 @@
 	EInbox kind = EInbox::Submit;
 	JobSpec spec;     ///< Cancel: only id, queue and team are used, and the payload for CancelDetails. Ends: unused.
 	EndReport ends{}; ///< Serialized for Ends only: hosts of versions without this member read the other kinds.
+	/// Of a queue that is known to have moved, see QueueKey; otherwise 0. Serialized by EncodeInboxRecord only, as the next member.
+	uint64 queue_key = 0;
+	int64 queue_version = 0; ///< Version of the configuration that placed the queue in the cell that gets the record; 0: not known.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -177,10 +177,11 @@
 QueuePlacements::Placement *QueuePlacements::PlacementOf(const InboxRecord &inRecord)
 {
 	const std::string &name = inRecord.spec.queue;
-	const QueueKey queue = this->KeyOfName(name);
+	const QueueKey queue = inRecord.queue_key != 0 ? inRecord.queue_key : this->KeyOfName(name);
 	if (auto known = this->placements.find(queue); known != this->placements.end())
 		return &known->second;
-	auto newest = this->newest_sites.find(name);
+	auto newest = std::find_if(this->newest_sites.begin(), this->newest_sites.end(),
+							   [queue](const auto &inSite) { return inSite.second.queue == queue; });
 	if (newest == this->newest_sites.end())
 		return nullptr;
 	// This cell has no jobs of the queue, so there is nothing to register
@@ -191,6 +192,25 @@
 	return &added;
 }
 
+void QueuePlacements::AdoptPlacement(const InboxRecord &inRecord, Millis inNow)
+{
+	const QueueSite site{inRecord.queue_key, this->cell, inRecord.queue_version, inRecord.spec.pool};
+	auto known = this->placements.find(site.queue);
+	if (known == this->placements.end())
+	{
+		const bool in_newest = std::any_of(this->newest_sites.begin(), this->newest_sites.end(),
+										   [&site](const auto &inSite) { return inSite.second.queue == site.queue; });
+		if (!in_newest)
+			this->AddHere(site).names.insert(inRecord.spec.queue);
+		return;
+	}
+	// The cell's jobs are known by the names that their queues had
+	if (known->second.names.insert(inRecord.spec.queue).second)
+		this->OnPlacementChanged(known->second, false);
+	if (site.version > known->second.site.version)
+		this->Adopt(known->second, site, inNow);
+}
+
 void QueuePlacements::OnPlacementChanged(Placement &ioPlacement, bool inUrgent)
 {
 	// A fence waits until its revision is in the log, which may be long for a change that waits for other records
@@ -237,6 +257,8 @@
 {
 	if (!this->IsEnabled())
 		return EArrival::Take;
+	if (inRecord.queue_version > 0)
+		this->AdoptPlacement(inRecord, inNow);
 	const Placement *placement = this->PlacementOf(inRecord);
 	const std::string &job = inRecord.spec.id;
 	const bool is_here = placement != nullptr && this->IsHere(*placement);
@@ -303,6 +325,8 @@
 void QueuePlacements::Redirect(InboxRecord inRecord, const QueueSite &inSite)
 {
 	inRecord.spec.pool = inSite.pool;
+	inRecord.queue_key = inSite.queue;
+	inRecord.queue_version = inSite.version;
 	const uint64 number = this->next_number++;
 	this->outgoing[number] = {number, inSite.cell, std::move(inRecord)};
 	this->unsent.insert(number);
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -159,6 +159,8 @@
 	bool IsHere(const Placement &inPlacement) const { return inPlacement.site.cell == this->cell; }
 	/// The placement of a record's queue; nullptr: the name of the queue is not known here.
 	Placement *PlacementOf(const InboxRecord &inRecord);
+	/// Takes over where a record says that its queue is placed: in this cell, by a version that this owner may never read.
+	void AdoptPlacement(const InboxRecord &inRecord, Millis inNow);
 	void Hold(const InboxRecord &inRecord, QueueKey inQueue, Millis inNow);
 	/// Finds the queues of held records whose names are known by now. `inAsOf`: names that are not are of versions that will not be read
 	/// any more, if the record arrived before this.
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -2,6 +2,8 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Schedule/InboxCodec.h>
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
 #include <UnitTests/QueueMoveWorld.h>
 
@@ -334,6 +336,43 @@
 	EXPECT_EQ(cell.OnQueueMoved(from_next, 1000, 1'700'000'000'000).known, std::vector<std::string>{"job"});
 }
 
+/// Guards against a queue that is taken for another one because the owner never reads the version that placed it in its cell.
+TEST(QueueMove, ARecordTellsWhereItsQueueIsPlaced)
+{
+	CellTuning tuning;
+	tuning.log_partitions = 8;
+	const uint32 own = CellOf("pool", tuning.log_partitions);
+	Queue queue;
+	queue.host = "host";
+	auto without = std::make_shared<Catalogue>();
+	without->version = 7;
+	Cell cell(tuning);
+	cell.SetCatalogue(without);
+	cell.Begin(1, 1000, own);
+	InboxRecord sent{EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)};
+	// Earlier versions read the records of queues that have not moved
+	EXPECT_EQ(EncodeInboxRecord(sent), EncodeValue(sent));
+	sent.spec.pool = "pool";
+	sent.queue_key = KeyOf(queue);
+	sent.queue_version = 3;
+	const std::optional<InboxRecord> read = DecodeInboxRecord(EncodeInboxRecord(sent));
+	ASSERT_TRUE(read.has_value());
+	cell.Ingest(*read, 0, 1000, 1'700'000'000'000);
+	QueuePlacements &placements = cell.Placements();
+	const std::vector<QueueSite> own_sites = placements.SitesToRegister(10);
+	EXPECT_EQ(own_sites, (std::vector<QueueSite>{{KeyOf(queue), own, 3, "pool"}}));
+	placements.OnCatalogueRead(2000);
+	// A later version has placed it in a cell that may have taken the job
+	QueueRegistry registry;
+	registry.Add({KeyOf(queue), own + 1, 5, "next"});
+	placements.OnRegistered(own_sites, registry, 2000);
+	const std::vector<RedirectedRecord> redirected = placements.TakeRedirected();
+	ASSERT_EQ(redirected.size(), 1u);
+	EXPECT_EQ(redirected.front().cell, own + 1);
+	EXPECT_EQ(redirected.front().record.queue_version, 5);
+	EXPECT_EQ(cell.Counts().jobs, 0u);
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
--- a/UnitTests/QueueMoveWorld.cpp
+++ b/UnitTests/QueueMoveWorld.cpp
@@ -2,7 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
-#include <Loomreach/State/Codec.h>
+#include <Loomreach/Schedule/InboxCodec.h>
 #include <UnitTests/CellWorld.h>
 #include <UnitTests/QueueMoveWorld.h>
 
@@ -113,6 +113,12 @@
 	const Queue *queue = this->QueueAt(inHost);
 	inRecord.spec.queue = queue->name;
 	inRecord.spec.pool = queue->pool;
+	// As hosts do, a host that knows that the queue has moved says where its configuration places the queue
+	if (this->hosts[inHost].saw_move || this->Registered().SitesOf(KeyOf(*queue)).size() > 1)
+	{
+		inRecord.queue_key = KeyOf(*queue);
+		inRecord.queue_version = this->CatalogueAt(this->hosts[inHost].version)->version;
+	}
 	// As hosts do, a host that has seen the queue move registers its cell before it hands a job in there
 	Millis register_ms = 0;
 	if (this->hosts[inHost].saw_move && inRecord.kind == EInbox::Submit)
@@ -125,7 +131,7 @@
 	this->At(register_ms + inAppendMs,
 			 [this, pool = this->PoolOf(queue->pool), record = std::move(inRecord)]
 			 {
-				 this->seats[pool].inbox.push_back(EncodeValue(record));
+				 this->seats[pool].inbox.push_back(EncodeInboxRecord(record));
 				 if (record.kind == EInbox::Submit)
 					 this->accepted.try_emplace(record.spec.id, this->now);
 				 else if (this->accepted.contains(record.spec.id))
@@ -317,8 +323,8 @@
 		const bool is_done = !is_unknown || this->random.Chance(50);
 		const Millis append_ms = this->AppendMs();
 		if (is_done)
-			this->At(append_ms,
-					 [this, redirected] { this->seats[this->SeatOf(redirected.cell)].inbox.push_back(EncodeValue(redirected.record)); });
+			this->At(append_ms, [this, redirected]
+					 { this->seats[this->SeatOf(redirected.cell)].inbox.push_back(EncodeInboxRecord(redirected.record)); });
 		this->AtOwner(inPool, append_ms + 1,
 					  [this, number = redirected.number, is_unknown](Cell &ioCell)
 					  { ioCell.Placements().OnRedirected(number, !is_unknown, this->now); });
@@ -364,7 +370,7 @@
 	// An owner reads its inbox now and then
 	if (this->random.Chance(50))
 		for (; seat.read < seat.inbox.size(); ++seat.read)
-			seat.cell->Ingest(*DecodeValue<InboxRecord>(seat.inbox[seat.read]), seat.read, this->now, cWallAtStart + this->now);
+			seat.cell->Ingest(*DecodeInboxRecord(seat.inbox[seat.read]), seat.read, this->now, cWallAtStart + this->now);
 	if (this->random.Chance(10))
 	{
 		seat.cell->Placements().OnCatalogueRead(this->now - 2 * this->faults.host_lag_ms);
