--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/Cell.h>
 #include <Loomreach/Schedule/TaskText.h>
 #include <Loomreach/State/Codec.h>
@@ -22,7 +23,9 @@
 static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
 static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
-static constexpr char cEarlyCancelKey = 'k'; ///< Job: a cancellation before its submission. Unknown to earlier versions.
+static constexpr char cEarlyCancelKey = 'e'; ///< Job: cancellations before its submission. Unknown to earlier versions.
+static constexpr char cTeamKeysKey = 'a';    ///< Team: hashes of its keys. Unknown to earlier versions.
+static constexpr char cOneCancelKey = 'k';   ///< Job: the same as earlier versions wrote it.
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
@@ -31,6 +34,25 @@
 /// Interval for sweeping ended jobs.
 static constexpr int64 cEndedSweepMs = 5000;
 
+namespace
+{
+
+/// An early cancellation as earlier versions wrote it.
+struct OneEarlyCancel
+{
+	std::string queue;
+	std::string team;
+	int64 wall_ms = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->queue, this->team, this->wall_ms);
+	}
+};
+
+} // namespace
+
 bool Cell::Restore(std::string_view inKey, std::string_view inValue)
 {
 	if (inKey == cCursorKey)
@@ -71,7 +93,11 @@
 	if (inKey[0] == cRedirectedKey)
 		return this->placements.RestoreRedirected(id, inValue);
 	if (inKey[0] == cEarlyCancelKey)
-		return this->RestoreEarlyCancel(id, inValue);
+		return this->RestoreEarlyCancels(id, inValue);
+	if (inKey[0] == cTeamKeysKey)
+		return this->RestoreTeamKeys(id, inValue);
+	if (inKey[0] == cOneCancelKey)
+		return this->RestoreOneEarlyCancel(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -166,17 +192,37 @@
 	return true;
 }
 
-bool Cell::RestoreEarlyCancel(const std::string &inJob, std::string_view inValue)
+bool Cell::RestoreEarlyCancels(const std::string &inJob, std::string_view inValue)
 {
 	if (inValue.empty())
 	{
 		this->early_cancels.erase(inJob);
 		return true;
 	}
-	std::optional<EarlyCancel> cancel = DecodeValue<EarlyCancel>(inValue);
-	if (cancel.has_value())
-		this->early_cancels[inJob] = std::move(*cancel);
-	return cancel.has_value();
+	std::optional<EarlyCancels> cancels = DecodeValue<EarlyCancels>(inValue);
+	if (cancels.has_value())
+		this->early_cancels[inJob] = std::move(*cancels);
+	return cancels.has_value();
+}
+
+bool Cell::RestoreOneEarlyCancel(const std::string &inJob, std::string_view inValue)
+{
+	if (inValue.empty())
+		return true;
+	std::optional<OneEarlyCancel> cancel = DecodeValue<OneEarlyCancel>(inValue);
+	if (!cancel.has_value())
+		return false;
+	// A record under the newer key, which may be read before or after, includes it
+	this->early_cancels.try_emplace(inJob, EarlyCancels{{std::move(cancel->queue), std::move(cancel->team), cancel->wall_ms}});
+	return true;
+}
+
+bool Cell::RestoreTeamKeys(const std::string &inTeam, std::string_view inValue)
+{
+	std::optional<std::set<uint64>> hashes = DecodeValue<std::set<uint64>>(inValue);
+	if (hashes.has_value())
+		this->team_keys[inTeam] = std::move(*hashes);
+	return hashes.has_value();
 }
 
 void Cell::Begin(uint64 inEpoch, Millis inNow, uint32 inCell)
@@ -326,6 +372,8 @@
 	if (this->catalogue == nullptr)
 		return;
 	this->teams.SetTeams(*this->catalogue);
+	for (const auto &[team, hashes] : this->team_keys)
+		this->NoteTeamKeys(team);
 	// Before the cell begins, what its log says of the placements is not known
 	if (this->epoch > 0)
 		this->placements.SetCatalogue(*this->catalogue, this->now);
@@ -414,11 +462,30 @@
 	}
 }
 
-ECancelOutcome Cell::CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord)
+void Cell::NoteTeamKeys(const std::string &inTeam)
+{
+	if (this->catalogue == nullptr || inTeam.empty())
+		return;
+	std::set<uint64> &known = this->team_keys[inTeam];
+	const size_t before = known.size();
+	known.merge(this->catalogue->KeyHashesOf(inTeam));
+	if (known.size() > before)
+		this->unlogged_team_keys.insert(inTeam);
+}
+
+bool Cell::MayCancel(const JobSpec &inJob, const InboxRecord &inRecord) const
+{
+	if (!IsOtherTeam(inJob.team, inRecord.spec.team))
+		return true;
+	auto keys = this->team_keys.find(inJob.team);
+	return keys != this->team_keys.end() && keys->second.contains(DetailsOf(inRecord).key_hash);
+}
+
+ECancelOutcome Cell::CancelOutcomeOf(const CellJob *inJob, const InboxRecord &inRecord) const
 {
 	if (inJob == nullptr)
 		return ECancelOutcome::Unknown;
-	if (IsOtherTeam(inJob->spec.team, inRecord.spec.team))
+	if (!this->MayCancel(inJob->spec, inRecord))
 		return ECancelOutcome::OtherTeam;
 	return IsFinal(inJob->record.phase) ? ECancelOutcome::Ended : ECancelOutcome::Canceled;
 }
@@ -426,7 +493,7 @@
 void Cell::Cancel(const InboxRecord &inRecord, int64 inWallNow, Millis inNow)
 {
 	CellJob *known = this->FindJob(inRecord.spec.id);
-	const ECancelOutcome outcome = Cell::CancelOutcomeOf(known, inRecord);
+	const ECancelOutcome outcome = this->CancelOutcomeOf(known, inRecord);
 	++this->totals.cancels[static_cast<size_t>(outcome)];
 	const int64 accepted_wall_ms = inRecord.spec.accepted_wall_ms;
 	LogEvent(ELogLevel::Info, "cancel")
@@ -438,12 +505,9 @@
 		.Field("inbox_next", this->inbox_next)
 		.Field("cell", this->run_events.Cell())
 		.Field("epoch", this->epoch);
+	// The submission may still be on its way: from a host that was paused, or from another cell
 	if (known == nullptr)
-	{
-		// The submission may still be on its way: from a host that was paused, or from another cell
-		this->early_cancels.try_emplace(inRecord.spec.id, EarlyCancel{inRecord.spec.queue, inRecord.spec.team, inWallNow});
-		this->unlogged_cancels.insert(inRecord.spec.id);
-	}
+		this->RememberCancel(inRecord, inWallNow);
 	if (outcome != ECancelOutcome::Canceled)
 		return;
 	known->record.ended_wall_ms = inWallNow;
@@ -451,6 +515,20 @@
 	this->StopAll(*known, "canceled", inNow);
 }
 
+void Cell::RememberCancel(const InboxRecord &inRecord, int64 inWallNow)
+{
+	const EarlyCancel cancel{inRecord.spec.queue, inRecord.spec.team, inWallNow, DetailsOf(inRecord).key_hash};
+	EarlyCancels &cancels = this->early_cancels[inRecord.spec.id];
+	auto found =
+		std::find_if(cancels.begin(), cancels.end(),
+					 [&cancel](const EarlyCancel &inOther) { return inOther.team == cancel.team && inOther.key_hash == cancel.key_hash; });
+	if (found == cancels.end())
+		cancels.push_back(cancel);
+	else
+		*found = cancel;
+	this->unlogged_cancels.insert(inRecord.spec.id);
+}
+
 void Cell::Apply(const InboxRecord &inRecord, Millis inNow, int64 inWallNow)
 {
 	if (inRecord.kind == EInbox::Cancel)
@@ -470,6 +548,7 @@
 	for (size_t unit = 0; unit < job.volatile_state.size(); ++unit)
 		job.volatile_state[unit].resize(job.record.steps[unit].tasks.size());
 	job.arrived_at = inNow;
+	this->NoteTeamKeys(job.spec.team);
 	this->arrivals[job.spec.pool].AddJob(inNow, this->WorkLeft(job));
 	this->MarkChanged(job);
 	LogEvent(ELogLevel::Info, "job_taken")
@@ -490,7 +569,8 @@
 		.Field("inbox_next", this->inbox_next)
 		.Field("age_ms", inWallNow - job.spec.accepted_wall_ms);
 	if (auto early = this->early_cancels.find(id); early != this->early_cancels.end())
-		this->Cancel(CancelRecord(id, early->second), inWallNow, inNow);
+		for (const EarlyCancel &cancel : early->second)
+			this->Cancel(CancelRecord(id, cancel), inWallNow, inNow);
 }
 
 bool Cell::IsForgotten(const CellJob &inJob, int64 inWallNow) const
@@ -528,15 +608,25 @@
 		outBatch.push_back({cEarlyCancelKey + id, EncodeValue(this->early_cancels.at(id))});
 	if (outBatch.empty())
 		return;
+	const auto is_old = [&](const EarlyCancel &inCancel) { return inWallNow - inCancel.wall_ms > this->tuning.keep_ended_ms; };
 	for (auto it = this->early_cancels.begin(); it != this->early_cancels.end();)
 	{
-		const bool old = inWallNow - it->second.wall_ms > this->tuning.keep_ended_ms;
+		const bool old = std::all_of(it->second.begin(), it->second.end(), is_old);
 		if (old)
-			outBatch.push_back({cEarlyCancelKey + it->first, ""});
+			for (const char key : {cEarlyCancelKey, cOneCancelKey})
+				outBatch.push_back({key + it->first, ""});
 		it = old ? this->early_cancels.erase(it) : std::next(it);
 	}
 }
 
+void Cell::AddTeamKeyRecords(std::vector<KeyedRecord> &outBatch)
+{
+	if (outBatch.empty())
+		return;
+	for (const std::string &team : std::exchange(this->unlogged_team_keys, {}))
+		outBatch.push_back({cTeamKeysKey + team, EncodeValue(this->team_keys.at(team))});
+}
+
 void Cell::BeginAppendSeries()
 {
 	this->jobs_to_write = std::exchange(this->dirty, {});
@@ -631,6 +721,7 @@
 	// The inbox position must not pass records that are only held or redirected before the log has these
 	whole = this->placements.AddRecords(this->tuning.batch_bytes, whole, batch) && whole;
 	this->AddEarlyCancelRecords(inWallNow, batch);
+	this->AddTeamKeyRecords(batch);
 	if (!batch.empty())
 		this->AddLocationRecords(batch);
 	this->AddDrainGrantRecords(batch);
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Hash.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/QueuePlacements.h>
 #include <Loomreach/State/Codec.h>
 
@@ -176,10 +177,11 @@
 QueuePlacements::Placement *QueuePlacements::PlacementOf(const InboxRecord &inRecord)
 {
 	const std::string &name = inRecord.spec.queue;
-	const QueueKey queue = this->KeyOfName(name);
+	const QueueKey queue = inRecord.queue_key != 0 ? inRecord.queue_key : this->KeyOfName(name);
 	if (auto known = this->placements.find(queue); known != this->placements.end())
 		return &known->second;
-	auto newest = this->newest_sites.find(name);
+	auto newest = std::find_if(this->newest_sites.begin(), this->newest_sites.end(),
+							   [queue](const auto &inSite) { return inSite.second.queue == queue; });
 	if (newest == this->newest_sites.end())
 		return nullptr;
 	// This cell has no jobs of the queue, so there is nothing to register
@@ -190,6 +192,25 @@
 	return &added;
 }
 
+void QueuePlacements::AdoptPlacement(const InboxRecord &inRecord, Millis inNow)
+{
+	const QueueSite site{inRecord.queue_key, this->cell, inRecord.queue_version, inRecord.spec.pool};
+	auto known = this->placements.find(site.queue);
+	if (known == this->placements.end())
+	{
+		const bool in_newest = std::any_of(this->newest_sites.begin(), this->newest_sites.end(),
+										   [&site](const auto &inSite) { return inSite.second.queue == site.queue; });
+		if (!in_newest)
+			this->AddHere(site).names.insert(inRecord.spec.queue);
+		return;
+	}
+	// The cell's jobs are known by the names that their queues had
+	if (known->second.names.insert(inRecord.spec.queue).second)
+		this->OnPlacementChanged(known->second, false);
+	if (site.version > known->second.site.version)
+		this->Adopt(known->second, site, inNow);
+}
+
 void QueuePlacements::OnPlacementChanged(Placement &ioPlacement, bool inUrgent)
 {
 	// A fence waits until its revision is in the log, which may be long for a change that waits for other records
@@ -236,10 +257,17 @@
 {
 	if (!this->IsEnabled())
 		return EArrival::Take;
+	if (inRecord.queue_version > 0)
+		this->AdoptPlacement(inRecord, inNow);
 	const Placement *placement = this->PlacementOf(inRecord);
 	const std::string &job = inRecord.spec.id;
+	const bool is_here = placement != nullptr && this->IsHere(*placement);
+	const bool handed_on = inRecord.kind == EInbox::Cancel && DetailsOf(inRecord).handed_on;
 	EArrival arrival = EArrival::Held;
-	if (placement != nullptr && !this->IsHere(*placement))
+	// The current cell has it too
+	if (handed_on && !is_here)
+		return EArrival::Take;
+	if (placement != nullptr && !is_here)
 		arrival = EArrival::Redirect;
 	else if (placement != nullptr && placement->confirmed && placement->former.empty() && !this->held.contains(job))
 		return EArrival::Take;
@@ -268,11 +296,37 @@
 	records.records.push_back(inRecord);
 	this->to_remove.erase(cHeldKey + job);
 	this->to_add.insert(cHeldKey + job);
+	if (auto placement = this->placements.find(inQueue); placement != this->placements.end())
+		this->HandOnCancels(placement->second, records);
+}
+
+void QueuePlacements::HandOnCancels(const Placement &inPlacement, HeldRecords &ioRecords)
+{
+	if (!this->IsHere(inPlacement))
+		return;
+	for (const uint32 former : inPlacement.former)
+	{
+		size_t &handed = ioRecords.handed_on[former];
+		for (; handed < ioRecords.records.size(); ++handed)
+		{
+			InboxRecord record = ioRecords.records[handed];
+			if (record.kind != EInbox::Cancel)
+				continue;
+			CancelDetails details = DetailsOf(record);
+			if (std::exchange(details.handed_on, true))
+				continue;
+			SetDetails(record, details);
+			const std::string pool = record.spec.pool;
+			this->Redirect(std::move(record), {ioRecords.queue, former, 0, pool});
+		}
+	}
 }
 
 void QueuePlacements::Redirect(InboxRecord inRecord, const QueueSite &inSite)
 {
 	inRecord.spec.pool = inSite.pool;
+	inRecord.queue_key = inSite.queue;
+	inRecord.queue_version = inSite.version;
 	const uint64 number = this->next_number++;
 	this->outgoing[number] = {number, inSite.cell, std::move(inRecord)};
 	this->unsent.insert(number);
@@ -298,7 +352,8 @@
 		return;
 	}
 	std::erase_if(this->redirected_at, [inNow](const auto &inEntry) { return inNow - inEntry.second > cRedirectSettledMs; });
-	this->redirected_at[found->second.record.spec.id] = inNow;
+	if (found->second.record.kind == EInbox::Submit)
+		this->redirected_at[found->second.record.spec.id] = inNow;
 	this->outgoing.erase(found);
 	this->Remove(cRedirectedKey + std::to_string(inNumber));
 }
@@ -320,6 +375,7 @@
 		const bool is_cleared = this->IsHere(inPlacement) && inPlacement.confirmed &&
 								std::all_of(inPlacement.former.begin(), inPlacement.former.end(),
 											[&lacking](uint32 inFormer) { return lacking.contains(inFormer); });
+		this->HandOnCancels(inPlacement, records);
 		if (this->IsHere(inPlacement) && !is_cleared)
 			continue;
 		for (InboxRecord &record : records.records)
@@ -407,6 +463,7 @@
 		{
 			this->OnPlacementChanged(placement, false);
 			this->Log("queue_has_former_cells", placement);
+			this->Review(placement);
 		}
 }
 
@@ -476,15 +533,20 @@
 		const bool is_new = found->second.lacking.insert(inFormer).second;
 		if (auto early = inAnswer.canceled.find(inJob); is_new && early != inAnswer.canceled.end())
 		{
-			found->second.records.push_back(CancelRecord(inJob, early->second));
+			for (const EarlyCancel &cancel : early->second)
+			{
+				InboxRecord record = CancelRecord(inJob, cancel);
+				SetDetails(record, {cancel.key_hash, true});
+				found->second.records.push_back(std::move(record));
+			}
 			this->to_add.insert(cHeldKey + inJob);
 		}
 		return;
 	}
-	// The job stays in the former cell. A submission is a repeated one, and only a cancellation has anything to do there
+	// The job stays in the former cell. A submission is a repeated one, and cancellations have been handed on unless another cell did so
 	LogEvent(ELogLevel::Info, "job_in_former_cell").Field("request", inJob).Field("cell", this->cell).Field("former", inFormer);
 	for (InboxRecord &record : found->second.records)
-		if (record.kind == EInbox::Cancel)
+		if (record.kind == EInbox::Cancel && DetailsOf(record).handed_on)
 		{
 			const std::string pool = record.spec.pool;
 			this->Redirect(std::move(record), {found->second.queue, inFormer, 0, pool});
@@ -525,7 +587,9 @@
 
 bool QueuePlacements::IsUndecided(const std::string &inJob, Millis inNow) const
 {
-	const auto is_job = [&inJob](const auto &inEntry) { return inEntry.second.record.spec.id == inJob; };
+	// A cancellation on its way does not decide which cell gets the job
+	const auto is_job = [&inJob](const auto &inEntry)
+	{ return inEntry.second.record.kind == EInbox::Submit && inEntry.second.record.spec.id == inJob; };
 	if (this->held.contains(inJob) || std::any_of(this->outgoing.begin(), this->outgoing.end(), is_job))
 		return true;
 	const auto is_record = [&inJob](const InboxRecord &inRecord) { return inRecord.spec.id == inJob; };
@@ -541,7 +605,7 @@
 	for (const auto &[job, records] : this->held)
 		count += records.queue == inQueue ? 1 : 0;
 	for (const auto &[number, record] : this->outgoing)
-		count += this->KeyOfName(record.record.spec.queue) == inQueue ? 1 : 0;
+		count += record.record.kind == EInbox::Submit && this->KeyOfName(record.record.spec.queue) == inQueue ? 1 : 0;
 	return count;
 }
 
--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -5,6 +5,7 @@
 
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Entry/InboxWriter.h>
+#include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
 #include <UnitTests/FakeLog.h>
@@ -586,4 +587,133 @@
 	EXPECT_EQ(successor.Query("queue", "never").known, false);
 }
 
+/// Guards against a cancellation that counts for nothing because another team cancelled the same id before.
+TEST(CellCancel, ASecondTeamsCancellationOfAJobToComeCounts)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	for (const char *team : {"red", "blue"})
+	{
+		job.team = team;
+		harness.Ingest(EInbox::Cancel, job);
+		harness.Advance(200);
+	}
+	harness.Begin(2);
+	harness.ListWorker();
+	harness.Ingest(EInbox::Submit, job);
+	harness.Advance(1000);
+	EXPECT_EQ(harness.Count(EOrder::Start), 0u);
+	EXPECT_EQ(harness.cell.Query("queue", "a").phase, EJobPhase::Canceled);
+}
+
+/// An early cancellation as earlier versions wrote it.
+struct OlderEarlyCancel
+{
+	std::string queue;
+	std::string team;
+	int64 wall_ms = 0;
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->queue, this->team, this->wall_ms);
+	}
+};
+
+/// Guards against cancellations that an upgrade forgets: earlier versions wrote one for each job, under a key of its own.
+TEST(CellCancel, ACancellationThatAnEarlierVersionWroteCounts)
+{
+	Cell cell(CellTuning{});
+	EXPECT_TRUE(cell.Restore("ka", EncodeValue(OlderEarlyCancel{"queue", "red", 1'700'000'000'000})));
+	cell.Begin(1, 1000);
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	job.team = "red";
+	cell.Ingest({EInbox::Submit, job}, 0, 1000, 1'700'000'001'000);
+	EXPECT_EQ(cell.Counts().jobs, 1u);
+	EXPECT_EQ(cell.Counts().active, 0u);
+}
+
+/// A configuration in which a key belongs to a team.
+static std::shared_ptr<const Catalogue> KeyBelongsTo(int64 inVersion, const std::string &inTeam)
+{
+	auto catalogue = std::make_shared<Catalogue>();
+	catalogue->version = inVersion;
+	Queue queue;
+	queue.name = "queue";
+	queue.pool = "pool";
+	catalogue->queues.push_back(queue);
+	catalogue->teams.emplace();
+	for (const char *team : {"red", "blue"})
+		(*catalogue->teams)[team].name = team;
+	(*catalogue->teams)[inTeam].keys.push_back("key");
+	return catalogue;
+}
+
+/// Guards against a cancellation that is acknowledged and dropped because a configuration has given the caller's key to another team.
+TEST(CellCancel, AKeyThatGoesToAnotherTeamCancelsWhatItHandedIn)
+{
+	const std::shared_ptr<const Catalogue> before = KeyBelongsTo(3, "red");
+	const std::shared_ptr<const Catalogue> after = KeyBelongsTo(5, "blue");
+	const std::optional<Admission> admission = after->Admit("", "/", "key");
+	ASSERT_TRUE(admission.has_value());
+	JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	job.team = "red";
+	InboxRecord cancel{EInbox::Cancel, job};
+	cancel.spec.team = admission->team;
+	for (const bool is_first : {false, true})
+		for (const bool has_key : {true, false})
+		{
+			SetDetails(cancel, {has_key ? admission->key_hash : admission->key_hash + 2, false});
+			OneWorkerHarness harness;
+			harness.cell.SetCatalogue(before);
+			harness.cell.Begin(1, harness.now);
+			harness.Ingest(EInbox::Submit, job);
+			harness.Advance(100);
+			// The next owner knows only the newer configuration
+			harness.Begin(2);
+			harness.cell.SetCatalogue(after);
+			cancel.spec.id = is_first ? "b" : "a";
+			harness.cell.Ingest(cancel, harness.next_offset++, harness.now, harness.now);
+			// From a host that does not know it yet
+			job.id = "b";
+			harness.Ingest(EInbox::Submit, job);
+			job.id = "a";
+			EXPECT_EQ(harness.cell.Counts().active, has_key ? 1u : 2u) << is_first;
+		}
+}
+
+/// Guards against a repeated cancellation that is forgotten as early as the first one, and by a successor at once.
+TEST(CellCancel, ARepeatedCancellationIsRememberedFromItsLastTime)
+{
+	const CellTuning tuning;
+	const int64 first = 1'700'000'000'000;
+	const int64 second = first + tuning.keep_ended_ms - 1000;
+	const int64 late = first + tuning.keep_ended_ms + 1000;
+	const JobSpec job = MakeJob("a", 1, 1, 1000, 300);
+	std::map<std::string, std::string> log;
+	const auto write = [&log](Cell &ioCell, int64 inWallNow)
+	{
+		for (const KeyedRecord &record : ioCell.TakeBatch(inWallNow))
+			log[record.key] = record.value;
+		ioCell.OnAppended(1000);
+	};
+	Cell cell(tuning);
+	cell.Begin(1, 1000);
+	cell.Ingest({EInbox::Cancel, job}, 0, 1000, first);
+	write(cell, first);
+	cell.Ingest({EInbox::Cancel, job}, 1, 1000, second);
+	write(cell, late);
+	Cell successor(tuning);
+	for (const auto &[key, value] : log)
+		EXPECT_TRUE(successor.Restore(key, value));
+	successor.Begin(2, 2000);
+	for (Cell *owner : {&cell, &successor})
+	{
+		owner->Ingest({EInbox::Submit, job}, 2, 2000, late);
+		EXPECT_EQ(owner->Counts().active, 0u) << (owner == &cell ? "owner" : "successor");
+	}
+}
+
 } // namespace Loomreach::Jobs
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -2,6 +2,8 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Schedule/InboxCodec.h>
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/CellWorld.h>
 #include <UnitTests/QueueMoveWorld.h>
 
@@ -156,6 +158,54 @@
 	EXPECT_EQ(world.TakenBy("new"), std::set<size_t>{1});
 }
 
+/// Guards against a cancellation that waits without a bound because the former cell's owner is not reached, though its inbox is.
+TEST(QueueMove, ACancellationDoesNotWaitForAnswers)
+{
+	MoveFaults faults;
+	faults.lost_message = 100;
+	QueueMoveWorld world(1, faults);
+	world.Run(cSettleMs);
+	world.Submit(0, "job");
+	world.Run(cSettleMs);
+	for (const size_t pool : {1, 2})
+	{
+		world.Configure(pool);
+		world.Run(cSettleMs);
+	}
+	world.Cancel(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+}
+
+/// Guards against cancellations that the cells of a queue pass to each other for ever.
+TEST(QueueMove, ACancellationOfAnUnknownJobComesToRest)
+{
+	for (const uint64 lost_message : {0, 100})
+	{
+		MoveFaults faults;
+		faults.lost_message = lost_message;
+		QueueMoveWorld world(1, faults);
+		for (const size_t pool : {0, 1, 2, 0})
+		{
+			world.Configure(pool);
+			world.Run(cSettleMs);
+		}
+		for (size_t host = 0; host < QueueMoveWorld::cHosts; ++host)
+		{
+			world.HoldBack(host, host + 1);
+			world.Cancel(host, "never");
+		}
+		world.Run(2 * cSettleMs);
+		size_t appends = 0;
+		for (size_t pool = 0; pool < QueueMoveWorld::cPools; ++pool)
+			appends += world.Appends(pool);
+		world.Run(5 * cSettleMs);
+		for (size_t pool = 0; pool < QueueMoveWorld::cPools; ++pool)
+			appends -= world.Appends(pool);
+		EXPECT_EQ(appends, 0u) << lost_message;
+	}
+}
+
 /// Guards against jobs that are lost in a chain of moves.
 TEST(QueueMove, MovedTwiceAndBack)
 {
@@ -305,6 +355,43 @@
 	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
 }
 
+/// Guards against a queue that is taken for another one because the owner never reads the version that placed it in its cell.
+TEST(QueueMove, ARecordTellsWhereItsQueueIsPlaced)
+{
+	CellTuning tuning;
+	tuning.log_partitions = 8;
+	const uint32 own = CellOf("pool", tuning.log_partitions);
+	Queue queue;
+	queue.host = "host";
+	auto without = std::make_shared<Catalogue>();
+	without->version = 7;
+	Cell cell(tuning);
+	cell.SetCatalogue(without);
+	cell.Begin(1, 1000, own);
+	InboxRecord sent{EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)};
+	// Earlier versions read the records of queues that have not moved
+	EXPECT_EQ(EncodeInboxRecord(sent), EncodeValue(sent));
+	sent.spec.pool = "pool";
+	sent.queue_key = KeyOf(queue);
+	sent.queue_version = 3;
+	const std::optional<InboxRecord> read = DecodeInboxRecord(EncodeInboxRecord(sent));
+	ASSERT_TRUE(read.has_value());
+	cell.Ingest(*read, 0, 1000, 1'700'000'000'000);
+	QueuePlacements &placements = cell.Placements();
+	const std::vector<QueueSite> own_sites = placements.SitesToRegister(10);
+	EXPECT_EQ(own_sites, (std::vector<QueueSite>{{KeyOf(queue), own, 3, "pool"}}));
+	placements.OnCatalogueRead(2000);
+	// A later version has placed it in a cell that may have taken the job
+	QueueRegistry registry;
+	registry.Add({KeyOf(queue), own + 1, 5, "next"});
+	placements.OnRegistered(own_sites, registry, 2000);
+	const std::vector<RedirectedRecord> redirected = placements.TakeRedirected();
+	ASSERT_EQ(redirected.size(), 1u);
+	EXPECT_EQ(redirected.front().cell, own + 1);
+	EXPECT_EQ(redirected.front().record.queue_version, 5);
+	EXPECT_EQ(cell.Counts().jobs, 0u);
+}
+
 /// Guards against costs of queues that never move: one registration, no question, no append beyond those of the jobs.
 TEST(QueueMove, AQueueThatStaysAsksNobody)
 {
