List a gang that starts again from several checkpoints as red

The platform's page on workers says that any member's checkpoint is good for its gang and that all members must bring the same one. A gang of two whose members had each saved starts again with "gang.0.0.1 late" for one and "gang.0.0.0 late" for the other. Until now no test had a checkpoint at all.

--- a/UnitTests/CellTests.cpp
+++ b/UnitTests/CellTests.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Schedule/TaskText.h>
 #include <UnitTests/CellTroubles.h>
 
 #include <gtest/gtest.h>
@@ -48,6 +49,66 @@
 	EXPECT_EQ(successor.Counts().active, 1000u);
 }
 
+/// The members of a gang that started again brought their own checkpoints each, though all must bring the same one.
+TEST(Cell, AGangStartsAgainFromOneCheckpoint)
+{
+	Cell cell(CellTuning{});
+	Millis now = 1000;
+	cell.Begin(1, now);
+	std::vector<WorkerEntry> entries(2);
+	for (WorkerEntry &entry : entries)
+	{
+		entry.id = &entry == &entries[0] ? "w0" : "w1";
+		entry.pool = "pool";
+		entry.address = {"127.0.0.1", 1};
+		entry.capacity = {1000, 32768, 0};
+	}
+	cell.SetWorkers(entries, now);
+	JobSpec job = MakeJob("gang", 1, 2, 1000, 5000);
+	job.steps[0].gang = true;
+	job.steps[0].checkpoints = true;
+	cell.Ingest({EInbox::Submit, job}, 0, now, now);
+	std::map<std::string, RunningRun> running; ///< By worker.
+	std::map<std::string, EndedRun> ended;     ///< The same.
+	std::vector<Order> starts;
+	while (now < 6000 && starts.size() < 4)
+	{
+		now += 100;
+		cell.Plan(now, now);
+		if (cell.HasUnwrittenChanges() && !cell.TakeBatch(now).empty())
+			cell.OnAppended(now);
+		for (const Order &order : cell.TakeOrders(now))
+		{
+			OrderAnswer answer;
+			answer.result = EOrderResult::Done;
+			answer.clock_ms = now;
+			if (order.kind == EOrder::Start)
+			{
+				starts.push_back(order);
+				running[order.worker] = {order.task, order.run, TaskText(order.task) + " early", 10, 0};
+			}
+			// The first member fails of its own, the other one by this stop
+			const bool ends = order.kind == EOrder::Stop || (order.worker == "w0" && now > 3000 && !ended.contains("w0"));
+			if (ends && running.contains(order.worker))
+			{
+				const RunningRun &row = running[order.worker];
+				ended[order.worker] = {1, row.task, row.run, order.kind == EOrder::Stop ? ERunEnd::Stopped : ERunEnd::Failed,
+									   TaskText(row.task) + " late"};
+				running.erase(order.worker);
+			}
+			if (order.kind == EOrder::Poll && running.contains(order.worker))
+				answer.running.push_back(running[order.worker]);
+			if (order.kind == EOrder::Poll && ended.contains(order.worker) && order.acknowledged_end == 0)
+				answer.ended.push_back(ended[order.worker]);
+			cell.OnAnswer(order, answer, now - 5, now);
+		}
+	}
+	ASSERT_EQ(starts.size(), 4u);
+	EXPECT_EQ(starts[2].run, 2u);
+	EXPECT_FALSE(starts[2].checkpoint.empty());
+	EXPECT_EQ(starts[2].checkpoint, starts[3].checkpoint);
+}
+
 TEST(Cell, QuietDayEndsEveryJob)
 {
 	Random random(1);
