Start the members of a gang from one checkpoint

Each member of a gang that started again brought the checkpoint of its own last run. The members are dispatched in one pass, so each now takes the first checkpoint that the gang's records have. Tasks on their own are not affected.

Before: Cell.AGangStartsAgainFromOneCheckpoint failed ("gang.0.0.1 late", "gang.0.0.0 late"). After: it passes, with all tests of Cell and CellCancel.

--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -61,6 +61,18 @@
 	return members;
 }
 
+/// The checkpoint to start a task from. The members of a gang are dispatched together and must all bring the same one; any member's will
+/// do.
+static const std::string &CheckpointToStartFrom(const CellJob &inJob, const TaskId &inTask)
+{
+	const std::vector<TaskRecord> &tasks = inJob.record.steps[inJob.Unit(inTask.round, inTask.step)].tasks;
+	const std::string &own = tasks[inTask.index].checkpoint;
+	if (!inJob.spec.steps[inTask.step].gang)
+		return own;
+	const auto saved = std::find_if(tasks.begin(), tasks.end(), [](const TaskRecord &inMember) { return !inMember.checkpoint.empty(); });
+	return saved == tasks.end() ? own : saved->checkpoint;
+}
+
 std::vector<Order> Cell::TakeOrders(Millis inNow, size_t inStartBytes)
 {
 	this->now = inNow;
@@ -86,7 +98,6 @@
 			continue;
 		CellWorker &worker = found->second;
 		// Conditions may have changed during the append. The worker has not seen the run, so it can be dropped
-		const TaskRecord *task = this->FindTask(id.task);
 		std::string_view why = this->WhyNotDispatched(worker, id, inNow);
 		const auto counted = members.find(gang);
 		if (why.empty() && counted != members.end() && counted->second < job->spec.steps[id.task.step].count)
@@ -105,8 +116,8 @@
 		order.task = id.task;
 		order.run = id.run;
 		order.payload = job->spec.payload;
-		order.checkpoint = task->checkpoint;
-		run.resumed = !task->checkpoint.empty();
+		order.checkpoint = CheckpointToStartFrom(*job, id.task);
+		run.resumed = !order.checkpoint.empty();
 		order.ticket = run.ticket;
 		order.until_ms = worker.ClockAt(inNow) + this->leases.LeaseToGrant();
 		worker.granted_until_ms = std::max(worker.granted_until_ms, order.until_ms);
