List starts that may leave long after the inbox was read as red

Nothing is started when the inbox, and with it cancellations, has not been read for 2.5 s. That is asked when a start is decided. The order then may wait on the link, go to a forwarder and be sent directly when the forwarder is silent; at these places only the end of the ownership is asked, up to 2 s later (owner_lease_ms), so that a start may leave 4.5 s after its cancel (rule: 3 to 4 s).

The fixture's steps have a task each now, its jobs a pool of the cell, and its orders are answered.

--- a/UnitTests/CellDriverTests.cpp
+++ b/UnitTests/CellDriverTests.cpp
@@ -18,6 +18,15 @@
 constexpr Millis cLongLeaseMs = 600'000;
 constexpr uint32 cCell = 3;
 
+/// A pool of the cell.
+std::string PoolOfCell(const JobHostConfig &inConfig)
+{
+	uint32 number = 0;
+	while (CellOf("pool" + std::to_string(number), static_cast<uint32>(inConfig.log_partitions)) != cCell)
+		++number;
+	return "pool" + std::to_string(number);
+}
+
 struct UnresponsiveAdviser
 {
 	static void Ask(const AdviceRequest &, const std::function<void(const AdviceAnswer &)> &) {}
@@ -45,23 +54,30 @@
 			InboxRecord record;
 			record.spec.id = "job" + std::to_string(i);
 			record.spec.queue = "queue";
-			record.spec.pool = "pool";
-			record.spec.steps.emplace_back();
+			record.spec.pool = PoolOfCell(this->config);
+			record.spec.steps.emplace_back().count = 1;
 			call.records.push_back({"", EncodeValue(record), 0});
 		}
 		this->hub.store.Append(call, [](const AppendAnswer &) {});
 		this->hub.store.max_read_records = 20;
 		this->hub.store.limited_log = this->Inbox();
 		this->hub.store.reads_left = inAnswers;
-		this->driver =
-			std::make_unique<CellDriver<TestHub>>(this->hub,
-												  DriverContext{this->config,
-																this->metrics,
-																this->lease,
-																this->owners,
-																{"host", 1, 1},
-																[](const Order &, const std::function<void(const OrderAnswer &)> &) {}},
-												  cCell);
+		this->driver = std::make_unique<CellDriver<TestHub>>(
+			this->hub,
+			DriverContext{this->config,
+						  this->metrics,
+						  this->lease,
+						  this->owners,
+						  {"host", 1, 1},
+						  [this](const Order &inOrder, const std::function<void(const OrderAnswer &)> &inDone)
+						  {
+							  OrderAnswer answer;
+							  answer.result = EOrderResult::Done;
+							  answer.clock_ms = NowMillis();
+							  this->sent.push_back(inOrder);
+							  inDone(answer);
+						  }},
+			cCell);
 	}
 
 	LogName Inbox() const { return InboxLog(cCell, static_cast<uint32>(this->config.log_partitions)); }
@@ -88,6 +104,7 @@
 	OwnLease lease;
 	OwnerTable owners;
 	std::unique_ptr<CellDriver<TestHub>> driver;
+	std::vector<Order> sent; ///< Each is answered at once.
 };
 
 } // namespace
@@ -114,6 +131,31 @@
 	EXPECT_FALSE(fixture.Show("never").known);
 }
 
+/// Guards against a start that leaves seconds after it was decided, sent a second time or held up on its way, although its job's
+/// cancellation has been in the inbox for longer than the owner may leave the inbox unread.
+TEST(CellDriver, AStartLeavesNoLaterThanTheInboxMayGoUnread)
+{
+	constexpr Millis cMayGoUnreadMs = 2500;
+	TestCellDriver fixture(2);
+	fixture.Claim();
+	WorkerEntry worker;
+	worker.id = "w";
+	worker.pool = PoolOfCell(fixture.config);
+	worker.address = {"127.0.0.1", 1};
+	worker.capacity = {1'000'000, 1'000'000, 0};
+	fixture.driver->SetWorkers({worker}, 0);
+	FakeLog::RunMainLoopFor(400);
+	const auto start =
+		std::find_if(fixture.sent.begin(), fixture.sent.end(), [](const Order &inOrder) { return inOrder.kind == EOrder::Start; });
+	ASSERT_NE(start, fixture.sent.end());
+	EXPECT_LE(start->not_after, NowMillis() + cMayGoUnreadMs);
+	// Polls and stops end what was started, so only the ownership limits them
+	const auto poll =
+		std::find_if(fixture.sent.begin(), fixture.sent.end(), [](const Order &inOrder) { return inOrder.kind == EOrder::Poll; });
+	ASSERT_NE(poll, fixture.sent.end());
+	EXPECT_EQ(poll->not_after, fixture.lease.Until());
+}
+
 /// Guards against an owner whose first append of what it has inherited delays its heartbeats until its lease is over.
 TEST(CellDriver, AnAppendTakesAFractionOfTheTimeBetweenHeartbeats)
 {
