Let no start leave later than the inbox may go unread

A start that was decided in time could leave long after: while it waits on the link or for a forwarder that stays silent, its job may be cancelled, and only the end of the ownership was asked there. A start's last moment (Order::not_after) is now also 2.5 s after the inbox was known to hold nothing more. Everything on its way asks it already: the HTTP client before the first byte, a forwarder by its own clock, and the sender before it sends directly what a forwarder has not answered. Stops, polls and throttles are limited by the ownership only.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -115,6 +115,9 @@
 	void ReplicateEnds();
 	/// Adds to an answer which other cells may have jobs of the queue, and whether this cell can tell that a job does not exist.
 	void AddQueueStatus(const PeerQuestion &inQuestion, Millis inNow, PeerAnswer &ioAnswer) const;
+	/// Until when a start may leave, also one that is held up on its way or sent a second time: its job may have been cancelled since the
+	/// inbox was read.
+	Millis StartsUntil() const;
 	/// Stops the cell from starting tasks while its inbox cannot be read.
 	void CheckInboxFreshness(Millis inNow);
 	/// Asks former cells of queues, and passes records on to other cells' inboxes.
--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -209,11 +209,17 @@
 											}));
 }
 
+template <class Hub>
+Millis CellDriver<Hub>::StartsUntil() const
+{
+	return std::max(this->inbox_read_at, this->claimed_at) + cInboxStaleMs;
+}
+
 template <class Hub>
 void CellDriver<Hub>::CheckInboxFreshness(Millis inNow)
 {
 	// Checked separately from appends: the store may accept appends while reads fail
-	const bool fresh = inNow - std::max(this->inbox_read_at, this->claimed_at) < cInboxStaleMs;
+	const bool fresh = inNow < this->StartsUntil();
 	if (fresh != this->inbox_fresh)
 		LogEvent(ELogLevel::Warning, fresh ? "inbox_read_again" : "inbox_unread")
 			.Field("cell", this->number)
@@ -329,6 +335,8 @@
 	for (Order &order : this->cell.TakeOrders(NowMillis(), start_bytes))
 	{
 		order.not_after = this->context.lease.Until();
+		if (order.kind == EOrder::Start)
+			order.not_after = std::min(order.not_after, this->StartsUntil());
 		// The lease is checked again before each order: the process may have been paused since the previous one
 		const Millis sent_at = NowMillis();
 		if (!this->MayAct(sent_at))
