Read every JSON text from outside within bounds of size and depth

One entry in the list of workers with 131,000 levels, the same as the operator's configuration, or as the body of a caller's request ended every entry host, and each that started afterwards.

Cause: ParseObject copied the parsed value, and the copy recurses once a level; no text had a bound. Building, copying and destroying a value all recurse, so a mended copy alone would leave the class. ParseJson builds the value from the events of the library's parser and stops at the first one beyond its limits (bytes, 32 levels, a million values): nothing deep is ever built. Every decoder uses it. A configuration, a zone order, a wave or an entry that can't be read is refused with its reason (waves are logged now too), and what was in force remains. DumpJson replaces bytes that are not UTF-8 where dump() would throw.

--- a/Loomreach/Entry/CallerServer.cpp
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -2,13 +2,12 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/LogEvent.h>
 #include <Loomreach/Entry/CallerServer.h>
 #include <Loomreach/Entry/Headers.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 #include <cinttypes>
 
@@ -342,7 +341,7 @@
 	nlohmann::json list = nlohmann::json::array();
 	for (int64 i = 0; i < *count; ++i)
 		list.push_back(self->IssueId());
-	const std::string body = nlohmann::json{{"ids", std::move(list)}}.dump() + "\n";
+	const std::string body = DumpJson({{"ids", std::move(list)}}) + "\n";
 	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, body.data(), body.size());
 	soup_server_message_set_status(inMessage, SOUP_STATUS_OK, nullptr);
 }
@@ -370,7 +369,7 @@
 								 {"next_offset", self->follower.State().next_offset},
 								 {"reaches_platform", self->follower.ReachesPlatform(now)},
 								 {"state_age_ms", read == 0 ? -1 : now - read}};
-	const std::string text = body.dump() + "\n";
+	const std::string text = DumpJson(body) + "\n";
 	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
 	const bool known = live || path == "/v1/health/ready";
 	const guint status = known ? (good ? SOUP_STATUS_OK : SOUP_STATUS_SERVICE_UNAVAILABLE) : SOUP_STATUS_NOT_FOUND;
--- a/Loomreach/Entry/Exchange.cpp
+++ b/Loomreach/Entry/Exchange.cpp
@@ -2,12 +2,11 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Entry/Exchange.h>
 #include <Loomreach/Entry/Headers.h>
 
-#include <nlohmann/json.hpp>
-
 namespace Loomreach
 {
 
@@ -88,8 +87,7 @@
 		SoupMessageHeaders *headers = soup_server_message_get_response_headers(this->message.get());
 		soup_message_headers_replace(headers, "Retry-After", std::to_string(std::max<uint32>(1, inRetryAfterS)).c_str());
 	}
-	this->Answer(row.http_status, "application/json", body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n",
-				 row.outcome, inError);
+	this->Answer(row.http_status, "application/json", DumpJson(body) + "\n", row.outcome, inError);
 }
 
 void Exchange::Answer(uint32 inStatus, std::string_view inContentType, std::string_view inBody, EOutcome inOutcome, EError inReason)
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -71,9 +71,15 @@
 		return this->OnCatalogue(inRecord);
 	if (Hub::IsZoneOrderKey(inRecord.key))
 		return this->OnZoneOrder(inRecord);
-	const std::optional<MaintenanceWave> wave = inRecord.value.empty() ? std::nullopt : Hub::DecodeWave(inRecord.key, inRecord.value);
+	if (inRecord.value.empty())
+		return;
+	const std::optional<MaintenanceWave> wave = Hub::DecodeWave(inRecord.key, inRecord.value);
 	if (!wave.has_value())
+	{
+		if (LastReason().kind != EError::NotFound)
+			LogEvent(ELogLevel::Error, "wave_refused").Field("key", inRecord.key).Field("why", LastReasonText());
 		return;
+	}
 	this->waves[wave->number] = *wave;
 	if (this->fleet_driver != nullptr && this->fleet_driver->IsHeld())
 		this->fleet_driver->SetWaves(this->waves);
--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -2,14 +2,13 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Entry/OperatorServer.h>
 #include <Loomreach/Entry/StateReport.h>
 #include <Loomreach/Settings/SettingsParser.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace Loomreach
@@ -154,7 +153,7 @@
 
 void OperatorServer::Reply(SoupServerMessage *inMessage, const Json &inBody) const
 {
-	const std::string text = inBody.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+	const std::string text = DumpJson(inBody) + "\n";
 	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
 	soup_server_message_set_status(inMessage, SOUP_STATUS_OK, nullptr);
 }
--- a/Loomreach/Platform/PlatformClient.cpp
+++ b/Loomreach/Platform/PlatformClient.cpp
@@ -2,11 +2,10 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Platform/PlatformClient.h>
 
-#include <nlohmann/json.hpp>
-
 namespace Loomreach
 {
 
@@ -34,7 +33,7 @@
 
 std::optional<LogPage> ParseLogPage(const std::string &inBody)
 {
-	const Json body = Json::parse(inBody, nullptr, false);
+	const Json body = ParseJson(inBody).value_or(Json());
 	if (!body.is_object())
 		return Fail(EError::Corrupt, "the platform's log page is not a JSON object");
 	const std::optional<uint64> first = UnsignedOf(body, "first");
@@ -83,7 +82,7 @@
 
 std::optional<std::map<std::string, ListedHost>> ParseHostList(const std::string &inBody)
 {
-	const Json body = Json::parse(inBody, nullptr, false);
+	const Json body = ParseJson(inBody).value_or(Json());
 	if (!body.is_array())
 		return Fail(EError::Corrupt, "the host list is not a JSON array");
 	std::map<std::string, ListedHost> hosts;
@@ -110,7 +109,7 @@
 	this->http.Start(call,
 					 [done = std::move(inDone)](const HttpResult &inResult)
 					 {
-						 const Json body = inResult.IsOk() ? Json::parse(inResult.body, nullptr, false) : Json();
+						 const Json body = inResult.IsOk() ? ParseJson(inResult.body).value_or(Json()) : Json();
 						 done(body.is_object() ? UnsignedOf(body, "offset") : std::nullopt);
 					 });
 }
--- a/Loomreach/Platform/WorkerClient.cpp
+++ b/Loomreach/Platform/WorkerClient.cpp
@@ -2,11 +2,10 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Platform/WorkerClient.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace Loomreach
@@ -36,7 +35,7 @@
 
 std::optional<WorkerStatus> ParseWorkerStatus(const std::string &inBody)
 {
-	const Json body = Json::parse(inBody, nullptr, false);
+	const Json body = ParseJson(inBody).value_or(Json());
 	if (!body.is_object() || !body.value("tasks", Json()).is_array() || !body.value("boot", Json()).is_number_unsigned())
 		return Fail(EError::Corrupt, "the worker's status lacks boot or tasks");
 	const Json in_flight = body.value("in_flight", Json());
@@ -80,7 +79,7 @@
 	call.method = "PUT";
 	call.to = inWorker;
 	call.path = "/agent/order";
-	call.body = order.dump();
+	call.body = DumpJson(order);
 	call.timeout_ms = inTimeout;
 	this->http.Start(call, [done = std::move(inDone)](const HttpResult &inResult)
 					 { done(inResult.IsOk() ? ParseWorkerStatus(inResult.body) : std::nullopt); });
--- a/Loomreachctl/OperatorClient.cpp
+++ b/Loomreachctl/OperatorClient.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreachctl/OperatorClient.h>
 
 namespace Loomreach
@@ -32,19 +33,26 @@
 	return answer;
 }
 
+/// A text of an answer; empty if it is absent or of another type, for which the library would throw.
+static std::string TextOfField(const nlohmann::json &inBody, const char *inField)
+{
+	if (!inBody.is_object())
+		return {};
+	auto found = inBody.find(inField);
+	return found == inBody.end() || !found->is_string() ? std::string() : found->get<std::string>();
+}
+
 std::optional<nlohmann::json> OperatorClient::Read(const HttpResult &inResult)
 {
 	if (inResult.status == 0)
 		return Fail(EError::NotReady, "no answer from " + this->server.Text() + ": " + inResult.error);
-	nlohmann::json body = nlohmann::json::parse(inResult.body, nullptr, false);
+	nlohmann::json body = ParseJson(inResult.body).value_or(nlohmann::json());
 	if (!body.is_object() && !body.is_array())
 		return Fail(EError::Corrupt, "the entry host's answer is no valid JSON");
 	if (inResult.IsOk())
 		return body;
 	this->last_refusal = body;
-	const std::string name = body.is_object() ? body.value("error", std::string("internal")) : std::string("internal");
-	const EError kind = ErrorOf(name).value_or(EError::Internal);
-	return Fail(kind, body.is_object() ? body.value("detail", std::string()) : std::string());
+	return Fail(ErrorOf(TextOfField(body, "error")).value_or(EError::Internal), TextOfField(body, "detail"));
 }
 
 std::optional<nlohmann::json> OperatorClient::Get(const std::string &inPath) { return this->Read(this->Call("GET", inPath, {})); }
--- a/TestSupport/Platform/Main.cpp
+++ b/TestSupport/Platform/Main.cpp
@@ -1,6 +1,7 @@
 // loomreach-platform: fake of the platform (metadata store, machine service, workers) on loopback, for tests of jobs with real processes.
 // The control listener takes:
 //   PUT /operator/KEY      writes an operator's order, the body
+//   PUT /servers/KEY       writes an entry into the list of workers, the body, as another writer would
 //   GET /status/KEY        newest status record of a key
 //   PUT /fault/NAME        fault of the store: busy, silent, lost; any other name ends it
 //   PUT /orders/NAME       fault of orders to workers: late, repeat; any other name ends it
@@ -70,6 +71,8 @@
 		return Reply(inMessage, 200, control.store->Newest("keyed.status", rest));
 	if (verb == "operator")
 		control.store->Put("keyed.op", rest, BodyOf(inMessage));
+	else if (verb == "servers")
+		control.store->Put("keyed.servers", rest, BodyOf(inMessage));
 	else if (verb == "gaps")
 		control.store->Gaps().Reset();
 	else if (verb == "fault")
