Bound bodies and answers while they arrive, and refuse jobs no record can hold

A caller's body, and a peer's answer, were kept whole whatever their length, and a job whose record is longer than the store takes was answered 200: its cell appends it for ever.

An HTTP answer beyond 32 MiB is broken off and counts as none.

--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -5,6 +5,7 @@
 #include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Entry/BodyLimit.h>
 #include <Loomreach/Entry/OperatorServer.h>
 #include <Loomreach/Entry/StateReport.h>
 #include <Loomreach/Settings/SettingsParser.h>
@@ -17,6 +18,7 @@
 using Json = nlohmann::json;
 
 static constexpr std::string_view cPrefix = "/v1/";
+static constexpr size_t cMaxBodyBytes = cMaxBatchBytes; ///< Settings that are longer can't be appended to the log.
 static constexpr std::string_view cBearer = "Bearer ";
 
 OperatorServer::OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
@@ -31,6 +33,7 @@
 	this->server = OpenServer(this->config.operators, "operators");
 	if (this->server == nullptr)
 		return false;
+	LimitBodies(*this->server, cMaxBodyBytes);
 	soup_server_add_handler(this->server.get(), nullptr, &OperatorServer::OnCall, this, nullptr);
 	return true;
 }
--- a/Loomreach/Job/JobRecord.cpp
+++ b/Loomreach/Job/JobRecord.cpp
@@ -4,6 +4,7 @@
 
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Job/JobRecord.h>
+#include <Loomreach/Ownership/RecordLimit.h>
 
 namespace Loomreach::Jobs
 {
@@ -14,6 +15,24 @@
 static constexpr uint32 cMaxRoundsPerJob = 10'000;
 static constexpr uint64 cMaxTasks = 100'000;
 
+// Sizes of what the records of a job hold apart from its texts. Tests compare them with the encoding.
+static constexpr size_t cSpecBytes = 512; ///< With the key, and with the names that the queue adds.
+static constexpr size_t cStepSpecBytes = 160;
+static constexpr size_t cDependencyBytes = 4;
+static constexpr size_t cRecordBytes = 64; ///< With the key.
+static constexpr size_t cStepBytes = 8;
+static constexpr size_t cTaskBytes = 29;
+
+/// An upper bound of the size of the record that holds the specification.
+static size_t SpecBytes(const JobSpec &inSpec)
+{
+	size_t bytes = cSpecBytes + inSpec.id.size() + inSpec.payload.size();
+	for (const StepSpec &step : inSpec.steps)
+		bytes +=
+			cStepSpecBytes + cDependencyBytes * step.after.size() + step.needs_label.size() + step.data_rack.size() + step.image.size();
+	return bytes;
+}
+
 JobRecord NewRecord(const JobSpec &inSpec)
 {
 	JobRecord record;
@@ -57,6 +76,10 @@
 	}
 	if (tasks > cMaxTasks)
 		return FailFalse(EError::BadRequest, "the job has too many tasks in all its steps and rounds");
+	// The state of a job only grows from here
+	const size_t record_bytes = cRecordBytes + cStepBytes * inSpec.steps.size() * inSpec.Rounds() + cTaskBytes * tasks;
+	if (record_bytes > cMaxRecordBytes || SpecBytes(inSpec) > cMaxRecordBytes)
+		return FailFalse(EError::TooLarge, "the records of the job would be longer than " + std::to_string(cMaxRecordBytes) + " bytes");
 	return true;
 }
 
--- a/Loomreach/Platform/HttpClient.cpp
+++ b/Loomreach/Platform/HttpClient.cpp
@@ -20,9 +20,10 @@
 static constexpr int cEventsPerWait = 64;
 static constexpr int cMaxReadRounds = 32;   ///< Reads of ready sockets before calls time out: covers all connections, 64 at a time.
 static constexpr size_t cHeaderBytes = 150; ///< Usual size of a request's headers.
-static constexpr size_t cMaxPeers = 2048;   ///< Addresses kept in memory: new workers have new addresses.
-static constexpr long cSuccessFrom = 200;   ///< First status that says that a call was carried out.
-static constexpr long cSuccessBelow = 300;  ///< First status above that range.
+static constexpr size_t cMaxAnswerBytes = size_t{32} << 20; ///< Several times the longest page that the platform sends.
+static constexpr size_t cMaxPeers = 2048;                   ///< Addresses kept in memory: new workers have new addresses.
+static constexpr long cSuccessFrom = 200;                   ///< First status that says that a call was carried out.
+static constexpr long cSuccessBelow = 300;                  ///< First status above that range.
 
 /// One call in flight, and its libcurl handle.
 struct HttpClient::Pending
@@ -343,6 +344,9 @@
 size_t HttpClient::OnBody(char *inData, size_t inSize, size_t inCount, void *inPending)
 {
 	Pending *pending = static_cast<Pending *>(inPending);
+	// Taking less than everything makes libcurl end the call
+	if (pending->response_body.size() + inSize * inCount > cMaxAnswerBytes)
+		return 0;
 	pending->response_body.append(inData, inSize * inCount);
 	if (pending->client->link != nullptr)
 		pending->client->link->OnReceived(pending->traffic, inSize * inCount);
--- a/UnitTests/HttpClientTests.cpp
+++ b/UnitTests/HttpClientTests.cpp
@@ -232,6 +232,27 @@
 	EXPECT_LE(result.after_ms, 4000);
 }
 
+/// Guards against a peer that sends gigabytes: its answer counts as none, and is not kept.
+TEST(HttpClient, AnAnswerThatIsTooLongIsBrokenOff)
+{
+	constexpr size_t cMaxBytes = size_t{32} << 20;
+	const std::string body(cMaxBytes + 1, 'x');
+	const CannedServer server({{body, 0}});
+	HttpClient client;
+	HttpCall call;
+	call.to = {"127.0.0.1", server.Port()};
+	call.path = "/";
+	call.timeout_ms = 20000;
+	std::optional<HttpResult> result;
+	client.Start(call, [&result](const HttpResult &inResult) { result = inResult; });
+	for (int i = 0; i < 1000 && !result.has_value(); ++i)
+		Jobs::FakeLog::RunMainLoopFor(20);
+	ASSERT_TRUE(result.has_value());
+	EXPECT_EQ(result->status, 0u);
+	EXPECT_FALSE(result->refused);
+	EXPECT_LE(result->received, cMaxBytes);
+}
+
 TEST(HttpClient, ATransferIsBounded)
 {
 	// Guards against a call without an end where an answer trickles for ever; without a longest transfer the timeout is for the whole call
