--- a/UnitTests/IngressTests.cpp
+++ b/UnitTests/IngressTests.cpp
@@ -160,4 +160,29 @@
 	EXPECT_EQ(StatusOf("POST", "/jobs/" + cId, R"({"spec":"s","steps":[)" + cStep + R"(,{"count":1,"dependsOn":[)" + after + "]}]}"), 413u);
 }
 
+/// Guards against ids that the orders to workers can't carry as they are: the owner and the worker would mean different tasks.
+TEST_F(Door, AnIdThatIsNone)
+{
+	const std::string job = JobWith(1);
+	for (const std::string id :
+		 {"%ff%fe1", "5c0e7a21d94b36f", "5c0e7a21d94b36f8a", "5c0e7a21d94b36fg", "5c0e7a21.94b36f8", "5c0e7a21d94b36f8/"})
+		for (const char *method : {"POST", "GET", "DELETE"})
+			EXPECT_EQ(StatusOf(method, "/jobs/" + id, std::string_view(method) == "POST" ? job : ""), 400u) << method << ' ' << id;
+	EXPECT_EQ(StatusOf("DELETE", "/jobs/"), 400u);
+	EXPECT_TRUE(this->calls.noted.empty());
+	EXPECT_EQ(StatusOf("GET", "/jobs/"), 200u);
+	for (const char *method : {"POST", "GET", "DELETE"})
+		EXPECT_EQ(StatusOf(method, "/jobs/5C0e7a21d94b36f8", std::string_view(method) == "POST" ? job : ""), 200u);
+}
+
+/// Guards against a payload that reaches its tasks with other bytes than its caller sent.
+TEST_F(Door, APayloadThatIsNotTextIsRefused)
+{
+	const auto job = [](const std::string &inPayload) { return R"({"spec":")" + inPayload + R"(","steps":[)" + cStep + "]}"; };
+	for (const std::string payload : {"\xff\xfe", "a\xc3", "\\ud800", "\xed\xa0\x80"})
+		EXPECT_EQ(StatusOf("POST", "/jobs/" + cId, job(payload)), 400u);
+	EXPECT_EQ(StatusOf("POST", "/jobs/" + cId, job("\xc3\xa9\\u0000")), 200u);
+	EXPECT_EQ(this->calls.payloads, std::vector<std::string>{std::string("\xc3\xa9\0", 3)});
+}
+
 } // namespace Loomreach::Jobs::Platform
