--- a/Loomreach/Platform/PlatformClient.cpp
+++ b/Loomreach/Platform/PlatformClient.cpp
@@ -11,6 +11,7 @@
 
 using Json = nlohmann::json;
 
+static constexpr uint64 cMaxAmount = 1'000'000'000'000; ///< Of a host's resources; far above any host's.
 static constexpr uint32 cHttpNotModified = 304;
 static constexpr Millis cAppendTimeoutMs = 3000;
 static constexpr Millis cReadTimeoutMs = 3000;
@@ -24,6 +25,12 @@
 	return found->get<uint64>();
 }
 
+/// The same, at most `inMost`; 0 by default. Sums of what hosts have must not overflow.
+static uint64 AmountOf(const Json &inObject, const char *inKey, uint64 inMost)
+{
+	return std::min(UnsignedOf(inObject, inKey).value_or(0), inMost);
+}
+
 /// String in a field of an object; empty if absent or of another type.
 static std::string TextOfKey(const Json &inObject, const char *inKey)
 {
@@ -70,11 +77,11 @@
 	host.spec.region = TextOfKey(inHost, "region");
 	host.spec.availability_zone = TextOfKey(inHost, "availability_zone");
 	host.spec.rack = TextOfKey(inHost, "rack");
-	host.spec.capacity.cpu_milli = static_cast<int64>(UnsignedOf(inHost, "cpu_milli").value_or(0));
-	host.spec.capacity.memory_mb = static_cast<int64>(UnsignedOf(inHost, "memory_mb").value_or(0));
-	host.spec.capacity.accelerators = static_cast<int64>(UnsignedOf(inHost, "accelerators").value_or(0));
-	host.spec.slots = static_cast<uint32>(UnsignedOf(inHost, "slots").value_or(0));
-	host.spec.connections = static_cast<uint32>(UnsignedOf(inHost, "connections").value_or(0));
+	host.spec.capacity.cpu_milli = static_cast<int64>(AmountOf(inHost, "cpu_milli", cMaxAmount));
+	host.spec.capacity.memory_mb = static_cast<int64>(AmountOf(inHost, "memory_mb", cMaxAmount));
+	host.spec.capacity.accelerators = static_cast<int64>(AmountOf(inHost, "accelerators", cMaxAmount));
+	host.spec.slots = static_cast<uint32>(AmountOf(inHost, "slots", UINT32_MAX));
+	host.spec.connections = static_cast<uint32>(AmountOf(inHost, "connections", UINT32_MAX));
 	host.pool = TextOfKey(inHost, "pool");
 	host.leaving = TextOfKey(inHost, "state") == "leaving";
 	return host;
--- a/Loomreach/Platform/WorkerClient.cpp
+++ b/Loomreach/Platform/WorkerClient.cpp
@@ -43,7 +43,7 @@
 		return Fail(EError::Corrupt, "the worker's status lacks in_flight");
 	WorkerStatus status;
 	status.boot = body["boot"].get<uint64>();
-	status.in_flight = in_flight.get<uint32>();
+	status.in_flight = static_cast<uint32>(std::min<uint64>(in_flight.get<uint64>(), UINT32_MAX));
 	status.leaving = body.value("leaving", Json(false)) == Json(true);
 	for (const Json &element : body["tasks"])
 	{
