Let no entry of another writer displace a live worker's own

A damaged entry under a live worker's id took the worker off the list, and one with a start time in the future refused the worker's own entries for as long as the worker ran.

WorkerList keeps the former entry where the newest one is refused (an empty record still removes it), and refuses entries that start more than an hour from now.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -12,6 +12,7 @@
 #include <Loomreach/Entry/InboxWriter.h>
 #include <Loomreach/Entry/JobCalls.h>
 #include <Loomreach/Entry/StoreWatch.h>
+#include <Loomreach/Entry/WorkerList.h>
 #include <Loomreach/Forward/OrderSender.h>
 #include <Loomreach/Ownership/StoreBudget.h>
 #include <Loomreach/Schedule/EndReplicas.h>
@@ -259,7 +260,7 @@
 	size_t sites_in_flight = 0;          ///< Sites in heartbeats without an answer yet.
 	std::map<int64, MaintenanceWave> waves;
 	ZoneEvacuations evacuations;
-	std::map<std::string, WorkerEntry> workers;
+	WorkerList workers;
 	std::map<uint32, std::unique_ptr<CellDriver<Hub>>> drivers;
 	std::unique_ptr<FleetDriver<Hub>> fleet_driver;
 	std::map<uint32, std::unique_ptr<InboxWriter<decltype(Hub::store)>>> writers; ///< Writers of the cells' inboxes, by cell.
@@ -278,7 +279,7 @@
 	double heartbeat_latency_ms = 0.0;    ///< Decaying mean of the time in which heartbeats are acknowledged.
 	uint32 heartbeat_partition_shift = 0; ///< Partitions to skip because they did not accept a heartbeat.
 	bool any_cell_free = false;           ///< Whether any cell seemed free when the heartbeats were last read.
-	uint32 entries_refused = 0;           ///< Workers' entries that could not be decoded since the last log line about them.
+	uint32 entries_refused = 0;           ///< Workers' entries that were refused since the last log line about them.
 	Millis entries_refused_logged_at = std::numeric_limits<Millis>::min() / 2;
 	uint64 workers_load = 0; ///< Number of the current load of the workers' entries; answers to earlier loads are ignored.
 	uint64 heartbeat_number = 0;
--- a/Loomreach/Entry/JobHostFeeds.inl
+++ b/Loomreach/Entry/JobHostFeeds.inl
@@ -167,7 +167,7 @@
 								   return;
 							   if (!inAnswer.good)
 								   return this->workers_timer.Once(cReadRetryMs, [this] { this->LoadWorkers(); });
-							   this->workers.clear();
+							   this->workers.Clear();
 							   for (const LogRecord &record : inAnswer.records)
 								   this->OnWorkerRecord(record);
 							   this->UpdateWorkers();
@@ -202,7 +202,7 @@
 	bool is_short = false;
 	for (const auto &[cell, driver] : this->drivers)
 		is_short = is_short || driver->IsShort();
-	const Millis spread = static_cast<Millis>(this->workers.size()) * cReadDelayPerWorkerMs;
+	const Millis spread = static_cast<Millis>(this->workers.Size()) * cReadDelayPerWorkerMs;
 	return is_short ? std::clamp(spread, cMinWorkersReadDelayMs, cMaxWorkersReadDelayMs) : cMaxWorkersReadDelayMs;
 }
 
@@ -212,21 +212,11 @@
 	// An empty record removes the worker from the list
 	if (inRecord.value.empty())
 	{
-		this->workers.erase(inRecord.key);
+		this->workers.Remove(inRecord.key);
 		return;
 	}
-	std::optional<WorkerEntry> entry = Hub::DecodeWorker(inRecord.key, inRecord.value);
-	// Entries of two incarnations may be written in any order
-	auto known = this->workers.find(inRecord.key);
-	if (entry.has_value() && known != this->workers.end() && IsStartedAfter(known->second.started_ms, entry->started_ms))
+	if (this->workers.Take(inRecord.key, Hub::DecodeWorker(inRecord.key, inRecord.value), WallMillis()))
 		return;
-	if (entry.has_value())
-	{
-		this->workers[inRecord.key] = std::move(*entry);
-		return;
-	}
-	// The worker cannot be used until it writes an entry that can be decoded
-	this->workers.erase(inRecord.key);
 	++this->entries_refused;
 	const Millis now = NowMillis();
 	if (now - this->entries_refused_logged_at < cEntriesRefusedLogMs)
@@ -243,9 +233,7 @@
 {
 	if (this->drivers.empty())
 		return;
-	std::vector<WorkerEntry> all;
-	for (const auto &[id, entry] : this->workers)
-		all.push_back(entry);
+	const std::vector<WorkerEntry> all = this->workers.All();
 	for (auto &[cell, driver] : this->drivers)
 		if (driver->IsHeld())
 			driver->SetWorkers(all, this->store_recovered_at + cRelistedMs);
