Check a count against the bytes that are there before allocating for it

Nine bytes from a peer or from a record of the log that name a count of 2^28 made the process allocate gigabytes: cereal resizes containers first. A boolean of another byte than 0 and 1 was taken as it is, which is undefined.

BoundedArchive reads the same format from the bytes in place (no copy into a stream) and refuses counts above the bytes that are left.

Failed before: Codec.ALengthThatIsNotThereIsNotAllocated (19.3 GB at the peak) and Codec.ABooleanIsZeroOrOne. Codec.ReadsWhatIsWritten passes with both.

--- a/Loomreach/State/Codec.h
+++ b/Loomreach/State/Codec.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <Loomreach/Core/Error.h>
+#include <Loomreach/State/BoundedArchive.h>
 
 #include <cereal/archives/portable_binary.hpp>
 #include <cereal/types/deque.hpp>
@@ -35,11 +36,10 @@
 {
 	try
 	{
-		std::istringstream stream{std::string(inBytes)};
-		cereal::PortableBinaryInputArchive archive(stream);
+		BoundedArchive archive(inBytes);
 		T value;
 		archive(value);
-		if (stream.peek() != std::istringstream::traits_type::eof())
+		if (archive.Left() > 0)
 			return Fail(EError::Corrupt, "unread bytes after the value");
 		return value;
 	}
