--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -2,14 +2,14 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Invariant.h>
+#include <Loomreach/Entry/BodyLimit.h>
 #include <Loomreach/Entry/OperatorServer.h>
 #include <Loomreach/Entry/StateReport.h>
 #include <Loomreach/Settings/SettingsParser.h>
 
-#include <nlohmann/json.hpp>
-
 #include <charconv>
 
 namespace Loomreach
@@ -18,6 +18,7 @@
 using Json = nlohmann::json;
 
 static constexpr std::string_view cPrefix = "/v1/";
+static constexpr size_t cMaxBodyBytes = cMaxBatchBytes; ///< Settings that are longer can't be appended to the log.
 static constexpr std::string_view cBearer = "Bearer ";
 
 OperatorServer::OperatorServer(const DaemonConfig &inConfig, LogFollower &ioFollower, ControlLoop &ioControl, Proposer &ioProposer,
@@ -32,6 +33,7 @@
 	this->server = OpenServer(this->config.operators, "operators");
 	if (this->server == nullptr)
 		return false;
+	LimitBodies(*this->server, cMaxBodyBytes);
 	soup_server_add_handler(this->server.get(), nullptr, &OperatorServer::OnCall, this, nullptr);
 	return true;
 }
@@ -154,7 +156,7 @@
 
 void OperatorServer::Reply(SoupServerMessage *inMessage, const Json &inBody) const
 {
-	const std::string text = inBody.dump(-1, ' ', false, Json::error_handler_t::replace) + "\n";
+	const std::string text = DumpJson(inBody) + "\n";
 	soup_server_message_set_response(inMessage, "application/json", SOUP_MEMORY_COPY, text.data(), text.size());
 	soup_server_message_set_status(inMessage, SOUP_STATUS_OK, nullptr);
 }
