--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -447,6 +447,22 @@
 	ExpectSeeds(4001, cSeeds, faults);
 }
 
+/// Guards against a cancellation that is lost on its way to a former cell: with an owner, in a lost message, in a repeated append.
+TEST(QueueMoveSeeds, CanceledJobsOfQueuesWhoseOwnersAreKilled)
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 300;
+	faults.host_lag_ms = 1500;
+	faults.late_registrar = 20;
+	faults.lost_message = 30;
+	faults.unknown_append = 10;
+	faults.owner_kill = 20;
+	faults.no_owner_ms = 2000;
+	faults.same_owner = 20;
+	faults.checks_cancels = true;
+	ExpectSeeds(5001, cSeeds, faults);
+}
+
 /// Faults with queues that are removed for a while.
 MoveFaults Removals()
 {
