Let a record make a cell the current one, but not surer of its former cells

A record that names a newer version than the owner has read made a cell that was the current one already current as of that version, although it did not know the cells in between yet, and hosts take a cell that is current as of their version for sure of its jobs. It now only makes a cell current that was not, which registers and reads all sites first. By reading: no test fails without this. Cancels on their way count again as a reason not to say that a job is gone; had left them out, which is not needed.

--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -207,7 +207,8 @@
 	// The cell's jobs are known by the names that their queues had
 	if (known->second.names.insert(inRecord.spec.queue).second)
 		this->OnPlacementChanged(known->second, false);
-	if (site.version > known->second.site.version)
+	// If the cell is the current one already, a newer version must not make it sure of its former cells before it knows of moves in between
+	if (site.version > known->second.site.version && !this->IsHere(known->second))
 		this->Adopt(known->second, site, inNow);
 }
 
@@ -352,8 +353,7 @@
 		return;
 	}
 	std::erase_if(this->redirected_at, [inNow](const auto &inEntry) { return inNow - inEntry.second > cRedirectSettledMs; });
-	if (found->second.record.kind == EInbox::Submit)
-		this->redirected_at[found->second.record.spec.id] = inNow;
+	this->redirected_at[found->second.record.spec.id] = inNow;
 	this->outgoing.erase(found);
 	this->Remove(cRedirectedKey + std::to_string(inNumber));
 }
@@ -587,9 +587,7 @@
 
 bool QueuePlacements::IsUndecided(const std::string &inJob, Millis inNow) const
 {
-	// A cancellation on its way does not decide which cell gets the job
-	const auto is_job = [&inJob](const auto &inEntry)
-	{ return inEntry.second.record.kind == EInbox::Submit && inEntry.second.record.spec.id == inJob; };
+	const auto is_job = [&inJob](const auto &inEntry) { return inEntry.second.record.spec.id == inJob; };
 	if (this->held.contains(inJob) || std::any_of(this->outgoing.begin(), this->outgoing.end(), is_job))
 		return true;
 	const auto is_record = [&inJob](const InboxRecord &inRecord) { return inRecord.spec.id == inJob; };
