List cancellations that a wall clock set forward makes an owner forget as red

Ended jobs and early cancellations are kept for 150 s of the wall clock. Set forward by more, an owner forgets them within 5 s, and a repeat of a cancelled job's submission that arrives then starts the job. Two tests show it: the job starts (bound: no start).

--- a/UnitTests/CellCancelTests.cpp
+++ b/UnitTests/CellCancelTests.cpp
@@ -171,7 +171,8 @@
 		this->batch.clear();
 	}
 	void ListWorker() { this->cell.SetWorkers({this->entry}, this->now); }
-	void Ingest(EInbox inKind, const JobSpec &inSpec) { this->cell.Ingest({inKind, inSpec}, this->next_offset++, this->now, this->now); }
+	void Ingest(EInbox inKind, const JobSpec &inSpec) { this->cell.Ingest({inKind, inSpec}, this->next_offset++, this->now, this->Wall()); }
+	int64 Wall() const { return this->now + this->wall_ahead_ms; }
 
 	/// Advances time. Start orders get no answer, others do; a poll lists `running`.
 	void Advance(Millis inMillis)
@@ -179,10 +180,10 @@
 		for (const Millis end = this->now + inMillis; this->now < end;)
 		{
 			this->now += 10;
-			this->cell.Plan(this->now, this->now);
+			this->cell.Plan(this->now, this->Wall());
 			this->AnswerOrders();
 			if (this->batch.empty() && this->cell.HasUnwrittenChanges())
-				this->batch = this->cell.TakeBatch(this->now);
+				this->batch = this->cell.TakeBatch(this->Wall());
 			if (!this->batch.empty() && this->log_answers)
 				this->Append();
 		}
@@ -203,6 +204,7 @@
 	Cell cell;
 	WorkerEntry entry;
 	Millis now = 1000;
+	int64 wall_ahead_ms = 0; ///< Wall clock, less `now`.
 	uint64 next_offset = 0;
 	bool log_answers = true;
 	bool worker_answers = true;
@@ -539,4 +541,46 @@
 	EXPECT_EQ(successor.Query("queue", "never").known, false);
 }
 
+/// Selects the starts of a job.
+static auto IsStartOf(const std::string &inJob)
+{
+	return [inJob](const Order &inOrder) { return inOrder.kind == EOrder::Start && inOrder.task.job == inJob; };
+}
+
+/// Guards against a cancelled job that starts after all: its submission was repeated, and a wall clock that was set forward has made its
+/// owner forget it meanwhile.
+TEST(CellCancel, AWallClockThatIsSetForwardForgetsNoCancellation)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	harness.Advance(100);
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(500);
+	harness.wall_ahead_ms = 10 * CellTuning{}.keep_ended_ms;
+	harness.Ingest(EInbox::Submit, MakeJob("b", 1, 1, 1000, 300));
+	harness.Advance(1000);
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(1000);
+	EXPECT_TRUE(std::none_of(harness.sent.begin(), harness.sent.end(), IsStartOf("a")));
+}
+
+/// The same of a cancellation that arrived before its job.
+TEST(CellCancel, AWallClockThatIsSetForwardForgetsNoEarlyCancellation)
+{
+	OneWorkerHarness harness;
+	harness.Begin(1);
+	harness.ListWorker();
+	harness.Advance(100);
+	harness.Ingest(EInbox::Cancel, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(500);
+	harness.wall_ahead_ms = 10 * CellTuning{}.keep_ended_ms;
+	harness.Ingest(EInbox::Submit, MakeJob("b", 1, 1, 1000, 300));
+	harness.Advance(1000);
+	harness.Ingest(EInbox::Submit, MakeJob("a", 1, 1, 1000, 300));
+	harness.Advance(1000);
+	EXPECT_TRUE(std::none_of(harness.sent.begin(), harness.sent.end(), IsStartOf("a")));
+}
+
 } // namespace Loomreach::Jobs
