Forget no ended job while its submission may be repeated

An owner whose wall clock was set forward forgot its ended jobs at once, the cancelled ones too, and started a job again when a repeat of its submission arrived. How long callers may ask for a job is measured by the wall clock; a repeat arrives within seconds of the first by any clock.

Before: CellCancel.AWallClockThatIsSetForwardForgetsNoCancellation failed (the job started). After: it passes. The same of a cancellation that came before its job is left as red: its record has the wall clock's time only.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -28,6 +28,9 @@
 static constexpr std::string_view cLeaseKey = "l";
 /// Learned run times are logged at this interval, along with other records.
 static constexpr int64 cRunTimesWriteMs = 3000;
+/// A repeat of a submission may arrive this long after the first: appends are carried out seconds late, and the inbox keeps 20 s of
+/// history.
+static constexpr Millis cMaxRepeatDelayMs = 30000;
 /// Interval for sweeping ended jobs.
 static constexpr int64 cEndedSweepMs = 5000;
 
@@ -494,7 +497,9 @@
 
 bool Cell::IsForgotten(const CellJob &inJob, int64 inWallNow) const
 {
-	return IsFinal(inJob.logged_phase) && inWallNow - inJob.record.ended_wall_ms > this->tuning.keep_ended_ms;
+	// The wall clock may have been set forward
+	const bool may_arrive_again = this->now - inJob.arrived_at < cMaxRepeatDelayMs;
+	return IsFinal(inJob.logged_phase) && !may_arrive_again && inWallNow - inJob.record.ended_wall_ms > this->tuning.keep_ended_ms;
 }
 
 void Cell::RemoveEndedJobs(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
