--- a/Loomreach/Forward/OrderSender.h
+++ b/Loomreach/Forward/OrderSender.h
@@ -22,7 +22,7 @@
 
 	/// Sets the hosts that can forward now.
 	void SetHosts(const std::vector<IdleHost> &inHosts);
-	/// Sends an order. `inOrder.not_after` is the end of the ownership of this host.
+	/// Sends an order, not after `inOrder.not_after`, which is at most the end of the ownership of this host.
 	void Send(const Order &inOrder, OnAnswer inDone);
 	/// Sends an order on behalf of another host. `inReply` is called once.
 	void SendFor(const PeerQuestion &inQuestion, uint64 inOwnIncarnation, std::function<void(PeerAnswer)> inReply);
--- a/Loomreach/Schedule/Worker.h
+++ b/Loomreach/Schedule/Worker.h
@@ -151,7 +151,7 @@
 	uint64 acknowledged_end = 0; ///< Poll: run ends up to this sequence number are acknowledged.
 	Millis wait_ms = 0;          ///< Poll: how long the worker may delay its answer until a run ends (long poll).
 	int64 percent = 100;         ///< Throttle: share of full speed at which the run may work.
-	Millis not_after = 0;        ///< End of the sender's ownership on its clock; the order must not be sent later.
+	Millis not_after = 0;        ///< On the sender's clock: the order must not be sent later. At most the end of its ownership.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
