--- a/Loomreach/Entry/BodyLimit.cpp
+++ b/Loomreach/Entry/BodyLimit.cpp
@@ -70,7 +70,7 @@
 void OnRequest(SoupServer *, SoupServerMessage *inMessage, gpointer inMaxBytes)
 {
 	// Both handlers share the count; the one that is connected last, and so is removed with it, owns it
-	auto *count = new BodyCount{GPOINTER_TO_SIZE(inMaxBytes)};
+	auto *count = new BodyCount{*static_cast<size_t *>(inMaxBytes)};
 	g_signal_connect(inMessage, "got-headers", G_CALLBACK(&OnHead), count);
 	g_signal_connect_data(inMessage, "got-chunk", G_CALLBACK(&OnChunk), count, &Delete, static_cast<GConnectFlags>(0));
 }
@@ -79,7 +79,9 @@
 
 void LimitBodies(SoupServer &ioServer, size_t inMaxBytes)
 {
-	g_signal_connect(&ioServer, "request-started", G_CALLBACK(&OnRequest), GSIZE_TO_POINTER(inMaxBytes));
+	g_signal_connect_data(
+		&ioServer, "request-started", G_CALLBACK(&OnRequest), new size_t(inMaxBytes),
+		[](gpointer inHeld, GClosure *) { delete static_cast<size_t *>(inHeld); }, static_cast<GConnectFlags>(0));
 }
 
 } // namespace Loomreach
--- a/Scripts/install.sh
+++ b/Scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs what the build and the tests need from Debian's packages, where something is missing.
 set -eu
 PACKAGES="g++ cmake ninja-build ccache pkg-config curl libsoup-3.0-dev libcurl4-openssl-dev libglib2.0-dev libcereal-dev libtomlplusplus-dev libgflags-dev
-libgoogle-glog-dev nlohmann-json3-dev libxxhash-dev libboost-dev librapidcheck-dev libgtest-dev libbenchmark-dev clang-format clang-tidy"
+libgoogle-glog-dev nlohmann-json3-dev libxxhash-dev libboost-dev librapidcheck-dev libgtest-dev libbenchmark-dev clang libclang-rt-14-dev clang-format clang-tidy"
 MISSING=""
 for package in $PACKAGES; do
 	dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || MISSING="$MISSING $package"
--- a/Scripts/test_odd_input.sh
+++ b/Scripts/test_odd_input.sh
@@ -87,6 +87,7 @@
 check "all entry hosts are ready" within 15 all_ready
 check "a job is accepted" test "$(job 1 0000000000000001)" = 200
 check "and ends" within 15 is 2 0000000000000001 completed
+echo '{"spec":"ms=200","steps":[{"count":1,"cpu":1000,"memMb":100}]}' >"$DIR/job"
 restart_ended() { for number in 1 2 3; do kill -0 "${PIDS[$number]}" 2>/dev/null || start_entry $number; done; within 10 all_ready; }
 
 # --- 131,000 levels are the most that a record of the store can hold
@@ -97,9 +98,18 @@
 for number in 1 2 3; do
 	check "a caller's deep body is refused by entry host $number" test "$(call $number POST /fast/00000000000000d$number "$DIR/deep-small-body")" = 400
 	STATUS=$(call $number POST /fast/00000000000000e$number "$DIR/deep-body")
-	check "a large one too ($STATUS)" test "$STATUS" = 400 -o "$STATUS" = 413
+	check "a large one too ($STATUS)" test "$STATUS" = 413
 done
 check "callers' deep bodies end no entry host" stay_alive
+for method in POST GET DELETE; do
+	check "an id that is none is refused ($method)" test "$(call 1 $method /fast/%ff%fe1 "$DIR/job")" = 400
+done
+printf '{"spec":"ms=200 \xff\xfe","steps":[{"count":1,"cpu":1000,"memMb":100}]}' >"$DIR/no-text"
+check "a payload that is not text is refused" test "$(call 1 POST /fast/00000000000000f1 "$DIR/no-text")" = 400
+# 200 MB in chunks, without a length
+head -c 200000000 /dev/zero | curl -s -o /dev/null --max-time 30 -H 'Host: jobs.example' -H 'Expect:' -X POST -T - "$(url 2)/fast/00000000000000f2"
+memory_is_small() { [ "$(awk '/VmHWM/ { print $2 }' "/proc/${PIDS[2]}/status")" -lt 150000 ]; }
+check "a body without an end is not kept" memory_is_small
 restart_ended
 put operator/config "$DIR/deep"
 check "a deep configuration ends no entry host" stay_alive
@@ -107,7 +117,12 @@
 check "the former configuration is in force" test "$(job 3 0000000000000002)" = 200
 put operator/config "$DIR/config"
 put servers/odd-1 "$DIR/deep"
-check "a deep entry in the list of workers ends no entry host" stay_alive
+printf '{"service":"fast","address":"127.0.0.1:9","zone":"z","state":"ready","labels":[],"capacity":{"cpu":%s,"memMb":%s},"born":1}' \
+	9223372036854775807 1e300 >"$DIR/huge"
+put servers/odd-2 "$DIR/huge"
+put servers/odd-3 "$DIR/huge"
+put 'servers/%ff%fe' "$DIR/huge"
+check "odd entries in the list of workers end no entry host" stay_alive
 restart_ended
 check "a job is accepted after that" test "$(job 2 0000000000000003)" = 200
 check "and the other workers run it" within 15 is 1 0000000000000003 completed
