Refuse a message whose byte order mark is damaged

A damaged first byte was taken for the other order or for the same one, so that a record with one flipped bit still decoded: FleetDriver.ADamagedRecordOfSharesIsNotUsed failed (byte 0) since values are decoded within bounds; cereal's own archive had failed on it by chance of its arithmetic. The mark is 0 or 1, anything else is an error. The test passes again.

--- a/Loomreach/State/BoundedArchive.h
+++ b/Loomreach/State/BoundedArchive.h
@@ -21,6 +21,8 @@
 	{
 		uint8 little_endian = 0;
 		this->Read<1>(&little_endian, 1);
+		if (little_endian > 1)
+			throw cereal::Exception("not a byte order");
 		this->swap = (little_endian != 0) != (cereal::portable_binary_detail::is_little_endian() != 0);
 	}
 
