Name queues in inbox records only where the setting says that all hosts read them

Hosts now read both forms and write the longer one only with records_name_queues = 1, to be set once all hosts run this version.

--- a/Loomreach/Entry/CellDriver.inl
+++ b/Loomreach/Entry/CellDriver.inl
@@ -38,6 +38,7 @@
 	tuning.start_backlog_bytes = link.BytesIn(cStartBacklogMs);
 	tuning.keep_ended_ms = inConfig.keep_ended_ms + inConfig.keep_ended_ms / 4;
 	tuning.log_partitions = static_cast<uint32>(inConfig.log_partitions);
+	tuning.records_name_queues = inConfig.records_name_queues != 0;
 	return tuning;
 }
 
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -164,6 +164,8 @@
 void JobHost<Hub>::AddPlacement(const Queue &inQueue, InboxRecord &ioRecord) const
 {
 	const QueueKey key = KeyOf(inQueue);
+	if (this->config.records_name_queues == 0)
+		return;
 	if (!this->moved_queues.contains(key) && this->queue_registry.SitesOf(key).size() < 2)
 		return;
 	ioRecord.queue_key = key;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -17,6 +17,7 @@
 /// Times, limits and weights of one cell. Times are in ms.
 struct CellTuning
 {
+	bool records_name_queues = false; ///< Redirected records name their queue. Setting `records_name_queues`.
 	Millis lease_ms = 4000;      ///< Lease granted to a worker's runs by each poll. Setting `worker_lease_ms`.
 	Millis max_lease_ms = 10000; ///< Longest lease that any owner may have granted. Setting `worker_most_lease_ms`.
 	/// Workers truncate longer leases to this, including a lease whose end was computed for the clock of a previous incarnation.
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -326,8 +326,11 @@
 void QueuePlacements::Redirect(InboxRecord inRecord, const QueueSite &inSite)
 {
 	inRecord.spec.pool = inSite.pool;
-	inRecord.queue_key = inSite.queue;
-	inRecord.queue_version = inSite.version;
+	if (this->records_name_queues)
+	{
+		inRecord.queue_key = inSite.queue;
+		inRecord.queue_version = inSite.version;
+	}
 	const uint64 number = this->next_number++;
 	this->outgoing[number] = {number, inSite.cell, std::move(inRecord)};
 	this->unsent.insert(number);
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -54,7 +54,10 @@
 class QueuePlacements
 {
 public:
-	explicit QueuePlacements(const CellTuning &inTuning) : partitions(inTuning.log_partitions), keep_ms(inTuning.keep_ended_ms) {}
+	explicit QueuePlacements(const CellTuning &inTuning)
+		: partitions(inTuning.log_partitions), keep_ms(inTuning.keep_ended_ms), records_name_queues(inTuning.records_name_queues)
+	{
+	}
 
 	/// Applies a log record of a queue's placement, a held record or a redirected record. False: the value cannot be decoded.
 	bool RestorePlacement(std::string_view inValue);
@@ -189,9 +192,10 @@
 	void Log(std::string_view inEvent, const Placement &inPlacement) const;
 
 	uint32 cell = 0;
-	uint32 partitions; ///< Partitions per topic, which map pools to cells; 0: queues never move.
-	Millis keep_ms;    ///< A former cell must be asked for this long after it was fenced.
-	int64 version = 0; ///< Newest version of the configuration.
+	uint32 partitions;        ///< Partitions per topic, which map pools to cells; 0: queues never move.
+	Millis keep_ms;           ///< A former cell must be asked for this long after it was fenced.
+	bool records_name_queues; ///< See CellTuning.
+	int64 version = 0;        ///< Newest version of the configuration.
 	std::map<QueueKey, Placement> placements;
 	std::map<std::string, QueueSite> newest_sites; ///< By queue name, as the newest version places the queues.
 	std::map<std::string, HeldRecords> held;       ///< By job.
--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -55,6 +55,7 @@
 	NumberKey{"balance_slack", &JobHostConfig::balance_slack, 0, 1000},
 	NumberKey{"demand_hold_ms", &JobHostConfig::demand_hold_ms, 0, 600'000},
 	NumberKey{"keep_ended_ms", &JobHostConfig::keep_ended_ms, 1000, 86'400'000},
+	NumberKey{"records_name_queues", &JobHostConfig::records_name_queues, 0, 1},
 };
 
 constexpr std::array cTextKeys = {
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -360,6 +360,7 @@
 {
 	CellTuning tuning;
 	tuning.log_partitions = 8;
+	tuning.records_name_queues = true;
 	const uint32 own = CellOf("pool", tuning.log_partitions);
 	Queue queue;
 	queue.host = "host";
@@ -499,6 +500,14 @@
 /// The same with queues that are removed and added again.
 TEST(QueueMoveSeeds, RemovedQueues) { ExpectSeeds(2001, cSeeds, Removals()); }
 
+/// The same where records name the queue.
+TEST(QueueMoveSeeds, RemovedQueuesThatRecordsName)
+{
+	MoveFaults faults = Removals();
+	faults.names_queues = true;
+	ExpectSeeds(2001, cSeeds, faults);
+}
+
 /// The same with queues that come back under another name, also in versions that an owner has never read.
 TEST(QueueMoveSeeds, RenamedQueues)
 {
--- a/UnitTests/QueueMoveWorld.cpp
+++ b/UnitTests/QueueMoveWorld.cpp
@@ -114,7 +114,8 @@
 	inRecord.spec.queue = queue->name;
 	inRecord.spec.pool = queue->pool;
 	// As hosts do, a host that knows that the queue has moved says where its configuration places the queue
-	if (this->hosts[inHost].saw_move || this->Registered().SitesOf(KeyOf(*queue)).size() > 1)
+	const bool is_moved = this->hosts[inHost].saw_move || this->Registered().SitesOf(KeyOf(*queue)).size() > 1;
+	if (this->faults.names_queues && is_moved)
 	{
 		inRecord.queue_key = KeyOf(*queue);
 		inRecord.queue_version = this->CatalogueAt(this->hosts[inHost].version)->version;
@@ -235,6 +236,7 @@
 	Seat &seat = this->seats[inPool];
 	CellTuning tuning;
 	tuning.log_partitions = cPartitions;
+	tuning.records_name_queues = this->faults.names_queues;
 	if (this->faults.keep_ended_ms > 0)
 		tuning.keep_ended_ms = this->faults.keep_ended_ms;
 	seat.cell = std::make_unique<Cell>(tuning);
