--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -18,8 +18,8 @@
 struct CellTuning
 {
 	bool records_name_queues = false; ///< Redirected records name their queue. Setting `records_name_queues`.
-	Millis lease_ms = 4000;      ///< Lease granted to a worker's runs by each poll. Setting `worker_lease_ms`.
-	Millis max_lease_ms = 10000; ///< Longest lease that any owner may have granted. Setting `worker_most_lease_ms`.
+	Millis lease_ms = 4000;           ///< Lease granted to a worker's runs by each poll. Setting `worker_lease_ms`.
+	Millis max_lease_ms = 10000;      ///< Longest lease that any owner may have granted. Setting `worker_most_lease_ms`.
 	/// Workers truncate longer leases to this, including a lease whose end was computed for the clock of a previous incarnation.
 	Millis worker_lease_cap_ms = 10000;
 	Millis poll_wait_ms = 1500; ///< How long a long poll waits for a run end; well below the lease.
