Do not report a run that is being stopped as one that its cancel leaves alone

In all three cases the owner had sent a stop before the cancel, to a run whose start had no answer (run_doubted, then run_fenced), so that the cancel had nothing to stop and wrote no run_stopped. The check now takes run_doubted for a stop.

--- a/TestSupport/LogCheck/RunChecker.cpp
+++ b/TestSupport/LogCheck/RunChecker.cpp
@@ -85,7 +85,8 @@
 		this->OnCancelAccepted(inLine);
 	else if (inLine.event == "cancel")
 		this->OnCancelReceived(inLine);
-	else if (inLine.event == "run_stopped")
+	// A run that is doubted is being stopped, whatever becomes of its job
+	else if (inLine.event == "run_stopped" || inLine.event == "run_doubted")
 		this->OnStopped(inLine);
 	this->hosts[inLine.host].last_s = std::max(this->hosts[inLine.host].last_s, inLine.at_s);
 }
@@ -264,9 +265,9 @@
 
 void RunChecker::OnStopped(const LogLine &inLine)
 {
-	const std::optional<Owner> owner = this->OwnerOf(inLine);
 	const std::optional<uint64> run = inLine.Number("run");
-	if (!owner.has_value())
+	// Only the line of a stop names its owner
+	if (inLine.event == "run_stopped" && !this->OwnerOf(inLine).has_value())
 		return;
 	if (!run.has_value())
 		return this->AddUnreadableLine(inLine);
--- a/UnitTests/LogCheckTests.cpp
+++ b/UnitTests/LogCheckTests.cpp
@@ -421,6 +421,8 @@
 	// Whether a stop arrives in time is not in the logs
 	EXPECT_TRUE(with({Stopped(At("1.3", "a"), "1"), Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings().empty());
 	EXPECT_TRUE(with({Ended(At("1.4", "a"), "0", "1", "done", "1", "1"), Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings().empty());
+	const std::string doubted = At("1.3", "a") + "event=run_doubted request=j task=j.0.0.0 run=1 worker=w1 doubtful_ms=21";
+	EXPECT_TRUE(with({doubted, Logged(At("5.7", "a"), "w1:1-1", "1")}).Findings().empty());
 	// An owner that no longer writes, and lines that may be missing
 	EXPECT_TRUE(with({Logged(At("5.7", "a"), "w1:1-1", "2")}).Findings().empty());
 	const RunChecker dropped = with({"   1.9 a event=log_lines_dropped lines=4", Logged(At("5.7", "a"), "w1:1-1", "1")});
