--- a/UnitTests/OddNumberTests.cpp
+++ b/UnitTests/OddNumberTests.cpp
@@ -30,6 +30,20 @@
 		}
 }
 
+/// Guards against orders to an address that no worker can have.
+TEST(PlatformStoreRecords, APortOutOfRangeIsRefused)
+{
+	const std::string entry = EntryWith(R"("cpu":1,"memMb":1)");
+	const std::string address = "10.0.0.1:80";
+	ASSERT_TRUE(DecodeWorker("i-1", entry).has_value());
+	for (const char *port : {":0", ":-1", ":65536", ":70000", ":99999999999999999999", ":", ""})
+	{
+		std::string odd = entry;
+		odd.replace(odd.find(address), address.size(), std::string("10.0.0.1") + port);
+		EXPECT_FALSE(DecodeWorker("i-1", odd).has_value()) << odd;
+	}
+}
+
 /// Guards against a header or an order that another writer's key breaks up, or that can't be written.
 TEST(PlatformStoreRecords, AWorkersIdIsText)
 {
