--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -99,7 +99,7 @@
 # submit HOST POOL ID BODY: hands in a job, tells the status in STATUS.
 submit() {
 	STATUS=$(curl -s -o /dev/null -w '%{http_code}' --max-time 5 -H 'Host: jobs.example' -H 'Loomreach-Timeout-Ms: 3000' -X POST "$(url "$1")/$2/$3" -d "$4")
-	note "host-$1: POST /$2/$3 $(head -c 200 <<<"$4") -> $STATUS"
+	note "host-$1: POST /$2/$3 $(head -c 120 <<<"$4") -> $STATUS"
 }
 # ask HOST POOL ID: the answer for the state of a job, in ANSWER.
 ask() {
