Review case 5: a job of a queue that was removed meanwhile runs twice

Rule: TWICE; LOST besides (410 for an accepted job). Disruption: the owner of a cell is killed while versions add and remove a queue (node_kill, config_storm). Cause: an owner that hasn't the queue's version registers the cell under the hash of the queue's name instead of its address, so that the queue's next cell finds no former one.

--- a/review/common-2.sh
+++ b/review/common-2.sh
@@ -80,6 +80,14 @@
 ready() { [ "$(curl -s -o /dev/null -w '%{http_code}' --max-time 2 "http://127.0.0.1:$(($(base "$1") + 1))/ready")" = 200 ]; }
 all_ready() { local host; for host in $HOSTS; do ready "$host" || return 1; done; }
 
+# configure VERSION [POOL [NAME]]: a version of the configuration; with a queue q-move, or another name, prefix /move/, in this pool.
+configure() {
+	local queue=""
+	[ -z "${2:-}" ] || queue=",{\"name\":\"${3:-q-move}\",\"host\":\"jobs.example\",\"pathPrefix\":\"/move/\",\"service\":\"$2\",\"maxAttempts\":4,\"stretch\":1.6,\"targetLatencyMs\":600}"
+	curl -s --max-time 5 -X PUT "$CONTROL/operator/config" -d "{\"version\":$1,\"routes\":[$ROUTES$queue],\"services\":[$SERVICES]}" >/dev/null
+	[ "$1" = 3 ] || note "operator: version $1, queue ${3:-q-move} ${2:+in pool }${2:-removed}"
+}
+
 # start_deployment POOL...: nine workers of 16 cores for each pool, a queue of the same name for each, and all hosts.
 start_deployment() {
 	local pool pools="" routes="" services="" host
@@ -91,7 +99,8 @@
 	done
 	start_platform 1 "${pools}spare" || start_platform 2 "${pools}spare" || cannot_run "the stand-ins did not start"
 	for host in $HOSTS; do start_host "$host"; done
-	curl -s --max-time 5 -X PUT "$CONTROL/operator/config" -d "{\"version\":3,\"routes\":[$routes],\"services\":[$services{\"name\":\"spare\",\"spare\":true}]}" >/dev/null
+	ROUTES=$routes SERVICES="$services{\"name\":\"spare\",\"spare\":true}"
+	configure 3
 	within 20 all_ready || cannot_run "the hosts did not become ready"
 	note "ready: 6 entry hosts, 9 workers of 16 cores in each of $# pools, TROUBLE=$TROUBLE"
 }
