Bound the records of a cell's log, and repeat no append that is too long

Cause: the record of crash causes held a list of all other suspects for each task, so that it grew with the square of the runs, and OwnedLog repeated an append that the store refuses for its size for ever. With one append in flight that stops the cell.

OwnedLog splits such an append in its order, and leaves a single record out, logged and counted. Suspects are stored once for all tasks that share them and have a bound; small records keep the layout that the previous version reads. Bounds also for a job's state, learned run times and held records.

--- a/Loomreach/Entry/CellDriver.h
+++ b/Loomreach/Entry/CellDriver.h
@@ -94,6 +94,8 @@
 	/// Lets the cell plan, then sends its orders and writes its log. Called by a timer, and shortly after each update.
 	void Step();
 	CellCounts Figures() const { return this->cell.Counts(); }
+	/// Log records that were left out because they exceed the limit of the log service.
+	uint64 OmittedRecords() const { return this->log.OmittedRecords(); }
 	/// Whether the last planning found no capacity for some tasks, so that new workers are of use immediately.
 	bool IsShort() const { return this->cell.IsShort(); }
 	/// Run ends that workers have listed and the log does not contain yet.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -774,6 +774,8 @@
 		this->metrics.Gauge(name + "_active", static_cast<double>(figures.active));
 		this->metrics.Gauge(name + "_runs", static_cast<double>(figures.runs));
 		this->metrics.Gauge(name + "_workers", static_cast<double>(figures.workers));
+		this->metrics.Gauge(name + "_omitted_records", static_cast<double>(driver->OmittedRecords()));
+		this->metrics.Gauge(name + "_jobs_too_long", static_cast<double>(figures.jobs_too_long));
 		this->metrics.Gauge(name + "_overdue_stops", static_cast<double>(figures.overdue_stops));
 		for (const EnumName<ECancelOutcome> &outcome : cCancelOutcomeNames)
 			this->metrics.Gauge(name + "_cancels_" + std::string(outcome.name),
--- a/Loomreach/Job/JobRecord.cpp
+++ b/Loomreach/Job/JobRecord.cpp
@@ -22,6 +22,10 @@
 static constexpr size_t cRecordBytes = 64; ///< With the key.
 static constexpr size_t cStepBytes = 8;
 static constexpr size_t cTaskBytes = 29;
+static constexpr size_t cRunBytes = 12; ///< Without the worker's id.
+static constexpr size_t cMaxWorkerIdBytes = 64;
+/// Room that a new job leaves for its runs. A job that needs more for all its tasks at once runs fewer at a time.
+static constexpr size_t cMinRunRoomBytes = 4096;
 
 /// An upper bound of the size of the record that holds the specification.
 static size_t SpecBytes(const JobSpec &inSpec)
@@ -46,6 +50,28 @@
 	return record;
 }
 
+size_t StateBytes(const JobRecord &inRecord)
+{
+	size_t bytes = cRecordBytes;
+	for (const StepRecord &step : inRecord.steps)
+	{
+		bytes += cStepBytes + cTaskBytes * step.tasks.size();
+		for (const TaskRecord &task : step.tasks)
+		{
+			bytes += task.checkpoint.size();
+			for (const RunRecord &run : task.runs)
+				bytes += cRunBytes + run.worker.size();
+		}
+	}
+	return bytes;
+}
+
+size_t RoomForRuns(const JobRecord &inRecord)
+{
+	const size_t bytes = StateBytes(inRecord);
+	return bytes >= cMaxRecordBytes ? 0 : (cMaxRecordBytes - bytes) / (cRunBytes + cMaxWorkerIdBytes);
+}
+
 static bool CheckStep(const StepSpec &inStep, size_t inNumber)
 {
 	const std::string name = "step " + std::to_string(inNumber);
@@ -77,7 +103,7 @@
 	if (tasks > cMaxTasks)
 		return FailFalse(EError::BadRequest, "the job has too many tasks in all its steps and rounds");
 	// The state of a job only grows from here
-	const size_t record_bytes = cRecordBytes + cStepBytes * inSpec.steps.size() * inSpec.Rounds() + cTaskBytes * tasks;
+	const size_t record_bytes = cMinRunRoomBytes + cRecordBytes + cStepBytes * inSpec.steps.size() * inSpec.Rounds() + cTaskBytes * tasks;
 	if (record_bytes > cMaxRecordBytes || SpecBytes(inSpec) > cMaxRecordBytes)
 		return FailFalse(EError::TooLarge, "the records of the job would be longer than " + std::to_string(cMaxRecordBytes) + " bytes");
 	return true;
--- a/Loomreach/Job/JobRecord.h
+++ b/Loomreach/Job/JobRecord.h
@@ -106,6 +106,11 @@
 /// Creates the initial record of an accepted job.
 JobRecord NewRecord(const JobSpec &inSpec);
 
+/// Size of the state's record in the log, with its key; an upper bound.
+size_t StateBytes(const JobRecord &inRecord);
+/// How many more runs the state can hold before its record exceeds the longest one that the log takes.
+size_t RoomForRuns(const JobRecord &inRecord);
+
 /// Checks a submission: counts, dependencies between steps, sizes. On failure returns false and sets the error to bad-request.
 bool CheckSpec(const JobSpec &inSpec);
 
--- a/Loomreach/Ownership/LogTypes.h
+++ b/Loomreach/Ownership/LogTypes.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <Loomreach/Core/EnumTable.h>
+#include <Loomreach/Ownership/RecordLimit.h>
 #include <Loomreach/Platform/LinkUsage.h>
 
 namespace Loomreach::Jobs
@@ -35,6 +36,7 @@
 	NotAtEnd,   ///< The partition does not end at the expected offset.
 	OutOfOrder, ///< The producer's sequence number is not the next one.
 	Refused,    ///< Certainly not appended; a later attempt may succeed.
+	TooLong,    ///< Not appended: the call or one of its records exceeds a limit of the service, so that no repeat of it can succeed.
 	Unknown     ///< No answer: it may have been appended, or may still be.
 };
 
@@ -42,9 +44,16 @@
 inline constexpr std::array cAppendNames = {
 	EnumName<EAppend>{EAppend::Done, "done"},           EnumName<EAppend>{EAppend::Fenced, "fenced"},
 	EnumName<EAppend>{EAppend::NotAtEnd, "not-at-end"}, EnumName<EAppend>{EAppend::OutOfOrder, "out-of-order"},
-	EnumName<EAppend>{EAppend::Refused, "refused"},     EnumName<EAppend>{EAppend::Unknown, "unknown"},
+	EnumName<EAppend>{EAppend::Refused, "refused"},     EnumName<EAppend>{EAppend::TooLong, "too-long"},
+	EnumName<EAppend>{EAppend::Unknown, "unknown"},
 };
 
+/// Bytes that a record takes in an append.
+inline size_t BytesInAppend(const LogRecord &inRecord) { return cRecordFrameBytes + inRecord.key.size() + inRecord.value.size(); }
+
+/// Whether a record is too long for the service, whatever the append.
+inline bool ExceedsRecordLimit(const LogRecord &inRecord) { return BytesInAppend(inRecord) > cMaxRecordBytes; }
+
 /// Identifies the producer of an append, so that the log recognizes a repeated append and fences an earlier owner.
 struct Producer
 {
--- a/Loomreach/Ownership/OwnedLog.h
+++ b/Loomreach/Ownership/OwnedLog.h
@@ -41,8 +41,12 @@
 
 	/// Reads the log and claims it. `inHeartbeatNumber`: number of this host's newest heartbeat. `inDone` gets the records of the log.
 	void Claim(uint64 inHeartbeatNumber, const ClaimCheck &inClaimCheck, const OnClaimed &inDone);
-	/// Appends, and repeats the append until its outcome is certain. `inDone(false)`: the log has another owner.
+	/// Appends, and repeats the append until its outcome is certain. `inDone(false)`: the log has another owner. Records that exceed the
+	/// limit of one call go into several, in their order, so that a successor may read a part that begins with the first record. Records
+	/// that exceed the limit of one record are left out.
 	void Append(const std::vector<LogRecord> &inRecords, const OnAppended &inDone);
+	/// Number of records that were left out.
+	uint64 OmittedRecords() const { return this->omitted_records; }
 	bool IsBusy() const { return this->busy; }
 	uint64 Epoch() const { return this->epoch; }
 	/// Epoch of the newest claim in the log before this owner's; 0: there was none.
@@ -54,6 +58,14 @@
 	void ReadRest(uint64 inFrom);
 	void TryClaim();
 	void SendAppend();
+	/// Moves the next records that fit into one call from `remaining` to `batch`.
+	void TakeBatch();
+	/// Sends the next records, or ends the append if there are none.
+	void SendNext();
+	/// The service takes no append of this length: sends fewer records at a time, or leaves out a single one.
+	void OnTooLong();
+	/// Leaves a record out: a repeat would be refused as well, and nothing else could be appended.
+	void Omit(const LogRecord &inRecord);
 	/// Writes a log line about an append that is repeated.
 	void LogRetry(EAppend inResult);
 	/// Ends the claim without success.
@@ -75,7 +87,10 @@
 	uint64 number = 0; ///< Sequence number of the next append within the epoch.
 	bool busy = false;
 	uint32 claim_attempts = 0;
-	std::vector<LogRecord> batch;
+	std::vector<LogRecord> batch;        ///< Records of the call in flight.
+	std::deque<LogRecord> remaining;     ///< Records of the same append for further calls.
+	size_t call_bytes = cMaxAppendBytes; ///< Most bytes in the further calls of this append.
+	uint64 omitted_records = 0;
 	OnAppended on_appended;
 	Millis last_sent_at = 0;
 	Timer retry_timer;
--- a/Loomreach/Ownership/OwnedLog.inl
+++ b/Loomreach/Ownership/OwnedLog.inl
@@ -113,12 +113,79 @@
 template <JobLog Log>
 void OwnedLog<Log>::Append(const std::vector<LogRecord> &inRecords, const OnAppended &inDone)
 {
-	this->batch = inRecords;
 	this->on_appended = inDone;
 	this->busy = true;
+	this->call_bytes = cMaxAppendBytes;
+	for (const LogRecord &record : inRecords)
+		if (ExceedsRecordLimit(record))
+			this->Omit(record);
+		else
+			this->remaining.push_back(record);
+	this->TakeBatch();
+	if (this->batch.empty())
+		return this->retry_timer.Once(0, [this] { this->SendNext(); });
 	this->SendAppend();
 }
 
+template <JobLog Log>
+void OwnedLog<Log>::TakeBatch()
+{
+	this->batch.clear();
+	size_t bytes = 0;
+	while (!this->remaining.empty())
+	{
+		bytes += BytesInAppend(this->remaining.front());
+		if (bytes > this->call_bytes && !this->batch.empty())
+			return;
+		this->batch.push_back(std::move(this->remaining.front()));
+		this->remaining.pop_front();
+	}
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::SendNext()
+{
+	this->TakeBatch();
+	if (!this->batch.empty())
+		return this->SendAppend();
+	this->busy = false;
+	const OnAppended callback = std::move(this->on_appended);
+	callback(true);
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::OnTooLong()
+{
+	size_t bytes = 0;
+	for (const LogRecord &record : this->batch)
+		bytes += BytesInAppend(record);
+	LogEvent(ELogLevel::Error, "append_too_long")
+		.Field("topic", this->name.topic)
+		.Field("part", this->name.partition)
+		.Field("records", this->batch.size())
+		.Field("bytes", bytes);
+	if (this->batch.size() == 1)
+		this->Omit(this->batch.front());
+	else
+		this->remaining.insert(this->remaining.begin(), std::make_move_iterator(this->batch.begin()),
+							   std::make_move_iterator(this->batch.end()));
+	this->call_bytes = bytes / 2;
+	this->SendNext();
+}
+
+template <JobLog Log>
+void OwnedLog<Log>::Omit(const LogRecord &inRecord)
+{
+	++this->omitted_records;
+	LogEvent(ELogLevel::Error, "record_too_long")
+		.Field("topic", this->name.topic)
+		.Field("part", this->name.partition)
+		.Field("key", inRecord.key)
+		.Field("bytes", BytesInAppend(inRecord))
+		.Field("limit", cMaxRecordBytes)
+		.Field("omitted", this->omitted_records);
+}
+
 template <JobLog Log>
 void OwnedLog<Log>::LogRetry(EAppend inResult)
 {
@@ -154,12 +221,17 @@
 									   this->LogRetry(inAnswer.result);
 									   return this->retry_timer.Once(cAppendRetryMs, [this] { this->SendAppend(); });
 								   }
-								   this->busy = false;
-								   const bool done = inAnswer.result == EAppend::Done;
-								   if (done)
+								   if (inAnswer.result == EAppend::TooLong)
+									   return this->OnTooLong();
+								   if (inAnswer.result == EAppend::Done)
+								   {
 									   ++this->number;
+									   return this->SendNext();
+								   }
+								   this->busy = false;
+								   this->remaining.clear();
 								   const OnAppended callback = std::move(this->on_appended);
-								   callback(done);
+								   callback(false);
 							   }));
 }
 
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -2,8 +2,10 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Core/Hash.h>
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Ownership/LogTypes.h>
 #include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/Cell.h>
 #include <Loomreach/Schedule/TaskText.h>
@@ -15,8 +17,10 @@
 // Keys of a cell's log. Per-job and per-worker keys are one letter followed by the id. Versions that do not know a key skip it.
 static constexpr char cSpecKey = 'j';
 static constexpr char cStateKey = 's';
-static constexpr char cCrashKey = 'x';       ///< Job: its tasks' crash counts, once a worker has crashed under one.
-static constexpr char cCrashCaseKey = 'r';   ///< Job: possible causes of these crashes. Unknown to earlier versions.
+static constexpr char cCrashKey = 'x';     ///< Job: its tasks' crash counts, once a worker has crashed under one.
+static constexpr char cCrashCaseKey = 'r'; ///< Job: possible causes of these crashes. Unknown to earlier versions.
+/// Job: the same where they are many. Unknown to earlier versions, which then know no causes of the crashes counted.
+static constexpr char cSharedCaseKey = 'y';
 static constexpr char cLocationKey = 'w';    ///< Worker: its location.
 static constexpr char cIncarnationKey = 'b'; ///< Worker: the incarnation that runs were placed on. Unknown to earlier versions.
 static constexpr char cDrainGrantKey = 'p';  ///< Worker: length of its drain grant. Unknown to earlier versions.
@@ -31,6 +35,8 @@
 static constexpr std::string_view cLeaseKey = "l";
 /// Learned run times are logged at this interval, along with other records.
 static constexpr int64 cRunTimesWriteMs = 3000;
+/// Combines the hashes of several records.
+static constexpr uint64 cHashFactor = 31;
 /// A repeat of a submission may arrive this long after the first: appends are carried out seconds late, and the inbox keeps 20 s of
 /// history.
 static constexpr Millis cMaxRepeatDelayMs = 30000;
@@ -101,6 +107,8 @@
 		return this->RestoreTeamKeys(id, inValue);
 	if (inKey[0] == cOneCancelKey)
 		return this->RestoreOneEarlyCancel(id, inValue);
+	if (inKey[0] == cSharedCaseKey)
+		return this->RestoreSharedCases(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -140,6 +148,20 @@
 	return true;
 }
 
+bool Cell::RestoreSharedCases(const std::string &inJob, std::string_view inValue)
+{
+	// The record is removed along with its job
+	if (inValue.empty())
+		return true;
+	std::optional<SharedCrashCases> cases = DecodeValue<SharedCrashCases>(inValue);
+	if (!cases.has_value())
+		return false;
+	CellJob &job = this->jobs[inJob];
+	job.shared_crash_cases = std::move(*cases);
+	job.shared_cases_logged = true;
+	return true;
+}
+
 bool Cell::RestoreLocation(const std::string &inWorker, std::string_view inValue)
 {
 	if (inValue.empty())
@@ -244,7 +266,10 @@
 			it = this->jobs.erase(it);
 			continue;
 		}
-		MergeCrashCases(job.crashes, std::exchange(job.crash_cases, {}));
+		// An owner of an earlier version leaves the record of shared cases as it was; its own record is the newer one
+		const SharedCrashCases shared = std::exchange(job.shared_crash_cases, {});
+		MergeCrashCases(job.crashes, job.crash_cases.empty() ? UnshareCrashCases(shared) : job.crash_cases);
+		job.crash_cases.clear();
 		job.logged_phase = job.record.phase;
 		job.appending_phase = job.logged_phase;
 		job.arrived_at = inNow;
@@ -602,6 +627,8 @@
 		if (job.crashes_logged)
 			for (const char key : {cCrashKey, cCrashCaseKey})
 				outBatch.push_back({key + it->first, ""});
+		if (job.shared_cases_logged)
+			outBatch.push_back({cSharedCaseKey + it->first, ""});
 		it = this->jobs.erase(it);
 	}
 }
@@ -645,6 +672,65 @@
 	}
 }
 
+size_t Cell::AddCrashRecords(CellJob &ioJob, std::vector<KeyedRecord> &outBatch) const
+{
+	ioJob.crashes_logged = ioJob.crashes_logged || !ioJob.crashes.empty();
+	if (!ioJob.crashes_logged)
+		return 0;
+	const std::string &id = ioJob.spec.id;
+	// An empty value of either of the first two records would remove the job
+	const bool share = UnsharedCaseBytes(ioJob.crashes) > cMaxUnsharedCaseBytes;
+	std::vector<KeyedRecord> records = {{cCrashKey + id, EncodeValue(ioJob.crashes)},
+										{cCrashCaseKey + id, EncodeValue(share ? CrashCasesByTask{} : ExtractCrashCases(ioJob.crashes))}};
+	ioJob.shared_cases_logged = ioJob.shared_cases_logged || share;
+	if (ioJob.shared_cases_logged)
+	{
+		bool complete = true;
+		const SharedCrashCases shared = share ? ShareCrashCases(ioJob.crashes, complete) : SharedCrashCases{};
+		records.push_back({cSharedCaseKey + id, EncodeValue(shared)});
+		if (!complete)
+			LogEvent(ELogLevel::Warning, "crash_cases_cut")
+				.Field("request", id)
+				.Field("tasks", ioJob.crashes.size())
+				.Field("tasks_kept", shared.tasks.size())
+				.Field("limit", cMaxCrashCaseBytes);
+	}
+	uint64 hash = 0;
+	size_t bytes = 0;
+	for (const KeyedRecord &record : records)
+	{
+		hash = hash * cHashFactor + HashBytes(record.value);
+		bytes += record.value.size();
+	}
+	// Most changes of a job are no crashes
+	if (std::exchange(ioJob.crashes_hash, hash) == hash)
+		return 0;
+	outBatch.insert(outBatch.end(), std::make_move_iterator(records.begin()), std::make_move_iterator(records.end()));
+	return bytes;
+}
+
+std::string Cell::EncodeState(CellJob &ioJob, int64 inWallNow)
+{
+	std::string state = EncodeValue(ioJob.record);
+	if (!ExceedsRecordLimit({cStateKey + ioJob.spec.id, state, 0}))
+		return state;
+	if (!IsFinal(ioJob.record.phase))
+	{
+		LogEvent(ELogLevel::Error, "job_too_long")
+			.Field("request", ioJob.spec.id)
+			.Field("bytes", state.size())
+			.Field("limit", cMaxRecordBytes);
+		++this->totals.jobs_too_long;
+		ioJob.record.ended_wall_ms = inWallNow;
+		this->CloseJob(ioJob, EJobPhase::Failed, "its state exceeds the longest record of the log");
+		this->StopAll(ioJob, "job failed", this->now);
+	}
+	// Of a job that has ended only the phase is needed. Runs without a record are stopped
+	JobRecord ended{ioJob.record.phase, ioJob.record.begun, ioJob.record.ended_wall_ms, {}};
+	ended.steps.resize(ioJob.record.steps.size());
+	return EncodeValue(ended);
+}
+
 void Cell::AddJobRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch)
 {
 	this->in_batch.clear();
@@ -662,13 +748,8 @@
 			bytes += outBatch.back().value.size();
 		}
 		job.spec_appending = !job.spec_logged;
-		job.crashes_logged = job.crashes_logged || !job.crashes.empty();
-		if (job.crashes_logged)
-		{
-			outBatch.push_back({cCrashKey + id, EncodeValue(job.crashes)});
-			outBatch.push_back({cCrashCaseKey + id, EncodeValue(ExtractCrashCases(job.crashes))});
-		}
-		outBatch.push_back({cStateKey + id, EncodeValue(job.record)});
+		bytes += this->AddCrashRecords(job, outBatch);
+		outBatch.push_back({cStateKey + id, this->EncodeState(job, inWallNow)});
 		bytes += outBatch.back().value.size();
 		job.appending_phase = job.record.phase;
 	}
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -65,6 +65,7 @@
 	size_t runs = 0;
 	size_t workers = 0;
 	std::array<size_t, static_cast<size_t>(ECancelOutcome::Count)> cancels{}; ///< By outcome, since the cell has this owner.
+	size_t jobs_too_long = 0; ///< Jobs failed because the log has no room for their state, since the cell has this owner.
 	size_t overdue_stops = 0; ///< Runs that were still there cStopOverdueMs after their stop was decided, since the cell has this owner.
 };
 
@@ -158,6 +159,7 @@
 	// Cell.cpp: log records
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
+	bool RestoreSharedCases(const std::string &inJob, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
 	bool RestoreEarlyCancels(const std::string &inJob, std::string_view inValue);
 	/// Applies a record of an earlier version, which remembered one cancellation for each job.
@@ -191,6 +193,11 @@
 	void InheritRuns(CellJob &ioJob, Millis inNow);
 	/// Begins a series of appends that writes all changes made until now.
 	void BeginAppendSeries();
+	/// Adds the records of a job's crashes if they have changed; returns their size. Many cases are written in a layout of their own, few
+	/// ones in the one that earlier versions read.
+	size_t AddCrashRecords(CellJob &ioJob, std::vector<KeyedRecord> &outBatch) const;
+	/// The record of a job's state. A job whose state would exceed the longest record is failed: it could make no further progress.
+	std::string EncodeState(CellJob &ioJob, int64 inWallNow);
 	/// Adds the records of the next jobs of the series.
 	void AddJobRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Adds new locations and incarnations of workers with runs, and removes those of removed workers.
@@ -229,6 +236,8 @@
 	void UpdateRank(CellJob &ioJob, Millis inNow, int64 inWallNow) const;
 	bool HasTasksToStart(const CellJob &inJob, int64 inWallNow) const;
 	void LogPlanned(const CellJob &inJob, size_t inUnit);
+	/// Logs, once a job, that the record of its state has no room for more runs at a time.
+	void LogNoRoom(CellJob &ioJob, size_t inUnit) const;
 	EDeadlineOutlook OutlookOf(const CellJob &inJob, int64 inWallNow) const;
 	/// State of the pools that were short of capacity in the last planning pass.
 	std::map<std::string, PoolState, std::less<>> PoolStates(Millis inNow, int64 inWallNow);
@@ -379,7 +388,8 @@
 	bool HasTaskSurvivedStart(const CellJob &inJob, uint64 inUnit, uint32 inTask) const;
 	/// The same for any task of a unit.
 	bool HasStepSurvivedStart(const CellJob &inJob, uint64 inUnit) const;
-	/// Units of the runs other than `inRun` that may have crashed a worker. Tasks of its own unit count as the same suspect.
+	/// Units of the runs other than `inRun` that may have crashed a worker. Tasks of its own unit count as the same suspect. Of more than
+	/// cMaxCrashSuspects an unknown suspect stands for the rest.
 	std::vector<CrashSuspect> OtherSuspects(const std::vector<RunId> &inSuspects, const RunId &inRun);
 	/// Fails the job of a task that crashes its workers.
 	void FailCrashingJob(CellJob &ioJob, TaskCrashes &ioCrashes, Millis inNow);
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -440,8 +440,14 @@
 		const size_t unit = job == nullptr ? 0 : job->Unit(other.task.round, other.task.step);
 		CrashSuspect suspect{other.task.job, static_cast<uint32>(unit), other.task.index};
 		const bool is_own = other.task.job == inRun.task.job && other.task.round == inRun.task.round && other.task.step == inRun.task.step;
-		if (!is_own && std::find(suspects.begin(), suspects.end(), suspect) == suspects.end())
-			suspects.push_back(std::move(suspect));
+		if (is_own || std::find(suspects.begin(), suspects.end(), suspect) != suspects.end())
+			continue;
+		if (suspects.size() + 1 == cMaxCrashSuspects)
+		{
+			suspects.push_back(CrashSuspect::Unknown());
+			break;
+		}
+		suspects.push_back(std::move(suspect));
 	}
 	return suspects;
 }
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -353,6 +353,7 @@
 {
 	std::vector<TaskRecord> &tasks = ioJob.record.steps[inUnit].tasks;
 	std::optional<std::map<std::string, uint32>> on_worker;
+	size_t room = 0;
 	for (uint32 index = 0; index < tasks.size(); ++index)
 	{
 		const TaskRecord &task = tasks[index];
@@ -362,7 +363,12 @@
 		if (this->IsStartBacklogFull() || !this->FitsTeamLimit(ioJob, inUnit, 1, inNow))
 			return;
 		if (!on_worker.has_value())
+		{
 			on_worker = this->CountByWorker(ioJob, inUnit);
+			room = RoomForRuns(ioJob.record);
+		}
+		if (room == 0)
+			return this->LogNoRoom(ioJob, inUnit);
 		CellWorker *worker = this->ChooseWorker(ioJob, inUnit, index, inNow, *on_worker);
 		if (worker == nullptr && Cell::TrialOf(ioJob, inUnit, index, inNow) != ETrial::None)
 		{
@@ -379,9 +385,23 @@
 			return this->AskAdvice(ioJob, inUnit, inNow);
 		++(*on_worker)[worker->entry.id];
 		this->AddRun(ioJob, inUnit, index, task.last_run + 1, *worker, inNow);
+		--room;
 	}
 }
 
+void Cell::LogNoRoom(CellJob &ioJob, size_t inUnit) const
+{
+	if (std::exchange(ioJob.no_room_logged, true))
+		return;
+	LogEvent(ELogLevel::Warning, "runs_limited")
+		.Field("request", ioJob.spec.id)
+		.Field("unit", inUnit)
+		.Field("state_bytes", StateBytes(ioJob.record))
+		.Field("limit", cMaxRecordBytes)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::PlanGang(CellJob &ioJob, size_t inUnit, Millis inNow)
 {
 	std::vector<TaskRecord> &tasks = ioJob.record.steps[inUnit].tasks;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -7,8 +7,8 @@
 #pragma once
 
 #include <Loomreach/Schedule/Advice.h>
+#include <Loomreach/Schedule/SharedCrashCases.h>
 #include <Loomreach/Schedule/StepRunTimes.h>
-#include <Loomreach/Schedule/TaskCrashes.h>
 #include <Loomreach/Schedule/Worker.h>
 
 namespace Loomreach::Jobs
@@ -341,9 +341,13 @@
 	std::vector<StepRunTimes> seen;                             ///< By unit.
 	CrashCounts crashes;                                        ///< In the log whenever `record` is.
 	CrashCasesByTask crash_cases;                               ///< As restored; merged into `crashes` when the cell begins.
+	SharedCrashCases shared_crash_cases;                        ///< The same of the other record, see Cell::AddCrashRecords.
 	bool crashes_logged = false;                                ///< Crash records are in the log or in the append in flight.
+	bool shared_cases_logged = false;                           ///< The same for the record of shared cases.
+	uint64 crashes_hash = 0;                                    ///< Of the crash records written last.
 	EJobPhase logged_phase = EJobPhase::Queued;                 ///< Phase in the log: what callers are told.
 	EJobPhase appending_phase = EJobPhase::Queued;              ///< Phase in the append in flight.
+	bool no_room_logged = false;                                ///< See Cell::LogNoRoom.
 	bool spec_logged = false;
 	bool spec_appending = false;
 	Millis arrived_at = 0;
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -294,7 +294,14 @@
 	HeldRecords &records = this->held[job];
 	records.queue = inQueue;
 	records.arrived_at = inNow;
-	records.records.push_back(inRecord);
+	// Callers may repeat a request without limit, and a log record has one
+	const auto repeats = [&inRecord](const InboxRecord &inOther)
+	{
+		const bool same_cancel = inOther.spec.team == inRecord.spec.team && inOther.spec.payload == inRecord.spec.payload;
+		return inOther.kind == inRecord.kind && (inRecord.kind == EInbox::Submit || same_cancel);
+	};
+	if (std::none_of(records.records.begin(), records.records.end(), repeats))
+		records.records.push_back(inRecord);
 	this->to_remove.erase(cHeldKey + job);
 	this->to_add.insert(cHeldKey + job);
 	if (auto placement = this->placements.find(inQueue); placement != this->placements.end())
--- a/Loomreach/Schedule/RunTimes.cpp
+++ b/Loomreach/Schedule/RunTimes.cpp
@@ -39,16 +39,41 @@
 	return std::max<Millis>(1, static_cast<Millis>(std::exp(mean)));
 }
 
+template <class Value>
+Value &RunTimes::Touch(std::map<std::string, Value> &ioValues, LastUses &ioUses, const std::string &inName, size_t inMost)
+{
+	const auto last_use = [&ioUses](const std::string &inOther)
+	{
+		auto use = ioUses.find(inOther);
+		return use == ioUses.end() ? 0 : use->second;
+	};
+	Value &value = ioValues[inName];
+	ioUses[inName] = ++this->learned;
+	while (ioValues.size() > inMost)
+	{
+		auto oldest = std::min_element(ioValues.begin(), ioValues.end(),
+									   [&last_use](const auto &inLeft, const auto &inRight)
+									   { return last_use(inLeft.first) < last_use(inRight.first); });
+		ioUses.erase(oldest->first);
+		ioValues.erase(oldest);
+	}
+	return value;
+}
+
 void RunTimes::Learn(const JobSpec &inJob, const StepSpec &inStep, Millis inTook)
 {
-	if (!inStep.image.empty())
-		this->by_image[inStep.image].Learn(inStep.estimate_ms, inTook);
-	this->by_queue[inJob.queue].Learn(inStep.estimate_ms, inTook);
+	if (!inStep.image.empty() && inStep.image.size() <= cMaxNameBytes)
+		this->Touch(this->by_image, this->image_uses, inStep.image, cMaxImages).Learn(inStep.estimate_ms, inTook);
+	if (inJob.queue.size() <= cMaxNameBytes)
+		this->Touch(this->by_queue, this->queue_uses, inJob.queue, cMaxQueues).Learn(inStep.estimate_ms, inTook);
 }
 
 void RunTimes::LearnSpread(const JobSpec &inJob, double inSpread)
 {
-	double &spread = this->spreads.try_emplace(inJob.queue, cInitialSpread).first->second;
+	if (inJob.queue.size() > cMaxNameBytes)
+		return;
+	this->spreads.try_emplace(inJob.queue, cInitialSpread);
+	double &spread = this->Touch(this->spreads, this->spread_uses, inJob.queue, cMaxQueues);
 	spread += cSpreadGain * (std::min(inSpread, 1.0) - spread);
 }
 
--- a/Loomreach/Schedule/RunTimes.h
+++ b/Loomreach/Schedule/RunTimes.h
@@ -43,8 +43,9 @@
 	double yy = 0.0;     ///< Sum of squared deviations of the run times' logarithms.
 };
 
-/// Run times by image and by queue. A prediction uses the image if enough of its runs are known, else the queue, else the caller's
-/// estimate.
+/// Run times by image and by queue. Invariant: the encoding fits into one record of the log; the kinds learned least recently are dropped,
+/// and kinds with very long names are not learned. A prediction uses the image if enough of its runs are known, else the queue, else the
+/// caller's estimate.
 class RunTimes
 {
 public:
@@ -67,9 +68,23 @@
 	static constexpr double cInitialSpread = 0.25; ///< Assumed until a step has been seen; the tasks' values are 0.15 to 0.3.
 	static constexpr double cSpreadGain = 0.05;    ///< Weight of a new step in the moving average.
 
+	static constexpr size_t cMaxImages = 1000;
+	static constexpr size_t cMaxQueues = 200;
+	static constexpr size_t cMaxNameBytes = 128;
+
+	/// When each name was last learned, in numbers of `learned`. Names without an entry come from the log.
+	using LastUses = std::map<std::string, uint64>;
+	/// The value of a name, a new one where there is none. Drops the names learned least recently beyond `inMost`.
+	template <class Value>
+	Value &Touch(std::map<std::string, Value> &ioValues, LastUses &ioUses, const std::string &inName, size_t inMost);
+
 	std::map<std::string, RunTimeFit> by_image;
 	std::map<std::string, RunTimeFit> by_queue;
 	std::map<std::string, double> spreads; ///< By queue.
+	LastUses image_uses;                   ///< Not serialized, as the next members.
+	LastUses queue_uses;
+	LastUses spread_uses;
+	uint64 learned = 0; ///< Counts what was learned.
 };
 
 } // namespace Loomreach::Jobs
--- a/Loomreach/Schedule/TaskCrashes.h
+++ b/Loomreach/Schedule/TaskCrashes.h
@@ -7,6 +7,13 @@
 namespace Loomreach::Jobs
 {
 
+/// Most suspects that are kept of one crash. With as many candidates a crash says little about any one of them.
+inline constexpr size_t cMaxCrashSuspects = 256;
+/// Most bytes of the crash cases in one record of a job. Rewritten with each crash of the job.
+inline constexpr size_t cMaxCrashCaseBytes = 65'536;
+/// Crash cases up to this size are stored in the layout that earlier versions read.
+inline constexpr size_t cMaxUnsharedCaseBytes = 16'384;
+
 /// Another suspect of a crash: a task. Others of its step may run well although they run the same program.
 struct CrashSuspect
 {
@@ -14,7 +21,10 @@
 	uint32 unit = 0;            ///< Index of the step's record.
 	std::optional<uint32> task; ///< Not set in records of earlier versions: any task of the step.
 
+	auto operator<=>(const CrashSuspect &) const = default;
 	bool operator==(const CrashSuspect &) const = default;
+	/// Stands for suspects that are not kept. No job has an empty id, so the suspect is never cleared.
+	static CrashSuspect Unknown() { return {}; }
 	/// The task is in the upper half of the number, plus one. Earlier versions read the whole as a step that does not exist, and take the
 	/// suspect for undecided.
 	template <class Archive>
@@ -42,8 +52,9 @@
 	bool blamed = false;                ///< Whether the task may have caused the crash; otherwise it is counted as a bystander.
 	bool after_start = false;           ///< Whether the crash came right after the start of the task's run, with no sign of coincidence.
 	bool chance = false;                ///< Other workers were lost at the same time, and no task can have caused their loss.
-	std::vector<CrashSuspect> suspects; ///< Other suspects.
+	std::vector<CrashSuspect> suspects; ///< Other suspects, cMaxCrashSuspects at most.
 
+	bool operator==(const CrashCase &) const = default;
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
@@ -94,5 +105,7 @@
 /// Merges stored cases into the counts. Cases that the counts do not include are ignored: an owner of an earlier version, which does not
 /// know the cases, may have changed or removed the counts since.
 void MergeCrashCases(CrashCounts &ioCounts, const CrashCasesByTask &inCases);
+/// Size of the cases as a record of CrashCasesByTask, an upper bound.
+size_t UnsharedCaseBytes(const CrashCounts &inCounts);
 
 } // namespace Loomreach::Jobs
--- a/TestSupport/Platform/FakeStore.cpp
+++ b/TestSupport/Platform/FakeStore.cpp
@@ -3,6 +3,7 @@
 #include <Loomreach/Loomreach.h>
 
 #include <Loomreach/Entry/HttpListener.h>
+#include <Loomreach/Ownership/RecordLimit.h>
 #include <TestSupport/Platform/FakeStore.h>
 
 #include <nlohmann/json.hpp>
@@ -109,6 +110,21 @@
 		this->gaps.Add("accepted");
 }
 
+/// Splits the body of an append into its records.
+static std::vector<std::string> SplitRecords(const std::string &inBody)
+{
+	std::vector<std::string> records;
+	for (size_t at = 0; at + 4 <= inBody.size();)
+	{
+		uint64 length = 0;
+		for (size_t i = 0; i < 4; ++i)
+			length = (length << 8) | static_cast<uint8>(inBody[at + i]);
+		records.push_back(inBody.substr(at + 4, length));
+		at += 4 + length;
+	}
+	return records;
+}
+
 std::pair<uint32, std::string> FakeStore::DoAppend(Partition &ioPartition, GHashTable *inQuery, const std::string &inBody)
 {
 	const bool has_producer = !QueryField(inQuery, "producer").empty();
@@ -124,15 +140,16 @@
 		return {409, R"({"reason":"seq"})"};
 	if (!QueryField(inQuery, "at").empty() && QueryNumber(inQuery, "at", 0) != ioPartition.records.size())
 		return {412, Json{{"end", ioPartition.records.size()}}.dump()};
+	const std::vector<Record> records = SplitRecords(inBody);
+	const bool too_long =
+		std::any_of(records.begin(), records.end(), [](const Record &inRecord) { return inRecord.size() > Jobs::cMaxRecordBytes; });
+	if (too_long || inBody.size() > Jobs::cMaxAppendBytes)
+		return {413, "{}"};
+	if (this->kept_bytes + inBody.size() > cMaxKeptBytes)
+		return {507, "{}"};
+	this->kept_bytes += inBody.size();
 	const size_t offset = ioPartition.records.size();
-	for (size_t at = 0; at + 4 <= inBody.size();)
-	{
-		uint64 length = 0;
-		for (size_t i = 0; i < 4; ++i)
-			length = (length << 8) | static_cast<uint8>(inBody[at + i]);
-		ioPartition.records.push_back(inBody.substr(at + 4, length));
-		at += 4 + length;
-	}
+	ioPartition.records.insert(ioPartition.records.end(), records.begin(), records.end());
 	const std::string answer = Json{{"offset", offset}, {"end", ioPartition.records.size()}}.dump();
 	if (has_producer)
 	{
--- a/TestSupport/Platform/FakeStore.h
+++ b/TestSupport/Platform/FakeStore.h
@@ -36,6 +36,9 @@
 	GapWatch &Gaps() { return this->gaps; }
 
 private:
+	/// Most bytes that are kept in all partitions; nothing is removed.
+	static constexpr size_t cMaxKeptBytes = size_t{400} * 1024 * 1024;
+
 	/// Bytes of one record, without the length prefix of the append.
 	using Record = std::string;
 	/// State of a partition's producer.
@@ -73,6 +76,7 @@
 	ObjectPtr<SoupServer> server;
 	EStoreFault fault = EStoreFault::None;
 	std::map<PartitionName, Partition> partitions;
+	size_t kept_bytes = 0;
 	GapWatch gaps;
 	std::vector<ObjectPtr<SoupServerMessage>> unanswered; ///< Calls that are kept open and never answered.
 };
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -505,6 +505,9 @@
 	if (this->append_done_at < 0 && this->cell->HasUnwrittenChanges())
 	{
 		this->batch = this->cell->TakeBatch(cWallClockOffsetMs + this->now);
+		for (const KeyedRecord &record : this->batch)
+			if (ExceedsRecordLimit({record.key, record.value, 0}))
+				this->AddViolation("record " + record.key.substr(0, 1) + " has " + std::to_string(record.value.size()) + " bytes");
 		if (!this->batch.empty())
 			this->append_done_at = this->now + (this->random.Chance(this->faults.slow_append) ? cSlowStoreAppendMs : cAppendMs) +
 								   this->DrawUpTo(this->faults.append_jitter_ms);
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -5,6 +5,7 @@
 #pragma once
 
 #include <Loomreach/Core/Random.h>
+#include <Loomreach/Ownership/LogTypes.h>
 #include <Loomreach/Schedule/Cell.h>
 #include <Loomreach/Schedule/EndReplicas.h>
 
--- a/UnitTests/FakeLog.h
+++ b/UnitTests/FakeLog.h
@@ -82,6 +82,8 @@
 	size_t Size(const LogName &inName) { return this->partitions[inName].records.size(); }
 
 	std::deque<EFate> fates;
+	size_t max_record_bytes = cMaxRecordBytes; ///< Longest record that is taken, with its frame.
+	size_t max_append_bytes = cMaxAppendBytes; ///< Longest append.
 	bool readable = true;
 	uint64 max_read_records = 1'000'000; ///< Greatest number of records in the answer to one read.
 	LogName limited_log;                 ///< Log of which only a limited number of reads is answered.
@@ -125,6 +127,16 @@
 			answer.result = EAppend::NotAtEnd;
 			return answer;
 		}
+		size_t bytes = 0;
+		for (const LogRecord &record : inCall.records)
+		{
+			bytes += BytesInAppend(record);
+			if (BytesInAppend(record) > this->max_record_bytes || bytes > this->max_append_bytes)
+			{
+				answer.result = EAppend::TooLong;
+				return answer;
+			}
+		}
 		answer.result = EAppend::Done;
 		answer.offset = partition.records.size();
 		for (LogRecord record : inCall.records)
