Name the queue in every record, and keep it with the job

Cause, one for both shapes: what was settled when the job was accepted, its queue, was not in its inbox record but for the queue's name. An owner that never read a version with that name made up a key from the name, registered its cell under it, and did not find the job when the queue's next cell asked.

The setting records_name_queues alone changed nothing, since hosts named only queues that they knew to have moved.

Change: a host names the queue's key and version in each record; the job keeps the key, in a log record of its own that the previous version skips. Restored held and redirected records get their key back. A host registers the cell of a queue that was added since its start before it hands a job in. Where a record of the previous version leaves doubt, a job counts as known.

Why it works: no owner has to guess a queue any more, so that all cells of a queue are registered under the same key, and its present cell asks them all.

QueueMoveSeeds.RecordsOfBothVersions passes before and after. The world's hosts name queues by default, as the product's do now.

--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -253,7 +253,10 @@
 	size_t catalogue_bytes = 0; ///< Size of the configuration's record.
 	QueueRegistry queue_registry;
 	std::map<QueueKey, uint32> queue_cells; ///< Cells of all queues that this process has known, as of the newest version that had them.
-	std::set<QueueKey> moved_queues;        ///< Of these, queues that have been in more than one cell.
+	/// Of these, queues that have been in more than one cell, or were added to the first version that this process read. Their cells are
+	/// registered before they are handed jobs: a cell without an owner cannot do so itself.
+	std::set<QueueKey> moved_queues;
+	int64 first_version = -1; ///< First version of the configuration that this process read; -1: none yet.
 	/// Submissions that wait until a site is registered.
 	std::map<std::pair<QueueKey, uint32>, std::vector<std::shared_ptr<PendingRequest>>> awaiting_site;
 	std::vector<QueueSite> logged_sites; ///< In the log, and not confirmed by a round of reads that began later.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -163,27 +163,26 @@
 template <class Hub>
 void JobHost<Hub>::AddPlacement(const Queue &inQueue, InboxRecord &ioRecord) const
 {
-	const QueueKey key = KeyOf(inQueue);
+	// The owner that reads the record may never read the version that placed the queue in its cell, or may have a newer one without it
 	if (this->config.records_name_queues == 0)
 		return;
-	if (!this->moved_queues.contains(key) && this->queue_registry.SitesOf(key).size() < 2)
-		return;
-	ioRecord.queue_key = key;
+	ioRecord.queue_key = KeyOf(inQueue);
 	ioRecord.queue_version = this->catalogue->version;
 }
 
 template <class Hub>
 void JobHost<Hub>::NoteMovedQueues()
 {
+	this->first_version = this->first_version < 0 ? this->catalogue->version : this->first_version;
 	for (const Queue &queue : this->catalogue->queues)
 	{
 		const uint32 cell = CellOf(queue.pool, this->PartitionCount());
 		const auto [known, is_new] = this->queue_cells.try_emplace(KeyOf(queue), cell);
-		if (is_new || known->second == cell)
+		if ((is_new && this->first_version == this->catalogue->version) || (!is_new && known->second == cell))
 			continue;
 		known->second = cell;
 		this->moved_queues.insert(known->first);
-		LogEvent(ELogLevel::Info, "queue_has_other_pool")
+		LogEvent(ELogLevel::Info, is_new ? "queue_added" : "queue_has_other_pool")
 			.Field("queue", queue.name)
 			.Field("pool", queue.pool)
 			.Field("cell", cell)
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -25,6 +25,7 @@
 static constexpr char cIncarnationKey = 'b'; ///< Worker: the incarnation that runs were placed on. Unknown to earlier versions.
 static constexpr char cDrainGrantKey = 'p';  ///< Worker: length of its drain grant. Unknown to earlier versions.
 static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
+static constexpr char cJobQueueKey = 'n';    ///< Job: key of its queue. Unknown to earlier versions, which go by the queue's name.
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
 static constexpr char cRedirectedKey = 'o';  ///< Number: a record on its way to another cell's inbox.
 static constexpr char cEarlyCancelKey = 'e'; ///< Job: cancellations before its submission. Unknown to earlier versions.
@@ -109,6 +110,8 @@
 		return this->RestoreOneEarlyCancel(id, inValue);
 	if (inKey[0] == cSharedCaseKey)
 		return this->RestoreSharedCases(id, inValue);
+	if (inKey[0] == cJobQueueKey)
+		return this->RestoreJobQueue(id, inValue);
 	// An empty value removes the job
 	if (inValue.empty())
 	{
@@ -162,6 +165,17 @@
 	return true;
 }
 
+bool Cell::RestoreJobQueue(const std::string &inJob, std::string_view inValue)
+{
+	// The record is removed along with its job
+	if (inValue.empty())
+		return true;
+	const std::optional<QueueKey> queue = DecodeValue<QueueKey>(inValue);
+	if (queue.has_value())
+		this->jobs[inJob].queue = *queue;
+	return queue.has_value();
+}
+
 bool Cell::RestoreLocation(const std::string &inWorker, std::string_view inValue)
 {
 	if (inValue.empty())
@@ -281,9 +295,9 @@
 		}
 		++it;
 	}
-	std::set<std::string> queues;
+	std::set<std::pair<std::string, QueueKey>> queues;
 	for (const auto &[id, job] : this->jobs)
-		queues.insert(job.spec.queue);
+		queues.insert({job.spec.queue, job.queue});
 	this->placements.Begin(inCell, queues, this->catalogue.get(), inNow);
 	// A previous owner may have issued the grants just now
 	for (auto &[id, worker] : this->workers)
@@ -569,6 +583,7 @@
 	}
 	CellJob &job = this->jobs[id];
 	job.spec = inRecord.spec;
+	job.queue = inRecord.queue_key;
 	job.record = NewRecord(job.spec);
 	job.volatile_state.resize(job.record.steps.size());
 	job.seen.resize(job.record.steps.size());
@@ -624,6 +639,8 @@
 		}
 		outBatch.push_back({cSpecKey + it->first, ""});
 		outBatch.push_back({cStateKey + it->first, ""});
+		if (job.queue != 0)
+			outBatch.push_back({cJobQueueKey + it->first, ""});
 		if (job.crashes_logged)
 			for (const char key : {cCrashKey, cCrashCaseKey})
 				outBatch.push_back({key + it->first, ""});
@@ -746,6 +763,8 @@
 		{
 			outBatch.push_back({cSpecKey + id, EncodeValue(job.spec)});
 			bytes += outBatch.back().value.size();
+			if (job.queue != 0)
+				outBatch.push_back({cJobQueueKey + id, EncodeValue(job.queue)});
 		}
 		job.spec_appending = !job.spec_logged;
 		bytes += this->AddCrashRecords(job, outBatch);
@@ -909,7 +928,14 @@
 
 bool Cell::IsOfQueue(const CellJob &inJob, std::string_view inQueue, QueueKey inKey) const
 {
-	return inJob.spec.queue == inQueue || (inKey != 0 && this->placements.KeyOfName(inJob.spec.queue) == inKey);
+	return inJob.spec.queue == inQueue || (inKey != 0 && this->QueueOf(inJob) == inKey);
+}
+
+QueueKey Cell::QueueOf(const CellJob &inJob) const { return inJob.queue != 0 ? inJob.queue : this->placements.KeyOfName(inJob.spec.queue); }
+
+bool Cell::MayBeOfQueue(const CellJob &inJob, QueueKey inKey) const
+{
+	return this->QueueOf(inJob) == inKey || (inJob.queue == 0 && !this->placements.IsKnownName(inJob.spec.queue));
 }
 
 JobAnswer Cell::Query(std::string_view inQueue, std::string_view inId, QueueKey inKey) const
@@ -942,8 +968,7 @@
 	// Jobs that this cell has been cleared to take are its own
 	this->now = inNow;
 	this->ApplyCleared(inWallNow);
-	const auto is_of_queue = [this, &inQuestion](const CellJob &inJob)
-	{ return this->placements.KeyOfName(inJob.spec.queue) == inQuestion.site.queue; };
+	const auto is_of_queue = [this, &inQuestion](const CellJob &inJob) { return this->MayBeOfQueue(inJob, inQuestion.site.queue); };
 	MoveAnswer answer;
 	for (const std::string &id : inQuestion.jobs)
 		if (const CellJob *job = this->FindJob(id); job != nullptr && is_of_queue(*job))
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -159,6 +159,7 @@
 	// Cell.cpp: log records
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
+	bool RestoreJobQueue(const std::string &inJob, std::string_view inValue);
 	bool RestoreSharedCases(const std::string &inJob, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
 	bool RestoreEarlyCancels(const std::string &inJob, std::string_view inValue);
@@ -186,6 +187,10 @@
 	void AddEarlyCancelRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Whether a job was submitted to a queue, under its present name or another one.
 	bool IsOfQueue(const CellJob &inJob, std::string_view inQueue, QueueKey inKey) const;
+	/// The queue that a job was submitted to, as its submission says; where it does not, as far as the queue's name tells.
+	QueueKey QueueOf(const CellJob &inJob) const;
+	/// The same with doubt resolved in favor of the queue: no version that was read here has the queue name of the job.
+	bool MayBeOfQueue(const CellJob &inJob, QueueKey inKey) const;
 	CellJob *FindJob(const std::string &inId);
 	TaskRecord *FindTask(const TaskId &inTask);
 	VolatileTaskState *FindVolatileState(const TaskId &inTask);
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -17,9 +17,9 @@
 /// Times, limits and weights of one cell. Times are in ms.
 struct CellTuning
 {
-	bool records_name_queues = false; ///< Redirected records name their queue. Setting `records_name_queues`.
-	Millis lease_ms = 4000;           ///< Lease granted to a worker's runs by each poll. Setting `worker_lease_ms`.
-	Millis max_lease_ms = 10000;      ///< Longest lease that any owner may have granted. Setting `worker_most_lease_ms`.
+	bool records_name_queues = true; ///< Redirected records name their queue. Setting `records_name_queues`.
+	Millis lease_ms = 4000;          ///< Lease granted to a worker's runs by each poll. Setting `worker_lease_ms`.
+	Millis max_lease_ms = 10000;     ///< Longest lease that any owner may have granted. Setting `worker_most_lease_ms`.
 	/// Workers truncate longer leases to this, including a lease whose end was computed for the clock of a previous incarnation.
 	Millis worker_lease_cap_ms = 10000;
 	Millis poll_wait_ms = 1500; ///< How long a long poll waits for a run end; well below the lease.
@@ -336,6 +336,7 @@
 struct CellJob
 {
 	JobSpec spec;
+	uint64 queue = 0; ///< See QueueKey; 0: its submission did not say.
 	JobRecord record;
 	std::vector<std::vector<VolatileTaskState>> volatile_state; ///< By unit and task.
 	std::vector<StepRunTimes> seen;                             ///< By unit.
@@ -416,7 +417,7 @@
 	EInbox kind = EInbox::Submit;
 	JobSpec spec;     ///< Cancel: only id, queue and team are used, and the payload for CancelDetails. Ends: unused.
 	EndReport ends{}; ///< Serialized for Ends only: hosts of versions without this member read the other kinds.
-	/// Of a queue that is known to have moved, see QueueKey; otherwise 0. Serialized by EncodeInboxRecord only, as the next member.
+	/// See QueueKey; 0: the record is from an earlier version. Serialized by EncodeInboxRecord only, as the next member.
 	uint64 queue_key = 0;
 	int64 queue_version = 0; ///< Version of the configuration that placed the queue in the cell that gets the record; 0: not known.
 
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -43,9 +43,12 @@
 		return true;
 	}
 	std::optional<HeldRecords> records = DecodeValue<HeldRecords>(inValue);
-	if (records.has_value())
-		this->held[inJob] = std::move(*records);
-	return records.has_value();
+	if (!records.has_value())
+		return false;
+	for (InboxRecord &record : records->records)
+		record.queue_key = records->queue == HashBytes(record.spec.queue) ? 0 : records->queue;
+	this->held[inJob] = std::move(*records);
+	return true;
 }
 
 bool QueuePlacements::RestoreRedirected(std::string_view inId, std::string_view inValue)
@@ -61,7 +64,8 @@
 	return record.has_value();
 }
 
-void QueuePlacements::Begin(uint32 inCell, const std::set<std::string> &inQueues, const Catalogue *inCatalogue, Millis inNow)
+void QueuePlacements::Begin(uint32 inCell, const std::set<std::pair<std::string, QueueKey>> &inQueues, const Catalogue *inCatalogue,
+							Millis inNow)
 {
 	this->cell = inCell;
 	if (!this->IsEnabled())
@@ -86,19 +90,33 @@
 	const auto in_newest = [inCatalogue](const std::string &inName)
 	{ return inCatalogue == nullptr ? nullptr : inCatalogue->FindQueue(inName); };
 	// A log of a version without placements has jobs whose queues were not registered
-	for (const std::string &name : inQueues)
+	for (const auto &[name, known_key] : inQueues)
 	{
 		const Queue *queue = in_newest(name);
-		const QueueKey key = queue != nullptr ? KeyOf(*queue) : this->KeyOfName(name);
+		const QueueKey named_key = queue != nullptr ? KeyOf(*queue) : this->KeyOfName(name);
+		const QueueKey key = known_key != 0 ? known_key : named_key;
 		if (!this->placements.contains(key))
 			this->AddHere({key, this->cell, 0, ""}).names.insert(name);
 	}
 	if (inCatalogue != nullptr)
 		this->SetCatalogue(*inCatalogue, inNow);
+	for (auto &[number, redirected] : this->outgoing)
+		this->RestoreQueueOf(redirected);
 	for (const auto &[queue, placement] : this->placements)
 		this->Review(placement);
 }
 
+void QueuePlacements::RestoreQueueOf(RedirectedRecord &ioRedirected) const
+{
+	// The layout of earlier versions has no room for it. A record is redirected only where its queue is known
+	InboxRecord &record = ioRedirected.record;
+	auto placement = this->placements.find(this->KeyOfName(record.spec.queue));
+	if (!this->records_name_queues || placement == this->placements.end())
+		return;
+	record.queue_key = placement->first;
+	record.queue_version = placement->second.site.cell == ioRedirected.cell ? placement->second.site.version : 0;
+}
+
 void QueuePlacements::SetCatalogue(const Catalogue &inCatalogue, Millis inNow)
 {
 	if (!this->IsEnabled())
@@ -133,8 +151,10 @@
 		Placement *placement = this->PlacementOf(records.records.front());
 		if (placement == nullptr && records.arrived_at < inAsOf)
 		{
-			const JobSpec &spec = records.records.front().spec;
-			placement = &this->AddHere({HashBytes(spec.queue), this->cell, this->version, spec.pool});
+			const InboxRecord &record = records.records.front();
+			const JobSpec &spec = record.spec;
+			const QueueKey key = record.queue_key != 0 ? record.queue_key : HashBytes(spec.queue);
+			placement = &this->AddHere({key, this->cell, this->version, spec.pool});
 			placement->names.insert(spec.queue);
 		}
 		if (placement == nullptr)
@@ -174,6 +194,14 @@
 	return HashBytes(inName);
 }
 
+bool QueuePlacements::IsKnownName(const std::string &inName) const
+{
+	return this->newest_sites.contains(inName) ||
+		   std::any_of(this->placements.begin(), this->placements.end(),
+					   [&inName](const auto &inEntry)
+					   { return inEntry.first != HashBytes(inName) && inEntry.second.names.contains(inName); });
+}
+
 QueuePlacements::Placement *QueuePlacements::PlacementOf(const InboxRecord &inRecord)
 {
 	const std::string &name = inRecord.spec.queue;
--- a/Loomreach/Schedule/QueuePlacements.h
+++ b/Loomreach/Schedule/QueuePlacements.h
@@ -63,8 +63,8 @@
 	bool RestorePlacement(std::string_view inValue);
 	bool RestoreHeld(const std::string &inJob, std::string_view inValue);
 	bool RestoreRedirected(std::string_view inId, std::string_view inValue);
-	/// Starts with what was restored. `inQueues`: names of the queues of the jobs in the cell's log.
-	void Begin(uint32 inCell, const std::set<std::string> &inQueues, const Catalogue *inCatalogue, Millis inNow);
+	/// Starts with what was restored. `inQueues`: names and keys of the queues of the jobs in the cell's log; key 0: not known.
+	void Begin(uint32 inCell, const std::set<std::pair<std::string, QueueKey>> &inQueues, const Catalogue *inCatalogue, Millis inNow);
 	void SetCatalogue(const Catalogue &inCatalogue, Millis inNow);
 
 	/// Decides on a record about a job that the cell does not know. Unless the cell takes it, the record is kept here.
@@ -100,6 +100,8 @@
 	bool IsUndecided(const std::string &inJob, Millis inNow) const;
 	/// The queue that a job's queue name stands for.
 	QueueKey KeyOfName(const std::string &inName) const;
+	/// Whether a version that was read here, or a record, has told which queue has this name.
+	bool IsKnownName(const std::string &inName) const;
 	/// Number of held or redirected submissions of a queue.
 	uint32 CountUndecided(QueueKey inQueue) const;
 
@@ -178,6 +180,8 @@
 	void Review(const Placement &inPlacement);
 	/// Hands the held cancellations of a job on to the former cells that have not been handed them.
 	void HandOnCancels(const Placement &inPlacement, HeldRecords &ioRecords);
+	/// Adds to a restored record which queue it is about, as far as that is known.
+	void RestoreQueueOf(RedirectedRecord &ioRedirected) const;
 	/// Sends a record to the inbox of the cell of a site.
 	void Redirect(InboxRecord inRecord, const QueueSite &inSite);
 	/// Removes the held records about a job.
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -36,8 +36,8 @@
 	int64 demand_hold_ms = 600;           ///< Time for which a demand counts after it was last observed.
 	int64 keep_ended_ms = 120000;         ///< Minimum time for which ended jobs can be queried.
 	int64 processor_milli = 1000;         ///< Processor time available to this entry host, thousandths of a core.
-	/// 1: records about jobs of queues that have moved name the queue. Versions before this setting cannot read such records.
-	int64 records_name_queues = 0;
+	/// 1: records about jobs name the queue by its key. Versions before this setting cannot read such records.
+	int64 records_name_queues = 1;
 	double link_mbit_per_s = 0.0; ///< Rate of this entry host's network link, Mbit/s; 0: unknown.
 };
 
--- a/UnitTests/QueueMoveTests.cpp
+++ b/UnitTests/QueueMoveTests.cpp
@@ -234,6 +234,78 @@
 	EXPECT_EQ(world.PhaseOf("second"), EJobPhase::Canceled);
 }
 
+/// Guards against a job that is unknown under its queue's next name, because the owner that took it never read the name that the queue
+/// had. All owners change in between, so that only what the logs say counts.
+TEST(QueueMove, AJobThatAnOwnerTookUnderAnUnknownNameStaysKnown)
+{
+	QueueMoveWorld world(1);
+	world.Submit(0, "job");
+	world.Configure(0, "second");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	world.Configure(0, "third");
+	world.KillAll(1000);
+	world.Run(10'000);
+	world.Configure(1, "third");
+	world.Run(cSettleMs);
+	world.KillAll(1000);
+	world.Run(10'000);
+	for (size_t host = 0; host < QueueMoveWorld::cHosts; ++host)
+	{
+		EXPECT_EQ(world.Ask(host, "job"), EFinding::Known);
+		world.Submit(host, "job");
+	}
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.TakenBy("job"), std::set<size_t>{0});
+	world.Cancel(0, "job");
+	world.Run(cSettleMs);
+	EXPECT_EQ(world.PhaseOf("job"), EJobPhase::Canceled);
+}
+
+/// Guards against a job that belongs to another queue once that one has got the name of the job's queue.
+TEST(QueueMove, AQueueThatTakesOverANameTakesNoJobs)
+{
+	CellTuning tuning;
+	tuning.log_partitions = 8;
+	const uint32 own = CellOf("pool", tuning.log_partitions);
+	Queue former;
+	former.name = "name";
+	former.host = "host";
+	former.pool = "pool";
+	Queue next = former;
+	next.prefix = "/other/";
+	auto catalogue = std::make_shared<Catalogue>();
+	catalogue->version = 3;
+	catalogue->queues.push_back(former);
+	Cell cell(tuning);
+	cell.SetCatalogue(catalogue);
+	cell.Begin(1, 1000, own);
+	cell.Placements().OnRegistered(cell.Placements().SitesToRegister(10), {}, 1000);
+	InboxRecord sent{EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)};
+	sent.spec.queue = "name";
+	sent.spec.pool = "pool";
+	sent.queue_key = KeyOf(former);
+	sent.queue_version = 3;
+	cell.Ingest(sent, 0, 1000, 1'700'000'000'000);
+	auto renamed = std::make_shared<Catalogue>();
+	renamed->version = 5;
+	renamed->queues.push_back(next);
+	cell.SetCatalogue(renamed);
+	Cell successor(tuning);
+	for (const KeyedRecord &record : cell.TakeBatch(1'700'000'000'000))
+		EXPECT_TRUE(successor.Restore(record.key, record.value));
+	successor.SetCatalogue(renamed);
+	successor.Begin(2, 2000, own);
+	for (Cell *owner : {&cell, &successor})
+	{
+		EXPECT_TRUE(owner->Query("third", "job", KeyOf(former)).known);
+		EXPECT_FALSE(owner->Query("third", "job", KeyOf(next)).known);
+		const MoveAnswer answer = owner->OnQueueMoved({{KeyOf(former), own + 1, 7, "pool2"}, own, {"job"}}, 2000, 1'700'000'000'000);
+		EXPECT_EQ(answer.known, std::vector<std::string>{"job"});
+		EXPECT_TRUE(owner->OnQueueMoved({{KeyOf(next), own + 1, 7, "pool2"}, own, {"job"}}, 2000, 1'700'000'000'000).known.empty());
+	}
+}
+
 /// Guards against a queue that is taken for another one because it was removed in between, or has another name now.
 TEST(QueueMove, RemovedThenAddedElsewhereUnderAnotherName)
 {
@@ -370,7 +442,7 @@
 	cell.SetCatalogue(without);
 	cell.Begin(1, 1000, own);
 	InboxRecord sent{EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)};
-	// Earlier versions read the records of queues that have not moved
+	// Hosts of earlier versions write records without a queue's key
 	EXPECT_EQ(EncodeInboxRecord(sent), EncodeValue(sent));
 	sent.spec.pool = "pool";
 	sent.queue_key = KeyOf(queue);
@@ -483,6 +555,20 @@
 	ExpectSeeds(5001, cSeeds, faults);
 }
 
+/// The same during a rollout: one host is of the earlier version, whose records do not name the queue.
+TEST(QueueMoveSeeds, RecordsOfBothVersions)
+{
+	MoveFaults faults;
+	faults.slow_append_ms = 300;
+	faults.host_lag_ms = 1000;
+	faults.late_registrar = 20;
+	faults.lost_message = 5;
+	faults.owner_kill = 20;
+	faults.no_owner_ms = 2000;
+	faults.earlier_host = true;
+	ExpectSeeds(6001, cSeeds, faults);
+}
+
 /// Faults with queues that are removed for a while.
 MoveFaults Removals()
 {
--- a/UnitTests/QueueMoveWorld.cpp
+++ b/UnitTests/QueueMoveWorld.cpp
@@ -113,9 +113,10 @@
 	const Queue *queue = this->QueueAt(inHost);
 	inRecord.spec.queue = queue->name;
 	inRecord.spec.pool = queue->pool;
-	// As hosts do, a host that knows that the queue has moved says where its configuration places the queue
+	// As hosts do, a host says where its configuration places the queue
 	const bool is_moved = this->hosts[inHost].saw_move || this->Registered().SitesOf(KeyOf(*queue)).size() > 1;
-	if (this->faults.names_queues && is_moved)
+	const bool is_earlier = this->faults.earlier_host && inHost == cHosts - 1;
+	if (this->faults.names_queues && (is_moved || !is_earlier))
 	{
 		inRecord.queue_key = KeyOf(*queue);
 		inRecord.queue_version = this->CatalogueAt(this->hosts[inHost].version)->version;
--- a/UnitTests/QueueMoveWorld.h
+++ b/UnitTests/QueueMoveWorld.h
@@ -24,7 +24,8 @@
 	uint64 rename = 0;           ///< A configuration gives the queue another name.
 	uint64 removal = 0;          ///< A configuration does not have the queue.
 	uint64 same_owner = 0;       ///< A question is answered at once, as by a host that owns both cells.
-	bool names_queues = false;   ///< Records name the queue once it is known to have moved.
+	bool names_queues = true;    ///< Records name the queue.
+	bool earlier_host = false;   ///< The last host is of an earlier version, whose records do not name a queue that it has not seen move.
 	bool checks_cancels = false; ///< Whether a job must be canceled once its submission and a cancellation were accepted.
 };
 
