Log which workers may hold their longest lease, and wait for it after a take-over

Callers saw (the users' own runs, TWICE): tasks ran twice at once after workers had started again under their ids and were cut off, while the owner changed.

Cause: a lease end is a time on the clock of one life of a worker. An order for the former life, often the very poll that finds the new one, makes the new life grant its longest lease, 10 s instead of 4 s. The owner knew that, its log did not, and a successor waited for 4.27 s only.

Change: a record along with the first run on such a worker; a successor, and whoever gives up a run without a record, waits for that lease. Nothing is started on a new life before it has carried out an order with its own token, since it refuses orders for former lives only from then on; the lease counts from there. A life that the list shows and the log does not name counts as one that may hold it for inherited runs.

Why it works: the bound that the owner relies on is in the log before a run that it concerns is sent, and no stray order can extend the lease afterwards.

CellRestart.AsksForATicketOfTheNextIncarnation expected a request to the adviser right after the first answer of a new life; it now checks that none comes before the worker has answered its own poll, and that one comes then.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -24,6 +24,8 @@
 static constexpr char cLocationKey = 'w';    ///< Worker: its location.
 static constexpr char cIncarnationKey = 'b'; ///< Worker: the incarnation that runs were placed on. Unknown to earlier versions.
 static constexpr char cDrainGrantKey = 'p';  ///< Worker: length of its drain grant. Unknown to earlier versions.
+/// Worker: the longest lease that it grants by itself, if it may have granted that. Unknown to earlier versions.
+static constexpr char cLongestLeaseKey = 'm';
 static constexpr char cPlacementKey = 'q';   ///< Queue: its placement. Unknown to earlier versions, as the next two.
 static constexpr char cJobQueueKey = 'n';    ///< Job: key of its queue. Unknown to earlier versions, which go by the queue's name.
 static constexpr char cHeldKey = 'h';        ///< Job: records that wait until other cells have been asked.
@@ -96,6 +98,8 @@
 		return this->RestoreIncarnation(id, inValue);
 	if (inKey[0] == cDrainGrantKey)
 		return this->RestoreDrainGrant(id, inValue);
+	if (inKey[0] == cLongestLeaseKey)
+		return this->RestoreLongestLease(id, inValue);
 	if (inKey[0] == cPlacementKey)
 		return this->placements.RestorePlacement(inValue);
 	if (inKey[0] == cHeldKey)
@@ -214,6 +218,20 @@
 	return true;
 }
 
+bool Cell::RestoreLongestLease(const std::string &inWorker, std::string_view inValue)
+{
+	if (inValue.empty())
+		return true;
+	const std::optional<Millis> lease = DecodeValue<Millis>(inValue);
+	if (!lease.has_value())
+		return false;
+	CellWorker &worker = this->workers[inWorker];
+	worker.entry.id = inWorker;
+	worker.listed = false;
+	worker.logged_longest_lease_ms = *lease;
+	return true;
+}
+
 bool Cell::RestoreDrainGrant(const std::string &inWorker, std::string_view inValue)
 {
 	if (inValue.empty())
@@ -270,6 +288,20 @@
 	this->run_events.Begin(inCell, inEpoch);
 	this->replicator.Begin(inCell, inEpoch);
 	this->leases.Begin(this->tuning.lease_ms, this->tuning.max_lease_ms, inNow);
+	// A previous owner may have learned of the new incarnation just now
+	for (auto &[id, worker] : this->workers)
+	{
+		if (worker.logged_longest_lease_ms == 0)
+			continue;
+		const Millis lease = std::max(worker.logged_longest_lease_ms, this->tuning.worker_lease_cap_ms);
+		worker.longest_lease_until = inNow + LongestLease(lease);
+		LogEvent(ELogLevel::Info, "longest_lease_assumed")
+			.Field("worker", id)
+			.Field("lease_ms", lease)
+			.Field("born_ms", worker.logged_started_ms)
+			.Field("cell", inCell)
+			.Field("epoch", inEpoch);
+	}
 	for (auto it = this->jobs.begin(); it != this->jobs.end();)
 	{
 		CellJob &job = it->second;
@@ -330,7 +362,7 @@
 				worker.listed = false;
 				worker.unlisted_at = inNow;
 				// A previous owner may have extended the lease just now
-				worker.lease_expires_at = inNow + LongestLease(this->leases.LongestGranted(inNow));
+				worker.lease_expires_at = std::max(worker.longest_lease_until, inNow + LongestLease(this->leases.LongestGranted(inNow)));
 				const size_t steps = ioJob.spec.steps.size();
 				const RunId id{{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index}, run.run};
 				Run inherited = NewRun(ioJob.spec, step, ERunState::Inherited, inNow);
@@ -389,7 +421,7 @@
 		const bool is_retained = inNow < std::max({worker.drain_until, worker.drain_grant_until, worker.removed_until});
 		// Until its ends are in the log, a successor needs them
 		const bool remove = !worker.IsPresent(inNow) && worker.IsIdleAndLogged() && !worker.poll_in_flight && !is_retained;
-		if (remove && (worker.logged_location.has_value() || worker.appending_grant_ms > 0))
+		if (remove && (worker.logged_location.has_value() || worker.appending_grant_ms > 0 || worker.logged_longest_lease_ms > 0))
 			this->removed_workers.push_back(it->first);
 		it = remove ? this->workers.erase(it) : std::next(it);
 	}
@@ -778,7 +810,7 @@
 {
 	for (const std::string &id : std::exchange(this->removed_workers, {}))
 		if (!this->workers.contains(id))
-			for (const char key : {cLocationKey, cIncarnationKey, cDrainGrantKey})
+			for (const char key : {cLocationKey, cIncarnationKey, cDrainGrantKey, cLongestLeaseKey})
 				outBatch.push_back({key + id, ""});
 	for (auto &[id, worker] : this->workers)
 	{
@@ -798,6 +830,21 @@
 	}
 }
 
+void Cell::AddLongestLeaseRecords(std::vector<KeyedRecord> &outBatch)
+{
+	const bool written_anyway = !outBatch.empty();
+	for (auto &[id, worker] : this->workers)
+	{
+		const bool may_last = this->now < worker.longest_lease_until;
+		const bool is_new = may_last && worker.logged_longest_lease_ms == 0 && !worker.runs.empty();
+		const bool is_over = !may_last && worker.logged_longest_lease_ms > 0 && written_anyway;
+		if (!is_new && !is_over)
+			continue;
+		worker.logged_longest_lease_ms = is_new ? this->tuning.worker_lease_cap_ms : 0;
+		outBatch.push_back({cLongestLeaseKey + id, is_new ? EncodeValue(worker.logged_longest_lease_ms) : ""});
+	}
+}
+
 void Cell::AddDrainGrantRecords(std::vector<KeyedRecord> &outBatch)
 {
 	const bool written_anyway = !outBatch.empty();
@@ -832,6 +879,7 @@
 	this->AddTeamKeyRecords(batch);
 	if (!batch.empty())
 		this->AddLocationRecords(batch);
+	this->AddLongestLeaseRecords(batch);
 	this->AddDrainGrantRecords(batch);
 	this->RemoveEndedJobs(inWallNow, batch);
 	// Records that are no longer held, and whose jobs are not written yet, must be read again by a successor
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -159,6 +159,7 @@
 	// Cell.cpp: log records
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
+	bool RestoreLongestLease(const std::string &inWorker, std::string_view inValue);
 	bool RestoreJobQueue(const std::string &inJob, std::string_view inValue);
 	bool RestoreSharedCases(const std::string &inJob, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
@@ -207,6 +208,8 @@
 	void AddJobRecords(int64 inWallNow, std::vector<KeyedRecord> &outBatch);
 	/// Adds new locations and incarnations of workers with runs, and removes those of removed workers.
 	void AddLocationRecords(std::vector<KeyedRecord> &outBatch);
+	/// Adds which workers may have granted their longest lease. Passed ones are removed only along with other records.
+	void AddLongestLeaseRecords(std::vector<KeyedRecord> &outBatch);
 	/// Adds new drain grants. Expired grants are removed only along with other records.
 	void AddDrainGrantRecords(std::vector<KeyedRecord> &outBatch);
 	/// A worker's ends in the append are in the log now.
@@ -344,7 +347,11 @@
 	/// Marks the runs that the current incarnation may have, or may still be sent by orders in flight, for verification by a poll.
 	void VerifyRuns(CellWorker &ioWorker, Millis inNow);
 	/// Accounts for an order whose lease end was computed for another clock: the worker may have granted its maximum lease.
-	void AssumeMaxLease(CellWorker &ioWorker, Millis inNow) const;
+	void AssumeMaxLease(CellWorker &ioWorker, Millis inNow);
+	/// The worker has carried out an order with the token of its current incarnation.
+	void NoteTokenSeen(CellWorker &ioWorker, Millis inNow);
+	/// The longest lease that a worker may have granted.
+	Millis LongestLeaseOn(const CellWorker &inWorker, Millis inNow) const;
 	/// Handles the answer to an order for a previous incarnation. Either incarnation may have sent it.
 	void OnPreviousIncarnationAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	/// Counts the crash of a previous incarnation against a run whose end no previous owner has submitted.
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -367,7 +367,7 @@
 	this->AddUsage(ioWorker, unrecorded);
 	ioWorker.runs.emplace(inRun, std::move(unrecorded));
 	// Whoever granted its lease, the run may not be given up before it must have expired
-	ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->leases.LongestGranted(inNow)));
+	ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->LongestLeaseOn(ioWorker, inNow)));
 }
 
 void Cell::StopRun(CellWorker &ioWorker, const RunId &inRun, std::string_view inWhy, Millis inNow)
--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -51,8 +51,10 @@
 	const bool is_later = IsStartedAfter(inEntry.started_ms, ioWorker.started_ms);
 	if (is_later && !ioWorker.ended)
 	{
-		// The later incarnation may carry out a start that is still under way, and grant its lease by a clock of its own
-		const auto may_start = [&ioWorker, inNow](const auto &inRun) { return Cell::MayStartLater(ioWorker, inRun.second, inNow); };
+		// The later incarnation may carry out a start that is still under way, and grant its lease by a clock of its own. Of inherited runs
+		// it is not known whether their starts were answered, and by which incarnation
+		const auto may_start = [&ioWorker, inNow](const auto &inRun)
+		{ return inRun.second.state == ERunState::Inherited || Cell::MayStartLater(ioWorker, inRun.second, inNow); };
 		if (std::any_of(ioWorker.runs.begin(), ioWorker.runs.end(), may_start))
 			this->AssumeMaxLease(ioWorker, inNow);
 		this->SuspectRestart(ioWorker, "the worker list shows a later life", inNow);
@@ -123,6 +125,7 @@
 	incarnation = WorkerIncarnation{};
 	incarnation.started_ms = inStartedMs;
 	incarnation.incarnation_number = ++this->incarnations_begun;
+	incarnation.replaced = true;
 	// Once the incarnation has seen its own token, it refuses orders for the previous one
 	incarnation.poll_once = true;
 	incarnation.next_poll_at = inNow;
@@ -174,12 +177,10 @@
 
 void Cell::VerifyRuns(CellWorker &ioWorker, Millis inNow)
 {
-	bool any = false;
 	for (auto &[id, run] : ioWorker.runs)
 	{
 		if (!IsDispatched(run.state))
 			continue;
-		any = true;
 		if (run.state == ERunState::Stopping || (run.state == ERunState::Fenced && run.stop_acked_at >= 0))
 		{
 			run.state = ERunState::Stopping;
@@ -197,14 +198,32 @@
 		run.percent = 0;
 		run.throttle_in_flight = false;
 	}
-	// An order for the previous incarnation may still arrive, with a lease end computed for that incarnation's clock
-	if (any || inNow - ioWorker.last_unanswered_at < cMaxOrderDelayMs)
-		this->AssumeMaxLease(ioWorker, inNow);
+	// An order for the previous incarnation may still arrive, or has been answered by this one, with a lease end computed for that
+	// incarnation's clock
+	this->AssumeMaxLease(ioWorker, inNow);
+}
+
+void Cell::AssumeMaxLease(CellWorker &ioWorker, Millis inNow)
+{
+	ioWorker.longest_lease_until = std::max(ioWorker.longest_lease_until, inNow + LongestLease(this->tuning.worker_lease_cap_ms));
+	ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, ioWorker.longest_lease_until);
+	// A successor that takes over before the next record would wait for the usual lease only
+	if (ioWorker.logged_longest_lease_ms == 0 && !ioWorker.runs.empty())
+		this->unwritten_changes = true;
+}
+
+void Cell::NoteTokenSeen(CellWorker &ioWorker, Millis inNow)
+{
+	if (std::exchange(ioWorker.token_seen, true) || !ioWorker.replaced)
+		return;
+	// Orders for earlier incarnations have been carried out until now
+	this->AssumeMaxLease(ioWorker, inNow);
 }
 
-void Cell::AssumeMaxLease(CellWorker &ioWorker, Millis inNow) const
+Millis Cell::LongestLeaseOn(const CellWorker &inWorker, Millis inNow) const
 {
-	ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->tuning.worker_lease_cap_ms));
+	const Millis granted = this->leases.LongestGranted(inNow);
+	return inNow < inWorker.longest_lease_until ? std::max(granted, this->tuning.worker_lease_cap_ms) : granted;
 }
 
 void Cell::OnPreviousIncarnationAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -341,6 +341,8 @@
 		this->OnIncarnationEnded(worker, "its address is another life's", inNow);
 		return;
 	}
+	if (inAnswer.result == EOrderResult::Done && !worker.restart_suspected)
+		this->NoteTokenSeen(worker, inNow);
 	switch (inOrder.kind)
 	{
 	case EOrder::Start: this->OnStartAnswer(worker, inOrder, inAnswer, inNow); break;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -449,6 +449,9 @@
 		return false;
 	if (inWorker.restart_suspected || inWorker.unsized_runs > 0 || this->IsEvacuated(inWorker))
 		return false;
+	// An order for its predecessor could still extend the lease of a run that is started now
+	if (inWorker.replaced && !inWorker.token_seen)
+		return false;
 	// The listed capacity, kind and rack belong to a previous incarnation
 	if (IsStartedAfter(inWorker.started_ms, inWorker.entry.started_ms))
 		return false;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -180,6 +180,10 @@
 {
 	int64 started_ms = cStartTimeUnknown; ///< Identifies the incarnation together with the worker's id.
 	uint64 incarnation_number = 0;        ///< Part of the token of its orders; higher than for every earlier incarnation.
+	/// It replaced a known one, orders for which may still arrive and, with lease ends of another clock, make it grant its longest lease.
+	bool replaced = false;
+	/// It has carried out an order with its own token, and refuses orders for earlier incarnations since.
+	bool token_seen = false;
 	/// Something suggests that another incarnation has begun. The next poll decides; until then nothing is started.
 	bool restart_suspected = false;
 	bool leave_announced = false;    ///< The worker has announced that it leaves.
@@ -268,7 +272,11 @@
 	uint32 open_trials = 0;                      ///< Trial runs that currently forbid other starts.
 	uint32 unsized_runs = 0;                     ///< Runs whose reserved resources are unknown.
 	Millis lease_expires_at = 0;                 ///< On the owner's clock; everything dispatched has lapsed by then unless extended.
-	Millis last_unanswered_at = -cNeverMs;       ///< When an order last got no answer; it may still be carried out.
+	/// Until when its longest lease may last, on the owner's clock. Invariant: not above `lease_expires_at`. While it has not passed, the
+	/// log says so whenever there are runs: a successor must wait as long.
+	Millis longest_lease_until = 0;
+	Millis logged_longest_lease_ms = 0;    ///< That lease in the log, or in the append in flight; 0: none.
+	Millis last_unanswered_at = -cNeverMs; ///< When an order last got no answer; it may still be carried out.
 	PreviousIncarnationEnds previous_ends;
 	Millis drain_until = 0;        ///< Being drained for maintenance; nothing new until then.
 	Millis drain_grant_until = 0;  ///< It was reported empty, so its host may be moved or taken down until then.
--- a/UnitTests/CellRestartTests.cpp
+++ b/UnitTests/CellRestartTests.cpp
@@ -344,6 +344,11 @@
 	ASSERT_EQ(orders.size(), 1u);
 	harness.cell.OnAdvice(requests[0], {true, 60000, {{"w", "ticket"}}}, harness.now);
 	harness.cell.OnAnswer(orders[0], harness.PollAnswer(2000, 10), harness.now, harness.now);
+	orders = harness.TakeDueOrders();
+	EXPECT_TRUE(harness.cell.TakeAdvice().empty());
+	// From this answer on the worker refuses orders for its previous incarnation
+	ASSERT_EQ(orders.size(), 1u);
+	harness.cell.OnAnswer(orders[0], harness.PollAnswer(2000, 10), harness.now, harness.now);
 	harness.TakeDueOrders();
 	requests = harness.cell.TakeAdvice();
 	ASSERT_EQ(requests.size(), 1u);
@@ -403,4 +408,103 @@
 	EXPECT_EQ(counted, 1u);
 }
 
+/// Guards against a successor that waits for the usual lease where its predecessor knew that the worker may hold its longest one.
+TEST(CellRestart, TheLogTellsWhichWorkersMayHoldTheirLongestLease)
+{
+	constexpr Millis cUsualWaitMs = 4500;
+	constexpr Millis cLongestWaitMs = 10600;
+	for (const bool restarted : {false, true})
+	{
+		IncarnationHarness harness;
+		std::vector<Order> orders = harness.TakeDueOrders();
+		harness.cell.OnAnswer(orders[0], harness.PollAnswer(1000, 500), harness.now, harness.now);
+		if (restarted)
+		{
+			harness.ListWorker(2000);
+			orders = harness.TakeDueOrders();
+			ASSERT_EQ(orders.size(), 1u);
+			harness.cell.OnAnswer(orders[0], harness.PollAnswer(2000, 10), harness.now, harness.now);
+			orders = harness.TakeDueOrders();
+			ASSERT_EQ(orders.size(), 1u);
+			harness.cell.OnAnswer(orders[0], harness.PollAnswer(2000, 510), harness.now, harness.now);
+		}
+		harness.cell.Ingest({EInbox::Submit, MakeJob("job", 1, 1, 1000, 500)}, 0, harness.now, harness.now);
+		harness.TakeDueOrders();
+		ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+		CellTuning tuning;
+		tuning.max_lease_ms = tuning.lease_ms;
+		Cell successor(tuning);
+		for (const KeyedRecord &record : harness.written)
+			EXPECT_TRUE(successor.Restore(record.key, record.value));
+		successor.Begin(2 * cTokensPerEpoch, harness.now);
+		successor.Plan(harness.now + cUsualWaitMs, harness.now);
+		EXPECT_EQ(successor.Counts().runs, restarted ? 1u : 0u);
+		successor.Plan(harness.now + cLongestWaitMs, harness.now);
+		EXPECT_EQ(successor.Counts().runs, 0u);
+	}
+}
+
+/// Restarts half of the workers under their ids while long tasks run, replaces the owner and cuts these workers off, three times.
+/// `inOwnerChanges`: when the owner is replaced after the restarts, ms; -1: it is not.
+static std::string PlayRestartsAndCuts(uint64 inSeed, const SimulationFaults &inFaults, Millis inOwnerChanges)
+{
+	constexpr Millis cDarkMs = 600;
+	constexpr Millis cCutAfterMs = 2600;
+	constexpr Millis cCutMs = 9000;
+	Random random(inSeed);
+	CellSimulation simulation(inSeed, inFaults, 8);
+	simulation.polls_wait = true;
+	simulation.Run(1000);
+	int next = 0;
+	for (int round = 0; round < 3; ++round)
+	{
+		for (int i = 0; i < 6; ++i)
+		{
+			const std::string id = "job" + std::to_string(next++);
+			simulation.run_ms[id] = 9000 + static_cast<Millis>(random.Below(6000));
+			simulation.Submit(MakeJob(id, 1, 1 + static_cast<uint32>(random.Below(3)), 4000, 12000));
+		}
+		simulation.Run(1000 + static_cast<Millis>(random.Below(3000)));
+		std::vector<std::string> restarted;
+		for (auto &[id, worker] : simulation.Workers())
+			if (!worker.crashed && random.Chance(50))
+			{
+				restarted.push_back(id);
+				simulation.Restart(worker, random.Chance(50), cDarkMs);
+			}
+		const Millis change = inOwnerChanges < 0 ? cCutAfterMs : std::min(inOwnerChanges, cCutAfterMs);
+		simulation.Run(change);
+		if (inOwnerChanges >= 0)
+			simulation.ReplaceOwner(cOwnerKilled);
+		simulation.Run(cCutAfterMs - change);
+		for (const std::string &id : restarted)
+			if (auto worker = simulation.Workers().find(id); worker != simulation.Workers().end())
+				worker->second.unreachable_until = simulation.Now() + cCutMs;
+		simulation.Run(cCutMs + 3000);
+	}
+	simulation.ClearFaults();
+	simulation.Run(60000);
+	return simulation.Violations() + simulation.UnfinishedJobs();
+}
+
+/// Guards against a successor that waits for the leases that its predecessor granted, where the worker has granted its longest one to an
+/// order for its former incarnation.
+TEST(CellRestart, ASuccessorWaitsForTheLeaseOfARestartedWorker)
+{
+	for (const Millis change : {0, 700, 2000, 2600})
+		for (uint64 seed = 1; seed <= 150; ++seed)
+			ASSERT_EQ(PlayRestartsAndCuts(seed, {}, change), "") << "seed " << seed << ", owner replaced after " << change << " ms";
+}
+
+/// Guards against the same where the owner stays, and where orders are carried out late.
+TEST(CellRestart, LateOrdersForAFormerIncarnationExtendNoLeaseUnseen)
+{
+	SimulationFaults faults;
+	faults.late_order = 5;
+	faults.late_start = 5;
+	for (const Millis change : {-1, 700, 1200, 2000})
+		for (uint64 seed = 1; seed <= 100; ++seed)
+			ASSERT_EQ(PlayRestartsAndCuts(seed, faults, change), "") << "seed " << seed << ", owner replaced after " << change << " ms";
+}
+
 } // namespace Loomreach::Jobs
