Describe the new log lines, and try a too long inbox record for its own time only

Cause: EAppend::TooLong reached the writers of inboxes as an answer in doubt, though nothing has been appended.

--- a/Loomreach/Entry/InboxWriter.inl
+++ b/Loomreach/Entry/InboxWriter.inl
@@ -121,9 +121,11 @@
 	if (node.empty())
 		return;
 	const Millis now = this->time.Now();
-	this->load.OnEnded(inCall, inAnswer.result, now);
+	// Nothing of a call that is too long has been appended; each record is tried until its own time is over
+	const EAppend result = inAnswer.result == EAppend::TooLong ? EAppend::Refused : inAnswer.result;
+	this->load.OnEnded(inCall, result, now);
 	Call &call = node.mapped();
-	if (inAnswer.result == EAppend::Refused)
+	if (result == EAppend::Refused)
 	{
 		const std::vector<OnOutcome> refused_records = this->Return(std::move(call), now);
 		this->GiveUpLate(now);
--- a/Loomreach/Entry/JobHost.h
+++ b/Loomreach/Entry/JobHost.h
@@ -253,8 +253,8 @@
 	size_t catalogue_bytes = 0; ///< Size of the configuration's record.
 	QueueRegistry queue_registry;
 	std::map<QueueKey, uint32> queue_cells; ///< Cells of all queues that this process has known, as of the newest version that had them.
-	/// Of these, queues that have been in more than one cell, or were added to the first version that this process read. Their cells are
-	/// registered before they are handed jobs: a cell without an owner cannot do so itself.
+	/// Of these, queues that have been in more than one cell, or that were added after the first version that this process read. Their
+	/// cells are registered before they are handed jobs: a cell without an owner cannot do so itself.
 	std::set<QueueKey> moved_queues;
 	int64 first_version = -1; ///< First version of the configuration that this process read; -1: none yet.
 	/// Submissions that wait until a site is registered.
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -279,8 +279,6 @@
 			this->PollRack(ioWorker, inNow);
 	}
 	const bool unanswered = inAnswer.result == EOrderResult::Unknown && !inAnswer.connection_closed;
-	if (unanswered)
-		ioWorker.last_unanswered_at = inNow;
 	if (unanswered && ioWorker.connections_closed_at < 0 && ioWorker.unanswered_since < 0)
 		ioWorker.unanswered_since = inNow;
 }
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -275,8 +275,7 @@
 	/// Until when its longest lease may last, on the owner's clock. Invariant: not above `lease_expires_at`. While it has not passed, the
 	/// log says so whenever there are runs: a successor must wait as long.
 	Millis longest_lease_until = 0;
-	Millis logged_longest_lease_ms = 0;    ///< That lease in the log, or in the append in flight; 0: none.
-	Millis last_unanswered_at = -cNeverMs; ///< When an order last got no answer; it may still be carried out.
+	Millis logged_longest_lease_ms = 0; ///< That lease in the log, or in the append in flight; 0: none.
 	PreviousIncarnationEnds previous_ends;
 	Millis drain_until = 0;        ///< Being drained for maintenance; nothing new until then.
 	Millis drain_grant_until = 0;  ///< It was reported empty, so its host may be moved or taken down until then.
--- a/Loomreach/Schedule/QueuePlacements.cpp
+++ b/Loomreach/Schedule/QueuePlacements.cpp
@@ -322,7 +322,7 @@
 	HeldRecords &records = this->held[job];
 	records.queue = inQueue;
 	records.arrived_at = inNow;
-	// Callers may repeat a request without limit, and a log record has one
+	// Callers may repeat a request without limit, but the log record that holds the requests has one
 	const auto repeats = [&inRecord](const InboxRecord &inOther)
 	{
 		const bool same_cancel = inOther.spec.team == inRecord.spec.team && inOther.spec.payload == inRecord.spec.payload;
