Look at each task of a job for room in its record for very large jobs only

Cause: RoomForRuns looked at every task of a job in each planning pass that had something to start, though only jobs of some 2,500 tasks and more can outgrow a record by their runs. A job whose checkpoints fill its record and that has no run would have waited for ever instead of being failed.

Change: the bound by number of tasks decides for all other jobs, and a job without runs always has room for one.

--- a/Loomreach/Job/JobRecord.cpp
+++ b/Loomreach/Job/JobRecord.cpp
@@ -66,10 +66,26 @@
 	return bytes;
 }
 
-size_t RoomForRuns(const JobRecord &inRecord)
+static bool HasRuns(const JobRecord &inRecord)
 {
+	const auto has_runs = [](const StepRecord &inStep)
+	{ return std::any_of(inStep.tasks.begin(), inStep.tasks.end(), [](const TaskRecord &inTask) { return !inTask.runs.empty(); }); };
+	return std::any_of(inRecord.steps.begin(), inRecord.steps.end(), has_runs);
+}
+
+size_t RoomForRuns(const JobSpec &inSpec, const JobRecord &inRecord)
+{
+	// Decided without a look at each task for all but very large jobs: this is called in each planning pass
+	size_t tasks = 0;
+	for (const StepSpec &step : inSpec.steps)
+		tasks += static_cast<size_t>(step.count) * inSpec.Rounds();
+	const size_t most_bytes = cRecordBytes + cStepBytes * inRecord.steps.size() + tasks * (cTaskBytes + cRunBytes + cMaxWorkerIdBytes);
+	if (most_bytes <= cMaxRecordBytes)
+		return tasks;
 	const size_t bytes = StateBytes(inRecord);
-	return bytes >= cMaxRecordBytes ? 0 : (cMaxRecordBytes - bytes) / (cRunBytes + cMaxWorkerIdBytes);
+	const size_t room = bytes >= cMaxRecordBytes ? 0 : (cMaxRecordBytes - bytes) / (cRunBytes + cMaxWorkerIdBytes);
+	// A job without runs would wait for ever
+	return room == 0 && !HasRuns(inRecord) ? 1 : room;
 }
 
 static bool CheckStep(const StepSpec &inStep, size_t inNumber)
--- a/Loomreach/Job/JobRecord.h
+++ b/Loomreach/Job/JobRecord.h
@@ -108,8 +108,9 @@
 
 /// Size of the state's record in the log, with its key; an upper bound.
 size_t StateBytes(const JobRecord &inRecord);
-/// How many more runs the state can hold before its record exceeds the longest one that the log takes.
-size_t RoomForRuns(const JobRecord &inRecord);
+/// How many more runs the state can hold before its record exceeds the longest one that the log takes; at least one for a job that has
+/// none. Checkpoints count for jobs of thousands of tasks only.
+size_t RoomForRuns(const JobSpec &inSpec, const JobRecord &inRecord);
 
 /// Checks a submission: counts, dependencies between steps, sizes. On failure returns false and sets the error to bad-request.
 bool CheckSpec(const JobSpec &inSpec);
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -365,7 +365,7 @@
 		if (!on_worker.has_value())
 		{
 			on_worker = this->CountByWorker(ioJob, inUnit);
-			room = RoomForRuns(ioJob.record);
+			room = RoomForRuns(ioJob.spec, ioJob.record);
 		}
 		if (room == 0)
 			return this->LogNoRoom(ioJob, inUnit);
