--- a/UnitTests/RecordLimitTests.cpp
+++ b/UnitTests/RecordLimitTests.cpp
@@ -81,6 +81,7 @@
 	FakeLog log;
 	Owner owner(log, 1);
 	std::vector<LogRecord> records;
+	records.reserve(20);
 	for (int i = 0; i < 20; ++i)
 		records.push_back({"k" + std::to_string(i), std::string(cMaxRecordBytes / 2, 'x'), 0});
 	records.push_back({"k0", "last", 0});
@@ -100,6 +101,7 @@
 	log.max_append_bytes = 3000;
 	Owner owner(log, 1);
 	std::vector<LogRecord> records;
+	records.reserve(20);
 	for (int i = 0; i < 20; ++i)
 		records.push_back({"k" + std::to_string(i), std::string(i == 7 ? 2000 : 600, 'x'), 0});
 	EXPECT_TRUE(owner.Append(records));
