Test with real processes that a job keeps its queue whatever its owner has read

The hosts' part of (JobHost::AddPlacement) had no test of the project's own: the world of QueueMove imitates hosts and does not run their code.

--- a/Scripts/test_moves.sh
+++ b/Scripts/test_moves.sh
@@ -118,6 +118,51 @@
 check "a cancel of the job that runs is accepted" test "$(move_call -o /dev/null -w '%{http_code}' -X DELETE "$(url 2)/move/00000000000000d2")" = 200
 check "and stops it" within 5 stopped 00000000000000d2
 check "as all hosts say" within 10 all_show 00000000000000d2 canceled
+
+# late VERSION [POOL [NAME]]: the same with another queue, /late/, in this pool; without a pool there is no such queue.
+late() {
+	local queue=""
+	[ -n "${2:-}" ] && queue=',{"name":"'"${3:-q-late}"'","host":"jobs.example","pathPrefix":"/late/","service":"'"$2"'","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600}'
+	curl -s -X PUT "$CONTROL/operator/config" -d '{"version":'"$1"',"routes":[
+	 {"name":"q-fast","host":"jobs.example","pathPrefix":"/fast/","service":"fast","maxAttempts":2,"stretch":1.6,"targetLatencyMs":600},
+	 {"name":"q-slow","host":"jobs.example","pathPrefix":"/slow/","service":"slow","maxAttempts":2,"priority":1}'"$queue"'],
+	 "services":[{"name":"fast"},{"name":"slow"},{"name":"spare","spare":true}]}' >/dev/null
+}
+post() { move_call -o /dev/null -w '%{http_code}' -X POST "$(url "$1")/$2/$3" -d '{"spec":"ms=200 cpu=1000","steps":[{"count":2,"cpu":1000,"memMb":100,"estimateMs":300}]}'; }
+has_late() { [ "$(move_call -o /dev/null -w '%{http_code}' -X PUT "$(url "$1")/late/$2")" != 404 ]; }
+started() { [ "$(starts_of "$1")" -ge 2 ]; }
+late_shows() { [ "$(move_call "$(url "$1")/late/$2")" = '{"state":"completed"}' ]; }
+all_late_show() { late_shows 1 "$1" && late_shows 2 "$1" && late_shows 3 "$1"; }
+planned() { grep -qE "event=runs_planned request=$1" "$DIR"/e*.log; }
+
+# lost_version VERSION JOB NAME: a job is accepted for a queue whose version the owner of its cell never reads; the next version has the queue
+# under this name, or not at all.
+lost_version() {
+	local version=$1 job=$2 name=$3 probe owner other
+	probe=$(printf '%016x' $((version)))
+	post 1 fast "$probe" >/dev/null
+	within 15 planned "$probe"
+	owner=$(grep -lE "event=runs_planned request=$probe" "$DIR"/e*.log | tail -n 1 | sed 's/.*e\([0-9]\).log/\1/')
+	other=$((owner % 3 + 1))
+	kill -9 "${PIDS[$owner]}"
+	wait "${PIDS[$owner]}" 2>/dev/null
+	late "$version" fast
+	within 5 has_late "$other" "$job"
+	check "a job is accepted while its cell has no owner (${name:-removed})" test "$(post "$other" late "$job")" = 200
+	late $((version + 1)) "${name:+fast}" "$name"
+	start_entry "$owner"
+	check "it starts under an owner that never read its queue's version" within 20 started "$job"
+	sleep 2
+	late $((version + 2)) slow "${name:-q-late}"
+	check "all hosts know it once its queue is in another pool" within 20 all_late_show "$job"
+	check "a repeat of it is accepted" test "$(post "$other" late "$job")" = 200
+	sleep 5
+	check "and starts nothing" test "$(starts_of "$job")" = 2
+}
+lost_version 2010 00000000000000c1 ""
+late 2015
+sleep 3
+lost_version 2020 00000000000000c2 q-renamed
 check "no rule was broken by the moves" unbroken
 
 if [ $FAILED != 0 ]; then
