Keep a body in one buffer, and refuse very many very small chunks

Callers saw: an entry host to which a crowd sent bodies in chunks of one byte took 2.9 GB and answered nobody any more, neither during the crowd nor afterwards.

Cause: libsoup keeps each chunk of a body as a buffer of its own until got-body, and a buffer is as large as one read whatever the chunk's size. So a byte costs some hundred bytes, and each a line of text and a read to find.

libsoup now keeps nothing of a body: its bytes go into one buffer, which handlers get by ViewBody or TakeBody. A body in chunks of less than 32 bytes on average, beyond the first 512, is refused with 400 and not-run at once, without reading the rest, and its connection is closed once its caller has read the answer (RefuseEarly: libsoup itself reads a body to its end before it answers). Only the chunked encoding is bounded so: a body with a length costs no more than its packets, and a slow sender's packets may be small.

--- a/Loomreach/Entry/BodyLimit.cpp
+++ b/Loomreach/Entry/BodyLimit.cpp
@@ -1,4 +1,6 @@
-// Counts the bytes of each request's body as they arrive.
+// Collects the body of each request in one buffer, and counts its bytes and chunks as they arrive.
+//
+// libsoup would keep a buffer of its own for each chunk, and that one is as large as its reads, whatever the chunk's size.
 
 #include <Loomreach/Loomreach.h>
 
@@ -6,6 +8,7 @@
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Entry/BodyLimit.h>
+#include <Loomreach/Entry/EarlyAnswer.h>
 #include <Loomreach/Entry/Headers.h>
 
 namespace Loomreach
@@ -13,28 +16,33 @@
 
 /// A client that sends this many times the limit is not waiting for an answer.
 static constexpr uint64 cMaxDiscardedFactor = 64;
+/// Chunks have at least this mean size, bytes, once there are more than cFreeChunks: each costs the work of a read and of a line of text.
+static constexpr uint64 cMinMeanChunkBytes = 32;
+static constexpr uint64 cFreeChunks = 512;
+static constexpr const char *cBodyKey = "loomreach-body";
 
 namespace
 {
 
-/// What has arrived of the body of one request.
-struct BodyCount
+/// What has arrived of the body of one request. Invariant: `text` is empty once the request is refused.
+struct ReceivedBody
 {
 	size_t max_bytes = 0;
 	uint64 received = 0;
+	uint64 chunks = 0;
+	bool is_chunked = false;
 	bool refused = false;
+	std::string text = {};
 };
 
-void Delete(gpointer inCount, GClosure *) { delete static_cast<BodyCount *>(inCount); }
+ReceivedBody *BodyOf(SoupServerMessage *inMessage) { return static_cast<ReceivedBody *>(g_object_get_data(G_OBJECT(inMessage), cBodyKey)); }
 
 /// Drops what has arrived and sets the answer, which makes the server skip its handlers.
-void Refuse(SoupServerMessage *inMessage, BodyCount &ioCount)
+void Refuse(SoupServerMessage *inMessage, ReceivedBody &ioBody)
 {
-	if (std::exchange(ioCount.refused, true))
+	if (std::exchange(ioBody.refused, true))
 		return;
-	SoupMessageBody *body = soup_server_message_get_request_body(inMessage);
-	soup_message_body_set_accumulate(body, FALSE);
-	soup_message_body_truncate(body);
+	ioBody.text = std::string();
 	const ErrorAnswer &row = AnswerOf(EError::TooLarge);
 	SoupMessageHeaders *headers = soup_server_message_get_response_headers(inMessage);
 	soup_message_headers_replace(headers, cHeaderOutcome, std::string(OutcomeName(row.outcome)).c_str());
@@ -45,34 +53,52 @@
 	soup_server_message_set_status(inMessage, row.http_status, nullptr);
 }
 
-void OnHead(SoupServerMessage *inMessage, gpointer inCount)
+void OnHead(SoupServerMessage *inMessage, gpointer)
 {
-	BodyCount &count = *static_cast<BodyCount *>(inCount);
+	ReceivedBody &body = *BodyOf(inMessage);
 	SoupMessageHeaders *headers = soup_server_message_get_request_headers(inMessage);
-	const bool has_length = soup_message_headers_get_encoding(headers) == SOUP_ENCODING_CONTENT_LENGTH;
-	if (has_length && static_cast<uint64>(std::max<goffset>(soup_message_headers_get_content_length(headers), 0)) > count.max_bytes)
-		Refuse(inMessage, count);
+	const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+	body.is_chunked = encoding == SOUP_ENCODING_CHUNKED;
+	const bool has_length = encoding == SOUP_ENCODING_CONTENT_LENGTH;
+	if (has_length && static_cast<uint64>(std::max<goffset>(soup_message_headers_get_content_length(headers), 0)) > body.max_bytes)
+		Refuse(inMessage, body);
 }
 
-void OnChunk(SoupServerMessage *inMessage, GBytes *inBytes, gpointer inCount)
+/// Closes the connection of a request that goes on far beyond its limit.
+void Abort(SoupServerMessage *inMessage)
 {
-	BodyCount &count = *static_cast<BodyCount *>(inCount);
-	count.received += g_bytes_get_size(inBytes);
-	if (count.received > count.max_bytes)
-		Refuse(inMessage, count);
-	if (count.received <= count.max_bytes * cMaxDiscardedFactor)
-		return;
 	const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(inMessage));
 	if (stream != nullptr)
 		g_io_stream_close(stream.get(), nullptr, nullptr);
 }
 
+void OnChunk(SoupServerMessage *inMessage, GBytes *inBytes, gpointer)
+{
+	ReceivedBody &body = *BodyOf(inMessage);
+	gsize size = 0;
+	const void *data = g_bytes_get_data(inBytes, &size);
+	body.received += size;
+	++body.chunks;
+	if (body.received > body.max_bytes)
+		Refuse(inMessage, body);
+	if (body.received > body.max_bytes * cMaxDiscardedFactor)
+		return Abort(inMessage);
+	if (body.is_chunked && body.chunks > cFreeChunks + body.received / cMinMeanChunkBytes)
+	{
+		body.text = std::string();
+		return RefuseEarly(*inMessage, EError::BadRequest, "chunks of less than 32 bytes on average");
+	}
+	if (!body.refused)
+		body.text.append(static_cast<const char *>(data), size);
+}
+
 void OnRequest(SoupServer *, SoupServerMessage *inMessage, gpointer inMaxBytes)
 {
-	// Both handlers share the count; the one that is connected last, and so is removed with it, owns it
-	auto *count = new BodyCount{*static_cast<size_t *>(inMaxBytes)};
-	g_signal_connect(inMessage, "got-headers", G_CALLBACK(&OnHead), count);
-	g_signal_connect_data(inMessage, "got-chunk", G_CALLBACK(&OnChunk), count, &Delete, static_cast<GConnectFlags>(0));
+	const auto delete_body = [](gpointer inBody) { delete static_cast<ReceivedBody *>(inBody); };
+	g_object_set_data_full(G_OBJECT(inMessage), cBodyKey, new ReceivedBody{*static_cast<size_t *>(inMaxBytes)}, delete_body);
+	soup_message_body_set_accumulate(soup_server_message_get_request_body(inMessage), FALSE);
+	g_signal_connect(inMessage, "got-headers", G_CALLBACK(&OnHead), nullptr);
+	g_signal_connect(inMessage, "got-chunk", G_CALLBACK(&OnChunk), nullptr);
 }
 
 } // namespace
@@ -84,4 +110,22 @@
 		[](gpointer inHeld, GClosure *) { delete static_cast<size_t *>(inHeld); }, static_cast<GConnectFlags>(0));
 }
 
+std::string_view ViewBody(SoupServerMessage &inMessage)
+{
+	const ReceivedBody *body = BodyOf(&inMessage);
+	return body == nullptr ? std::string_view() : std::string_view(body->text);
+}
+
+std::string TakeBody(SoupServerMessage &ioMessage)
+{
+	ReceivedBody *body = BodyOf(&ioMessage);
+	return body == nullptr ? std::string() : std::exchange(body->text, {});
+}
+
+uint64 ReceivedBytes(SoupServerMessage &inMessage)
+{
+	const ReceivedBody *body = BodyOf(&inMessage);
+	return body == nullptr ? 0 : body->received;
+}
+
 } // namespace Loomreach
--- a/Loomreach/Entry/CallerServer.cpp
+++ b/Loomreach/Entry/CallerServer.cpp
@@ -5,6 +5,7 @@
 #include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/BodyLimit.h>
 #include <Loomreach/Entry/CallerServer.h>
 #include <Loomreach/Entry/Headers.h>
 
@@ -63,6 +64,7 @@
 	this->server = OpenServer(this->config.callers, "callers");
 	if (this->server == nullptr)
 		return false;
+	LimitBodies(*this->server, static_cast<size_t>(this->config.max_request_bytes));
 	// libsoup calls the early handler of the most specific path only, so every path needs one
 	for (const char *path : {"/v1/services", "/v1/ids", "/v1/health", static_cast<const char *>(nullptr)})
 		soup_server_add_early_handler(this->server.get(), path, &CallerServer::OnRequestHead, this, nullptr);
@@ -77,7 +79,7 @@
 static void OnBodyChunk(SoupServerMessage *inMessage, GBytes *, gpointer inSelf)
 {
 	const DaemonConfig *config = static_cast<const DaemonConfig *>(inSelf);
-	if (soup_server_message_get_request_body(inMessage)->length <= config->max_request_bytes)
+	if (ReceivedBytes(*inMessage) <= static_cast<uint64>(config->max_request_bytes))
 		return;
 	const ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(inMessage));
 	if (stream != nullptr)
--- a/Loomreach/Entry/OperatorServer.cpp
+++ b/Loomreach/Entry/OperatorServer.cpp
@@ -220,13 +220,8 @@
 void OperatorServer::ApplyNewSettings(const Call &inCall)
 {
 	const FleetState &state = this->follower.State();
-	SoupMessageBody *body = soup_server_message_get_request_body(inCall.message);
-	GBytes *bytes = soup_message_body_flatten(body);
-	gsize size = 0;
-	const char *data = static_cast<const char *>(g_bytes_get_data(bytes, &size));
 	const std::string file = inCall.Get("file").empty() ? "settings" : inCall.Get("file");
-	std::optional<SettingsTree> tree = ParseSettings(std::string_view(data, data == nullptr ? 0 : size), file);
-	g_bytes_unref(bytes);
+	std::optional<SettingsTree> tree = ParseSettings(ViewBody(*inCall.message), file);
 	if (!tree.has_value())
 		return this->ReplyError(inCall.message, LastReason().kind, LastReason().detail);
 	Json changes = Json::array();
--- a/Loomreach/Entry/Relay.cpp
+++ b/Loomreach/Entry/Relay.cpp
@@ -5,6 +5,7 @@
 #include <Loomreach/Core/Clock.h>
 #include <Loomreach/Core/Invariant.h>
 #include <Loomreach/Core/LogEvent.h>
+#include <Loomreach/Entry/BodyLimit.h>
 #include <Loomreach/Entry/Headers.h>
 #include <Loomreach/Entry/Relay.h>
 
@@ -102,10 +103,10 @@
 		}
 		soup_message_headers_replace(to, this->is_forward ? cHeaderForwarded : cHeaderService,
 									 this->is_forward ? "yes" : this->exchange->service.c_str());
-		SoupMessageBody *body = soup_server_message_get_request_body(inFrom);
-		if (body->length > 0)
+		// Copied, since the caller's message may go before the attempt
+		if (const std::string_view body = ViewBody(*inFrom); !body.empty())
 		{
-			GBytes *bytes = soup_message_body_flatten(body);
+			GBytes *bytes = g_bytes_new(body.data(), body.size());
 			soup_message_set_request_body_from_bytes(this->message.get(), nullptr, bytes);
 			g_bytes_unref(bytes);
 		}
--- /dev/null
+++ b/UnitTests/ListenerLimitsTests.cpp
@@ -0,0 +1,231 @@
+// Callers that misbehave at a listener: what they can make the process hold, and for how long.
+
+#include <Loomreach/Loomreach.h>
+
+#include <Loomreach/Settings/DaemonConfig.h>
+#include <UnitTests/FakeLog.h>
+#include <platform/Ingress.h>
+
+#include <arpa/inet.h>
+#include <malloc.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <gtest/gtest.h>
+
+namespace Loomreach::Jobs::Platform
+{
+
+namespace
+{
+
+/// Accepts every call and answers it at once.
+class PromptCalls final : public JobCalls
+{
+public:
+	std::optional<Admission> Admit(std::string_view, std::string_view, std::string_view, EError &outError) override
+	{
+		outError = EError::NoSuchService;
+		if (!this->admits)
+			return std::nullopt;
+		Admission admission;
+		admission.queue.prefix = "/jobs/";
+		return admission;
+	}
+	void Submit(const JobCall &, JobSpec inSpec, JobReply inReply) override
+	{
+		this->payload_bytes.push_back(inSpec.payload.size());
+		inReply(JobOutcome{});
+	}
+	void Show(const JobCall &, JobReply inReply) override { this->Answer(std::move(inReply)); }
+	void Cancel(const JobCall &, JobReply inReply) override { inReply(JobOutcome{}); }
+	void Count(const JobCall &, JobReply inReply) override { this->Answer(std::move(inReply)); }
+	bool IsReady() override { return true; }
+	std::string MetricsText() override { return {}; }
+
+	bool admits = true;
+	Millis answer_after_ms = 0;
+	std::vector<size_t> payload_bytes;
+
+private:
+	void Answer(JobReply inReply) const
+	{
+		if (this->answer_after_ms == 0)
+			return inReply(JobOutcome{});
+		After(this->answer_after_ms, [reply = std::move(inReply)] { reply(JobOutcome{}); });
+	}
+};
+
+/// A connection of a caller that reads only when it is told to.
+class RawCaller
+{
+public:
+	explicit RawCaller(uint16 inPort, int inReceiveBytes = 0) : connection(socket(AF_INET, SOCK_STREAM, 0))
+	{
+		if (inReceiveBytes > 0)
+			setsockopt(this->connection, SOL_SOCKET, SO_RCVBUF, &inReceiveBytes, sizeof inReceiveBytes);
+		sockaddr_in to{};
+		to.sin_family = AF_INET;
+		to.sin_port = htons(inPort);
+		to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		EXPECT_EQ(connect(this->connection, reinterpret_cast<sockaddr *>(&to), sizeof to), 0);
+	}
+	~RawCaller() { this->Close(); }
+	RawCaller(const RawCaller &) = delete;
+	RawCaller &operator=(const RawCaller &) = delete;
+
+	/// Sends all bytes while the listener runs; false if the connection has been closed by the listener.
+	bool Send(std::string_view inBytes)
+	{
+		for (int idle = 0; !inBytes.empty() && idle < 500;)
+		{
+			const ssize_t sent = send(this->connection, inBytes.data(), inBytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+			if (sent < 0 && errno != EAGAIN)
+				return false;
+			inBytes.remove_prefix(sent > 0 ? static_cast<size_t>(sent) : 0);
+			idle = sent > 0 ? 0 : idle + 1;
+			FakeLog::RunMainLoopFor(sent > 0 ? 1 : 10);
+		}
+		return inBytes.empty();
+	}
+	/// What has arrived within a time; stops at the end of the connection, or once a text has arrived.
+	std::string Read(Millis inMillis, std::string_view inUntil = {})
+	{
+		std::string text;
+		std::array<char, 4096> part{};
+		for (Millis waited = 0; waited < inMillis; waited += 10)
+		{
+			const ssize_t count = recv(this->connection, part.data(), part.size(), MSG_DONTWAIT);
+			this->ended = this->ended || count == 0 || (count < 0 && errno != EAGAIN);
+			if (this->ended)
+				break;
+			text.append(part.data(), count > 0 ? static_cast<size_t>(count) : 0);
+			if (!inUntil.empty() && text.find(inUntil) != std::string::npos)
+				break;
+			FakeLog::RunMainLoopFor(10);
+		}
+		return text;
+	}
+	/// Whether the listener has ended the connection, as far as Read has seen.
+	bool Ended() const { return this->ended; }
+	void Close()
+	{
+		if (this->connection >= 0)
+			close(this->connection);
+		this->connection = -1;
+	}
+
+private:
+	int connection;
+	bool ended = false;
+};
+
+/// A port that was free a moment ago.
+uint16 FreePort()
+{
+	const int probe = socket(AF_INET, SOCK_STREAM, 0);
+	sockaddr_in own{};
+	own.sin_family = AF_INET;
+	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	socklen_t size = sizeof own;
+	EXPECT_EQ(bind(probe, reinterpret_cast<sockaddr *>(&own), sizeof own), 0);
+	getsockname(probe, reinterpret_cast<sockaddr *>(&own), &size);
+	close(probe);
+	return ntohs(own.sin_port);
+}
+
+/// Bytes on the heap that are in use.
+size_t HeapBytes()
+{
+	const struct mallinfo2 info = mallinfo2();
+	return info.uordblks + info.hblkhd;
+}
+
+const std::string cId = "5c0e7a21d94b36f8";
+const std::string cHead = " HTTP/1.1\r\nHost: h\r\n";
+const std::string cChunkedPost = "POST /jobs/" + cId + cHead + "Transfer-Encoding: chunked\r\n\r\n";
+/// A job whose payload has this many bytes.
+std::string JobWith(size_t inPayloadBytes)
+{
+	return R"({"spec":")" + std::string(inPayloadBytes, 'x') + R"(","steps":[{"count":1,"cpu":1,"memMb":1}]})";
+}
+
+/// A text as a chunked body.
+std::string InChunks(const std::string &inText, size_t inChunkBytes)
+{
+	std::ostringstream chunks;
+	chunks << std::hex;
+	for (size_t at = 0; at < inText.size(); at += inChunkBytes)
+	{
+		const std::string part = inText.substr(at, inChunkBytes);
+		chunks << part.size() << "\r\n" << part << "\r\n";
+	}
+	return chunks.str() + "0\r\n\r\n";
+}
+
+/// Listeners for callers, readiness checks and metrics.
+class ListenerLimits : public testing::Test
+{
+protected:
+	void Open() { ASSERT_TRUE(this->ingress.Open(this->callers, this->ready, this->metrics_port)) << LastReasonText(); }
+	std::unique_ptr<RawCaller> Connect(int inReceiveBytes = 0) const
+	{
+		return std::make_unique<RawCaller>(this->callers.port, inReceiveBytes);
+	}
+	/// What a caller gets that behaves.
+	std::string Ask(const std::string &inBytes) const
+	{
+		const std::unique_ptr<RawCaller> caller = this->Connect();
+		caller->Send(inBytes);
+		return caller->Read(1000, "}");
+	}
+
+	PromptCalls calls;
+	Address callers{"127.0.0.1", FreePort()};
+	Address ready{"127.0.0.1", FreePort()};
+	uint16 metrics_port = FreePort();
+	Ingress ingress{this->calls};
+};
+
+} // namespace
+
+/// Guards against a body in chunks of one byte that takes hundreds of times its bytes.
+TEST_F(ListenerLimits, ABodyInChunksOfOneByteIsNotKeptChunkByChunk)
+{
+	Open();
+	const std::unique_ptr<RawCaller> caller = Connect();
+	ASSERT_TRUE(caller->Send(cChunkedPost));
+	FakeLog::RunMainLoopFor(50);
+	const size_t before = HeapBytes();
+	std::string chunks;
+	for (int i = 0; i < 20'000; ++i)
+		chunks += "1\r\nx\r\n";
+	caller->Send(chunks);
+	FakeLog::RunMainLoopFor(300);
+	EXPECT_LT(HeapBytes(), before + 400'000);
+}
+
+/// Guards against work without an end for chunks that are far smaller than their frames, and against a refusal that its caller can't read.
+TEST_F(ListenerLimits, ABodyInVeryManyVerySmallChunksIsRefusedAtOnce)
+{
+	Open();
+	const std::unique_ptr<RawCaller> caller = Connect();
+	caller->Send(cChunkedPost + InChunks(std::string(2000, 'x'), 1).substr(0, 6 * 1900));
+	const std::string answer = caller->Read(3000);
+	EXPECT_TRUE(answer.starts_with("HTTP/1.1 400 ")) << answer;
+	EXPECT_NE(answer.find("Loomreach-Outcome: not-run"), std::string::npos) << answer;
+	EXPECT_TRUE(caller->Ended());
+	EXPECT_TRUE(this->calls.payload_bytes.empty());
+}
+
+/// Guards against refusing legal bodies: the largest job in ordinary chunks, and a small one byte by byte.
+TEST_F(ListenerLimits, ABodyInOrdinaryChunksIsTakenWhole)
+{
+	Open();
+	constexpr size_t cPayload = 250'000;
+	EXPECT_TRUE(Ask(cChunkedPost + InChunks(JobWith(cPayload), 1000)).starts_with("HTTP/1.1 200 "));
+	EXPECT_TRUE(Ask(cChunkedPost + InChunks(JobWith(100), 1)).starts_with("HTTP/1.1 200 "));
+	EXPECT_EQ(this->calls.payload_bytes, (std::vector<size_t>{cPayload, 100}));
+}
+
+} // namespace Loomreach::Jobs::Platform
