Accept connections within limits of their number, progress and time

Callers saw: heads and bodies that stopped half-way held their connections for ever; a process that had once run out of descriptors accepted no connection any more; descriptors of callers that had gone stayed open while their requests were served.

Cause: libsoup's listener ends its own source when accept fails, EMFILE included; nothing bounds the number of connections, or the time of a head, of a body or of the reading of an answer; and libsoup looks at no connection whose message is paused, so that a caller that has gone is only found when its answer is written.

ConnectionGuard accepts for all listeners of a process and gives libsoup a stream (CountedStream) that tells what passes. So each connection's phase is known: idle between requests, receiving, or serving. The bytes of unfinished heads are counted and bounded here too.

How 1,046 descriptors came to stay open for 26 s is traced only so far: requests ahead are served one after the other for a caller that has gone, and its connection is not looked at meanwhile. With answers after 20 ms none stayed open, before and after.

Evidence (ListenerLimitsTests, x86-64), before: 30 connections besides a bound of 10 all stay (74 descriptors, bound 53); no request is answered after all descriptors were in use; stalled heads and bodies, and a body byte by byte, keep their connections; ten heads of 60 KB are kept (0 of 6 closed). AStalledConnectionGoesBeforeAnIdleOne and AnAnswerThatIsNotReadLosesItsConnection passed before too, the latter since its answers fit into the socket's buffers: it shows the bound only with a full one.

--- a/Loomreach/Entry/EarlyAnswer.cpp
+++ b/Loomreach/Entry/EarlyAnswer.cpp
@@ -7,6 +7,7 @@
 
 #include <Loomreach/Core/BoundedJson.h>
 #include <Loomreach/Core/GlibHandle.h>
+#include <Loomreach/Entry/ConnectionGuard.h>
 #include <Loomreach/Entry/EarlyAnswer.h>
 #include <Loomreach/Entry/Headers.h>
 
@@ -86,7 +87,7 @@
 
 void RefuseEarly(SoupServerMessage &ioMessage, EError inError, std::string_view inDetail)
 {
-	GSocket *connected = soup_server_message_get_socket(&ioMessage);
+	GSocket *connected = SocketOf(ioMessage);
 	const ObjectPtr<GSocket> socket(connected == nullptr ? nullptr : static_cast<GSocket *>(g_object_ref(connected)));
 	ObjectPtr<GIOStream> stream(soup_server_message_steal_connection(&ioMessage));
 	if (stream == nullptr)
--- a/Loomreach/Entry/HttpListener.cpp
+++ b/Loomreach/Entry/HttpListener.cpp
@@ -29,17 +29,38 @@
 	return socket;
 }
 
-ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inListenerName)
+/// Makes a server use a listening socket. Fails with bad-config.
+static ObjectPtr<SoupServer> ServeOn(GSocket *inSocket, const Address &inAddress, std::string_view inListenerName, ErrorPtr &ioError)
 {
-	ErrorPtr error;
-	const ObjectPtr<GSocket> socket = Listen(inAddress, error);
 	ObjectPtr<SoupServer> server(soup_server_new("server-header", "loomreach", nullptr));
-	const bool listens = socket != nullptr && soup_server_listen_socket(server.get(), socket.get(), static_cast<SoupServerListenOptions>(0),
-																		error.Out()) != FALSE;
+	const bool listens = inSocket != nullptr &&
+						 soup_server_listen_socket(server.get(), inSocket, static_cast<SoupServerListenOptions>(0), ioError.Out()) != FALSE;
 	if (listens)
 		return server;
-	FailFalse(EError::BadConfig, std::string(inListenerName) + ": " + inAddress.Text() + ": " + error.Text());
+	FailFalse(EError::BadConfig, std::string(inListenerName) + ": " + inAddress.Text() + ": " + ioError.Text());
 	return nullptr;
 }
 
+ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inListenerName)
+{
+	ErrorPtr error;
+	const ObjectPtr<GSocket> socket = Listen(inAddress, error);
+	return ServeOn(socket.get(), inAddress, inListenerName, error);
+}
+
+ObjectPtr<SoupServer> OpenUnacceptingServer(const Address &inAddress, std::string_view inListenerName, ObjectPtr<GSocket> &outSocket)
+{
+	ErrorPtr error;
+	outSocket = Listen(inAddress, error);
+	if (outSocket != nullptr)
+		g_socket_set_blocking(outSocket.get(), FALSE);
+	// libsoup keeps connections open between requests only while it has a listener. This one is in a context that never runs
+	GMainContext *unused = g_main_context_new();
+	g_main_context_push_thread_default(unused);
+	ObjectPtr<SoupServer> server = ServeOn(outSocket.get(), inAddress, inListenerName, error);
+	g_main_context_pop_thread_default(unused);
+	g_main_context_unref(unused);
+	return server;
+}
+
 } // namespace Loomreach
--- a/Loomreach/Entry/HttpListener.h
+++ b/Loomreach/Entry/HttpListener.h
@@ -14,4 +14,7 @@
 /// reason.
 ObjectPtr<SoupServer> OpenServer(const Address &inAddress, std::string_view inListenerName);
 
+/// The same, but the server accepts no connections by itself. `outSocket`: the listening socket, which doesn't block.
+ObjectPtr<SoupServer> OpenUnacceptingServer(const Address &inAddress, std::string_view inListenerName, ObjectPtr<GSocket> &outSocket);
+
 } // namespace Loomreach
--- a/UnitTests/ListenerLimitsTests.cpp
+++ b/UnitTests/ListenerLimitsTests.cpp
@@ -7,7 +7,9 @@
 #include <platform/Ingress.h>
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <malloc.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -45,11 +47,15 @@
 
 	bool admits = true;
 	Millis answer_after_ms = 0;
+	bool answers = true;
 	std::vector<size_t> payload_bytes;
+	std::vector<JobReply> unanswered; ///< Of calls that came while `answers` was false.
 
 private:
-	void Answer(JobReply inReply) const
+	void Answer(JobReply inReply)
 	{
+		if (!this->answers)
+			return this->unanswered.push_back(std::move(inReply));
 		if (this->answer_after_ms == 0)
 			return inReply(JobOutcome{});
 		After(this->answer_after_ms, [reply = std::move(inReply)] { reply(JobOutcome{}); });
@@ -108,6 +114,12 @@
 	}
 	/// Whether the listener has ended the connection, as far as Read has seen.
 	bool Ended() const { return this->ended; }
+	/// Makes the connection end with a reset.
+	void Reset()
+	{
+		const linger at_once{1, 0};
+		setsockopt(this->connection, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+	}
 	void Close()
 	{
 		if (this->connection >= 0)
@@ -134,6 +146,17 @@
 	return ntohs(own.sin_port);
 }
 
+/// Number of descriptors that this process has open.
+size_t OpenDescriptors()
+{
+	size_t count = 0;
+	DIR *folder = opendir("/proc/self/fd");
+	while (readdir(folder) != nullptr)
+		++count;
+	closedir(folder);
+	return count;
+}
+
 /// Bytes on the heap that are in use.
 size_t HeapBytes()
 {
@@ -144,6 +167,14 @@
 const std::string cId = "5c0e7a21d94b36f8";
 const std::string cHead = " HTTP/1.1\r\nHost: h\r\n";
 const std::string cChunkedPost = "POST /jobs/" + cId + cHead + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string cShow = "GET /jobs/" + cId + cHead + "\r\n";
+
+/// The head of a submission with a body of this many bytes.
+std::string PostOf(size_t inBodyBytes, const std::string &inPath = "/jobs/" + cId)
+{
+	return "POST " + inPath + cHead + "Content-Length: " + std::to_string(inBodyBytes) + "\r\n\r\n";
+}
+
 /// A job whose payload has this many bytes.
 std::string JobWith(size_t inPayloadBytes)
 {
@@ -167,11 +198,25 @@
 class ListenerLimits : public testing::Test
 {
 protected:
-	void Open() { ASSERT_TRUE(this->ingress.Open(this->callers, this->ready, this->metrics_port)) << LastReasonText(); }
+	void Open(const ConnectionLimits &inLimits = {})
+	{
+		ASSERT_TRUE(this->ingress.Open(this->callers, this->ready, this->metrics_port, inLimits)) << LastReasonText();
+	}
 	std::unique_ptr<RawCaller> Connect(int inReceiveBytes = 0) const
 	{
 		return std::make_unique<RawCaller>(this->callers.port, inReceiveBytes);
 	}
+	/// Callers that each send the same bytes and then nothing more.
+	std::vector<std::unique_ptr<RawCaller>> Crowd(size_t inCount, const std::string &inBytes, int inReceiveBytes = 0) const
+	{
+		std::vector<std::unique_ptr<RawCaller>> crowd;
+		for (size_t i = 0; i < inCount; ++i)
+		{
+			crowd.push_back(this->Connect(inReceiveBytes));
+			crowd.back()->Send(inBytes);
+		}
+		return crowd;
+	}
 	/// What a caller gets that behaves.
 	std::string Ask(const std::string &inBytes) const
 	{
@@ -228,4 +273,164 @@
 	EXPECT_EQ(this->calls.payload_bytes, (std::vector<size_t>{cPayload, 100}));
 }
 
+/// Guards against descriptors that stay open after callers with requests ahead of unread answers have gone.
+TEST_F(ListenerLimits, CallersThatHaveGoneLeaveNoDescriptors)
+{
+	Open();
+	const size_t before = OpenDescriptors();
+	this->calls.answer_after_ms = 20;
+	std::string ahead;
+	for (int i = 0; i < 50; ++i)
+		ahead += cShow;
+	std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(20, ahead, 1);
+	FakeLog::RunMainLoopFor(300);
+	crowd.clear();
+	FakeLog::RunMainLoopFor(3000);
+	EXPECT_LE(OpenDescriptors(), before);
+}
+
+/// Guards against descriptors that stay open while requests are served whose callers have gone: libsoup looks at no connection meanwhile.
+TEST_F(ListenerLimits, CallersThatHaveGoneWhileTheyAreServedLeaveNoDescriptors)
+{
+	Open();
+	const size_t before = OpenDescriptors();
+	this->calls.answers = false;
+	std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(20, cShow + cShow);
+	FakeLog::RunMainLoopFor(100);
+	for (const auto &caller : crowd)
+		caller->Reset();
+	crowd.clear();
+	FakeLog::RunMainLoopFor(3000);
+	EXPECT_LE(OpenDescriptors(), before);
+	for (const JobReply &reply : this->calls.unanswered)
+		reply(JobOutcome{});
+	FakeLog::RunMainLoopFor(50);
+}
+
+/// Guards against a connection that is closed between two requests of a caller that behaves.
+TEST_F(ListenerLimits, AConnectionThatWaitsBetweenRequestsStaysOpen)
+{
+	Open({.stall_ms = 100, .request_time_ms = 200});
+	const std::unique_ptr<RawCaller> caller = Connect();
+	FakeLog::RunMainLoopFor(500);
+	for (int i = 0; i < 3; ++i)
+	{
+		caller->Send(cShow);
+		EXPECT_TRUE(caller->Read(1000, "}").starts_with("HTTP/1.1 200 "));
+		FakeLog::RunMainLoopFor(500);
+	}
+	EXPECT_FALSE(caller->Ended());
+}
+
+/// Guards against requests that are served slowly, by fault of the process itself, being taken for stalled ones.
+TEST_F(ListenerLimits, ARequestThatIsServedForLongIsNotStalled)
+{
+	Open({.stall_ms = 100, .request_time_ms = 200});
+	this->calls.answer_after_ms = 1500;
+	const std::unique_ptr<RawCaller> caller = Connect();
+	caller->Send(cShow);
+	EXPECT_TRUE(caller->Read(4000, "}").starts_with("HTTP/1.1 200 "));
+}
+
+/// Guards against heads that never end and fill the memory: they count like bodies.
+TEST_F(ListenerLimits, UnfinishedHeadsCountAsMemory)
+{
+	Open({.max_request_bytes = 200'000});
+	const std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(10, "GET /jobs/x" + cHead + "A: " + std::string(60'000, 'x'));
+	size_t ended = 0;
+	for (const auto &caller : crowd)
+	{
+		caller->Read(50);
+		ended += caller->Ended() ? 1 : 0;
+	}
+	EXPECT_GE(ended, 6u);
+}
+
+/// Guards against idle connections that take all that may be open, so that no other caller gets in.
+TEST_F(ListenerLimits, ANewCallerGetsInWhenAsManyConnectionsAreOpenAsMayBe)
+{
+	Open({.max_connections = 10});
+	const size_t before = OpenDescriptors();
+	const std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(30, "");
+	EXPECT_TRUE(Ask(cShow).starts_with("HTTP/1.1 200 "));
+	// One at each end, and ten at the listener's
+	EXPECT_LE(OpenDescriptors(), before + 30 + 10);
+}
+
+/// Guards against closing an idle connection of a caller that behaves where a stalled one could go.
+TEST_F(ListenerLimits, AStalledConnectionGoesBeforeAnIdleOne)
+{
+	Open({.max_connections = 5});
+	const std::unique_ptr<RawCaller> idle = Connect();
+	idle->Send(cShow);
+	ASSERT_TRUE(idle->Read(1000, "}").starts_with("HTTP/1.1 200 "));
+	const std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(4, "GET /jobs/");
+	FakeLog::RunMainLoopFor(1500);
+	EXPECT_TRUE(Ask(cShow).starts_with("HTTP/1.1 200 "));
+	idle->Send(cShow);
+	EXPECT_TRUE(idle->Read(1000, "}").starts_with("HTTP/1.1 200 "));
+}
+
+/// Guards against a listener that stops accepting for good once the process has run out of descriptors.
+TEST_F(ListenerLimits, TheListenerAcceptsAgainAfterAllDescriptorsWereInUse)
+{
+	Open();
+	rlimit limit{};
+	ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &limit), 0);
+	std::vector<std::unique_ptr<RawCaller>> crowd;
+	for (int i = 0; i < 10; ++i)
+		crowd.push_back(Connect());
+	// No descriptor above the crowd's own is left for the listener
+	const int next = dup(0);
+	close(next);
+	const rlimit lowered{static_cast<rlim_t>(next), limit.rlim_max};
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &lowered), 0);
+	FakeLog::RunMainLoopFor(500);
+	ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	crowd.clear();
+	EXPECT_TRUE(Ask(cShow).starts_with("HTTP/1.1 200 "));
+}
+
+/// Guards against heads and bodies that stop half-way and hold their connection for ever.
+TEST_F(ListenerLimits, AStalledHeadOrBodyLosesItsConnection)
+{
+	Open({.stall_ms = 200});
+	for (const std::string &part : {std::string("GET /jobs/"), PostOf(5000) + "xxx", cChunkedPost + "5\r\nxx"})
+	{
+		const std::unique_ptr<RawCaller> caller = Connect();
+		caller->Send(part);
+		caller->Read(3000);
+		EXPECT_TRUE(caller->Ended()) << part;
+	}
+}
+
+/// Guards against answers that wait for ever for a caller that doesn't read.
+TEST_F(ListenerLimits, AnAnswerThatIsNotReadLosesItsConnection)
+{
+	Open({.stall_ms = 200});
+	const size_t before = OpenDescriptors();
+	std::string ahead;
+	for (int i = 0; i < 20'000; ++i)
+		ahead += cShow;
+	const std::unique_ptr<RawCaller> caller = Connect(1);
+	caller->Send(ahead);
+	FakeLog::RunMainLoopFor(3000);
+	EXPECT_LE(OpenDescriptors(), before + 1);
+}
+
+/// Guards against a body that comes byte by byte for ever, and so always makes progress.
+TEST_F(ListenerLimits, ABodyThatTakesTooLongLosesItsConnection)
+{
+	Open({.request_time_ms = 500});
+	const std::unique_ptr<RawCaller> caller = Connect();
+	bool open = caller->Send(PostOf(5000));
+	for (int i = 0; i < 40 && open; ++i)
+	{
+		open = caller->Send("x");
+		caller->Read(100);
+		open = open && !caller->Ended();
+	}
+	EXPECT_FALSE(open);
+}
+
 } // namespace Loomreach::Jobs::Platform
