Bound the memory of all unfinished requests together

Callers saw: 1,000 bodies of 500 KB that stopped short of their end took 521 MB of an entry host (issue text; not run here), each within the limit of one body.

Cause: the limit counts one request's bytes, nobody counts all of them.

The capacity of each body's buffer, the bytes of heads, what has arrived but isn't read and the answers that aren't read are added up over all listeners, 32 MB by default. Beyond it the connection goes that holds most of those without progress for 1 s; where there is none, the request itself is refused with 503, Retry-After and not-run before the rest of its body is read.

--- a/Loomreach/Entry/BodyLimit.cpp
+++ b/Loomreach/Entry/BodyLimit.cpp
@@ -8,6 +8,7 @@
 #include <Loomreach/Core/Error.h>
 #include <Loomreach/Core/GlibHandle.h>
 #include <Loomreach/Entry/BodyLimit.h>
+#include <Loomreach/Entry/ConnectionGuard.h>
 #include <Loomreach/Entry/EarlyAnswer.h>
 #include <Loomreach/Entry/Headers.h>
 
@@ -88,8 +89,15 @@
 		body.text = std::string();
 		return RefuseEarly(*inMessage, EError::BadRequest, "chunks of less than 32 bytes on average");
 	}
-	if (!body.refused)
-		body.text.append(static_cast<const char *>(data), size);
+	if (body.refused)
+		return;
+	body.text.append(static_cast<const char *>(data), size);
+	Connection *connection = ConnectionOf(*inMessage);
+	if (connection == nullptr || connection->SetBodyBytes(body.text.capacity()))
+		return;
+	body.text = std::string();
+	connection->SetBodyBytes(0);
+	RefuseEarly(*inMessage, EError::QueueFull, "unfinished requests take as much memory as they may");
 }
 
 void OnRequest(SoupServer *, SoupServerMessage *inMessage, gpointer inMaxBytes)
--- a/UnitTests/ListenerLimitsTests.cpp
+++ b/UnitTests/ListenerLimitsTests.cpp
@@ -332,6 +332,46 @@
 	EXPECT_TRUE(caller->Read(4000, "}").starts_with("HTTP/1.1 200 "));
 }
 
+/// Guards against unfinished bodies that together fill the memory while each is within its limit.
+TEST_F(ListenerLimits, UnfinishedBodiesTogetherStayWithinTheirMemory)
+{
+	Open({.max_request_bytes = 2'000'000});
+	const size_t before = HeapBytes();
+	const std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(30, PostOf(500'000) + std::string(300'000, 'x'));
+	FakeLog::RunMainLoopFor(200);
+	EXPECT_LT(HeapBytes(), before + 4'000'000);
+}
+
+/// Guards against a crowd of stalled bodies that keeps out callers that behave: the stalled ones go first.
+TEST_F(ListenerLimits, AStalledBodyGivesWayToACallerThatBehaves)
+{
+	Open({.max_request_bytes = 1'000'000});
+	const std::vector<std::unique_ptr<RawCaller>> crowd = Crowd(3, PostOf(500'000) + std::string(240'000, 'x'));
+	FakeLog::RunMainLoopFor(1500);
+	const std::string body = JobWith(250'000);
+	EXPECT_TRUE(Ask(PostOf(body.size()) + body).starts_with("HTTP/1.1 200 "));
+	size_t ended = 0;
+	for (const auto &caller : crowd)
+	{
+		caller->Read(20);
+		ended += caller->Ended() ? 1 : 0;
+	}
+	EXPECT_GE(ended, 1u);
+	EXPECT_LT(ended, 3u);
+}
+
+/// Guards against a refusal for lack of memory that says nothing of its outcome, or not when to come back.
+TEST_F(ListenerLimits, ABodyForWhichThereIsNoRoomIsRefusedAsNotRun)
+{
+	Open({.max_request_bytes = 100'000});
+	const std::string body = JobWith(200'000);
+	const std::string answer = Ask(PostOf(body.size()) + body);
+	EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+	EXPECT_NE(answer.find("Loomreach-Outcome: not-run"), std::string::npos) << answer;
+	EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+	EXPECT_TRUE(this->calls.payload_bytes.empty());
+}
+
 /// Guards against heads that never end and fill the memory: they count like bodies.
 TEST_F(ListenerLimits, UnfinishedHeadsCountAsMemory)
 {
