Refuse a request without a route before its body

Callers saw: a crowd's bodies at a path without a route took as much memory as those of jobs, since a request was looked at only once its body was complete.

Evidence (ListenerLimitsTests, x86-64), before: a head that announces 400 KB had no answer within 1 s at a path without a route, at /ready and at /metrics.

--- a/Loomreach/Entry/EarlyAnswer.cpp
+++ b/Loomreach/Entry/EarlyAnswer.cpp
@@ -108,4 +108,14 @@
 	LingeringConnection::Start(std::move(stream));
 }
 
+bool AnnouncesBodyOver(SoupServerMessage &inMessage, uint64 inBytes)
+{
+	SoupMessageHeaders *headers = soup_server_message_get_request_headers(&inMessage);
+	const SoupEncoding encoding = soup_message_headers_get_encoding(headers);
+	if (encoding == SOUP_ENCODING_CHUNKED)
+		return true;
+	return encoding == SOUP_ENCODING_CONTENT_LENGTH &&
+		   static_cast<uint64>(std::max<goffset>(soup_message_headers_get_content_length(headers), 0)) > inBytes;
+}
+
 } // namespace Loomreach
--- a/Loomreach/Entry/EarlyAnswer.h
+++ b/Loomreach/Entry/EarlyAnswer.h
@@ -13,4 +13,7 @@
 /// connection is closed once its client has read the answer, or after a short time. Must be called from `got-headers` or `got-chunk`.
 void RefuseEarly(SoupServerMessage &ioMessage, EError inError, std::string_view inDetail);
 
+/// Whether a request's head announces a body of more than `inBytes`, or one of unknown length.
+bool AnnouncesBodyOver(SoupServerMessage &inMessage, uint64 inBytes);
+
 } // namespace Loomreach
--- a/UnitTests/ListenerLimitsTests.cpp
+++ b/UnitTests/ListenerLimitsTests.cpp
@@ -386,6 +386,33 @@
 	EXPECT_GE(ended, 6u);
 }
 
+/// Guards against bodies that are taken in though their request has no route.
+TEST_F(ListenerLimits, ARequestWithoutARouteIsRefusedBeforeItsBody)
+{
+	Open();
+	this->calls.admits = false;
+	const std::unique_ptr<RawCaller> caller = Connect();
+	caller->Send(PostOf(400'000, "/nowhere/x"));
+	const std::string answer = caller->Read(1000, "}");
+	EXPECT_TRUE(answer.starts_with("HTTP/1.1 404 ")) << answer;
+	EXPECT_NE(answer.find("Loomreach-Outcome: not-run"), std::string::npos) << answer;
+	EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+}
+
+/// Guards against bodies that are taken in at the addresses for readiness checks and metrics.
+TEST_F(ListenerLimits, ABodyAtTheReadyOrMetricsAddressIsRefusedBeforeItArrives)
+{
+	Open();
+	for (const auto &[port, path] : {std::pair(this->ready.port, "/ready"), std::pair(this->metrics_port, "/metrics")})
+	{
+		RawCaller caller(port);
+		caller.Send(PostOf(400'000, path));
+		const std::string answer = caller.Read(1000, "}");
+		EXPECT_TRUE(answer.starts_with("HTTP/1.1 413 ")) << answer;
+		EXPECT_NE(answer.find("Connection: close"), std::string::npos) << answer;
+	}
+}
+
 /// Guards against idle connections that take all that may be open, so that no other caller gets in.
 TEST_F(ListenerLimits, ANewCallerGetsInWhenAsManyConnectionsAreOpenAsMayBe)
 {
