--- a/UnitTests/ListenerLimitsTests.cpp
+++ b/UnitTests/ListenerLimitsTests.cpp
@@ -500,4 +500,26 @@
 	EXPECT_FALSE(open);
 }
 
+/// Guards against bodies within their limit that take very long to parse, and against refusing a job with as many values as fit a record.
+TEST_F(ListenerLimits, AJobOfFarMoreValuesThanFitARecordIsRefused)
+{
+	Open();
+	std::string empty = "{}";
+	for (int i = 0; i < 70'000; ++i)
+		empty += ",{}";
+	const std::string step = R"({"count":1,"cpu":1,"memMb":1})";
+	const std::string odd = R"({"spec":"x","x":[)" + empty + R"(],"steps":[)" + step + "]}";
+	EXPECT_TRUE(Ask(PostOf(odd.size()) + odd).starts_with("HTTP/1.1 400 "));
+	std::string steps = step;
+	for (int i = 1; i < 256; ++i)
+	{
+		std::string before = "0";
+		for (int j = 1; j < 212; ++j)
+			before += "," + std::to_string(j % i);
+		steps += R"(,{"count":1,"cpu":1,"memMb":1,"dependsOn":[)" + before + "]}";
+	}
+	const std::string large = R"({"spec":"x","steps":[)" + steps + "]}";
+	EXPECT_TRUE(Ask(PostOf(large.size()) + large).starts_with("HTTP/1.1 200 "));
+}
+
 } // namespace Loomreach::Jobs::Platform
