--- a/Loomreach/Settings/JobHostConfig.cpp
+++ b/Loomreach/Settings/JobHostConfig.cpp
@@ -55,6 +55,11 @@
 	NumberKey{"balance_slack", &JobHostConfig::balance_slack, 0, 1000},
 	NumberKey{"demand_hold_ms", &JobHostConfig::demand_hold_ms, 0, 600'000},
 	NumberKey{"keep_ended_ms", &JobHostConfig::keep_ended_ms, 1000, 86'400'000},
+	NumberKey{"request_memory_kb", &JobHostConfig::request_memory_kb, 1024, 16'777'216},
+	NumberKey{"max_connections", &JobHostConfig::max_connections, 10, 1'000'000},
+	NumberKey{"request_stall_ms", &JobHostConfig::request_stall_ms, 100, 3'600'000},
+	NumberKey{"request_time_ms", &JobHostConfig::request_time_ms, 100, 3'600'000},
+	NumberKey{"max_job_values", &JobHostConfig::max_job_values, 100, 10'000'000},
 	NumberKey{"records_name_queues", &JobHostConfig::records_name_queues, 0, 1},
 };
 
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -38,7 +38,13 @@
 	int64 processor_milli = 1000;         ///< Processor time available to this entry host, thousandths of a core.
 	/// 1: records about jobs name the queue by its key. Versions before this setting cannot read such records.
 	int64 records_name_queues = 1;
-	double link_mbit_per_s = 0.0; ///< Rate of this entry host's network link, Mbit/s; 0: unknown.
+	/// Memory that requests of all listeners may take together until they are complete and answered, KB.
+	int64 request_memory_kb = 32'768;
+	int64 max_connections = 1500;    ///< Open connections of callers, on all listeners together.
+	int64 request_stall_ms = 20'000; ///< A request loses its connection if its head, body or answer makes no progress for this long.
+	int64 request_time_ms = 60'000;  ///< Longest time that the head and the body of a request may take together.
+	int64 max_job_values = 50'000;   ///< Values in the JSON text of a job.
+	double link_mbit_per_s = 0.0;    ///< Rate of this entry host's network link, Mbit/s; 0: unknown.
 };
 
 /// Parses and checks the configuration file's TOML text. Fails with bad-config.
--- a/UnitTests/PlatformTests.cpp
+++ b/UnitTests/PlatformTests.cpp
@@ -219,6 +219,32 @@
 	EXPECT_FALSE(ParseJobHostConfig(text + "owner_lease_ms = 500\nowner_slack_ms = 400\n", "f").has_value());
 }
 
+/// Guards against a bound of callers' requests that is not read, or that is accepted where it would refuse every request.
+TEST(JobHostConfig, BoundsOfRequestsAreReadAndChecked)
+{
+	const std::string text = "name = \"n\"\navailability_zone = \"z\"\ncallers = \"10.0.0.1:1\"\nready = \"10.0.0.1:2\"\n"
+							 "peers = \"10.0.0.1:3\"\nstore = \"10.0.0.2:1\"\n";
+	const std::optional<JobHostConfig> usual = ParseJobHostConfig(text, "f");
+	ASSERT_TRUE(usual.has_value()) << LastReasonText();
+	EXPECT_EQ(usual->request_memory_kb, 32'768);
+	EXPECT_EQ(usual->max_connections, 1500);
+	EXPECT_EQ(usual->request_stall_ms, 20'000);
+	EXPECT_EQ(usual->request_time_ms, 60'000);
+	const std::optional<JobHostConfig> narrow = ParseJobHostConfig(text + "request_memory_kb = 4096\nmax_connections = 120\n"
+																		  "request_stall_ms = 2000\nrequest_time_ms = 6000\n"
+																		  "max_job_values = 2000\n",
+																   "f");
+	ASSERT_TRUE(narrow.has_value()) << LastReasonText();
+	EXPECT_EQ(narrow->request_memory_kb, 4096);
+	EXPECT_EQ(narrow->max_connections, 120);
+	EXPECT_EQ(narrow->request_stall_ms, 2000);
+	EXPECT_EQ(narrow->request_time_ms, 6000);
+	EXPECT_EQ(narrow->max_job_values, 2000);
+	for (const char *line : {"request_memory_kb = 0\n", "max_connections = 0\n", "request_stall_ms = 0\n", "request_time_ms = 0\n",
+							 "max_job_values = 0\n", "max_connections = \"many\"\n"})
+		EXPECT_FALSE(ParseJobHostConfig(text + line, "f").has_value()) << line;
+}
+
 /// The platform gives the time as a fraction. Guards against a host that does not start because of it.
 TEST(JobHostConfig, TheTimeOfAnAppendMayBeAFraction)
 {
