Apply the configured limits of listeners

request_memory_kb, max_connections, request_stall_ms, request_time_ms and max_job_values were read but not applied. The default of max_job_values is 65,536: a record has room for a job of some 60,500 values, so 50,000 could refuse a legal one.

--- a/Loomreach/Entry/JobHost.inl
+++ b/Loomreach/Entry/JobHost.inl
@@ -122,8 +122,7 @@
 template <class Hub>
 bool JobHost<Hub>::Start()
 {
-	if (!this->peers.Open() ||
-		!this->caller_listener.Open(this->config.callers, this->config.ready, static_cast<uint16>(this->config.metrics_port)))
+	if (!this->peers.Open() || !this->caller_listener.Open(this->config))
 		return false;
 	LogEvent(ELogLevel::Info, "started")
 		.Field("host", this->config.name)
--- a/Loomreach/Settings/JobHostConfig.h
+++ b/Loomreach/Settings/JobHostConfig.h
@@ -43,7 +43,7 @@
 	int64 max_connections = 1500;    ///< Open connections of callers, on all listeners together.
 	int64 request_stall_ms = 20'000; ///< A request loses its connection if its head, body or answer makes no progress for this long.
 	int64 request_time_ms = 60'000;  ///< Longest time that the head and the body of a request may take together.
-	int64 max_job_values = 50'000;   ///< Values in the JSON text of a job.
+	int64 max_job_values = 65'536;   ///< Values in the JSON text of a job; a record has room for some 60,500.
 	double link_mbit_per_s = 0.0;    ///< Rate of this entry host's network link, Mbit/s; 0: unknown.
 };
 
