Log by what a worker was waited for when a run is given up

run_ended of a concluded end now names the incarnation that the log names and the one that the worker list shows, what last made the owner assume the longest lease and what was left of it, and for how long the start could still have arrived. longest_lease_logged and longest_lease_removed show when the record of a worker's longest lease is written and taken away. No change of logic.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -295,6 +295,7 @@
 			continue;
 		const Millis lease = std::max(worker.logged_longest_lease_ms, this->tuning.worker_lease_cap_ms);
 		worker.longest_lease_until = inNow + LongestLease(lease);
+		worker.longest_lease_cause = ELongestLease::Logged;
 		LogEvent(ELogLevel::Info, "longest_lease_assumed")
 			.Field("worker", id)
 			.Field("lease_ms", lease)
@@ -423,6 +424,8 @@
 		const bool remove = !worker.IsPresent(inNow) && worker.IsIdleAndLogged() && !worker.poll_in_flight && !is_retained;
 		if (remove && (worker.logged_location.has_value() || worker.appending_grant_ms > 0 || worker.logged_longest_lease_ms > 0))
 			this->removed_workers.push_back(it->first);
+		if (remove && worker.logged_longest_lease_ms > 0)
+			this->LogLongestLeaseRecord(worker, "longest_lease_removed", "the worker has left and has no runs");
 		it = remove ? this->workers.erase(it) : std::next(it);
 	}
 }
@@ -841,10 +844,25 @@
 		if (!is_new && !is_over)
 			continue;
 		worker.logged_longest_lease_ms = is_new ? this->tuning.worker_lease_cap_ms : 0;
+		this->LogLongestLeaseRecord(worker, is_new ? "longest_lease_logged" : "longest_lease_removed",
+									is_new ? NameOf(cLongestLeaseNames, worker.longest_lease_cause) : "it has expired");
 		outBatch.push_back({cLongestLeaseKey + id, is_new ? EncodeValue(worker.logged_longest_lease_ms) : ""});
 	}
 }
 
+void Cell::LogLongestLeaseRecord(const CellWorker &inWorker, std::string_view inEvent, std::string_view inWhy) const
+{
+	LogEvent(ELogLevel::Info, inEvent)
+		.Field("worker", inWorker.entry.id)
+		.Field("why", inWhy)
+		.Field("longest_left_ms", inWorker.longest_lease_until - this->now)
+		.Field("runs", inWorker.runs.size())
+		.Field("born_ms", inWorker.started_ms)
+		.Field("logged_born_ms", inWorker.logged_started_ms)
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::AddDrainGrantRecords(std::vector<KeyedRecord> &outBatch)
 {
 	const bool written_anyway = !outBatch.empty();
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -210,6 +210,8 @@
 	void AddLocationRecords(std::vector<KeyedRecord> &outBatch);
 	/// Adds which workers may have granted their longest lease. Passed ones are removed only along with other records.
 	void AddLongestLeaseRecords(std::vector<KeyedRecord> &outBatch);
+	/// Logs that the record of a worker's longest lease is written, or why it is removed.
+	void LogLongestLeaseRecord(const CellWorker &inWorker, std::string_view inEvent, std::string_view inWhy) const;
 	/// Adds new drain grants. Expired grants are removed only along with other records.
 	void AddDrainGrantRecords(std::vector<KeyedRecord> &outBatch);
 	/// A worker's ends in the append are in the log now.
@@ -347,7 +349,7 @@
 	/// Marks the runs that the current incarnation may have, or may still be sent by orders in flight, for verification by a poll.
 	void VerifyRuns(CellWorker &ioWorker, Millis inNow);
 	/// Accounts for an order whose lease end was computed for another clock: the worker may have granted its maximum lease.
-	void AssumeMaxLease(CellWorker &ioWorker, Millis inNow);
+	void AssumeMaxLease(CellWorker &ioWorker, ELongestLease inCause, Millis inNow);
 	/// The worker has carried out an order with the token of its current incarnation.
 	void NoteTokenSeen(CellWorker &ioWorker, Millis inNow);
 	/// The longest lease that a worker may have granted.
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -165,6 +165,12 @@
 		.Field("granted_until_ms", inWorker.granted_until_ms)
 		.Field("clock_ms", inWorker.clock_ms < 0 ? -1 : inWorker.ClockAt(this->now))
 		.Field("born_ms", inWorker.started_ms)
+		.Field("logged_born_ms", inWorker.logged_started_ms)
+		.Field("listed_born_ms", inWorker.entry.started_ms)
+		.Field("longest_lease", NameOf(cLongestLeaseNames, inWorker.longest_lease_cause))
+		.Field("longest_left_ms", inWorker.longest_lease_until == 0 ? -1 : inWorker.longest_lease_until - this->now)
+		.Field("start_pending_ms", inRun.start_pending_until == 0 ? -1 : inRun.start_pending_until - this->now)
+		.Field("inherited", inRun.inherited ? 1 : 0)
 		.Field("last_seen", inWorker.logged_seq);
 }
 
--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -56,7 +56,7 @@
 		const auto may_start = [&ioWorker, inNow](const auto &inRun)
 		{ return inRun.second.state == ERunState::Inherited || Cell::MayStartLater(ioWorker, inRun.second, inNow); };
 		if (std::any_of(ioWorker.runs.begin(), ioWorker.runs.end(), may_start))
-			this->AssumeMaxLease(ioWorker, inNow);
+			this->AssumeMaxLease(ioWorker, ELongestLease::Listed, inNow);
 		this->SuspectRestart(ioWorker, "the worker list shows a later life", inNow);
 		return true;
 	}
@@ -96,7 +96,7 @@
 	else if (ioWorker.started_ms != cStartTimeUnknown && inAnswer.clock_ms >= 0 && ioWorker.clock_ms >= 0 &&
 			 !ioWorker.FitsClock(inAnswer.clock_ms, inSentAt, inNow))
 	{
-		this->AssumeMaxLease(ioWorker, inNow);
+		this->AssumeMaxLease(ioWorker, ELongestLease::Clock, inNow);
 		this->SuspectRestart(ioWorker, "the clock in an answer does not fit the incarnation", inNow);
 	}
 	return false;
@@ -200,11 +200,12 @@
 	}
 	// An order for the previous incarnation may still arrive, or has been answered by this one, with a lease end computed for that
 	// incarnation's clock
-	this->AssumeMaxLease(ioWorker, inNow);
+	this->AssumeMaxLease(ioWorker, ELongestLease::Restarted, inNow);
 }
 
-void Cell::AssumeMaxLease(CellWorker &ioWorker, Millis inNow)
+void Cell::AssumeMaxLease(CellWorker &ioWorker, ELongestLease inCause, Millis inNow)
 {
+	ioWorker.longest_lease_cause = inCause;
 	ioWorker.longest_lease_until = std::max(ioWorker.longest_lease_until, inNow + LongestLease(this->tuning.worker_lease_cap_ms));
 	ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, ioWorker.longest_lease_until);
 	// A successor that takes over before the next record would wait for the usual lease only
@@ -217,7 +218,7 @@
 	if (std::exchange(ioWorker.token_seen, true) || !ioWorker.replaced)
 		return;
 	// Orders for earlier incarnations have been carried out until now
-	this->AssumeMaxLease(ioWorker, inNow);
+	this->AssumeMaxLease(ioWorker, ELongestLease::TokenSeen, inNow);
 }
 
 Millis Cell::LongestLeaseOn(const CellWorker &inWorker, Millis inNow) const
@@ -229,7 +230,7 @@
 void Cell::OnPreviousIncarnationAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow)
 {
 	if (inAnswer.result == EOrderResult::Unknown && !inAnswer.connection_closed)
-		this->AssumeMaxLease(ioWorker, inNow);
+		this->AssumeMaxLease(ioWorker, ELongestLease::Unanswered, inNow);
 	if (inOrder.kind == EOrder::Poll)
 		return this->ApplyPolledEnds(ioWorker, inAnswer.ended, inNow);
 	if (inOrder.kind != EOrder::Start)
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -230,6 +230,25 @@
 	bool FitsClock(Millis inClock, Millis inSentAt, Millis inNow) const;
 };
 
+/// What last made an owner assume that a worker may have granted its longest lease.
+enum class ELongestLease : uint8
+{
+	NotAssumed, ///< Nothing has suggested another incarnation than the logged one.
+	Logged,     ///< The log said so at take-over.
+	Listed,     ///< The worker list showed a later incarnation while runs were there.
+	Clock,      ///< The clock in an answer did not fit the incarnation.
+	Restarted,  ///< A later incarnation has begun.
+	TokenSeen,  ///< A later incarnation has carried out the first order with its own token.
+	Unanswered  ///< An order for a former incarnation got no answer.
+};
+
+inline constexpr std::array cLongestLeaseNames = {
+	EnumName<ELongestLease>{ELongestLease::NotAssumed, "not-assumed"}, EnumName<ELongestLease>{ELongestLease::Logged, "logged"},
+	EnumName<ELongestLease>{ELongestLease::Listed, "listed"},          EnumName<ELongestLease>{ELongestLease::Clock, "clock"},
+	EnumName<ELongestLease>{ELongestLease::Restarted, "restarted"},    EnumName<ELongestLease>{ELongestLease::TokenSeen, "token-seen"},
+	EnumName<ELongestLease>{ELongestLease::Unanswered, "unanswered"},
+};
+
 /// Ends of a worker's previous incarnations that are not in the log yet.
 struct PreviousIncarnationEnds
 {
@@ -275,7 +294,8 @@
 	/// Until when its longest lease may last, on the owner's clock. Invariant: not above `lease_expires_at`. While it has not passed, the
 	/// log says so whenever there are runs: a successor must wait as long.
 	Millis longest_lease_until = 0;
-	Millis logged_longest_lease_ms = 0; ///< That lease in the log, or in the append in flight; 0: none.
+	ELongestLease longest_lease_cause = ELongestLease::NotAssumed; ///< Why it was last assumed, for log lines.
+	Millis logged_longest_lease_ms = 0;                            ///< That lease in the log, or in the append in flight; 0: none.
 	PreviousIncarnationEnds previous_ends;
 	Millis drain_until = 0;        ///< Being drained for maintenance; nothing new until then.
 	Millis drain_grant_until = 0;  ///< It was reported empty, so its host may be moved or taken down until then.
