Drop the adviser's answer about an incarnation that has ended

Callers saw a step wait although a restarted worker could run it: the adviser's answer names workers by id. One that was asked for before a worker started again and that arrived after it was taken for the next incarnation. A refusal is kept for good, so the adviser was never asked about the next incarnation; a ticket led to a start that is refused.

The question now notes the incarnation of each worker, and the answer counts only for these. A worker that has started again since is asked about anew.

Red before: WorkerIdentity.AnAdvisersRefusalOfAFormerIncarnationDoesNotBindTheNext (no question, 1 expected) and .ATicketOfAFormerIncarnationIsNotUsedForTheNext (1 start with the former ticket, none expected).

--- a/Loomreach/Schedule/Advice.h
+++ b/Loomreach/Schedule/Advice.h
@@ -14,6 +14,8 @@
 	uint32 round = 0;
 	uint32 step = 0;
 	std::vector<std::string> workers;
+	/// Number of each worker's incarnation, in the order of `workers`: the answer says nothing about later ones.
+	std::vector<uint64> incarnations;
 	Millis expect_ms = 0; ///< Expected time to the answer according to the policy.
 };
 
--- a/Loomreach/Schedule/CellAdvice.cpp
+++ b/Loomreach/Schedule/CellAdvice.cpp
@@ -45,7 +45,10 @@
 	request.step = static_cast<uint32>(inUnit % ioJob.spec.steps.size());
 	for (const auto &[score, id] : candidates)
 		if (request.workers.size() < cMaxWorkersPerRequest)
+		{
 			request.workers.push_back(id);
+			request.incarnations.push_back(this->workers.at(id).incarnation_number);
+		}
 	const Queue *queue = nullptr;
 	if (this->catalogue != nullptr)
 		for (const Queue &candidate : this->catalogue->queues)
@@ -79,8 +82,13 @@
 		advice.ask_after = inNow + cAdviceRetryMs;
 		return;
 	}
-	for (const std::string &worker : inRequest.workers)
+	for (size_t i = 0; i < inRequest.workers.size(); ++i)
 	{
+		const std::string &worker = inRequest.workers[i];
+		// A worker that has started again since is asked about anew
+		auto known = this->workers.find(worker);
+		if (known == this->workers.end() || known->second.incarnation_number != inRequest.incarnations[i])
+			continue;
 		auto ticket = inAnswer.tickets.find(worker);
 		if (ticket == inAnswer.tickets.end())
 			advice.refused.insert(worker);
