Start no run on another incarnation than it was planned for

A run is planned, written to the log and then dispatched. Where the append takes longer than a restart, the checks at dispatch compared the room of the worker but not its labels: the run was started on the next incarnation, which may be of a kind that the step does not allow, and with the former incarnation's ticket.

A run now remembers the incarnation that it was planned for, and is dropped and planned anew if another one is there at dispatch. The worker has not seen it, so nothing can be running.

Red before: WorkerIdentity.ARunPlannedForAFormerIncarnationIsNotStartedOnTheNext (1 start on a worker without the label, none expected).

--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -35,6 +35,10 @@
 	const TaskRecord *task = this->FindTask(inRun.task);
 	if (job == nullptr || IsFinal(job->record.phase) || task == nullptr || task->done)
 		return "its task or job has ended";
+	// The next incarnation may be of another kind, and its ticket would be refused
+	auto run = inWorker.runs.find(inRun);
+	if (run != inWorker.runs.end() && run->second.planned_for != inWorker.incarnation_number)
+		return "the worker has started again since the run was planned";
 	// The worker may report less capacity than when the run was planned
 	if (!Resources{}.FitsInto(inWorker.Free()))
 		return "the worker has less room than when the run was planned";
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -566,6 +566,7 @@
 	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time unless its step allows copies");
 	if (ioJob.spec.advised)
 		run.ticket = ioJob.advice[inUnit].tickets[ioWorker.entry.id].text;
+	run.planned_for = ioWorker.incarnation_number;
 	run.trial = Cell::TrialOf(ioJob, inUnit, inTask, inNow);
 	ioJob.volatile_state[inUnit][inTask].trial_wanted_since = -1;
 	if (run.trial != ETrial::None)
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -144,6 +144,7 @@
 	int64 throttle_percent = 100; ///< Share of full speed that it was last told to work at.
 	bool throttle_in_flight = false;
 	std::string ticket;
+	uint64 planned_for = 0; ///< Number of the incarnation that it was planned for; 0: another owner planned it.
 };
 
 /// A new run of a step's task in the given state.
--- a/UnitTests/WorkerIdentityTests.cpp
+++ b/UnitTests/WorkerIdentityTests.cpp
@@ -57,4 +57,31 @@
 	EXPECT_EQ(harness.starts.back().ticket, "present");
 }
 
+/// the restart.
+TEST(WorkerIdentity, ARunPlannedForAFormerIncarnationIsNotStartedOnTheNext)
+{
+	IdentityHarness harness;
+	WorkerEntry entry = IdentityHarness::MakeEntry("w", 1000);
+	entry.labels = {"large", "r1"};
+	harness.ListWorkers({entry});
+	harness.AnswerPolls("w", 1000);
+	JobSpec job = OneTask("job");
+	job.steps[0].needs_label = "large";
+	harness.Submit(job);
+	ASSERT_TRUE(harness.BeginAppend());
+	entry.started_ms = 2000;
+	entry.labels = {"small", "r1"};
+	harness.ListWorkers({entry});
+	harness.AnswerPolls("w", 2000);
+	harness.EndAppend();
+	EXPECT_EQ(harness.WriteAndDispatch(), 0u);
+	// Back as the kind that is needed
+	entry.started_ms = 3000;
+	entry.labels = {"large", "r1"};
+	harness.ListWorkers({entry});
+	harness.AnswerPolls("w", 3000);
+	harness.WriteAndDispatch();
+	EXPECT_EQ(harness.starts.size(), 1u);
+}
+
 } // namespace Loomreach::Jobs
