Report no incarnation empty that has not been heard by its own token

A worker that had started again was reported empty from the poll that showed the restart, even if that answer listed a run: the answer is the former incarnation's, so its lists are not applied. Its host could then be moved or taken down under a start that the next incarnation had carried out, which for a long-running task is one more that is missing.

A drain is granted once the incarnation has answered an order with its own token, a few milliseconds later, or when its longest lease is over if it never answers.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -297,7 +297,7 @@
 	/// Stops long-running tasks on a worker that announced that it leaves, or that left the list.
 	void StopRunsOnLeavingWorker(CellWorker &ioWorker, Millis inNow);
 	/// Reports a worker as empty for the next `inForMs`, if that holds and the grant is in the log for a successor.
-	bool GrantDrain(CellWorker &ioWorker, Millis inForMs);
+	bool GrantDrain(CellWorker &ioWorker, Millis inForMs, Millis inNow);
 	/// Whether the step of a task permits the task to be unavailable now, given its other unavailable tasks.
 	bool MayBeUnavailable(const CellJob &inJob, size_t inUnit, uint32 inTask, Millis inNow) const;
 	/// Whether the number of unavailable tasks of a step limits the stop of a run. It does not if the job or the worker ends anyway.
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -216,7 +216,7 @@
 	{
 		CellWorker &worker = *least_used[i].second;
 		worker.drain_until = std::max(worker.drain_until, inNow + inForMs);
-		if (this->GrantDrain(worker, inForMs))
+		if (this->GrantDrain(worker, inForMs, inNow))
 			demand.releasable.push_back(worker.entry.id);
 	}
 	if (!demand.releasable.empty())
--- a/Loomreach/Schedule/CellDrains.cpp
+++ b/Loomreach/Schedule/CellDrains.cpp
@@ -138,10 +138,17 @@
 	worker.drain_until = std::max(worker.drain_until, inNow + inForMs);
 	if (!worker.runs.empty())
 		this->draining_until = worker.drain_until;
-	return this->GrantDrain(worker, inForMs);
+	return this->GrantDrain(worker, inForMs, inNow);
 }
 
-bool Cell::GrantDrain(CellWorker &ioWorker, Millis inForMs)
+/// Whether an incarnation may have runs that this owner does not know: until it has answered by its own token, it carries out starts for
+/// its predecessor. No lease of such a run lasts longer than is assumed.
+static bool MayHaveUnknownRuns(const CellWorker &inWorker, Millis inNow)
+{
+	return inWorker.replaced && !inWorker.token_seen && inNow < inWorker.lease_expires_at;
+}
+
+bool Cell::GrantDrain(CellWorker &ioWorker, Millis inForMs, Millis inNow)
 {
 	if (this->retiring)
 		return false;
@@ -150,6 +157,8 @@
 	// Its host may be taken down after this owner is gone
 	if (ioWorker.logged_grant_ms < inForMs || ioWorker.restart_suspected || !ioWorker.IsIdleAndLogged() || !ioWorker.AreEndsAcknowledged())
 		return false;
+	if (MayHaveUnknownRuns(ioWorker, inNow))
+		return false;
 	ioWorker.drain_grant_until = ioWorker.drain_until;
 	return true;
 }
--- a/UnitTests/WorkerIdentityTests.cpp
+++ b/UnitTests/WorkerIdentityTests.cpp
@@ -3,6 +3,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/Fleet/Upkeep.h>
 #include <UnitTests/CellTroubles.h>
 #include <UnitTests/IdentityHarness.h>
 
@@ -14,6 +15,14 @@
 /// A job of one task.
 static JobSpec OneTask(const std::string &inId) { return MakeJob(inId, 1, 1, 1000, 500); }
 
+/// Drains a worker as its pool's owner is asked to, until its grant is in the log. Returns whether it is granted.
+static bool Drain(IdentityHarness &ioHarness, const std::string &inWorker)
+{
+	ioHarness.cell.DrainWorker(inWorker, cDrainGrantMs, ioHarness.now);
+	ioHarness.WriteAndDispatch();
+	return ioHarness.cell.DrainWorker(inWorker, cDrainGrantMs, ioHarness.now);
+}
+
 /// never asked about.
 TEST(WorkerIdentity, AnAdvisersRefusalOfAFormerIncarnationDoesNotBindTheNext)
 {
@@ -84,4 +93,53 @@
 	EXPECT_EQ(harness.starts.size(), 1u);
 }
 
+/// the run.
+TEST(WorkerIdentity, ADrainOfAFormerIncarnationIsNotGrantedForTheNextBeforeThatIsKnown)
+{
+	IdentityHarness harness;
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 1000)});
+	harness.AnswerPolls("w", 1000);
+	ASSERT_TRUE(Drain(harness, "w"));
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 2000)});
+	const std::vector<Order> polls = harness.Step();
+	ASSERT_EQ(polls.size(), 1u);
+	EXPECT_FALSE(harness.cell.DrainWorker("w", cDrainGrantMs, harness.now));
+	const RunningRun stray{{"stray", 0, 0, 0}, 1, "", 50, 0};
+	harness.Answer(polls[0], 2000, {stray});
+	EXPECT_FALSE(harness.cell.DrainWorker("w", cDrainGrantMs, harness.now));
+	// Its own poll lists the run, which is stopped
+	for (const Order &order : harness.Step())
+		if (order.kind == EOrder::Poll)
+			harness.Answer(order, 2000, {stray});
+	EXPECT_FALSE(harness.cell.DrainWorker("w", cDrainGrantMs, harness.now));
+	for (const Order &order : harness.Step())
+		harness.Answer(order, 2000);
+	harness.AnswerPolls("w", 2000);
+	EXPECT_TRUE(Drain(harness, "w"));
+}
+
+/// An incarnation that nobody has heard from was reported empty, though a start for its predecessor may run there.
+TEST(WorkerIdentity, AnIncarnationThatHasNotAnsweredIsNotReportedEmpty)
+{
+	IdentityHarness harness;
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 1000)});
+	harness.AnswerPolls("w", 1000);
+	harness.Submit(OneTask("job"));
+	ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+	harness.Answer(harness.starts.back(), 1000);
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 2000)});
+	const std::vector<Order> polls = harness.Step();
+	ASSERT_FALSE(polls.empty());
+	harness.Answer(polls.back(), 2000);
+	harness.cell.DrainWorker("w", cDrainGrantMs, harness.now);
+	harness.WriteAndDispatch();
+	const Millis restarted_at = harness.now;
+	EXPECT_FALSE(harness.cell.DrainWorker("w", cDrainGrantMs, harness.now));
+	// The host must go down some time, also if the worker is never heard again: no lease lasts longer
+	while (harness.now < restarted_at + LongestLease(CellTuning{}.worker_lease_cap_ms) + 1000)
+		for (const Order &order : harness.Step())
+			harness.cell.OnAnswer(order, OrderAnswer{}, harness.now, harness.now);
+	EXPECT_TRUE(Drain(harness, "w"));
+}
+
 } // namespace Loomreach::Jobs
