Drain the host of a worker, not only the worker

A host is taken down as a whole, but a drain went by the worker's id. If the worker ended after it was reported empty, the next one on its host, under another id, got runs while the host could still be taken down; and a host was reported empty for a worker that was no longer there while the next one had runs.

While a worker is drained, its host is: other workers there get nothing new, and no worker is reported empty while a later one on its host has runs. Workers that report no host are drained as before.

--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -296,6 +296,12 @@
 	void StopRunsOnDrainedWorker(CellWorker &ioWorker, Millis inNow);
 	/// Stops long-running tasks on a worker that announced that it leaves, or that left the list.
 	void StopRunsOnLeavingWorker(CellWorker &ioWorker, Millis inNow);
+	/// Keeps a worker, and the next one on its host, from getting new runs until then.
+	void KeepDrained(CellWorker &ioWorker, Millis inUntil, Millis inNow);
+	/// Whether the host of a worker is drained, possibly since another worker was on it.
+	bool IsHostDrained(const CellWorker &inWorker, Millis inNow) const;
+	/// Whether another worker has runs on the host, so that the host is not empty although this worker is.
+	bool IsHostInUse(const CellWorker &inWorker) const;
 	/// Reports a worker as empty for the next `inForMs`, if that holds and the grant is in the log for a successor.
 	bool GrantDrain(CellWorker &ioWorker, Millis inForMs, Millis inNow);
 	/// Whether the step of a task permits the task to be unavailable now, given its other unavailable tasks.
@@ -514,7 +520,8 @@
 	std::set<TaskId> awaiting_suspects;    ///< Tasks delayed until their other suspects are decided on.
 	std::set<std::string> trial_racks;     ///< Racks with an open trial run. The loss of two workers of a rack at once would prove nothing.
 	Millis draining_until = 0;             ///< Until then some worker is being drained for maintenance.
-	bool retiring = false;                 ///< See BeginHandOver.
+	std::map<std::string, Millis> drained_hosts; ///< Hosts that are drained, and until when.
+	bool retiring = false;                       ///< See BeginHandOver.
 	bool unwritten_changes = false;
 	bool batch_under_way = false;
 	Millis batch_at = 0;      ///< When the batch was taken.
--- a/Loomreach/Schedule/CellDemand.cpp
+++ b/Loomreach/Schedule/CellDemand.cpp
@@ -215,7 +215,7 @@
 	for (size_t i = 0; i < least_used.size() && i < inSpare; ++i)
 	{
 		CellWorker &worker = *least_used[i].second;
-		worker.drain_until = std::max(worker.drain_until, inNow + inForMs);
+		this->KeepDrained(worker, inNow + inForMs, inNow);
 		if (this->GrantDrain(worker, inForMs, inNow))
 			demand.releasable.push_back(worker.entry.id);
 	}
--- a/Loomreach/Schedule/CellDrains.cpp
+++ b/Loomreach/Schedule/CellDrains.cpp
@@ -135,12 +135,47 @@
 	CellWorker &worker = found->second;
 	if (inNow >= worker.drain_until)
 		LogEvent(ELogLevel::Info, "worker_emptied").Field("worker", inWorker).Field("runs", worker.runs.size());
-	worker.drain_until = std::max(worker.drain_until, inNow + inForMs);
+	this->KeepDrained(worker, inNow + inForMs, inNow);
 	if (!worker.runs.empty())
 		this->draining_until = worker.drain_until;
 	return this->GrantDrain(worker, inForMs, inNow);
 }
 
+void Cell::KeepDrained(CellWorker &ioWorker, Millis inUntil, Millis inNow)
+{
+	ioWorker.drain_until = std::max(ioWorker.drain_until, inUntil);
+	if (ioWorker.entry.host.empty())
+		return;
+	std::erase_if(this->drained_hosts, [inNow](const auto &inHost) { return inNow >= inHost.second; });
+	Millis &host_until = this->drained_hosts[ioWorker.entry.host];
+	host_until = std::max(host_until, inUntil);
+}
+
+bool Cell::IsHostDrained(const CellWorker &inWorker, Millis inNow) const
+{
+	if (this->drained_hosts.empty() || inWorker.entry.host.empty())
+		return false;
+	auto host = this->drained_hosts.find(inWorker.entry.host);
+	return host != this->drained_hosts.end() && inNow < host->second;
+}
+
+bool Cell::IsHostInUse(const CellWorker &inWorker) const
+{
+	const std::string &host = inWorker.entry.host;
+	if (host.empty())
+		return false;
+	for (const auto &[id, other] : this->workers)
+	{
+		if (other.entry.host != host || id == inWorker.entry.id || other.runs.empty())
+			continue;
+		// The entry of a worker that has ended stays for a while, and its runs until their leases expire
+		const bool is_former = other.ended || IsStartedAfter(inWorker.started_ms, other.started_ms);
+		if (!is_former && (other.reachable || IsStartedAfter(other.started_ms, inWorker.started_ms)))
+			return true;
+	}
+	return false;
+}
+
 /// Whether an incarnation may have runs that this owner does not know: until it has answered by its own token, it carries out starts for
 /// its predecessor. No lease of such a run lasts longer than is assumed.
 static bool MayHaveUnknownRuns(const CellWorker &inWorker, Millis inNow)
@@ -157,7 +192,7 @@
 	// Its host may be taken down after this owner is gone
 	if (ioWorker.logged_grant_ms < inForMs || ioWorker.restart_suspected || !ioWorker.IsIdleAndLogged() || !ioWorker.AreEndsAcknowledged())
 		return false;
-	if (MayHaveUnknownRuns(ioWorker, inNow))
+	if (MayHaveUnknownRuns(ioWorker, inNow) || this->IsHostInUse(ioWorker))
 		return false;
 	ioWorker.drain_grant_until = ioWorker.drain_until;
 	return true;
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -456,7 +456,7 @@
 	if (IsStartedAfter(inWorker.started_ms, inWorker.entry.started_ms))
 		return false;
 	if (inNow < inWorker.backoff_until || inNow < inWorker.drain_until || inNow < inWorker.quarantine_until ||
-		inNow < inWorker.removed_until)
+		inNow < inWorker.removed_until || this->IsHostDrained(inWorker, inNow))
 		return false;
 	// After quarantine, one run at a time
 	return inWorker.consecutive_failures < cFailuresToQuarantine || inWorker.runs.empty();
--- a/UnitTests/WorkerIdentityTests.cpp
+++ b/UnitTests/WorkerIdentityTests.cpp
@@ -142,4 +142,50 @@
 	EXPECT_TRUE(Drain(harness, "w"));
 }
 
+/// A worker was reported empty, and the next worker of its host, under another id, got runs while the host could still be taken down.
+TEST(WorkerIdentity, ADrainCoversTheNextWorkerOfItsHost)
+{
+	IdentityHarness harness;
+	WorkerEntry first = IdentityHarness::MakeEntry("w1", 1000);
+	first.host = "m";
+	harness.ListWorkers({first});
+	harness.AnswerPolls("w1", 1000);
+	ASSERT_TRUE(Drain(harness, "w1"));
+	const Millis granted_until = harness.now + cDrainGrantMs;
+	WorkerEntry second = IdentityHarness::MakeEntry("w2", 2000);
+	second.host = "m";
+	harness.ListWorkers({second});
+	harness.AnswerPolls("w2", 2000);
+	harness.Submit(OneTask("job"));
+	ASSERT_LT(harness.now, granted_until);
+	EXPECT_EQ(harness.WriteAndDispatch(), 0u);
+	while (harness.now < granted_until)
+		harness.AnswerPolls("w2", 2000);
+	EXPECT_EQ(harness.WriteAndDispatch(), 1u);
+}
+
+/// A worker that had left was reported empty by its id, while the next worker of the same host had runs.
+TEST(WorkerIdentity, AHostIsNotReportedEmptyForAWorkerThatIsNoLongerThere)
+{
+	IdentityHarness harness;
+	WorkerEntry first = IdentityHarness::MakeEntry("w1", 1000);
+	first.host = "m";
+	harness.ListWorkers({first});
+	harness.AnswerPolls("w1", 1000);
+	WorkerEntry second = IdentityHarness::MakeEntry("w2", 2000);
+	second.host = "m";
+	// The entry of a worker that has crashed stays listed for a while
+	harness.ListWorkers({first, second});
+	harness.AnswerPolls("w2", 2000);
+	JobSpec job = OneTask("job");
+	job.steps[0].needs_label = "second";
+	second.labels = {"second"};
+	harness.ListWorkers({first, second});
+	harness.Submit(job);
+	ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+	ASSERT_EQ(harness.starts.back().worker, "w2");
+	harness.Answer(harness.starts.back(), 2000);
+	EXPECT_FALSE(Drain(harness, "w1"));
+}
+
 } // namespace Loomreach::Jobs
