Throttle a run anew that the next incarnation has

A best-effort run that was throttled to a standstill on one incarnation counted as throttled on the next one, which has carried out its start and works on it at full speed: no order was sent, since the wanted share had not changed, and the latency-sensitive tasks beside it stayed above their target.

A run that is verified after a restart counts as unthrottled, so that the next report decides anew.

Red before: WorkerIdentity.AThrottleOfAFormerIncarnationIsNotTakenForTheNextOnes (no order after the restart).

--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -197,6 +197,8 @@
 		run.confirmed_at = -1;
 		run.percent = 0;
 		run.throttle_in_flight = false;
+		// It starts at full speed
+		run.throttle_percent = cFullSpeedPercent;
 	}
 	// An order for the previous incarnation may still arrive, or has been answered by this one, with a lease end computed for that
 	// incarnation's clock
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -16,7 +16,6 @@
 static constexpr int64 cTailLowPercent = 50;
 static constexpr int64 cThrottleCutPercent = 50; ///< Multiplicative decrease.
 static constexpr int64 cThrottleStep = 10;       ///< Additive increase, in percentage points.
-static constexpr int64 cFullSpeedPercent = 100;
 /// Weights of the placement score. A rack with the task's data halves the run time and outweighs any load balance.
 static constexpr double cDataRackWeight = 10.0;
 static constexpr double cNeighbourWeight = 2.0; ///< Per latency-sensitive or best-effort neighbour of such a task.
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -109,6 +109,9 @@
 	bool operator==(const RunId &) const = default;
 };
 
+/// Speed of a run that is not throttled.
+inline constexpr int64 cFullSpeedPercent = 100;
+
 /// A run that occupies capacity on a worker.
 struct Run
 {
@@ -139,12 +142,12 @@
 	uint32 stops_sent = 0; ///< Stop orders sent so far.
 	bool overdue_logged = false;
 	int64 percent = 0;
-	Millis progress_at = 0;       ///< When `percent` was reported.
-	int64 measurement = 0;        ///< As in RunningRun.
-	int64 throttle_percent = 100; ///< Share of full speed that it was last told to work at.
+	Millis progress_at = 0;                     ///< When `percent` was reported.
+	int64 measurement = 0;                      ///< As in RunningRun.
+	int64 throttle_percent = cFullSpeedPercent; ///< Share of full speed that it was last told to work at.
 	bool throttle_in_flight = false;
 	std::string ticket;
-	uint64 planned_for = 0; ///< Number of the incarnation that it was planned for; 0: another owner planned it.
+	uint64 planned_for = 0; ///< Number of the incarnation that it was planned for; 0: none that this owner knows.
 };
 
 /// A new run of a step's task in the given state.
--- a/UnitTests/WorkerIdentityTests.cpp
+++ b/UnitTests/WorkerIdentityTests.cpp
@@ -188,4 +188,44 @@
 	EXPECT_FALSE(Drain(harness, "w1"));
 }
 
+/// it.
+TEST(WorkerIdentity, AThrottleOfAFormerIncarnationIsNotTakenForTheNextOnes)
+{
+	IdentityHarness harness;
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 1000)});
+	harness.AnswerPolls("w", 1000);
+	JobSpec serving = OneTask("serving");
+	serving.steps[0].long_running = true;
+	serving.steps[0].latency_target_ms = 10;
+	JobSpec filling = OneTask("filling");
+	filling.steps[0].best_effort = true;
+	harness.Submit(serving);
+	harness.Submit(filling);
+	ASSERT_EQ(harness.WriteAndDispatch(), 2u);
+	std::vector<RunningRun> running;
+	for (const Order &start : harness.starts)
+	{
+		harness.Answer(start, 1000);
+		// The tail of the serving task stays far above its target
+		running.push_back({start.task, start.run, "", 100, start.task.job == "serving" ? 100 : 1000});
+	}
+	const auto throttles_within = [&](int inSteps, int64 inStartedMs)
+	{
+		std::vector<int64> percents;
+		for (int i = 0; i < inSteps; ++i)
+			for (const Order &order : harness.Step())
+			{
+				if (order.kind == EOrder::Throttle)
+					percents.push_back(order.percent);
+				harness.Answer(order, inStartedMs, running);
+			}
+		return percents;
+	};
+	const std::vector<int64> before = throttles_within(40, 1000);
+	ASSERT_FALSE(before.empty());
+	ASSERT_EQ(before.back(), 0);
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 2000)});
+	EXPECT_FALSE(throttles_within(40, 2000).empty());
+}
+
 } // namespace Loomreach::Jobs
