Keep a worker that may hold its longest lease while it is missing from the list

A task ran twice: a restarted worker whose entry lapsed while it had no runs was removed, and with it that it may hold its longest lease. After its entry had returned, a run was started there, the worker was cut off, and the run was given up after the usual lease while the worker, which never shortens a lease, still held it.

A worker is kept over its longest lease as it is over a drain. A removed worker also forgets that its incarnation replaced another one, which this keeps as well.

Red before: WorkerIdentity.AWorkerThatWasMissingFromTheListKeepsItsLongestLease (0 runs held 10 s after the restart, 1 expected).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -417,8 +417,9 @@
 				.Field("trusted_ms", std::max<Millis>(inAssumePresentUntil - inNow, 0));
 		}
 		// A worker that left is removed once it has no runs. Drain and removal times are kept, since its entry may return before they have
-		// passed
-		const bool is_retained = inNow < std::max({worker.drain_until, worker.drain_grant_until, worker.removed_until});
+		// passed, and so is the longest lease, which holds for whatever is started there after that
+		const bool is_retained =
+			inNow < std::max({worker.drain_until, worker.drain_grant_until, worker.removed_until, worker.longest_lease_until});
 		// Until its ends are in the log, a successor needs them
 		const bool remove = !worker.IsPresent(inNow) && worker.IsIdleAndLogged() && !worker.poll_in_flight && !is_retained;
 		if (remove && (worker.logged_location.has_value() || worker.appending_grant_ms > 0 || worker.logged_longest_lease_ms > 0))
--- a/UnitTests/WorkerIdentityTests.cpp
+++ b/UnitTests/WorkerIdentityTests.cpp
@@ -23,6 +23,7 @@
 	return ioHarness.cell.DrainWorker(inWorker, cDrainGrantMs, ioHarness.now);
 }
 
+/// The adviser's refusal of a worker arrived after the worker had started again, and held for the new incarnation, which the adviser was
 /// never asked about.
 TEST(WorkerIdentity, AnAdvisersRefusalOfAFormerIncarnationDoesNotBindTheNext)
 {
@@ -66,6 +67,7 @@
 	EXPECT_EQ(harness.starts.back().ticket, "present");
 }
 
+/// A run that was planned for one incarnation was started on the next one, which is of another kind, because the append took longer than
 /// the restart.
 TEST(WorkerIdentity, ARunPlannedForAFormerIncarnationIsNotStartedOnTheNext)
 {
@@ -93,6 +95,7 @@
 	EXPECT_EQ(harness.starts.size(), 1u);
 }
 
+/// The poll that showed a restart listed a run there, and the worker was reported empty all the same: its host could be taken down under
 /// the run.
 TEST(WorkerIdentity, ADrainOfAFormerIncarnationIsNotGrantedForTheNextBeforeThatIsKnown)
 {
@@ -188,6 +191,41 @@
 	EXPECT_FALSE(Drain(harness, "w1"));
 }
 
+/// A restarted worker whose entry lapsed was removed, and its longest lease forgotten: a run that was started there after its return was
+/// given up while the worker still held it.
+TEST(WorkerIdentity, AWorkerThatWasMissingFromTheListKeepsItsLongestLease)
+{
+	IdentityHarness harness;
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 1000)});
+	harness.AnswerPolls("w", 1000);
+	harness.Submit(OneTask("job"));
+	ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+	harness.Answer(harness.starts.back(), 1000);
+	// The next incarnation answers a poll with a lease end on the clock of the former one
+	harness.Step();
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 2000)});
+	const std::vector<Order> polls = harness.Step();
+	ASSERT_EQ(polls.size(), 1u);
+	harness.Answer(polls[0], 2000);
+	const Millis restarted_at = harness.now;
+	ASSERT_EQ(harness.cell.Counts().runs, 0u);
+	harness.ListWorkers({});
+	for (const Order &order : harness.Step(100))
+		harness.Answer(order, 2000);
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 2000)});
+	harness.AnswerPolls("w", 2000);
+	for (int i = 0; i < 4 && harness.WriteAndDispatch() == 0; ++i)
+		harness.AnswerPolls("w", 2000);
+	ASSERT_EQ(harness.starts.size(), 2u);
+	harness.Answer(harness.starts.back(), 2000);
+	// Cut off from now on
+	while (harness.now < restarted_at + CellTuning{}.worker_lease_cap_ms)
+		for (const Order &order : harness.Step())
+			harness.cell.OnAnswer(order, OrderAnswer{}, harness.now, harness.now);
+	EXPECT_EQ(harness.cell.Counts().runs, 1u);
+}
+
+/// A best-effort run was throttled to a standstill on one incarnation. The next one has it at full speed, and was never told to throttle
 /// it.
 TEST(WorkerIdentity, AThrottleOfAFormerIncarnationIsNotTakenForTheNextOnes)
 {
