Keep a worker's incarnation a replacement for the next owner too

A task ran twice where the owner changed after a worker had started again. An owner that learns of a new incarnation treats it as one that still carries out orders for the former one, with its longest lease, until it has seen its own token. A successor read from the log that the worker may hold that lease, but took the incarnation for the only one ever known: a start for the former incarnation that was carried out 8 s after the take-over was given up 5 s after it had been found, while the worker held its lease of 10 s.

The record of the longest lease is written only where an incarnation replaced another one, so a worker with that record counts as replaced.

Red before: TakeOverRestart.ASuccessorWaitsForAStartThatTheNextIncarnationHasCarriedOut (0 runs held 10 s after the grant, 1 expected).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -296,6 +296,8 @@
 		const Millis lease = std::max(worker.logged_longest_lease_ms, this->tuning.worker_lease_cap_ms);
 		worker.longest_lease_until = inNow + LongestLease(lease);
 		worker.longest_lease_cause = ELongestLease::Logged;
+		// Until it has seen this owner's token, it carries out starts for the incarnation that it replaced
+		worker.replaced = true;
 		LogEvent(ELogLevel::Info, "longest_lease_assumed")
 			.Field("worker", id)
 			.Field("lease_ms", lease)
