Log which starts had no answer, and hold them back after a change of owner

Callers saw a task run twice at once: a start without an answer was carried out by the next incarnation of its worker, up to 12 s late and with the longest lease, after its owner had been replaced. The owner that sent it holds such a run back; its successor found it in the log like any other, and gave it up when the worker did not list it or after the usual lease.

The log now lists the runs whose starts had no answer (key u), in appends that are made anyway. A successor holds these back for 12 s, and on a worker that does not answer for its longest lease more. The owner itself waits as long where the worker is silent and not listed in the known incarnation. A worker that leaves the list is remembered until orders with a lease can no longer reach it: found again in another incarnation, it may hold its longest lease.

The simulation lets restarts, a cut, the loss of the owner, late orders and a store outage meet on one worker.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -36,6 +36,10 @@
 static constexpr std::string_view cCursorKey = "c";
 static constexpr std::string_view cTimesKey = "t";
 static constexpr std::string_view cLeaseKey = "l";
+/// Unknown to earlier versions. What they leave is out of date: it lists runs that have had an answer, and none of theirs.
+static constexpr std::string_view cUnansweredKey = "u";
+/// More unanswered starts are not listed one by one.
+static constexpr size_t cMaxUnansweredStarts = 300;
 /// Learned run times are logged at this interval, along with other records.
 static constexpr int64 cRunTimesWriteMs = 3000;
 /// Combines the hashes of several records.
@@ -89,6 +93,8 @@
 		this->leases.Restore(lease.value_or(0));
 		return lease.has_value();
 	}
+	if (inKey == cUnansweredKey)
+		return this->RestoreUnansweredStarts(inValue);
 	if (inKey.size() < 2)
 		return true;
 	const std::string id(inKey.substr(1));
@@ -169,6 +175,16 @@
 	return true;
 }
 
+bool Cell::RestoreUnansweredStarts(std::string_view inValue)
+{
+	std::optional<UnansweredStarts> starts = DecodeValue<UnansweredStarts>(inValue);
+	if (!starts.has_value())
+		return false;
+	this->inherited_starts = std::move(*starts);
+	this->written_starts = inValue;
+	return true;
+}
+
 bool Cell::RestoreJobQueue(const std::string &inJob, std::string_view inValue)
 {
 	// The record is removed along with its job
@@ -291,6 +307,7 @@
 	// A previous owner may have learned of the new incarnation just now
 	for (auto &[id, worker] : this->workers)
 	{
+		worker.leases_pending_until = inNow + cMaxOrderDelayMs;
 		if (worker.logged_longest_lease_ms == 0)
 			continue;
 		const Millis lease = std::max(worker.logged_longest_lease_ms, this->tuning.worker_lease_cap_ms);
@@ -339,6 +356,7 @@
 			worker.drain_until = inNow + worker.logged_grant_ms;
 			worker.drain_grant_until = worker.drain_until;
 		}
+	this->LogInheritedStarts();
 	// With runs to extend, the lease length is logged at once, since only this owner knows it otherwise; later changes go with other
 	// records
 	const bool has_runs =
@@ -346,6 +364,20 @@
 	this->unwritten_changes = has_runs && !this->leases.IsLogged();
 }
 
+void Cell::LogInheritedStarts() const
+{
+	size_t count = 0;
+	for (const auto &[id, worker] : this->workers)
+		count += static_cast<size_t>(
+			std::count_if(worker.runs.begin(), worker.runs.end(), [](const auto &inRun) { return inRun.second.start_pending_until > 0; }));
+	if (count > 0)
+		LogEvent(ELogLevel::Info, "starts_unanswered_inherited")
+			.Field("runs", count)
+			.Field("any", this->inherited_starts.any ? 1 : 0)
+			.Field("cell", this->run_events.Cell())
+			.Field("epoch", this->epoch);
+}
+
 void Cell::InheritRuns(CellJob &ioJob, Millis inNow)
 {
 	ioJob.volatile_state.resize(ioJob.record.steps.size());
@@ -368,6 +400,9 @@
 				const RunId id{{ioJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index}, run.run};
 				Run inherited = NewRun(ioJob.spec, step, ERunState::Inherited, inNow);
 				inherited.inherited = true;
+				// A previous owner may have sent the start just now
+				if (this->inherited_starts.Contains(id))
+					inherited.start_pending_until = inNow + cMaxOrderDelayMs;
 				this->AddUsage(worker, inherited);
 				worker.runs.emplace(id, std::move(inherited));
 			}
@@ -419,7 +454,9 @@
 		}
 		// A worker that left is removed once it has no runs. Drain and removal times are kept, since its entry may return before they have
 		// passed
-		const bool is_retained = inNow < std::max({worker.drain_until, worker.drain_grant_until, worker.removed_until});
+		const Millis leases_pending_until = worker.started_ms == cStartTimeUnknown ? 0 : worker.leases_pending_until;
+		const bool is_retained =
+			inNow < std::max({worker.drain_until, worker.drain_grant_until, worker.removed_until, leases_pending_until});
 		// Until its ends are in the log, a successor needs them
 		const bool remove = !worker.IsPresent(inNow) && worker.IsIdleAndLogged() && !worker.poll_in_flight && !is_retained;
 		if (remove && (worker.logged_location.has_value() || worker.appending_grant_ms > 0 || worker.logged_longest_lease_ms > 0))
@@ -850,6 +887,32 @@
 	}
 }
 
+void Cell::AddUnansweredStarts(std::vector<KeyedRecord> &outBatch)
+{
+	if (outBatch.empty())
+		return;
+	UnansweredStarts unanswered;
+	size_t count = 0;
+	for (const auto &[worker_id, worker] : this->workers)
+	{
+		if (worker.started_ms == cStartTimeUnknown)
+			continue;
+		for (const auto &[id, run] : worker.runs)
+			if (!IsDispatched(run.state) || Cell::MayStartLater(worker, run, this->now))
+			{
+				unanswered.starts[id.task.job].push_back({id.task.round, id.task.step, id.task.index, id.run});
+				++count;
+			}
+	}
+	if (count > cMaxUnansweredStarts)
+		unanswered = UnansweredStarts{true, {}};
+	std::string value = EncodeValue(unanswered);
+	if (value == this->written_starts)
+		return;
+	this->written_starts = value;
+	outBatch.push_back({std::string(cUnansweredKey), std::move(value)});
+}
+
 void Cell::LogLongestLeaseRecord(const CellWorker &inWorker, std::string_view inEvent, std::string_view inWhy) const
 {
 	LogEvent(ELogLevel::Info, inEvent)
@@ -914,6 +977,7 @@
 		this->leases.OnWriting(*lease);
 		batch.push_back({std::string(cLeaseKey), EncodeValue(*lease)});
 	}
+	this->AddUnansweredStarts(batch);
 	this->inbox_writing = inbox_reached;
 	// Further changes may have been made during the series
 	this->unwritten_changes = !begins || !whole;
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -7,7 +7,8 @@
 //  3. Callers see a job's phase only once it is in the log (CellJob::logged_phase).
 //  4. A task gets a new run only when every earlier one has ended or its lease must have expired.
 //  5. Worker crashes counted against a task are in the log before the task is started again (CellJob::crashes).
-//  6. State of a worker incarnation is dropped with the incarnation. A restarted worker may keep its id and may carry out orders meant for
+//  6. A run counts as unanswered in the log from its own record on, until an append after its start's answer (AddUnansweredStarts).
+//  7. State of a worker incarnation is dropped with the incarnation. A restarted worker may keep its id and may carry out orders meant for
 //     its previous incarnation. So each incarnation has its own fencing token, ends are numbered per incarnation, and ends are acknowledged
 //     only by polls that are answered immediately.
 
@@ -160,6 +161,7 @@
 	bool RestoreLocation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreIncarnation(const std::string &inWorker, std::string_view inValue);
 	bool RestoreLongestLease(const std::string &inWorker, std::string_view inValue);
+	bool RestoreUnansweredStarts(std::string_view inValue);
 	bool RestoreJobQueue(const std::string &inJob, std::string_view inValue);
 	bool RestoreSharedCases(const std::string &inJob, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
@@ -197,6 +199,7 @@
 	VolatileTaskState *FindVolatileState(const TaskId &inTask);
 	void MarkChanged(CellJob &ioJob);
 	void InheritRuns(CellJob &ioJob, Millis inNow);
+	void LogInheritedStarts() const;
 	/// Begins a series of appends that writes all changes made until now.
 	void BeginAppendSeries();
 	/// Adds the records of a job's crashes if they have changed; returns their size. Many cases are written in a layout of their own, few
@@ -212,6 +215,8 @@
 	void AddLongestLeaseRecords(std::vector<KeyedRecord> &outBatch);
 	/// Logs that the record of a worker's longest lease is written, or why it is removed.
 	void LogLongestLeaseRecord(const CellWorker &inWorker, std::string_view inEvent, std::string_view inWhy) const;
+	/// Adds which starts may have had no answer, if that has changed, along with other records.
+	void AddUnansweredStarts(std::vector<KeyedRecord> &outBatch);
 	/// Adds new drain grants. Expired grants are removed only along with other records.
 	void AddDrainGrantRecords(std::vector<KeyedRecord> &outBatch);
 	/// A worker's ends in the append are in the log now.
@@ -452,6 +457,9 @@
 	/// Whether a run's start may still be carried out by a later incarnation of its worker. What makes the current one refuse it, a token
 	/// or a stop, is lost with it.
 	static bool MayStartLater(const CellWorker &inWorker, const Run &inRun, Millis inNow);
+	/// Whether such a run may still be there: an incarnation that nothing is known of may have carried its start out as late as it can
+	/// arrive, and granted its longest lease.
+	bool MayRunUnheard(const CellWorker &inWorker, const Run &inRun, Millis inNow) const;
 	/// Keeps a run that its worker refuses on the worker, so that its task is not started elsewhere while its start may still arrive.
 	void FenceRun(CellWorker &ioWorker, const RunId &inId, Run &ioRun, Millis inNow);
 	/// Stops a run that a worker has and the records lack. It occupies capacity until it has ended.
@@ -462,6 +470,8 @@
 
 	CellTuning tuning;
 	WorkerLeases leases;
+	UnansweredStarts inherited_starts; ///< Starts that previous owners may have left without an answer.
+	std::string written_starts;        ///< The unanswered starts in the log, or in the append in flight, encoded.
 	uint64 epoch = 0;
 	uint64 incarnations_begun = 0; ///< Incarnations of workers that replaced a known one.
 	RunEventLog run_events;
--- a/Loomreach/Schedule/CellEnds.cpp
+++ b/Loomreach/Schedule/CellEnds.cpp
@@ -342,6 +342,17 @@
 	return inWorker.started_ms != cStartTimeUnknown && inNow < inRun.start_pending_until;
 }
 
+bool Cell::MayRunUnheard(const CellWorker &inWorker, const Run &inRun, Millis inNow) const
+{
+	if (inWorker.started_ms == cStartTimeUnknown || inRun.start_pending_until == 0)
+		return false;
+	// An entry outlives its incarnation by a few seconds only
+	const bool is_current = inWorker.reachable || (inWorker.listed && inWorker.entry.started_ms == inWorker.started_ms);
+	const bool refuses_former = !inWorker.restart_suspected && (!inWorker.replaced || inWorker.token_seen);
+	const Millis lease = is_current && refuses_former ? 0 : LongestLease(this->tuning.worker_lease_cap_ms);
+	return inNow < inRun.start_pending_until + lease;
+}
+
 void Cell::FenceRun(CellWorker &ioWorker, const RunId &inId, Run &ioRun, Millis inNow)
 {
 	if (std::exchange(ioRun.state, ERunState::Fenced) == ERunState::Fenced)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -123,6 +123,7 @@
 		worker.granted_until_ms = std::max(worker.granted_until_ms, order.until_ms);
 		run.start_expires_at = order.until_ms;
 		run.start_pending_until = inNow + cMaxOrderDelayMs;
+		worker.leases_pending_until = run.start_pending_until;
 		worker.lease_expires_at = std::max(worker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 		start_bytes += order.payload.size() + order.checkpoint.size() + cStartOverheadBytes;
 		if (counted != members.end())
@@ -246,6 +247,7 @@
 	{
 		order.until_ms = ioWorker.ClockAt(inNow) + this->leases.LeaseToGrant();
 		ioWorker.granted_until_ms = std::max(ioWorker.granted_until_ms, order.until_ms);
+		ioWorker.leases_pending_until = inNow + cMaxOrderDelayMs;
 		ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 	}
 	const bool immediate =
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -613,7 +613,7 @@
 	{
 		if (!IsDispatched(run.state))
 			continue;
-		if (Cell::MayStartLater(ioWorker, run, inNow))
+		if (this->MayRunUnheard(ioWorker, run, inNow))
 		{
 			pending.push_back(&run);
 			continue;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -291,6 +291,9 @@
 	uint32 open_trials = 0;                      ///< Trial runs that currently forbid other starts.
 	uint32 unsized_runs = 0;                     ///< Runs whose reserved resources are unknown.
 	Millis lease_expires_at = 0;                 ///< On the owner's clock; everything dispatched has lapsed by then unless extended.
+	/// An order that grants a lease, of this owner or of a previous one, may still arrive until then. The worker is remembered as long: a
+	/// later incarnation may grant its longest lease to such an order.
+	Millis leases_pending_until = 0;
 	/// Until when its longest lease may last, on the owner's clock. Invariant: not above `lease_expires_at`. While it has not passed, the
 	/// log says so whenever there are runs: a successor must wait as long.
 	Millis longest_lease_until = 0;
@@ -410,6 +413,46 @@
 /// All cancellations of such a job, one for each team and key: the job's team is not known before its submission arrives.
 using EarlyCancels = std::vector<EarlyCancel>;
 
+/// Runs whose starts may have had no answer yet when the record was written. A later incarnation of a worker may carry such a start out, so
+/// a successor must not take the run for one that cannot begin any more.
+struct UnansweredStarts
+{
+	/// Run of a task of the job that it is listed under.
+	struct Start
+	{
+		uint32 round = 0;
+		uint32 step = 0;
+		uint32 index = 0;
+		uint32 run = 0;
+
+		bool operator==(const Start &) const = default;
+
+		template <class Archive>
+		void serialize(Archive &ioArchive)
+		{
+			ioArchive(this->round, this->step, this->index, this->run);
+		}
+	};
+
+	bool any = false;                                 ///< There are too many to list: it holds for every run.
+	std::map<std::string, std::vector<Start>> starts; ///< By job.
+
+	bool Contains(const RunId &inRun) const
+	{
+		if (this->any)
+			return true;
+		auto job = this->starts.find(inRun.task.job);
+		const Start start{inRun.task.round, inRun.task.step, inRun.task.index, inRun.run};
+		return job != this->starts.end() && std::find(job->second.begin(), job->second.end(), start) != job->second.end();
+	}
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->any, this->starts);
+	}
+};
+
 /// A log record: the newest value of a key counts; an empty value removes the key.
 struct KeyedRecord
 {
--- a/UnitTests/CellWorld.cpp
+++ b/UnitTests/CellWorld.cpp
@@ -8,6 +8,8 @@
 {
 
 static constexpr Millis cTimeoutMs = 1000;
+/// A late order is executed at the earliest this long after it was sent.
+static constexpr Millis cMinLateOrderMs = 2000;
 /// Duration of an append,
 static constexpr Millis cAppendMs = 10;
 /// and its duration while the store is slow.
@@ -182,6 +184,28 @@
 	this->ReplaceOwner(inWhy);
 }
 
+void CellSimulation::PauseOwner(Millis inForMs)
+{
+	this->paused_at = this->now;
+	this->paused_until = this->now + inForMs;
+}
+
+void CellSimulation::TakeStoreAway(Millis inForMs)
+{
+	this->store_away_at = this->now;
+	this->store_away_until = this->now + inForMs;
+	if (this->append_done_at >= 0)
+		this->append_done_at = std::max(this->append_done_at, this->store_away_until);
+}
+
+void CellSimulation::LoseOwnerWithoutStore()
+{
+	if (this->cell == nullptr || !this->IsStoreAway() || this->now - this->store_away_at <= cOwnerLeaseMs)
+		return;
+	this->KillOwner("without the store beyond its lease");
+	this->next_owner_at = this->store_away_until;
+}
+
 void CellSimulation::TakeOverFromPaused()
 {
 	const bool lost = this->faults.takeover_while_paused && this->IsOwnerPaused() && this->now - this->paused_at >= cTakeoverDelayMs;
@@ -250,7 +274,8 @@
 	std::vector<WorkerEntry> entries;
 	for (auto &[id, worker] : this->workers)
 	{
-		if ((worker.crashed && this->now >= worker.listed_until) || worker.unlisted)
+		const bool shows_former = worker.unlisted && this->now < worker.former_listed_until;
+		if ((worker.crashed && this->now >= worker.listed_until) || (worker.unlisted && !shows_former))
 			continue;
 		worker.listed_to_epoch = this->epoch;
 		WorkerEntry entry;
@@ -261,7 +286,7 @@
 		entry.address = {"127.0.0.1", worker.port};
 		entry.capacity = worker.capacity;
 		entry.draining = worker.draining;
-		entry.started_ms = worker.started_at;
+		entry.started_ms = shows_former ? worker.former_started_at : worker.started_at;
 		entries.push_back(entry);
 	}
 	this->cell->SetWorkers(entries, this->now, this->trust_until);
@@ -392,6 +417,7 @@
 	this->DeliverEndsUpdates();
 	this->InjectFaults();
 	this->TakeOverFromPaused();
+	this->LoseOwnerWithoutStore();
 	this->RemoveDrainedHosts();
 	this->CrashWorkersByRuns();
 	for (auto &[id, worker] : this->workers)
@@ -444,7 +470,8 @@
 		}
 		SimulatedWorker &worker = this->workers.at(message.order.worker);
 		const bool moved = message.order.address.port != worker.port;
-		const bool unreachable = worker.crashed || this->now < worker.unreachable_until || moved;
+		const bool passes_cut = this->faults.late_orders_pass_cuts && this->now - message.sent_at >= cMinLateOrderMs;
+		const bool unreachable = worker.crashed || (this->now < worker.unreachable_until && !passes_cut) || moved;
 		PendingMessage reply = message;
 		reply.is_answer = true;
 		reply.at = this->now + 1 + static_cast<Millis>(this->random.Below(15));
@@ -485,7 +512,7 @@
 
 void CellSimulation::DriveOwner()
 {
-	if (this->now - this->list_updated_at >= 400 || this->list_updated_at == 0)
+	if (!this->IsStoreAway() && (this->now - this->list_updated_at >= 400 || this->list_updated_at == 0))
 		this->UpdateWorkerList();
 	if (this->append_done_at >= 0 && this->now >= this->append_done_at)
 	{
@@ -511,6 +538,8 @@
 		if (!this->batch.empty())
 			this->append_done_at = this->now + (this->random.Chance(this->faults.slow_append) ? cSlowStoreAppendMs : cAppendMs) +
 								   this->DrawUpTo(this->faults.append_jitter_ms);
+		if (this->append_done_at >= 0 && this->IsStoreAway())
+			this->append_done_at = std::max(this->append_done_at, this->store_away_until);
 	}
 }
 
@@ -527,7 +556,7 @@
 	const bool late = late_start || (!lost && this->random.Chance(this->faults.late_order));
 	message.no_answer = late || this->random.Chance(this->faults.lost_answer);
 	if (late)
-		message.at = this->now + 2000 + static_cast<Millis>(this->random.Below(10000));
+		message.at = this->now + cMinLateOrderMs + static_cast<Millis>(this->random.Below(10000));
 	// Executed, but the answer is lost: the cell gets the answer to the sender's repeat
 	if (!lost && !late && inOrder.kind == EOrder::Start && this->DrawFault(this->faults.repeated_start))
 	{
--- a/UnitTests/CellWorld.h
+++ b/UnitTests/CellWorld.h
@@ -51,6 +51,9 @@
 	uint64 return_same_id = 0;          ///< Share of ended workers that start again under their ids; the others do not return.
 	bool listed_end_counts = false;     ///< A listed end counts as recorded after 100 ms; for faults that disrupt nothing.
 	bool unread_end_excused = false;    ///< Except for an answer that its owner had not read when it was killed.
+	bool late_orders_pass_cuts = false; ///< Late orders have reached their workers' hosts: a worker that is cut off executes them.
+	/// Workers that start again under their ids are not listed for this long; meanwhile the former incarnation's entry lapses.
+	Millis unlisted_restart_ms = 0;
 };
 
 /// A worker that follows the platform's rules.
@@ -107,7 +110,10 @@
 	Millis shrunk_at = -1;     ///< When the capacity shrank; -1: it has not.
 	/// Capacity that starts must fit into: for a while after it shrank still the previous one, since owners learn of it late.
 	Resources BindingCapacity(Millis inNow) const;
-	bool unlisted = false;  ///< It runs, but the worker list does not show it.
+	bool unlisted = false; ///< It runs, but the worker list does not show it.
+	/// Until then, while it is unlisted, the list shows the entry of the incarnation that started at `former_started_at`.
+	Millis former_listed_until = -1;
+	int64 former_started_at = 0;
 	Millis slow_factor = 1; ///< Its runs take this many times as long.
 	Millis slow_until = 0;
 	Millis relisted_at = 0;
@@ -159,6 +165,10 @@
 	void ReplaceOwner(std::string_view inWhy = "replaced");
 	/// The same, but the old process survives and submits to the inbox the ends that only it knows.
 	void SupersedeOwner(std::string_view inWhy);
+	/// Pauses the owner's process. Another owner takes over if the fault `takeover_while_paused` says so.
+	void PauseOwner(Millis inForMs);
+	/// Makes the store unavailable: appends and worker lists wait for it, and an owner that outlasts its lease is replaced afterwards.
+	void TakeStoreAway(Millis inForMs);
 	/// Requests a planned handover, which takes place as soon as the owner is ready.
 	void RequestHandover() { this->handing_over = true; }
 	/// Workers that a task crashes start again under their ids.
@@ -209,6 +219,9 @@
 	bool DrawFault(uint64 inPercent) { return inPercent > 0 && this->random.Chance(inPercent); }
 	Millis DrawUpTo(uint64 inMost) { return inMost > 0 ? static_cast<Millis>(this->random.Below(inMost)) : 0; }
 	bool IsOwnerPaused() const { return this->now < this->paused_until; }
+	bool IsStoreAway() const { return this->now < this->store_away_until; }
+	/// Replaces an owner that has lost its ownership while the store is away.
+	void LoseOwnerWithoutStore();
 	/// An order or an answer in flight.
 	struct PendingMessage
 	{
@@ -332,6 +345,8 @@
 	Millis trust_until = 0;
 	Millis paused_until = 0;
 	Millis paused_at = 0;
+	Millis store_away_until = 0;
+	Millis store_away_at = 0;
 	Millis disturbed_at = -10000; ///< When the owner was last paused or the store slow.
 	bool handing_over = false;
 	Millis retired_at = -1;
--- a/UnitTests/CellWorldWorkers.cpp
+++ b/UnitTests/CellWorldWorkers.cpp
@@ -74,6 +74,13 @@
 	replacement.contact_since = this->now;
 	const bool moves = this->faults.moved_restart > 0 && this->leave_random.Chance(this->faults.moved_restart);
 	replacement.port = moves ? this->next_port++ : ioWorker.port;
+	if (this->faults.unlisted_restart_ms > 0)
+	{
+		replacement.unlisted = true;
+		replacement.relisted_at = this->now + this->faults.unlisted_restart_ms;
+		replacement.former_listed_until = ioWorker.listed_until;
+		replacement.former_started_at = ioWorker.started_at;
+	}
 	ioWorker = std::move(replacement);
 }
 
