--- a/Scripts/test_crowds.sh
+++ b/Scripts/test_crowds.sh
@@ -151,6 +151,8 @@
 fi
 check "the crowd ends" end_crowd
 cat "$DIR"/crowd.*
+# A crowd that never came would pass everything else
+check "callers were connected at all four listeners" test "$(grep -l ': opened [1-9]' "$DIR"/crowd.* | wc -l)" = 4
 check "no more than $MOST_DESCRIPTORS descriptors were open ($MOST_SEEN, $REST_DESCRIPTORS at rest)" test $MOST_SEEN -le $MOST_DESCRIPTORS
 check "descriptors are closed after the crowd" within 20 few_descriptors
 echo "descriptors after the crowd: $(descriptors)"
