--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -35,6 +35,10 @@
 	const TaskRecord *task = this->FindTask(inRun.task);
 	if (job == nullptr || IsFinal(job->record.phase) || task == nullptr || task->done)
 		return "its task or job has ended";
+	// The next incarnation may be of another kind, and its ticket would be refused
+	auto run = inWorker.runs.find(inRun);
+	if (run != inWorker.runs.end() && run->second.planned_for != inWorker.incarnation_number)
+		return "the worker has started again since the run was planned";
 	// The worker may report less capacity than when the run was planned
 	if (!Resources{}.FitsInto(inWorker.Free()))
 		return "the worker has less room than when the run was planned";
@@ -123,6 +127,7 @@
 		worker.granted_until_ms = std::max(worker.granted_until_ms, order.until_ms);
 		run.start_expires_at = order.until_ms;
 		run.start_pending_until = inNow + cMaxOrderDelayMs;
+		worker.leases_pending_until = run.start_pending_until;
 		worker.lease_expires_at = std::max(worker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 		start_bytes += order.payload.size() + order.checkpoint.size() + cStartOverheadBytes;
 		if (counted != members.end())
@@ -246,6 +251,7 @@
 	{
 		order.until_ms = ioWorker.ClockAt(inNow) + this->leases.LeaseToGrant();
 		ioWorker.granted_until_ms = std::max(ioWorker.granted_until_ms, order.until_ms);
+		ioWorker.leases_pending_until = inNow + cMaxOrderDelayMs;
 		ioWorker.lease_expires_at = std::max(ioWorker.lease_expires_at, inNow + LongestLease(this->leases.LeaseToGrant()));
 	}
 	const bool immediate =
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -16,7 +16,6 @@
 static constexpr int64 cTailLowPercent = 50;
 static constexpr int64 cThrottleCutPercent = 50; ///< Multiplicative decrease.
 static constexpr int64 cThrottleStep = 10;       ///< Additive increase, in percentage points.
-static constexpr int64 cFullSpeedPercent = 100;
 /// Weights of the placement score. A rack with the task's data halves the run time and outweighs any load balance.
 static constexpr double cDataRackWeight = 10.0;
 static constexpr double cNeighbourWeight = 2.0; ///< Per latency-sensitive or best-effort neighbour of such a task.
@@ -456,7 +455,7 @@
 	if (IsStartedAfter(inWorker.started_ms, inWorker.entry.started_ms))
 		return false;
 	if (inNow < inWorker.backoff_until || inNow < inWorker.drain_until || inNow < inWorker.quarantine_until ||
-		inNow < inWorker.removed_until)
+		inNow < inWorker.removed_until || this->IsHostDrained(inWorker, inNow))
 		return false;
 	// After quarantine, one run at a time
 	return inWorker.consecutive_failures < cFailuresToQuarantine || inWorker.runs.empty();
@@ -566,6 +565,7 @@
 	LOOM_INVARIANT(task.runs.empty() || step.may_copy, "a task has one run at a time unless its step allows copies");
 	if (ioJob.spec.advised)
 		run.ticket = ioJob.advice[inUnit].tickets[ioWorker.entry.id].text;
+	run.planned_for = ioWorker.incarnation_number;
 	run.trial = Cell::TrialOf(ioJob, inUnit, inTask, inNow);
 	ioJob.volatile_state[inUnit][inTask].trial_wanted_since = -1;
 	if (run.trial != ETrial::None)
@@ -613,7 +613,7 @@
 	{
 		if (!IsDispatched(run.state))
 			continue;
-		if (Cell::MayStartLater(ioWorker, run, inNow))
+		if (this->MayRunUnheard(ioWorker, run, inNow))
 		{
 			pending.push_back(&run);
 			continue;
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -109,6 +109,9 @@
 	bool operator==(const RunId &) const = default;
 };
 
+/// Speed of a run that is not throttled.
+inline constexpr int64 cFullSpeedPercent = 100;
+
 /// A run that occupies capacity on a worker.
 struct Run
 {
@@ -139,11 +142,12 @@
 	uint32 stops_sent = 0; ///< Stop orders sent so far.
 	bool overdue_logged = false;
 	int64 percent = 0;
-	Millis progress_at = 0;       ///< When `percent` was reported.
-	int64 measurement = 0;        ///< As in RunningRun.
-	int64 throttle_percent = 100; ///< Share of full speed that it was last told to work at.
+	Millis progress_at = 0;                     ///< When `percent` was reported.
+	int64 measurement = 0;                      ///< As in RunningRun.
+	int64 throttle_percent = cFullSpeedPercent; ///< Share of full speed that it was last told to work at.
 	bool throttle_in_flight = false;
 	std::string ticket;
+	uint64 planned_for = 0; ///< Number of the incarnation that it was planned for; 0: none that this owner knows.
 };
 
 /// A new run of a step's task in the given state.
@@ -230,6 +234,25 @@
 	bool FitsClock(Millis inClock, Millis inSentAt, Millis inNow) const;
 };
 
+/// What last made an owner assume that a worker may have granted its longest lease.
+enum class ELongestLease : uint8
+{
+	NotAssumed, ///< Nothing has suggested another incarnation than the logged one.
+	Logged,     ///< The log said so at take-over.
+	Listed,     ///< The worker list showed a later incarnation while runs were there.
+	Clock,      ///< The clock in an answer did not fit the incarnation.
+	Restarted,  ///< A later incarnation has begun.
+	TokenSeen,  ///< A later incarnation has carried out the first order with its own token.
+	Unanswered  ///< An order for a former incarnation got no answer.
+};
+
+inline constexpr std::array cLongestLeaseNames = {
+	EnumName<ELongestLease>{ELongestLease::NotAssumed, "not-assumed"}, EnumName<ELongestLease>{ELongestLease::Logged, "logged"},
+	EnumName<ELongestLease>{ELongestLease::Listed, "listed"},          EnumName<ELongestLease>{ELongestLease::Clock, "clock"},
+	EnumName<ELongestLease>{ELongestLease::Restarted, "restarted"},    EnumName<ELongestLease>{ELongestLease::TokenSeen, "token-seen"},
+	EnumName<ELongestLease>{ELongestLease::Unanswered, "unanswered"},
+};
+
 /// Ends of a worker's previous incarnations that are not in the log yet.
 struct PreviousIncarnationEnds
 {
@@ -272,10 +295,14 @@
 	uint32 open_trials = 0;                      ///< Trial runs that currently forbid other starts.
 	uint32 unsized_runs = 0;                     ///< Runs whose reserved resources are unknown.
 	Millis lease_expires_at = 0;                 ///< On the owner's clock; everything dispatched has lapsed by then unless extended.
+	/// An order that grants a lease, of this owner or of a previous one, may still arrive until then. The worker is remembered as long: a
+	/// later incarnation may grant its longest lease to such an order.
+	Millis leases_pending_until = 0;
 	/// Until when its longest lease may last, on the owner's clock. Invariant: not above `lease_expires_at`. While it has not passed, the
 	/// log says so whenever there are runs: a successor must wait as long.
 	Millis longest_lease_until = 0;
-	Millis logged_longest_lease_ms = 0; ///< That lease in the log, or in the append in flight; 0: none.
+	ELongestLease longest_lease_cause = ELongestLease::NotAssumed; ///< Why it was last assumed, for log lines.
+	Millis logged_longest_lease_ms = 0;                            ///< That lease in the log, or in the append in flight; 0: none.
 	PreviousIncarnationEnds previous_ends;
 	Millis drain_until = 0;        ///< Being drained for maintenance; nothing new until then.
 	Millis drain_grant_until = 0;  ///< It was reported empty, so its host may be moved or taken down until then.
@@ -390,6 +417,46 @@
 /// All cancellations of such a job, one for each team and key: the job's team is not known before its submission arrives.
 using EarlyCancels = std::vector<EarlyCancel>;
 
+/// Runs whose starts may have had no answer yet when the record was written. A later incarnation of a worker may carry such a start out, so
+/// a successor must not take the run for one that cannot begin any more.
+struct UnansweredStarts
+{
+	/// Run of a task of the job that it is listed under.
+	struct Start
+	{
+		uint32 round = 0;
+		uint32 step = 0;
+		uint32 index = 0;
+		uint32 run = 0;
+
+		bool operator==(const Start &) const = default;
+
+		template <class Archive>
+		void serialize(Archive &ioArchive)
+		{
+			ioArchive(this->round, this->step, this->index, this->run);
+		}
+	};
+
+	bool any = false;                                 ///< There are too many to list: it holds for every run.
+	std::map<std::string, std::vector<Start>> starts; ///< By job.
+
+	bool Contains(const RunId &inRun) const
+	{
+		if (this->any)
+			return true;
+		auto job = this->starts.find(inRun.task.job);
+		const Start start{inRun.task.round, inRun.task.step, inRun.task.index, inRun.run};
+		return job != this->starts.end() && std::find(job->second.begin(), job->second.end(), start) != job->second.end();
+	}
+
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->any, this->starts);
+	}
+};
+
 /// A log record: the newest value of a key counts; an empty value removes the key.
 struct KeyedRecord
 {
