Name an unanswered start in the log for as long as its owner waits for it

A task could run twice after two changes at one worker: a start without an answer is held back by the owner that sent it for 12 s, and where the worker is silent and not listed for its longest lease more. The record of such starts named it for 12 s only. A successor that took over later gave the run up after the usual lease, while an incarnation that nobody had heard of could still hold it.

The record names a run for as long as its owner would wait.

Red before: TakeOverRestart.TheLogNamesAnUnansweredStartForAsLongAsItsOwnerWaits (0 runs held, 1 expected).

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -900,7 +900,7 @@
 		if (worker.started_ms == cStartTimeUnknown)
 			continue;
 		for (const auto &[id, run] : worker.runs)
-			if (!IsDispatched(run.state) || Cell::MayStartLater(worker, run, this->now))
+			if (!IsDispatched(run.state) || this->MayRunUnheard(worker, run, this->now))
 			{
 				unanswered.starts[id.task.job].push_back({id.task.round, id.task.step, id.task.index, id.run});
 				++count;
--- a/UnitTests/TakeOverRestartTests.cpp
+++ b/UnitTests/TakeOverRestartTests.cpp
@@ -68,4 +68,30 @@
 	EXPECT_EQ(harness.cell.Counts().runs, 0u);
 }
 
+/// Guards against a log that forgets a start without an answer while the owner that sent it still holds its run back.
+TEST(TakeOverRestart, TheLogNamesAnUnansweredStartForAsLongAsItsOwnerWaits)
+{
+	IdentityHarness harness;
+	harness.ListWorkers({IdentityHarness::MakeEntry("w", 1000)});
+	harness.AnswerPolls("w", 1000);
+	harness.Submit(MakeJob("job", 1, 1, 1000, 500));
+	ASSERT_EQ(harness.WriteAndDispatch(), 1u);
+	const Millis sent_at = harness.now;
+	harness.ListWorkers({});
+	while (harness.now <= sent_at + cMaxOrderDelayMs)
+		for (const Order &order : harness.Step())
+			harness.cell.OnAnswer(order, OrderAnswer{}, harness.now, harness.now);
+	ASSERT_EQ(harness.cell.Counts().runs, 1u);
+	// Any append brings the log up to date on the start as well
+	harness.Submit(MakeJob("other", 1, 1, 2 * cWorkerCpuMilli, 500));
+	ASSERT_TRUE(harness.BeginAppend());
+	harness.EndAppend();
+	harness.cell = harness.Successor(TuningWithoutLongerLeases());
+	const Millis taken_over_at = harness.now;
+	while (harness.now < taken_over_at + LongestLease(CellTuning{}.lease_ms) + 1000)
+		for (const Order &order : harness.Step())
+			harness.cell.OnAnswer(order, OrderAnswer{}, harness.now, harness.now);
+	EXPECT_EQ(harness.cell.Counts().runs, 1u);
+}
+
 } // namespace Loomreach::Jobs
