Close the socket of a connection whose input has ended

Callers that went away left their descriptors behind: 142 and 147 were open 20 s after the crowds of CrowdVanish and CrowdSlowReaders had gone (37 at rest), and each kept-alive connection that its caller closes after an answer added one, ordinary calls too.

The stream closes the socket itself when a read finds the end, unless a request is being served, which is still answered: its end is found by the next read.

--- a/Loomreach/Entry/Connection.cpp
+++ b/Loomreach/Entry/Connection.cpp
@@ -45,6 +45,8 @@
 
 void Connection::OnWriteBlocked() { this->write_blocked = true; }
 
+bool Connection::OnInputEnded() { return this->phase != EConnectionPhase::Serving; }
+
 void Connection::OnClosed()
 {
 	if (this->guard != nullptr)
--- a/Loomreach/Entry/Connection.h
+++ b/Loomreach/Entry/Connection.h
@@ -29,6 +29,7 @@
 	bool OnRead(size_t inBytes) override;
 	void OnWritten(size_t inBytes) override;
 	void OnWriteBlocked() override;
+	bool OnInputEnded() override;
 	void OnClosed() override;
 
 	/// Follows a request, which arrives on this connection.
--- a/Loomreach/Entry/CountedStream.cpp
+++ b/Loomreach/Entry/CountedStream.cpp
@@ -18,6 +18,14 @@
 };
 using SharedParts = std::shared_ptr<StreamParts>;
 
+/// Closes the socket; the sides have no state of their own.
+gboolean CloseParts(const StreamParts &inParts, GError **outError)
+{
+	const gboolean closed = g_socket_close(inParts.socket.get(), outError);
+	inParts.observer->OnClosed();
+	return closed;
+}
+
 /// Result of a read, after the observer has been told of it.
 gssize AfterRead(const StreamParts &inParts, gssize inCount, GError **outError)
 {
@@ -103,8 +111,16 @@
 gssize Receive(gpointer inInput, void *outBuffer, gsize inSize, gboolean inBlocking, GCancellable *inCancellable, GError **outError)
 {
 	const StreamParts &parts = PartsOf<LoomCountedInput>(inInput);
+	GError *error = nullptr;
 	const gssize count =
-		g_socket_receive_with_blocking(parts.socket.get(), static_cast<gchar *>(outBuffer), inSize, inBlocking, inCancellable, outError);
+		g_socket_receive_with_blocking(parts.socket.get(), static_cast<gchar *>(outBuffer), inSize, inBlocking, inCancellable, &error);
+	const bool failed = count < 0 && g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) == FALSE;
+	const bool ended = failed || (count == 0 && inSize > 0);
+	// The server may keep the stream of a connection that its client has closed
+	if (ended && parts.observer->OnInputEnded())
+		CloseParts(parts, nullptr);
+	if (error != nullptr)
+		g_propagate_error(outError, error);
 	return AfterRead(parts, count, outError);
 }
 
@@ -168,13 +184,9 @@
 	{ return SendBytes(inSide, inBuffer, inSize, FALSE, nullptr, outError); };
 }
 
-/// Closes the socket; the sides have no state of their own.
 gboolean CloseSocket(GIOStream *inStream, GCancellable *, GError **outError)
 {
-	const StreamParts &parts = PartsOf<LoomCountedStream>(inStream);
-	const gboolean closed = g_socket_close(parts.socket.get(), outError);
-	parts.observer->OnClosed();
-	return closed;
+	return CloseParts(PartsOf<LoomCountedStream>(inStream), outError);
 }
 
 void loom_counted_stream_init(LoomCountedStream *) {}
--- a/Loomreach/Entry/CountedStream.h
+++ b/Loomreach/Entry/CountedStream.h
@@ -17,6 +17,8 @@
 	virtual void OnWritten(size_t inBytes) = 0;
 	/// The send buffer is full.
 	virtual void OnWriteBlocked() = 0;
+	/// The other end sends no more, or the connection has failed. True: nothing is owed to it, so the socket is closed.
+	virtual bool OnInputEnded() = 0;
 	/// The stream and its socket are closed.
 	virtual void OnClosed() = 0;
 };
