Count a crash of a worker once, whichever owners of the cell find it

Cause: crash counts did not say which crashes they include. That a crash had been counted was kept in memory only, and the next incarnation of the worker is not written to the log as long as any run there awaits ends of a predecessor. So each new owner restored the former incarnation, found the restart again, and counted the same crash once more; the fifth count failed the job.

Ruled out: further crashes, and other runs of the task. Writing the incarnation earlier was rejected: a successor would no longer wait for a predecessor's ends, and another order of writes would count twice again.

Change: a counted crash is identified by its run and the start time of the incarnation that ended. The identity stays with the run and is written with the counts (log key d) as long as the log has the run. A crash that is found again is logged as crash_known and counts nothing: for inherited lasting runs, after the wait for a predecessor's ends, and when a lease has passed. Once a later incarnation is known to have the run, the identity goes, so that its crash counts.

--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -21,6 +21,8 @@
 static constexpr char cCrashCaseKey = 'r'; ///< Job: possible causes of these crashes. Unknown to earlier versions.
 /// Job: the same where they are many. Unknown to earlier versions, which then know no causes of the crashes counted.
 static constexpr char cSharedCaseKey = 'y';
+/// Job: which crashes of runs that are still recorded these counts include. Unknown to earlier versions, which count them again.
+static constexpr char cCountedCrashKey = 'd';
 static constexpr char cLocationKey = 'w';    ///< Worker: its location.
 static constexpr char cIncarnationKey = 'b'; ///< Worker: the incarnation that runs were placed on. Unknown to earlier versions.
 static constexpr char cDrainGrantKey = 'p';  ///< Worker: length of its drain grant. Unknown to earlier versions.
@@ -120,6 +122,8 @@
 		return this->RestoreOneEarlyCancel(id, inValue);
 	if (inKey[0] == cSharedCaseKey)
 		return this->RestoreSharedCases(id, inValue);
+	if (inKey[0] == cCountedCrashKey)
+		return this->RestoreCountedCrashes(id, inValue);
 	if (inKey[0] == cJobQueueKey)
 		return this->RestoreJobQueue(id, inValue);
 	// An empty value removes the job
@@ -175,6 +179,20 @@
 	return true;
 }
 
+bool Cell::RestoreCountedCrashes(const std::string &inJob, std::string_view inValue)
+{
+	// The record is removed along with its job
+	if (inValue.empty())
+		return true;
+	std::optional<std::vector<CountedCrash>> crashes = DecodeValue<std::vector<CountedCrash>>(inValue);
+	if (!crashes.has_value())
+		return false;
+	CellJob &job = this->jobs[inJob];
+	job.counted_crashes = std::move(*crashes);
+	job.counted_crashes_logged = true;
+	return true;
+}
+
 bool Cell::RestoreUnansweredStarts(std::string_view inValue)
 {
 	std::optional<UnansweredStarts> starts = DecodeValue<UnansweredStarts>(inValue);
@@ -384,6 +402,7 @@
 {
 	ioJob.volatile_state.resize(ioJob.record.steps.size());
 	ioJob.seen.resize(ioJob.record.steps.size());
+	const std::vector<CountedCrash> counted_crashes = std::exchange(ioJob.counted_crashes, {});
 	for (size_t unit = 0; unit < ioJob.record.steps.size(); ++unit)
 	{
 		const StepSpec &step = ioJob.StepOf(unit);
@@ -405,6 +424,14 @@
 				// A previous owner may have sent the start just now
 				if (this->inherited_starts.Contains(id))
 					inherited.start_pending_until = inNow + cMaxOrderDelayMs;
+				const auto counted = std::find_if(counted_crashes.begin(), counted_crashes.end(),
+												  [&](const CountedCrash &inCrash)
+												  { return inCrash.unit == unit && inCrash.task == index && inCrash.run == run.run; });
+				if (counted != counted_crashes.end())
+				{
+					inherited.counted_crash = counted->started_ms;
+					inherited.crash_counted = true;
+				}
 				this->AddUsage(worker, inherited);
 				worker.runs.emplace(id, std::move(inherited));
 			}
@@ -720,6 +747,8 @@
 				outBatch.push_back({key + it->first, ""});
 		if (job.shared_cases_logged)
 			outBatch.push_back({cSharedCaseKey + it->first, ""});
+		if (job.counted_crashes_logged)
+			outBatch.push_back({cCountedCrashKey + it->first, ""});
 		it = this->jobs.erase(it);
 	}
 }
@@ -763,6 +792,23 @@
 	}
 }
 
+std::vector<CountedCrash> Cell::CountedCrashesOf(const CellJob &inJob) const
+{
+	std::vector<CountedCrash> counted;
+	const size_t steps = inJob.spec.steps.size();
+	for (size_t unit = 0; unit < inJob.record.steps.size(); ++unit)
+		for (uint32 index = 0; index < inJob.record.steps[unit].tasks.size(); ++index)
+			for (const RunRecord &record : inJob.record.steps[unit].tasks[index].runs)
+			{
+				const TaskId task{inJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index};
+				const CellWorker &worker = this->workers.at(record.worker);
+				const auto run = worker.runs.find({task, record.run});
+				if (run != worker.runs.end() && run->second.counted_crash.has_value())
+					counted.push_back({static_cast<uint32>(unit), index, record.run, *run->second.counted_crash});
+			}
+	return counted;
+}
+
 size_t Cell::AddCrashRecords(CellJob &ioJob, std::vector<KeyedRecord> &outBatch) const
 {
 	ioJob.crashes_logged = ioJob.crashes_logged || !ioJob.crashes.empty();
@@ -773,6 +819,10 @@
 	const bool share = UnsharedCaseBytes(ioJob.crashes) > cMaxUnsharedCaseBytes;
 	std::vector<KeyedRecord> records = {{cCrashKey + id, EncodeValue(ioJob.crashes)},
 										{cCrashCaseKey + id, EncodeValue(share ? CrashCasesByTask{} : ExtractCrashCases(ioJob.crashes))}};
+	const std::vector<CountedCrash> counted = this->CountedCrashesOf(ioJob);
+	ioJob.counted_crashes_logged = ioJob.counted_crashes_logged || !counted.empty();
+	if (ioJob.counted_crashes_logged)
+		records.push_back({cCountedCrashKey + id, EncodeValue(counted)});
 	ioJob.shared_cases_logged = ioJob.shared_cases_logged || share;
 	if (ioJob.shared_cases_logged)
 	{
--- a/Loomreach/Schedule/Cell.h
+++ b/Loomreach/Schedule/Cell.h
@@ -164,6 +164,7 @@
 	bool RestoreUnansweredStarts(std::string_view inValue);
 	bool RestoreJobQueue(const std::string &inJob, std::string_view inValue);
 	bool RestoreSharedCases(const std::string &inJob, std::string_view inValue);
+	bool RestoreCountedCrashes(const std::string &inJob, std::string_view inValue);
 	bool RestoreDrainGrant(const std::string &inWorker, std::string_view inValue);
 	bool RestoreEarlyCancels(const std::string &inJob, std::string_view inValue);
 	/// Applies a record of an earlier version, which remembered one cancellation for each job.
@@ -202,6 +203,8 @@
 	void LogInheritedStarts() const;
 	/// Begins a series of appends that writes all changes made until now.
 	void BeginAppendSeries();
+	/// Crashes in a job's counts that an owner may find again, since the runs are still recorded.
+	std::vector<CountedCrash> CountedCrashesOf(const CellJob &inJob) const;
 	/// Adds the records of a job's crashes if they have changed; returns their size. Many cases are written in a layout of their own, few
 	/// ones in the one that earlier versions read.
 	size_t AddCrashRecords(CellJob &ioJob, std::vector<KeyedRecord> &outBatch) const;
@@ -369,6 +372,8 @@
 	void OnPreviousIncarnationAnswer(CellWorker &ioWorker, const Order &inOrder, const OrderAnswer &inAnswer, Millis inNow);
 	/// Counts the crash of a previous incarnation against a run whose end no previous owner has submitted.
 	void CountPreviousCrash(const RunId &inRun);
+	/// The current incarnation has the run. If a crash of a former one is in the counts, the run's next crash is another one.
+	void ForgetCountedCrash(const CellWorker &inWorker, const RunId &inId, Run &ioRun);
 	/// Drops the adviser's tickets and refusals, which are valid for one incarnation only.
 	void DropAdvice(const std::string &inWorker);
 	/// Logs ends that a worker lists although they were acknowledged.
@@ -393,6 +398,8 @@
 	void PollRack(const CellWorker &inWorker, Millis inNow);
 	/// Workers of a pool that accept runs, and the number of them that are reserved for trial runs.
 	std::pair<std::vector<CellWorker *>, size_t> WorkersForTrials(const std::string &inPool, Millis inNow);
+	/// Logs that the crash of a worker's incarnation is included in the counts already, if it is.
+	void LogKnownCrash(const CellWorker &inWorker) const;
 	/// Attributes the unplanned loss of a worker to the runs whose start may have caused it.
 	void AttributeCrash(CellWorker &ioWorker, Millis inNow);
 	/// Runs that may have caused the loss, only the likeliest. `outLessLikely`: other runs that were there.
--- a/Loomreach/Schedule/CellCrashes.cpp
+++ b/Loomreach/Schedule/CellCrashes.cpp
@@ -102,7 +102,8 @@
 /// Whether a run may have been on a worker when it was lost.
 static bool MayHaveBeenThere(const CellWorker &inWorker, const Run &inRun)
 {
-	if (!IsDispatched(inRun.state) || inRun.state == ERunState::Fenced || inRun.in_new_incarnation || inRun.crash_counted)
+	if (!IsDispatched(inRun.state) || inRun.state == ERunState::Fenced || inRun.in_new_incarnation ||
+		inRun.IsCrashKnown(inWorker.started_ms))
 		return false;
 	// An order without an answer yet may have gone to the next incarnation
 	const bool before_close =
@@ -455,7 +456,8 @@
 bool Cell::CountCrash(CellWorker &ioWorker, const RunId &inRun, const std::vector<RunId> &inSuspects, bool inChance, Millis inNow)
 {
 	CellJob &job = *this->FindJob(inRun.task.job);
-	const Run &run = ioWorker.runs.at(inRun);
+	Run &run = ioWorker.runs.at(inRun);
+	run.counted_crash = ioWorker.started_ms;
 	TaskCrashes &crashes = job.crashes[Cell::CrashKey(job, inRun.task)];
 	// Either other workers of the rack were lost together with the trial run, or no answer told this owner that the run was on the worker
 	// when it was lost
@@ -486,6 +488,7 @@
 		.Field("task", TaskText(inRun.task))
 		.Field("run", inRun.run)
 		.Field("worker", ioWorker.entry.id)
+		.Field("born_ms", ioWorker.started_ms)
 		.Field("blamed", crashes.blamed)
 		.Field("at_once", crashes.after_start)
 		.Field("beside", crashes.bystander)
@@ -564,10 +567,26 @@
 	}
 }
 
+void Cell::LogKnownCrash(const CellWorker &inWorker) const
+{
+	const auto known = std::count_if(inWorker.runs.begin(), inWorker.runs.end(),
+									 [&inWorker](const auto &inRun) { return inRun.second.counted_crash == inWorker.started_ms; });
+	if (known == 0)
+		return;
+	LogEvent(ELogLevel::Info, "crash_known")
+		.Field("worker", inWorker.entry.id)
+		.Field("born_ms", inWorker.started_ms)
+		.Field("runs_counted", known)
+		.Field("runs", inWorker.runs.size())
+		.Field("cell", this->run_events.Cell())
+		.Field("epoch", this->epoch);
+}
+
 void Cell::AttributeCrash(CellWorker &ioWorker, Millis inNow)
 {
 	if (ioWorker.runs.empty())
 		return;
+	this->LogKnownCrash(ioWorker);
 	const bool chance = this->IsChanceCrash(ioWorker);
 	std::erase_if(this->recent_losses, [inNow](const WorkerLoss &inLost) { return inNow - inLost.at > cLossRetentionMs; });
 	this->recent_losses.push_back(
@@ -580,6 +599,7 @@
 			TaskCrashes &crashes = job->crashes[Cell::CrashKey(*job, id.task)];
 			++crashes.bystander;
 			crashes.cases.push_back({false, false, chance, this->OtherSuspects(suspects, id)});
+			ioWorker.runs.at(id).counted_crash = ioWorker.started_ms;
 			this->MarkChanged(*job);
 		}
 	for (const RunId &id : suspects)
--- a/Loomreach/Schedule/CellLives.cpp
+++ b/Loomreach/Schedule/CellLives.cpp
@@ -262,6 +262,16 @@
 		this->FailCrashingJob(*job, crashes, this->now);
 }
 
+void Cell::ForgetCountedCrash(const CellWorker &inWorker, const RunId &inId, Run &ioRun)
+{
+	if (!ioRun.counted_crash.has_value() || ioRun.counted_crash == inWorker.started_ms)
+		return;
+	ioRun.counted_crash.reset();
+	// A successor would take the next crash for the counted one
+	if (CellJob *job = this->OpenJobOf(inId.task); job != nullptr)
+		this->MarkChanged(*job);
+}
+
 void Cell::DropAdvice(const std::string &inWorker)
 {
 	for (auto &[id, job] : this->jobs)
--- a/Loomreach/Schedule/CellOrders.cpp
+++ b/Loomreach/Schedule/CellOrders.cpp
@@ -488,6 +488,7 @@
 		if (confirms)
 		{
 			run.crash_counted = false;
+			this->ForgetCountedCrash(ioWorker, id, run);
 			run.state = ERunState::Confirmed;
 			run.since = inNow;
 			run.confirmed_at = inNow;
@@ -541,7 +542,7 @@
 	}
 	for (const RunId &id : absent)
 	{
-		if (ioWorker.runs.at(id).predecessor_wait_until > 0)
+		if (const Run &run = ioWorker.runs.at(id); run.predecessor_wait_until > 0 && !run.counted_crash.has_value())
 			this->CountPreviousCrash(id);
 		this->EndRun(ioWorker, id, ERunEnd::Stopped, "", "worker does not have it", inNow);
 	}
--- a/Loomreach/Schedule/CellPlan.cpp
+++ b/Loomreach/Schedule/CellPlan.cpp
@@ -619,7 +619,7 @@
 			continue;
 		}
 		lapsed.push_back(id);
-		is_new_loss = is_new_loss || !run.crash_counted;
+		is_new_loss = is_new_loss || !run.IsCrashKnown(ioWorker.started_ms);
 	}
 	// Connections closed after the last answer show that the process has ended; an unresponsive worker may be partitioned and still run
 	if ((ioWorker.connections_closed_at >= 0 || ioWorker.ended) && is_new_loss)
--- a/Loomreach/Schedule/CellTypes.h
+++ b/Loomreach/Schedule/CellTypes.h
@@ -130,10 +130,13 @@
 	bool blame_exempt = false;       ///< Long-running, and up for so long that no crash is attributed to it.
 	bool in_new_incarnation = false; ///< Listed by the incarnation that has just begun.
 	bool crash_counted = false;      ///< A crash was counted against it, and no later incarnation is known to have it.
-	bool size_unknown = false;       ///< The worker has it, and no record says what it takes.
-	Millis since = 0;                ///< When it entered its state.
-	Millis confirmed_at = -1;        ///< When the worker was known to have it; -1: never.
-	Millis start_expires_at = 0;     ///< On the worker's clock. A start that arrives later has no effect.
+	/// Start time of the incarnation whose crash is included in its task's counts; none: no crash is, or a later incarnation is known to
+	/// have had the run since. Invariant: in the log whenever the counts are.
+	std::optional<int64> counted_crash;
+	bool size_unknown = false;   ///< The worker has it, and no record says what it takes.
+	Millis since = 0;            ///< When it entered its state.
+	Millis confirmed_at = -1;    ///< When the worker was known to have it; -1: never.
+	Millis start_expires_at = 0; ///< On the worker's clock. A start that arrives later has no effect.
 	/// Its start may still arrive until then, and be carried out unless the incarnation there refuses it; 0: it has arrived.
 	Millis start_pending_until = 0;
 	bool stop_sent = false;    ///< A stop order is in flight.
@@ -148,6 +151,9 @@
 	bool throttle_in_flight = false;
 	std::string ticket;
 	uint64 planned_for = 0; ///< Number of the incarnation that it was planned for; 0: none that this owner knows.
+
+	/// Whether the end of an incarnation says nothing new about it: the crash is counted, or it is not known to have been there.
+	bool IsCrashKnown(int64 inStartedMs) const { return this->crash_counted || this->counted_crash == inStartedMs; }
 };
 
 /// A new run of a step's task in the given state.
@@ -377,8 +383,10 @@
 	CrashCounts crashes;                                        ///< In the log whenever `record` is.
 	CrashCasesByTask crash_cases;                               ///< As restored; merged into `crashes` when the cell begins.
 	SharedCrashCases shared_crash_cases;                        ///< The same of the other record, see Cell::AddCrashRecords.
+	std::vector<CountedCrash> counted_crashes;                  ///< As restored; moved to the runs when the cell begins.
 	bool crashes_logged = false;                                ///< Crash records are in the log or in the append in flight.
 	bool shared_cases_logged = false;                           ///< The same for the record of shared cases.
+	bool counted_crashes_logged = false;                        ///< The same for the record of counted crashes.
 	uint64 crashes_hash = 0;                                    ///< Of the crash records written last.
 	EJobPhase logged_phase = EJobPhase::Queued;                 ///< Phase in the log: what callers are told.
 	EJobPhase appending_phase = EJobPhase::Queued;              ///< Phase in the append in flight.
--- a/Loomreach/Schedule/TaskCrashes.h
+++ b/Loomreach/Schedule/TaskCrashes.h
@@ -100,6 +100,24 @@
 /// Cases of a job's tasks, keyed as the counts are.
 using CrashCasesByTask = std::map<std::pair<uint64, uint32>, CrashCases>;
 
+/// A crash that is included in the counts, of a run that the log still places on the worker. The run names the worker, since a run number
+/// is used once; the run and the incarnation that ended identify the crash. Each owner that finds it again must leave the counts as they
+/// are.
+struct CountedCrash
+{
+	uint32 unit = 0; ///< Index of the step's record.
+	uint32 task = 0;
+	uint32 run = 0;
+	int64 started_ms = 0; ///< Start time of the incarnation that ended.
+
+	bool operator==(const CountedCrash &) const = default;
+	template <class Archive>
+	void serialize(Archive &ioArchive)
+	{
+		ioArchive(this->unit, this->task, this->run, this->started_ms);
+	}
+};
+
 /// The part that is stored apart from the counts.
 CrashCasesByTask ExtractCrashCases(const CrashCounts &inCounts);
 /// Merges stored cases into the counts. Cases that the counts do not include are ignored: an owner of an earlier version, which does not
