Refuse a record for certain only on the word of the process that was asked to append it

Cause: a question to append goes by address, and a host's next process has the address of the one before. The question named no process and the answer did not say which one gave it, so that "not done" of a process that had just started counted for what the earlier one had done: the store had its record.

Change: the question names the process, by the incarnation in its heartbeats, in a field that earlier versions have and ignore. Another process appends nothing and names itself, and is asked again by its name, since heartbeats tell of it late. A refusal is certain if the named process gives it, or if the question was sent once, so that no other one can have got it. Otherwise the record stays in doubt, whatever the kind of refusal (no store, busy, a newer configuration, not done), for cancels too: it is asked for on, and answered with 502 at worst.

--- a/Loomreach/Admission/CollectorChoice.h
+++ b/Loomreach/Admission/CollectorChoice.h
@@ -19,6 +19,7 @@
 	bool is_owner = false;      ///< The last known owner of the cell.
 	bool is_live = true;        ///< Whether its heartbeats are current.
 	bool reaches_store = false; ///< It recently confirmed that it reaches the store.
+	uint64 incarnation = 0;     ///< Its process, as in its heartbeats; 0: not known.
 };
 
 /// Orders the candidates, and skips those that failed.
--- a/Loomreach/Admission/Submission.cpp
+++ b/Loomreach/Admission/Submission.cpp
@@ -50,6 +50,7 @@
 {
 	this->asking = true;
 	this->asked = inHost;
+	this->asked_successor = false;
 	SubmissionStep step;
 	step.kind = ESubmissionStep::Ask;
 	step.collector = inHost;
@@ -153,7 +154,8 @@
 	if (this->ended || !this->asking)
 		return {};
 	this->asking = false;
-	this->Note(this->asked.name, NameOf(cCollectedNames, inReply.outcome));
+	this->Note(this->asked.name, std::string(NameOf(cCollectedNames, inReply.outcome)) + (inReply.certain ? "" : "-by-later-process"));
+	this->maybe_appended = this->maybe_appended || !inReply.certain;
 	switch (inReply.outcome)
 	{
 	case ECollected::Appended: return this->Accept();
@@ -166,10 +168,23 @@
 	case ECollected::Unknown: this->maybe_appended = true; return this->AskLater(inView);
 	case ECollected::NoAnswer:
 	case ECollected::Silent: this->maybe_appended = true; return this->Next(inView);
+	case ECollected::OtherProcess: return this->OnOtherProcess(inReply.incarnation, inView);
 	}
 	return {};
 }
 
+SubmissionStep Submission::OnOtherProcess(uint64 inIncarnation, const SubmissionView &inView)
+{
+	// Heartbeats tell of a new process late. Once for each candidate, so that a host whose process ends again and again is passed over
+	if (this->asked_successor || inView.now + cMinLeftMs > this->give_up_at)
+		return this->Next(inView);
+	CollectorHost successor = this->asked;
+	successor.incarnation = inIncarnation;
+	SubmissionStep step = this->AskStep(successor, inView);
+	this->asked_successor = true;
+	return step;
+}
+
 SubmissionStep Submission::OnDelayOver(const SubmissionView &inView)
 {
 	if (this->ended || !std::exchange(this->delayed, false))
--- a/Loomreach/Admission/Submission.h
+++ b/Loomreach/Admission/Submission.h
@@ -5,6 +5,7 @@
 //  * A record is in doubt while it is not known whether it has been appended. A record in doubt is never refused with 503.
 //  * While this host's own append of a record has no outcome, the host does not append the record again.
 //  * At most one collector is asked at a time.
+//  * A collector's refusal is certain only if no other process at its address can have handled the request.
 
 #pragma once
 
@@ -68,15 +69,21 @@
 	NotDone,     ///< Certainly not appended for another reason.
 	Unknown,     ///< The collector's append got no response.
 	NoAnswer,    ///< The request was not acknowledged.
-	Silent       ///< It was acknowledged, but nothing followed.
+	Silent,      ///< It was acknowledged, but nothing followed.
+	OtherProcess ///< Another process answers at the collector's address, and has done nothing. `incarnation` is its own.
 };
 
 /// Names of the outcomes in log lines.
 inline constexpr std::array cCollectedNames = {
-	EnumName<ECollected>{ECollected::Appended, "appended"},  EnumName<ECollected>{ECollected::Refused, "refused"},
-	EnumName<ECollected>{ECollected::Busy, "busy"},          EnumName<ECollected>{ECollected::CannotReach, "cannot-reach-store"},
-	EnumName<ECollected>{ECollected::NotDone, "not-done"},   EnumName<ECollected>{ECollected::Unknown, "unknown"},
-	EnumName<ECollected>{ECollected::NoAnswer, "no-answer"}, EnumName<ECollected>{ECollected::Silent, "silent"},
+	EnumName<ECollected>{ECollected::Appended, "appended"},
+	EnumName<ECollected>{ECollected::Refused, "refused"},
+	EnumName<ECollected>{ECollected::Busy, "busy"},
+	EnumName<ECollected>{ECollected::CannotReach, "cannot-reach-store"},
+	EnumName<ECollected>{ECollected::NotDone, "not-done"},
+	EnumName<ECollected>{ECollected::Unknown, "unknown"},
+	EnumName<ECollected>{ECollected::NoAnswer, "no-answer"},
+	EnumName<ECollected>{ECollected::Silent, "silent"},
+	EnumName<ECollected>{ECollected::OtherProcess, "other-process"},
 };
 
 /// A collector's answer.
@@ -85,6 +92,9 @@
 	ECollected outcome = ECollected::NoAnswer;
 	EError refusal = EError::None;
 	Millis expected_wait_ms = 0;
+	/// Of an answer that nothing was done: no other process at the collector's address can have appended the record.
+	bool certain = true;
+	uint64 incarnation = 0; ///< OtherProcess.
 };
 
 /// One caller's record.
@@ -124,6 +134,8 @@
 	SubmissionStep Next(const SubmissionView &inView);
 	SubmissionStep AppendStep(const SubmissionView &inView);
 	SubmissionStep AskStep(const CollectorHost &inHost, const SubmissionView &inView);
+	/// Another process answers at the address of the collector that was asked.
+	SubmissionStep OnOtherProcess(uint64 inIncarnation, const SubmissionView &inView);
 	SubmissionStep AskLater(const SubmissionView &inView);
 	/// The partition's backlog is too long.
 	SubmissionStep OnBusy(Millis inExpectedWaitMs, const SubmissionView &inView);
@@ -140,6 +152,7 @@
 	bool delayed = false;          ///< An AskLater step is under way.
 	bool maybe_appended = false;   ///< An attempt without a certain outcome may have appended the record, or may do so later.
 	CollectorHost asked;           ///< The collector that was asked last.
+	bool asked_successor = false;  ///< It is the process that answered in place of the one that was asked first.
 	std::set<std::string> tried;   ///< Names of the candidates that were tried since the last delay.
 	bool own_append_tried = false; ///< Whether this host has tried to append since the last delay.
 	size_t tries = 0;              ///< Candidates tried over all.
--- a/Loomreach/Entry/JobHostCallers.inl
+++ b/Loomreach/Entry/JobHostCallers.inl
@@ -2,6 +2,7 @@
 // a caller's record reaches its inbox; this file carries out its steps.
 
 #include <Loomreach/Admission/RetryAfter.h>
+#include <Loomreach/Entry/CollectorAnswer.h>
 #include <Loomreach/Schedule/CancelDetails.h>
 #include <Loomreach/Schedule/InboxCodec.h>
 
@@ -233,7 +234,11 @@
 		return view;
 	view.candidates = this->Collectors(inRequest.cell, view.now);
 	if (const std::optional<CellOwner> owner = this->owners.LastOwnerOf(inRequest.cell))
-		view.owner = CollectorHost{owner->host, owner->address, owner->host == this->config.name, true};
+		view.owner = CollectorHost{.name = owner->host,
+								   .address = owner->address,
+								   .is_self = owner->host == this->config.name,
+								   .is_owner = true,
+								   .incarnation = owner->incarnation};
 	return view;
 }
 
@@ -358,36 +363,13 @@
 	question.version = this->catalogue->version;
 	question.key_hash = inRequest->key_hash;
 	question.for_ms = inStep.limit_ms;
+	question.incarnation = inStep.collector.incarnation;
 	this->peers.Ask(inStep.collector.address, std::move(question), inStep.limit_ms,
 					[this, request = inRequest, collector = inStep.collector](const std::optional<PeerAnswer> &inAnswer)
 					{ this->OnCollectorAnswer(request, collector, inAnswer); },
 					{.report_within_ms = cCollectorAckMs, .silence_ms = cCollectorSilenceMs});
 }
 
-/// What a collector's answer says about the record.
-inline CollectorReply CollectorReplyOf(const std::optional<PeerAnswer> &inAnswer)
-{
-	CollectorReply reply;
-	if (!inAnswer.has_value())
-		return reply;
-	reply.refusal = inAnswer->refusal;
-	const CollectorStatus status = DecodeValue<CollectorStatus>(inAnswer->record).value_or(CollectorStatus{});
-	reply.expected_wait_ms = status.busy_ms;
-	if (inAnswer->in_progress)
-		reply.outcome = ECollected::Silent;
-	else if (inAnswer->appended)
-		reply.outcome = ECollected::Appended;
-	else if (!inAnswer->not_done)
-		reply.outcome = ECollected::Unknown;
-	else if (inAnswer->refusal != EError::None)
-		reply.outcome = ECollected::Refused;
-	else if (status.busy_ms > 0)
-		reply.outcome = ECollected::Busy;
-	else
-		reply.outcome = inAnswer->reaches_store ? ECollected::NotDone : ECollected::CannotReach;
-	return reply;
-}
-
 template <class Hub>
 void JobHost<Hub>::OnCollectorAnswer(const std::shared_ptr<PendingRequest> &inRequest, const CollectorHost &inCollector,
 									 const std::optional<PeerAnswer> &inAnswer)
@@ -577,6 +559,9 @@
 	answer.appended = record.has_value() && this->KnowsJob(inQuestion.cell, *record);
 	if (answer.appended)
 		return inReply(answer);
+	if (IsForOtherProcess(inQuestion, this->incarnation))
+		return inReply(RefuseForOtherProcess(std::move(answer), this->incarnation));
+	answer.known = inQuestion.incarnation == this->incarnation;
 	if (refusal != EError::None || !answer.reaches_store)
 	{
 		answer.not_done = true;
@@ -611,6 +596,7 @@
 				PeerAnswer answer;
 				answer.appended = inAnswer.result == EAppend::Done;
 				answer.not_done = inAnswer.result == EAppend::Refused;
+				answer.known = inQuestion.incarnation == this->incarnation;
 				answer.reaches_store = !this->store_watch.IsUnresponsive(now);
 				if (answer.appended)
 				{
--- a/Loomreach/Entry/PeerQuery.cpp
+++ b/Loomreach/Entry/PeerQuery.cpp
@@ -144,6 +144,7 @@
 			return;
 		}
 		answer->reported = found->second.in_progress;
+		answer->repeated = found->second.repeated;
 		this->KeepClosed(answer->nonce, found->second, arrived_at);
 		const OnAnswer done = std::move(found->second.done);
 		this->pending.erase(found);
--- a/Loomreach/Entry/PeerQuery.h
+++ b/Loomreach/Entry/PeerQuery.h
@@ -47,9 +47,10 @@
 	uint32 count = 0;    ///< Demand: number of workers that should be spared.
 	/// Demand: workers whose hosts have just been moved or taken down, although the worker list still shows them.
 	std::vector<std::string> departed;
-	std::string record;     ///< AppendInbox: the encoded record. Forward: the encoded order. QueueMoved: the encoded MoveQuestion.
-	uint64 incarnation = 0; ///< Forward: incarnation of the process that is asked.
-	ShareQuestion shares;   ///< Only for Shares.
+	std::string record; ///< AppendInbox: the encoded record. Forward: the encoded order. QueueMoved: the encoded MoveQuestion.
+	/// AppendInbox, Forward: incarnation of the process that is asked; 0: not known. Another process at its address does nothing.
+	uint64 incarnation = 0;
+	ShareQuestion shares; ///< Only for Shares.
 
 	template <class Archive>
 	void serialize(Archive &ioArchive)
@@ -69,24 +70,31 @@
 	bool not_done = false;      ///< Any host: the record is certainly not in the inbox. Forward: the order was certainly not sent.
 	bool reaches_store = false; ///< Any host: the answering host reaches the store.
 	bool in_progress = false;   ///< Any host: the question is being handled, and its answer will follow.
+	/// Not sent, set where the answer arrives: the question was sent more than once, so that two processes at one address may have got it.
+	bool repeated = false;
 	/// Not sent, set where the answer arrives: it follows a report that the question is being handled. If the question was repeated
 	/// since, the answer may be from a later process at the same address, which knows nothing of what the first one did.
 	bool reported = false;
 	int64 clock_ms = 0; ///< Any host: steady clock of the answering host.
 	/// Any host. Forward: the worker's encoded answer. Owners: the encoded heartbeats of hosts that own cells. AppendInbox: an encoded
-	/// CollectorStatus. QueueMoved: the encoded MoveAnswer. Show, Count: the encoded list of other cells that may have jobs of the queue.
-	/// Empty: not available here, or none.
+	/// CollectorStatus; if the question names another process, the encoded incarnation of the answering one. QueueMoved: the encoded
+	/// MoveAnswer. Show, Count: the encoded list of other cells that may have jobs of the queue. Empty: not available here, or none.
 	std::string record;
 	bool inbox_current = false;    ///< Whether the owner has recently read its inbox to the end.
 	EError refusal = EError::None; ///< Any host. AppendInbox: why a newer configuration does not allow the record.
-	bool known = false;            ///< Show: the owner knows the job.
-	bool other_team = false;       ///< Show: the job belongs to another team.
+	/// Show: the owner knows the job. AppendInbox, Forward: the question names the answering process.
+	bool known = false;
+	bool other_team = false; ///< Show: the job belongs to another team.
 	EJobPhase phase = EJobPhase::Queued;
 	uint32 waiting = 0;   ///< Count: jobs that have not begun.
 	bool drained = false; ///< Drain: the worker is drained and will stay so for the time asked.
 	PoolDemand demand;
 	ShareAnswer shares;
 
+	/// AppendInbox, Forward: whether only the answering process can have handled the question, so that `not_done` is certain. A process
+	/// cannot tell what an earlier one at its address did, and one of an earlier version does not tell whether it is the one named.
+	bool IsFromOnlyHandler() const { return this->known || !this->repeated; }
+
 	template <class Archive>
 	void serialize(Archive &ioArchive)
 	{
--- a/Loomreach/Ownership/OwnerTable.cpp
+++ b/Loomreach/Ownership/OwnerTable.cpp
@@ -81,7 +81,7 @@
 	for (const auto &[name, heard] : this->hosts)
 		for (const OwnedCell &cell : heard.heartbeat.cells)
 			if (cell.cell == inCell && cell.held && (!best.has_value() || cell.epoch > best->epoch))
-				best = CellOwner{name, heard.heartbeat.address, cell.epoch};
+				best = CellOwner{name, heard.heartbeat.address, cell.epoch, heard.heartbeat.incarnation};
 	return best;
 }
 
@@ -143,6 +143,7 @@
 		CollectorHost &host = collectors.emplace_back();
 		host.name = name;
 		host.address = heard.heartbeat.address;
+		host.incarnation = heard.heartbeat.incarnation;
 		host.is_owner = owner.has_value() && owner->host == name;
 		host.is_live = this->IsLive(heard, inNow);
 	}
--- a/Loomreach/Ownership/OwnerTable.h
+++ b/Loomreach/Ownership/OwnerTable.h
@@ -142,6 +142,7 @@
 	std::string host;
 	Address address;
 	uint64 epoch = 0;
+	uint64 incarnation = 0; ///< As in its heartbeats.
 };
 
 /// A live host without cells. It can forward orders for owners.
--- a/UnitTests/AdmissionTests.cpp
+++ b/UnitTests/AdmissionTests.cpp
@@ -163,6 +163,74 @@
 	EXPECT_GE(Took(attempt), 550);
 }
 
+/// The same, with a record that arrives at host 5 at `cLaterAt`, when the collector's first calls are over.
+class AdmissionRestart : public AdmissionFailure
+{
+protected:
+	static constexpr Millis cLaterAt = cAskedAt + 1500;
+
+	AdmissionRestart() { this->world.Submit(cAsking, cLaterAt); }
+	/// Restarts the collector.
+	void RestartAt(Millis inAt, Millis inBackMs)
+	{
+		this->world.At(inAt, [this, inBackMs] { this->world.Restart(0, inBackMs, 1000); });
+	}
+	/// The store refuses calls in this time.
+	void RefuseCalls(Millis inFrom, Millis inUntil)
+	{
+		this->world.At(inFrom, [this] { this->world.store_busy = true; });
+		this->world.At(inUntil, [this] { this->world.store_busy = false; });
+	}
+	/// The record's attempt after all is over.
+	const AdmissionWorld::Attempt &LaterOutcome()
+	{
+		this->Outcome();
+		const auto is_later = [](const AdmissionWorld::Attempt &inAttempt) { return inAttempt.record == 11; };
+		return *std::find_if(this->world.attempts.begin(), this->world.attempts.end(), is_later);
+	}
+};
+
+/// Its append was carried out, and its next process answers the repeated question while the store is busy. Guards against a certain refusal
+/// of a record that is in the inbox.
+TEST_F(AdmissionRestart, CollectorRestartedAfterItAcknowledged)
+{
+	this->RestartAt(cLaterAt + 60, 200);
+	this->RefuseCalls(cLaterAt + 70, cLaterAt + 4000);
+	const AdmissionWorld::Attempt &attempt = this->LaterOutcome();
+	EXPECT_TRUE(this->world.inbox.contains("r11")) << attempt.tried;
+	EXPECT_TRUE(attempt.tried.starts_with("h0:other-process-by-later-process h0:not-done")) << attempt.tried;
+	EXPECT_NE(attempt.error, EError::PlatformDown);
+}
+
+/// The same where the collector was killed before it acknowledged the question.
+TEST_F(AdmissionRestart, CollectorRestartedBeforeItAcknowledges)
+{
+	this->RestartAt(cLaterAt + 20, 50);
+	this->RefuseCalls(cLaterAt + 60, cLaterAt + 4000);
+	const AdmissionWorld::Attempt &attempt = this->LaterOutcome();
+	EXPECT_TRUE(this->world.inbox.contains("r11")) << attempt.tried;
+	EXPECT_NE(attempt.error, EError::PlatformDown) << attempt.tried;
+}
+
+/// Guards against a caller that is told nothing certain although the store is back in time.
+TEST_F(AdmissionRestart, CollectorRestartedAndTheStoreIsBackInTime)
+{
+	this->RestartAt(cLaterAt + 60, 200);
+	this->RefuseCalls(cLaterAt + 70, cLaterAt + 1000);
+	const AdmissionWorld::Attempt &attempt = this->LaterOutcome();
+	EXPECT_TRUE(this->world.inbox.contains("r11")) << attempt.tried;
+	EXPECT_EQ(attempt.error, EError::None) << attempt.tried;
+}
+
+/// Guards against refusing callers, or turning to other collectors, while heartbeats still name the former process.
+TEST_F(AdmissionRestart, CollectorRestartedBeforeItIsAsked)
+{
+	this->RestartAt(cLaterAt - 100, 50);
+	const AdmissionWorld::Attempt &attempt = this->LaterOutcome();
+	EXPECT_EQ(attempt.tried, "h0:other-process h0:appended");
+	EXPECT_LE(Took(attempt), 30 + 4 * 112);
+}
+
 /// Guards against callers that wait for a store that is down, and against callers that all return at once and exhaust their retries.
 TEST(Admission, WhileTheStoreIsDownCallersAreRefusedAtOnceAndReturnSpread)
 {
@@ -261,4 +329,33 @@
 	RC_ASSERT(world.Violations() == "");
 }
 
+/// Any order of restarts, with datagrams that are late. Guards against records refused with 503 that an earlier or a later process at the
+/// collector's address appends.
+RC_GTEST_PROP(Admission, RefusesNothingForCertainThatAnotherProcessAppends, ())
+{
+	const uint64 seed = *rc::gen::inRange<uint64>(1, 1'000'000'000);
+	constexpr size_t cHosts = 4;
+	AdmissionWorld world(cHosts, seed);
+	Random random(seed);
+	world.jitter_ms = 120;
+	world.retries = 0;
+	SubmitAtRate(world, random, cHosts, 0, 8000, 60.0);
+	world.At(300, [&world] { world.append_ms = 112; });
+	for (Millis at = 600; at < 8000; at += 50 + static_cast<Millis>(random.Below(300)))
+		world.At(at,
+				 [&world, kind = random.Below(4), host = random.Below(cHosts), back = static_cast<Millis>(20 + random.Below(400)),
+				  heard = static_cast<Millis>(random.Below(1500))]
+				 {
+					 switch (kind)
+					 {
+					 case 0: world.store_busy = !world.store_busy; break;
+					 case 1: world.owner = host; break;
+					 default: world.Restart(world.owner, back, heard); break;
+					 }
+				 });
+	world.At(8000, [&world] { world.store_busy = false; });
+	world.RunUntil(20000);
+	RC_ASSERT(world.Violations() == "");
+}
+
 } // namespace Loomreach::Jobs
--- a/UnitTests/AdmissionWorld.cpp
+++ b/UnitTests/AdmissionWorld.cpp
@@ -2,6 +2,7 @@
 
 #include <Loomreach/Loomreach.h>
 
+#include <Loomreach/State/Codec.h>
 #include <UnitTests/AdmissionWorld.h>
 
 namespace Loomreach::Jobs
@@ -16,6 +17,7 @@
 static constexpr Millis cRepeatMs = 60;       ///< repeats before
 static constexpr Millis cRepeatAckedMs = 240; ///< and after it.
 static constexpr Millis cAskTickMs = 30;
+static constexpr Millis cTakeoverMs = 2000;     ///< A lease of an owner.
 static constexpr Millis cReadIntervalMs = 1000; ///< Interval of a host's reads of heartbeats.
 static constexpr size_t cMaxRecords = 500;
 static constexpr size_t cMaxCalls = 3;
@@ -46,10 +48,14 @@
 	Millis resend_at = 0;
 	bool acked = false;
 	bool ended = false;
-	// The collector's side
-	bool handling = false;
-	std::optional<CollectorReply> answer;
-	bool quick = false;
+	bool repeated = false;
+	/// What one process of the collector has done about it.
+	struct Handling
+	{
+		bool begun = false;
+		std::optional<PeerAnswer> answer;
+	};
+	std::map<uint64, Handling> handling; ///< By process.
 };
 
 /// One entry host.
@@ -59,6 +65,9 @@
 	std::string name;
 	Address address;
 	Faults faults;
+	uint64 process = 1;           ///< Rises with each process at its address.
+	uint64 announced_process = 1; ///< The one that the other hosts have heard of.
+	Millis reads_inbox_from = 0;  ///< A new process of the owner knows no jobs before it has taken its cell over.
 	std::vector<std::function<void()>> postponed;
 	InboxPaths paths;
 	OpenAppends open_appends{cAppendMs};
@@ -112,8 +121,10 @@
 void AdmissionWorld::HostAt(Host &ioHost, Millis inAt, std::function<void()> inCall)
 {
 	this->At(inAt,
-			 [host = &ioHost, call = std::move(inCall)]
+			 [host = &ioHost, process = ioHost.process, call = std::move(inCall)]
 			 {
+				 if (host->process != process)
+					 return;
 				 if (host->faults.frozen)
 					 host->postponed.push_back(call);
 				 else if (!host->faults.killed)
@@ -121,6 +132,38 @@
 			 });
 }
 
+void AdmissionWorld::Restart(size_t inHost, Millis inBackMs, Millis inHeardMs)
+{
+	Host &host = *this->hosts[inHost];
+	for (Attempt &attempt : this->attempts)
+		attempt.connection_lost = attempt.connection_lost || (attempt.host == inHost && attempt.answered_at < 0);
+	Host next;
+	next.index = host.index;
+	next.name = host.name;
+	next.address = host.address;
+	next.faults = host.faults;
+	next.faults.frozen = false;
+	next.faults.killed = true;
+	next.process = host.process + 1;
+	next.announced_process = host.announced_process;
+	next.reads_inbox_from = this->now + inBackMs + cTakeoverMs;
+	host = std::move(next);
+	this->At(this->now + inBackMs,
+			 [this, &host, process = host.process, inHeardMs]
+			 {
+				 if (host.process != process)
+					 return;
+				 host.faults.killed = false;
+				 this->ReadStore(host, true);
+				 this->HostAt(host, this->now + inHeardMs, [&host] { host.announced_process = host.process; });
+			 });
+}
+
+bool AdmissionWorld::KnowsRecord(const Host &inHost, const std::string &inId) const
+{
+	return inHost.index == this->owner && this->now >= inHost.reads_inbox_from && this->inbox.contains(inId);
+}
+
 void AdmissionWorld::Thaw(size_t inHost)
 {
 	Host &host = *this->hosts[inHost];
@@ -149,6 +192,7 @@
 	request->retries_left = inRetriesLeft;
 	Attempt &attempt = this->attempts.emplace_back();
 	attempt.record = inRecord;
+	attempt.host = inHost;
 	attempt.arrived_at = this->now;
 	const Millis give_up_at = this->now + this->deadline_ms - 150;
 	request->submission = Submission(give_up_at);
@@ -191,7 +235,7 @@
 		const bool reaches = unresponsive && !host->faults.cut_off && !this->store_down;
 		if (unresponsive && !reaches && !is_owner)
 			continue;
-		all.push_back({host->name, host->address, is_self, is_owner, true, reaches});
+		all.push_back({host->name, host->address, is_self, is_owner, true, reaches, host->announced_process});
 	}
 	return ioHost.choice.Candidates(0, all, this->now);
 }
@@ -210,7 +254,7 @@
 	view.store_unresponsive = ioHost.watch.IsUnresponsive(this->now);
 	view.candidates = this->Collectors(ioHost);
 	const Host &owning = *this->hosts[this->owner];
-	view.owner = CollectorHost{owning.name, owning.address, &owning == &ioHost, true};
+	view.owner = CollectorHost{owning.name, owning.address, &owning == &ioHost, true, true, false, owning.announced_process};
 	return view;
 }
 
@@ -237,7 +281,7 @@
 
 void AdmissionWorld::AppendOwn(Host &ioHost, const std::shared_ptr<Request> &inRequest, Millis inLimitMs)
 {
-	if (ioHost.index == this->owner && this->inbox.contains(inRequest->id))
+	if (this->KnowsRecord(ioHost, inRequest->id))
 		return this->Execute(ioHost, inRequest, inRequest->submission.OnOwnAppend(true, EOwnAppend::None, {}));
 	this->appended_in_flight += std::exchange(inRequest->own_in_flight, true) ? 1 : 0;
 	ioHost.own_appends.insert(inRequest);
@@ -298,8 +342,13 @@
 void AdmissionWorld::Send(size_t inFrom, size_t inTo, std::function<void()> inReceive)
 {
 	++this->datagrams;
-	if (!this->hosts[inFrom]->faults.no_link.contains(inTo) && !this->hosts[inTo]->faults.no_link.contains(inFrom))
-		this->HostAt(*this->hosts[inTo], this->now + cNetworkMs, std::move(inReceive));
+	if (this->hosts[inFrom]->faults.no_link.contains(inTo) || this->hosts[inTo]->faults.no_link.contains(inFrom))
+		return;
+	const Millis takes =
+		cNetworkMs + (this->jitter_ms > 0 ? static_cast<Millis>(this->random.Below(static_cast<uint64>(this->jitter_ms))) : 0);
+	// Whichever process is there by then
+	this->At(this->now + takes,
+			 [this, to = this->hosts[inTo].get(), receive = std::move(inReceive)] { this->HostAt(*to, this->now, receive); });
 }
 
 void AdmissionWorld::Ask(Host &ioHost, const std::shared_ptr<Request> &inRequest, const SubmissionStep &inStep)
@@ -339,6 +388,7 @@
 	}
 	if (this->now >= inAsked->resend_at)
 	{
+		inAsked->repeated = true;
 		inAsked->resend_at = this->now + (inAsked->acked ? cRepeatAckedMs : cRepeatMs);
 		this->SendQuestion(ioHost, inAsked);
 	}
@@ -358,52 +408,70 @@
 					   inAsked->give_up_at = std::min(inAsked->limit_at, this->now + cSilenceMs);
 				   });
 	};
-	const auto answer = [this, &ioHost, &asking, inAsked](ECollected inOutcome, bool inQuick, Millis inWaitMs)
+	Asked::Handling &handling = inAsked->handling[ioHost.process];
+	const auto answer = [this, &ioHost, &asking, inAsked, &handling](PeerAnswer inAnswer)
 	{
-		inAsked->answer = CollectorReply{inOutcome, EError::None, inWaitMs};
-		inAsked->quick = inQuick;
+		handling.answer = std::move(inAnswer);
 		this->Send(ioHost.index, asking.index,
-				   [this, &asking, inAsked]
-				   {
-					   if (std::exchange(inAsked->ended, true))
-						   return;
-					   if (inAsked->quick)
-						   asking.paths.OnQuickAnswer(0);
-					   if (inAsked->answer->outcome == ECollected::CannotReach)
-						   asking.choice.OnCannotReachStore(inAsked->collector.address, this->now);
-					   this->Execute(asking, inAsked->request,
-									 inAsked->request->submission.OnReply(*inAsked->answer, this->ViewOf(asking)));
-				   });
+				   [this, &asking, inAsked, given = *handling.answer] { this->OnAnswer(asking, inAsked, given); });
 	};
-	if (inAsked->answer.has_value())
-		return answer(inAsked->answer->outcome, inAsked->quick, inAsked->answer->expected_wait_ms);
-	if (std::exchange(inAsked->handling, true))
+	if (handling.answer.has_value())
+		return answer(*handling.answer);
+	if (std::exchange(handling.begun, true))
 		return acknowledge();
 	const std::string &id = inAsked->request->id;
-	if (ioHost.index == this->owner && this->inbox.contains(id))
-		return answer(ECollected::Appended, false, 0);
-	if (ioHost.watch.IsUnresponsive(this->now))
-		return answer(ECollected::CannotReach, false, 0);
+	PeerAnswer given;
+	given.reaches_store = !ioHost.watch.IsUnresponsive(this->now);
+	given.appended = this->KnowsRecord(ioHost, id);
+	if (given.appended)
+		return answer(given);
+	PeerQuestion question;
+	question.incarnation = inAsked->collector.incarnation;
+	if (IsForOtherProcess(question, ioHost.process))
+		return answer(RefuseForOtherProcess(given, ioHost.process));
+	given.known = question.incarnation == ioHost.process;
+	given.not_done = true;
+	if (!given.reaches_store)
+		return answer(given);
 	const size_t batches = ioHost.in_flight + 1 + ioHost.waiting.size() / cMaxRecords;
 	const auto wait = static_cast<Millis>(static_cast<double>(batches) * ioHost.latency_ms);
 	if (this->now + wait > inAsked->limit_at)
-		return answer(ECollected::Busy, false, wait);
+	{
+		given.record = EncodeValue(CollectorStatus{false, wait});
+		return answer(given);
+	}
 	this->HostAt(ioHost, this->now + cAckMs,
-				 [inAsked, acknowledge]
+				 [&handling, acknowledge]
 				 {
-					 if (!inAsked->answer.has_value())
+					 if (!handling.answer.has_value())
 						 acknowledge();
 				 });
 	const Millis sent_at = this->now;
 	this->Write(ioHost, id, inAsked->limit_at,
-				[this, answer, sent_at](EAppendResult inResult)
+				[this, answer, sent_at, given](EAppendResult inResult) mutable
 				{
-					const bool quick = inResult == EAppendResult::Done && static_cast<double>(this->now - sent_at) <= cQuickMs;
-					const ECollected failed = inResult == EAppendResult::Refused ? ECollected::NotDone : ECollected::Unknown;
-					answer(inResult == EAppendResult::Done ? ECollected::Appended : failed, quick, 0);
+					given.appended = inResult == EAppendResult::Done;
+					given.not_done = inResult == EAppendResult::Refused;
+					const bool quick = given.appended && static_cast<double>(this->now - sent_at) <= cQuickMs;
+					if (given.appended)
+						given.record = EncodeValue(CollectorStatus{quick, 0});
+					answer(given);
 				});
 }
 
+void AdmissionWorld::OnAnswer(Host &ioAsking, const std::shared_ptr<Asked> &inAsked, PeerAnswer inAnswer)
+{
+	if (std::exchange(inAsked->ended, true))
+		return;
+	inAnswer.repeated = inAsked->repeated;
+	const CollectorReply reply = CollectorReplyOf(inAnswer);
+	if (DecodeValue<CollectorStatus>(inAnswer.record).value_or(CollectorStatus{}).quick)
+		ioAsking.paths.OnQuickAnswer(0);
+	if (reply.outcome == ECollected::CannotReach)
+		ioAsking.choice.OnCannotReachStore(inAsked->collector.address, this->now);
+	this->Execute(ioAsking, inAsked->request, inAsked->request->submission.OnReply(reply, this->ViewOf(ioAsking)));
+}
+
 // ---- Writer ----
 
 void AdmissionWorld::Write(Host &ioHost, const std::string &inId, Millis inGiveUpAt, std::function<void(EAppendResult)> inDone)
@@ -481,9 +549,14 @@
 		this->Flush(ioHost);
 	};
 	this->HostAt(ioHost, this->now + cCallTimeoutMs, [done] { done(EAppendResult::Unknown); });
-	call.done = [this, &ioHost, done](EAppendResult inResult)
-	{ this->HostAt(ioHost, this->now + cNetworkMs, [done, inResult] { done(inResult); }); };
+	call.done = [this, &ioHost, process = ioHost.process, done](EAppendResult inResult)
+	{
+		if (ioHost.process == process)
+			this->HostAt(ioHost, this->now + cNetworkMs, [done, inResult] { done(inResult); });
+	};
 	++this->calls;
+	if (this->store_busy)
+		return call.done(EAppendResult::Refused);
 	if (!this->store_down && !ioHost.faults.cut_off)
 		this->At(this->now + ioHost.faults.slow_ms, [this, call = std::move(call)]() mutable { this->Receive(std::move(call)); });
 }
@@ -540,7 +613,7 @@
 	{
 		const std::string id = "r" + std::to_string(attempt.record);
 		if (attempt.answered_at < 0)
-			text += id + " without an answer; ";
+			text += attempt.connection_lost ? "" : id + " without an answer; ";
 		else if (attempt.error == EError::None)
 			accepted.insert(id);
 		if (attempt.error == EError::None && attempt.answered_at >= 0 && !this->inbox.contains(id))
--- a/UnitTests/AdmissionWorld.h
+++ b/UnitTests/AdmissionWorld.h
@@ -9,6 +9,7 @@
 #include <Loomreach/Admission/RetryAfter.h>
 #include <Loomreach/Admission/Submission.h>
 #include <Loomreach/Core/Random.h>
+#include <Loomreach/Entry/CollectorAnswer.h>
 #include <Loomreach/Entry/StoreWatch.h>
 
 namespace Loomreach::Jobs
@@ -22,6 +23,8 @@
 	struct Attempt
 	{
 		size_t record = 0;
+		size_t host = 0;
+		bool connection_lost = false; ///< Its host was killed before it answered.
 		Millis arrived_at = 0;
 		Millis answered_at = -1;
 		EError error = EError::None;
@@ -54,6 +57,8 @@
 	Faults &FaultsOf(size_t inHost);
 	/// Ends a host's freeze.
 	void Thaw(size_t inHost);
+	/// Kills a host. Its next process starts at its address after `inBackMs`, and the other hosts learn of it `inHeardMs` later.
+	void Restart(size_t inHost, Millis inBackMs, Millis inHeardMs);
 	const InboxPaths &PathsOf(size_t inHost) const;
 	/// Name of the host that collects where none failed.
 	std::string FirstCollector(size_t inAsking);
@@ -67,6 +72,8 @@
 
 	Millis append_ms = 4;      ///< Duration of an append that begins now.
 	bool store_down = false;   ///< Calls get no response and are not carried out.
+	bool store_busy = false;   ///< Calls are refused at once.
+	Millis jitter_ms = 0;      ///< Datagrams take up to this much longer.
 	Millis deadline_ms = 3000; ///< Deadline of each attempt.
 	size_t owner = 0;          ///< Index of the cell's owner.
 	size_t retries = 4;
@@ -93,6 +100,8 @@
 	void Arrive(size_t inRecord, size_t inHost, size_t inRetriesLeft);
 	// Host
 	void HostAt(Host &ioHost, Millis inAt, std::function<void()> inCall);
+	/// Whether the host owns the cell and has read the record.
+	bool KnowsRecord(const Host &inHost, const std::string &inId) const;
 	SubmissionView ViewOf(Host &ioHost);
 	std::vector<CollectorHost> Collectors(Host &ioHost);
 	void Execute(Host &ioHost, const std::shared_ptr<Request> &inRequest, const SubmissionStep &inStep);
@@ -107,6 +116,7 @@
 	void CheckAsked(Host &ioHost, const std::shared_ptr<Asked> &inAsked);
 	void SendQuestion(Host &ioHost, const std::shared_ptr<Asked> &inAsked);
 	void OnQuestion(Host &ioHost, size_t inFrom, const std::shared_ptr<Asked> &inAsked);
+	void OnAnswer(Host &ioAsking, const std::shared_ptr<Asked> &inAsked, PeerAnswer inAnswer);
 	/// Reads other hosts' heartbeats, which also shows whether the store responds.
 	void ReadStore(Host &ioHost, bool inRepeats);
 	// Writer
--- a/UnitTests/SubmissionTests.cpp
+++ b/UnitTests/SubmissionTests.cpp
@@ -76,9 +76,11 @@
 		{
 			asked = false;
 			CollectorReply reply;
-			reply.outcome = static_cast<ECollected>(1 + random.Below(7));
+			reply.outcome = static_cast<ECollected>(1 + random.Below(8));
+			reply.certain = random.Chance(70);
+			reply.incarnation = reply.outcome == ECollected::OtherProcess ? 7 : 0;
 			reply.refusal = reply.outcome == ECollected::Refused ? EError::UnknownKey : EError::None;
-			doubtful = doubtful || reply.outcome >= ECollected::Unknown;
+			doubtful = doubtful || !reply.certain || (reply.outcome >= ECollected::Unknown && reply.outcome <= ECollected::Silent);
 			step = submission.OnReply(reply, view());
 		}
 		else if (delayed)
@@ -107,6 +109,37 @@
 	EXPECT_EQ(submission.OnReply({ECollected::Appended}, MakeView(250)).kind, ESubmissionStep::Wait);
 }
 
+/// Guards against 503, or a refusal by a newer configuration, on the word of a process that cannot know what the one that was asked did.
+TEST(Submission, NoRefusalOfALaterProcessIsCertain)
+{
+	for (const bool is_cancel : {false, true})
+		for (const ECollected outcome : {ECollected::Refused, ECollected::Busy, ECollected::CannotReach, ECollected::NotDone})
+		{
+			Submission submission(3000, is_cancel);
+			SubmissionView view = MakeView(0);
+			view.candidates = {cHosts.front()};
+			ASSERT_EQ(submission.Begin(view).kind, ESubmissionStep::Ask);
+			CollectorReply reply{outcome, EError::UnknownKey, 100};
+			reply.certain = false;
+			EXPECT_EQ(submission.OnReply(reply, view).kind, ESubmissionStep::AskLater) << NameOf(cCollectedNames, outcome);
+			EXPECT_EQ(submission.OnTimeUp().error, EError::OutcomeLost) << NameOf(cCollectedNames, outcome);
+		}
+}
+
+/// Guards against turning to another collector, or refusing the caller, because the collector has restarted and heartbeats do not tell yet.
+TEST(Submission, ARestartedCollectorIsAskedByItsNewProcessOnce)
+{
+	Submission submission(3000);
+	submission.Begin(MakeView(0));
+	CollectorReply reply{ECollected::OtherProcess};
+	reply.incarnation = 8;
+	const SubmissionStep again = submission.OnReply(reply, MakeView(5));
+	ASSERT_EQ(again.kind, ESubmissionStep::Ask);
+	EXPECT_EQ(again.collector.name, "owner");
+	EXPECT_EQ(again.collector.incarnation, 8u);
+	EXPECT_FALSE(submission.OnReply(reply, MakeView(10)).collector.is_owner);
+}
+
 /// Guards against callers that wait for a backlog which they cannot outlast.
 TEST(Submission, ABusyCollectorsEstimateReachesTheCaller)
 {
