Call a forwarded order not sent only on the word of the process that was asked to send it

Callers' tasks could be started on two workers: a forwarder sends a start and is replaced before it reports, its next process refuses the repeated question, and the owner's own sending does not leave the host. The order counted as not sent, though the first process had sent it.

The question names its process, but "not done" of another process at the address counted as certain unless a report had arrived before.

Evidence: OrderSender.WhatAnEarlierProcessMayHaveSentWithoutAReportIsNeverCalledNotSent failed on (not-sent in place of unknown). By the code, no other place takes a peer's word for what was not done.

Change: the refusal says whether the question names the answering process, and is certain if it does or if the question was sent once. Beside forwarders of an earlier version, which do not say so, a refusal after a repeat is not certain: the run is waited for.

Measured: the test passes, as do the others of OrderSender.

--- a/Loomreach/Forward/OrderSender.inl
+++ b/Loomreach/Forward/OrderSender.inl
@@ -82,8 +82,9 @@
 		if (now >= inOrder.not_after)
 			return done(OrderAnswer{});
 		// The forwarder may have sent it all the same; a second sending is the same order. A process that reports that it handles an order
-		// never refuses it afterwards: such a refusal is a later process's
-		const bool uncertain = accepted || !inAnswer.has_value() || !inAnswer->not_done || inAnswer->reported;
+		// never refuses it afterwards: such a refusal is a later process's. So may be one without a report, which may have been lost
+		const bool refused = inAnswer.has_value() && inAnswer->not_done && !inAnswer->reported && inAnswer->IsFromOnlyHandler();
+		const bool uncertain = accepted || !refused;
 		this->agent.Send(inOrder, [uncertain, done](const OrderAnswer &inOwn) { done(uncertain ? AsUncertain(inOwn) : inOwn); });
 	};
 	// Two lost answers to polls use up a worker's lease, so an answer is asked for as soon as it is overdue
@@ -117,6 +118,7 @@
 	{
 		PeerAnswer refusal;
 		refusal.not_done = true;
+		refusal.known = inQuestion.incarnation == inOwnIncarnation;
 		return inReply(refusal);
 	}
 	++this->forwarded_in_flight;
--- a/UnitTests/ForwardTests.cpp
+++ b/UnitTests/ForwardTests.cpp
@@ -723,4 +723,29 @@
 	EXPECT_EQ(hosts.SentByHelpers(), 1u);
 }
 
+/// The same where the process is replaced before it has reported that it has the order.
+TEST(OrderSender, WhatAnEarlierProcessMayHaveSentWithoutAReportIsNeverCalledNotSent)
+{
+	ForwardingHosts hosts;
+	for (const auto &helper : hosts.helpers)
+		helper->agent.never_answers = true;
+	hosts.own_agent.result = EOrderResult::NotSent;
+	std::optional<OrderAnswer> got;
+	hosts.owner->Send(ForwardingHosts::MakeOrder(), [&got](const OrderAnswer &inAnswer) { got = inAnswer; });
+	for (Millis waited = 0; waited < 300 && hosts.SentByHelpers() == 0; waited += 1)
+		FakeLog::RunMainLoopFor(1);
+	ASSERT_EQ(hosts.SentByHelpers(), 1u);
+	ASSERT_EQ(hosts.Reports(), 0u);
+	for (const auto &helper : hosts.helpers)
+	{
+		helper->incarnation += 1000;
+		helper->Open();
+	}
+	for (Millis waited = 0; waited < 3000 && !got.has_value(); waited += 5)
+		FakeLog::RunMainLoopFor(5);
+	ASSERT_TRUE(got.has_value());
+	EXPECT_EQ(got->result, EOrderResult::Unknown);
+	EXPECT_EQ(hosts.SentByHelpers(), 1u);
+}
+
 } // namespace Loomreach::Jobs
