Name refusals in doubt after their effect, and fuzz the new records

A refusal that is not certain now ends in "-in-doubt", as the record then is. Collecting the counted crashes of a job no longer relies on each recorded run's worker being known.

--- a/FuzzTests/PeerMessagesFuzz.cpp
+++ b/FuzzTests/PeerMessagesFuzz.cpp
@@ -3,8 +3,9 @@
 
 #include <Loomreach/Loomreach.h>
 
-#include <Loomreach/Entry/PeerQuery.h>
+#include <Loomreach/Entry/CollectorAnswer.h>
 #include <Loomreach/Job/JobRecord.h>
+#include <Loomreach/Schedule/TaskCrashes.h>
 #include <Loomreach/Schedule/Worker.h>
 #include <Loomreach/State/Codec.h>
 
@@ -30,14 +31,16 @@
 	if (inSize == 0)
 		return 0;
 	const std::string_view bytes(reinterpret_cast<const char *>(inData) + 1, inSize - 1);
-	switch (inData[0] % 6)
+	switch (inData[0] % 8)
 	{
 	case 0: Check<PeerQuestion>(bytes); break;
 	case 1: Check<PeerAnswer>(bytes); break;
 	case 2: Check<JobSpec>(bytes); break;
 	case 3: Check<JobRecord>(bytes); break;
 	case 4: Check<Order>(bytes); break;
-	default: Check<OrderAnswer>(bytes);
+	case 5: Check<OrderAnswer>(bytes); break;
+	case 6: Check<AnsweringProcess>(bytes); break;
+	default: Check<std::vector<CountedCrash>>(bytes);
 	}
 	return 0;
 }
--- a/Loomreach/Admission/Submission.cpp
+++ b/Loomreach/Admission/Submission.cpp
@@ -154,7 +154,7 @@
 	if (this->ended || !this->asking)
 		return {};
 	this->asking = false;
-	this->Note(this->asked.name, std::string(NameOf(cCollectedNames, inReply.outcome)) + (inReply.certain ? "" : "-by-later-process"));
+	this->Note(this->asked.name, std::string(NameOf(cCollectedNames, inReply.outcome)) + (inReply.certain ? "" : "-in-doubt"));
 	this->maybe_appended = this->maybe_appended || !inReply.certain;
 	switch (inReply.outcome)
 	{
--- a/Loomreach/Schedule/Cell.cpp
+++ b/Loomreach/Schedule/Cell.cpp
@@ -801,9 +801,11 @@
 			for (const RunRecord &record : inJob.record.steps[unit].tasks[index].runs)
 			{
 				const TaskId task{inJob.spec.id, static_cast<uint32>(unit / steps), static_cast<uint32>(unit % steps), index};
-				const CellWorker &worker = this->workers.at(record.worker);
-				const auto run = worker.runs.find({task, record.run});
-				if (run != worker.runs.end() && run->second.counted_crash.has_value())
+				const auto worker = this->workers.find(record.worker);
+				if (worker == this->workers.end())
+					continue;
+				const auto run = worker->second.runs.find({task, record.run});
+				if (run != worker->second.runs.end() && run->second.counted_crash.has_value())
 					counted.push_back({static_cast<uint32>(unit), index, record.run, *run->second.counted_crash});
 			}
 	return counted;
